Lay out the workspace: tool chain, model, store interface

Cause: nothing was there. The module graph, the formatter, the linters and the values that every module shares have to stand before work can go on side by side.

Found on the way: Jackson took isEmpty() and isIntact() for components of a record, so a delta could not be read back; and FAIL_ON_TRAILING_TOKENS makes the MessagePack reader fail at the end of each value. Both have a test.

--- /dev/null
+++ b/command/src/main/java/org/oleanderturn/command/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line: commands and queries. */
+package org.oleanderturn.command;
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/Codec.java
@@ -0,0 +1,118 @@
+package org.oleanderturn.model;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.vavr.control.Either;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Encodes and decodes records as JSON, as MessagePack, and as compressed MessagePack.
+ *
+ * <p>Invariant: decoding is strict; an unknown field or a null primitive is a failure, and so are bytes left over
+ * after JSON. Thread safe.
+ */
+public final class Codec {
+    private static final int MAXIMUM_INFLATED_BYTES = 64 * 1024 * 1024;
+    private static final Codec JSON = new Codec(
+            strict(JsonMapper.builder().build()).configure(DeserializationFeature.FAIL_ON_TRAILING_TOKENS, true));
+    private static final Codec MESSAGE_PACK = new Codec(strict(new ObjectMapper(new MessagePackFactory())));
+
+    private final ObjectMapper mapper;
+
+    private Codec(ObjectMapper mapper) {
+        this.mapper = mapper;
+    }
+
+    /** Returns the codec for JSON. */
+    public static Codec json() {
+        return JSON;
+    }
+
+    /** Returns the codec for MessagePack. */
+    public static Codec messagePack() {
+        return MESSAGE_PACK;
+    }
+
+    // -- core operations
+
+    /** Returns the value's encoding. */
+    public byte[] encode(Object value) {
+        try {
+            return mapper.writeValueAsBytes(value);
+        } catch (JsonProcessingException cause) {
+            throw new UncheckedIOException("value has no encoding: " + value.getClass(), cause);
+        }
+    }
+
+    /** Decodes a value of the given type; a malformed encoding is a {@link DecodeFailure}. */
+    public <T> Either<DecodeFailure, T> decode(byte[] bytes, Class<T> type) {
+        try {
+            T value = mapper.readValue(bytes, type);
+            return value == null ? Either.left(DecodeFailure.of("", "value is null")) : Either.right(value);
+        } catch (IOException cause) {
+            return Either.left(DecodeFailure.of(cause));
+        } catch (RuntimeException cause) {
+            return Either.left(DecodeFailure.of("", String.valueOf(cause.getMessage())));
+        }
+    }
+
+    // -- derived operations
+
+    /** Returns the value's encoding, compressed. */
+    public byte[] encodeCompressed(Object value) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DeflaterOutputStream deflater = new DeflaterOutputStream(bytes)) {
+            deflater.write(encode(value));
+        } catch (IOException cause) {
+            throw new UncheckedIOException(cause);
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Decodes a compressed value of the given type; a malformed encoding is a {@link DecodeFailure}. */
+    public <T> Either<DecodeFailure, T> decodeCompressed(byte[] bytes, Class<T> type) {
+        try (InputStream inflater = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
+            byte[] inflated = inflater.readNBytes(MAXIMUM_INFLATED_BYTES);
+            return decode(inflated, type);
+        } catch (IOException cause) {
+            return Either.left(DecodeFailure.of(cause));
+        }
+    }
+
+    /** Returns the value's encoding as text; only for JSON. */
+    public String encodeText(Object value) {
+        return new String(encode(value), StandardCharsets.UTF_8);
+    }
+
+    /** Returns the value's encoding as indented text; only for JSON. */
+    public String encodeIndented(Object value) {
+        try {
+            return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+        } catch (JsonProcessingException cause) {
+            throw new UncheckedIOException("value has no encoding: " + value.getClass(), cause);
+        }
+    }
+
+    private static ObjectMapper strict(ObjectMapper mapper) {
+        return mapper.registerModule(new Jdk8Module())
+                .configure(MapperFeature.AUTO_DETECT_IS_GETTERS, false)
+                .configure(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY, true)
+                .configure(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS, true)
+                .configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, true)
+                .configure(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, true)
+                .configure(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES, false);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/Configuration.java
@@ -0,0 +1,50 @@
+package org.oleanderturn.model;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Everything the operators declare: services, routes and traffic policies.
+ *
+ * <p>Invariant: each list is sorted by name, so equal declarations are equal values and have one digest. Whether the
+ * parts fit together is for {@link ConfigurationValidator} to say. Immutable and thread safe.
+ */
+public record Configuration(List<Service> services, List<Route> routes, List<TrafficPolicy> trafficPolicies) {
+    private static final Configuration EMPTY = new Configuration(List.of(), List.of(), List.of());
+
+    /** Sorts and copies the parts. */
+    public Configuration {
+        Objects.requireNonNull(services, "services is null");
+        Objects.requireNonNull(routes, "routes is null");
+        Objects.requireNonNull(trafficPolicies, "trafficPolicies is null");
+        services = services.stream().sorted(Comparator.comparing(Service::name)).toList();
+        routes = routes.stream().sorted(Comparator.comparing(Route::name)).toList();
+        trafficPolicies = trafficPolicies.stream()
+                .sorted(Comparator.comparing(TrafficPolicy::name))
+                .toList();
+    }
+
+    /** Returns the configuration of the given parts. */
+    public static Configuration of(List<Service> services, List<Route> routes, List<TrafficPolicy> trafficPolicies) {
+        return new Configuration(services, routes, trafficPolicies);
+    }
+
+    /** Returns the configuration that declares nothing. */
+    public static Configuration empty() {
+        return EMPTY;
+    }
+
+    /** Returns the service with the given name, if it is declared. */
+    public Optional<Service> service(ServiceName name) {
+        return services.stream().filter(service -> service.name().equals(name)).findFirst();
+    }
+
+    /** Returns the traffic policy with the given name, if it is declared. */
+    public Optional<TrafficPolicy> trafficPolicy(TrafficPolicyName name) {
+        return trafficPolicies.stream()
+                .filter(policy -> policy.name().equals(name))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/ConfigurationValidator.java
@@ -0,0 +1,131 @@
+package org.oleanderturn.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/**
+ * Says whether the parts of a configuration fit together.
+ *
+ * <p>Invariant: a configuration without faults has no route that points at an undeclared service or traffic policy.
+ * Stateless and thread safe.
+ */
+public final class ConfigurationValidator {
+    private static final int HIGHEST_SLOTS = 10_000;
+    private static final int HIGHEST_CONNECTIONS = 100_000;
+    private static final int HIGHEST_TIMEOUT_MILLISECONDS = 3_600_000;
+    private static final int HIGHEST_ATTEMPTS = 10;
+    private static final int HIGHEST_PERCENT = 100;
+    private static final int HIGHEST_HEDGE_PERCENTILE = 99;
+    private static final int HIGHEST_QUEUE = 10_000;
+    private static final Pattern PREFIX = Pattern.compile("/[^\\s?#]*");
+    private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
+    private static final Set<String> READING_METHODS = Set.of("GET", "HEAD", "OPTIONS");
+
+    private final Configuration configuration;
+    private final List<ConfigurationFault> faults = new ArrayList<>();
+
+    private ConfigurationValidator(Configuration configuration) {
+        this.configuration = configuration;
+    }
+
+    /** Returns every fault of the configuration; none when it can be accepted. */
+    public static List<ConfigurationFault> validate(Configuration configuration) {
+        Objects.requireNonNull(configuration, "configuration is null");
+        ConfigurationValidator validator = new ConfigurationValidator(configuration);
+        validator.checkNames();
+        configuration.services().forEach(validator::checkService);
+        configuration.trafficPolicies().forEach(validator::checkPolicy);
+        configuration.routes().forEach(validator::checkRoute);
+        validator.checkShadows();
+        return List.copyOf(validator.faults);
+    }
+
+    private void checkNames() {
+        checkUnique("services/", configuration.services(), Service::name);
+        checkUnique("routes/", configuration.routes(), Route::name);
+        checkUnique("trafficPolicies/", configuration.trafficPolicies(), TrafficPolicy::name);
+    }
+
+    private <T> void checkUnique(String prefix, List<T> objects, Function<T, ?> name) {
+        Set<Object> seen = new HashSet<>();
+        for (T object : objects) {
+            Object key = name.apply(object);
+            if (!seen.add(key)) {
+                faults.add(new ConfigurationFault.DuplicateName(prefix + key));
+            }
+        }
+    }
+
+    private void checkService(Service service) {
+        String path = "services/" + service.name();
+        checkRange(path, "slots", service.slots(), 1, HIGHEST_SLOTS);
+        checkRange(path, "connections", service.connections(), 1, HIGHEST_CONNECTIONS);
+    }
+
+    private void checkPolicy(TrafficPolicy policy) {
+        String path = "trafficPolicies/" + policy.name();
+        checkRange(path, "timeoutMilliseconds", policy.timeoutMilliseconds(), 1, HIGHEST_TIMEOUT_MILLISECONDS);
+        checkRange(path, "maximumAttempts", policy.maximumAttempts(), 1, HIGHEST_ATTEMPTS);
+        checkRange(path, "retryBudgetPercent", policy.retryBudgetPercent(), 0, HIGHEST_PERCENT);
+        checkRange(path, "hedgePercentile", policy.hedgePercentile(), 0, HIGHEST_HEDGE_PERCENTILE);
+        checkRange(path, "hedgeBudgetPercent", policy.hedgeBudgetPercent(), 0, HIGHEST_PERCENT);
+        checkRange(path, "queueLimit", policy.queueLimit(), 0, HIGHEST_QUEUE);
+        checkRange(path, "reservedShortPercent", policy.reservedShortPercent(), 0, HIGHEST_PERCENT - 1);
+    }
+
+    private void checkRange(String path, String field, long found, long lowest, long highest) {
+        if (found < lowest || found > highest) {
+            faults.add(new ConfigurationFault.OutOfRange(path, field, found, lowest, highest));
+        }
+    }
+
+    private void checkRoute(Route route) {
+        String path = "routes/" + route.name();
+        if (configuration.service(route.service()).isEmpty()) {
+            faults.add(new ConfigurationFault.UnknownService(path, route.service()));
+        }
+        if (configuration.trafficPolicy(route.trafficPolicy()).isEmpty()) {
+            faults.add(new ConfigurationFault.UnknownTrafficPolicy(path, route.trafficPolicy()));
+        }
+        if (!PREFIX.matcher(route.pathPrefix()).matches()) {
+            faults.add(new ConfigurationFault.MalformedPrefix(path, route.pathPrefix()));
+        }
+        checkMethods(path, route);
+    }
+
+    private void checkMethods(String path, Route route) {
+        List<String> methods = route.methods();
+        boolean isWellFormed =
+                methods.stream().allMatch(method -> METHOD.matcher(method).matches());
+        if (methods.isEmpty() || !isWellFormed || Set.copyOf(methods).size() < methods.size()) {
+            faults.add(new ConfigurationFault.MalformedMethods(path));
+        }
+        if (!route.kind().isIdempotent()) {
+            return;
+        }
+        for (String method : methods) {
+            if (!READING_METHODS.contains(method)) {
+                faults.add(new ConfigurationFault.MethodUnfitForKind(path, method, route.kind()));
+            }
+        }
+    }
+
+    private void checkShadows() {
+        Map<String, RouteName> taken = new HashMap<>();
+        for (Route route : configuration.routes()) {
+            for (String method : route.methods()) {
+                RouteName other = taken.putIfAbsent(method + " " + route.pathPrefix(), route.name());
+                if (other != null && !other.equals(route.name())) {
+                    faults.add(new ConfigurationFault.ShadowedRoute("routes/" + route.name(), other));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/ConfigurationVersion.java
@@ -0,0 +1,56 @@
+package org.oleanderturn.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * The number of an accepted configuration.
+ *
+ * <p>Invariant: never negative; zero is the version before the first acceptance. Immutable and thread safe.
+ */
+public record ConfigurationVersion(@JsonValue long number) implements Comparable<ConfigurationVersion> {
+    private static final ConfigurationVersion NONE = new ConfigurationVersion(0);
+
+    /** Checks that the number is not negative. */
+    public ConfigurationVersion {
+        if (number < 0) {
+            throw new IllegalArgumentException("version is negative: " + number);
+        }
+    }
+
+    /** Returns the version with the given number. */
+    @JsonCreator
+    public static ConfigurationVersion of(long number) {
+        return new ConfigurationVersion(number);
+    }
+
+    /** Returns the version before the first acceptance. */
+    public static ConfigurationVersion none() {
+        return NONE;
+    }
+
+    /** Returns the version that follows this one. */
+    public ConfigurationVersion next() {
+        return new ConfigurationVersion(number + 1);
+    }
+
+    /** Returns whether this version is newer than another. */
+    public boolean isAfter(ConfigurationVersion other) {
+        return number > other.number;
+    }
+
+    /** Returns the newer of two versions. */
+    public static ConfigurationVersion newest(ConfigurationVersion first, ConfigurationVersion second) {
+        return first.isAfter(second) ? first : second;
+    }
+
+    @Override
+    public int compareTo(ConfigurationVersion other) {
+        return Long.compare(number, other.number);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toString(number);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/Digest.java
@@ -0,0 +1,43 @@
+package org.oleanderturn.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Objects;
+
+/**
+ * The SHA-256 digest of a value's encoding, in hexadecimal.
+ *
+ * <p>Immutable and thread safe.
+ */
+public record Digest(@JsonValue String hexadecimal) {
+
+    /** Checks that the digest is there. */
+    public Digest {
+        Objects.requireNonNull(hexadecimal, "hexadecimal is null");
+    }
+
+    /** Returns the digest that the given text writes out. */
+    @JsonCreator
+    public static Digest of(String hexadecimal) {
+        return new Digest(hexadecimal);
+    }
+
+    /** Computes the digest of the given bytes. */
+    public static Digest compute(byte[] bytes) {
+        Objects.requireNonNull(bytes, "bytes is null");
+        try {
+            byte[] hash = MessageDigest.getInstance("SHA-256").digest(bytes);
+            return new Digest(HexFormat.of().formatHex(hash));
+        } catch (NoSuchAlgorithmException cause) {
+            throw new IllegalStateException("every JDK has SHA-256", cause);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return hexadecimal;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/NodeId.java
@@ -0,0 +1,37 @@
+package org.oleanderturn.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies one node, the process in a target host's slot.
+ *
+ * <p>Invariant: the value is a well-formed name, see {@link Names}. Immutable and thread safe.
+ */
+public record NodeId(@JsonValue String value) implements Comparable<NodeId> {
+
+    /** Checks the name; a malformed one is an {@link IllegalArgumentException}. */
+    public NodeId {
+        Names.check(value, "node id");
+    }
+
+    /**
+     * Returns the node id with the given value.
+     *
+     * @throws IllegalArgumentException when the value is not a well-formed name
+     */
+    @JsonCreator
+    public static NodeId of(String value) {
+        return new NodeId(value);
+    }
+
+    @Override
+    public int compareTo(NodeId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/OperatorPaths.java
@@ -0,0 +1,27 @@
+package org.oleanderturn.model;
+
+/** The paths of a node's HTTP interface for operators; every body is JSON. */
+public final class OperatorPaths {
+    /** {@code GET}: the state dump. */
+    public static final String STATE = "/v1/state";
+    /** {@code GET}: the held {@link ConfigurationSnapshot}. */
+    public static final String CONFIGURATION = "/v1/configuration";
+    /** {@code GET}: a list of {@link ProxyStatus}. */
+    public static final String PROXIES = "/v1/proxies";
+    /** {@code GET}: a list of {@link RoutingTable.Entry}. */
+    public static final String ROUTES = "/v1/routes";
+    /** {@code GET}: a list of {@link Endpoint}. */
+    public static final String ENDPOINTS = "/v1/endpoints";
+    /** {@code POST} with a {@link Proposal}, or {@code GET} with an id appended: a {@link ChangeOutcome}. */
+    public static final String CHANGES = "/v1/changes";
+    /** {@code POST} with a {@link Configuration}: a {@link ConfigurationCheck}. */
+    public static final String CHECK = "/v1/check";
+    /** {@code POST} with a node id appended: a {@link DrainOutcome}. */
+    public static final String DRAIN = "/v1/drain";
+    /** {@code POST} with a node id appended: a {@link DrainOutcome}. */
+    public static final String UNDRAIN = "/v1/undrain";
+    /** {@code GET}: the metrics, as Prometheus text. */
+    public static final String METRICS = "/metrics";
+
+    private OperatorPaths() {}
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/RequestKind.java
@@ -0,0 +1,16 @@
+package org.oleanderturn.model;
+
+/** What a route's requests are, which decides whether they may be repeated and how long they hold a slot. */
+public enum RequestKind {
+    /** Short and idempotent: may be retried and hedged. */
+    LOOKUP,
+    /** Not idempotent: runs at most once under its idempotency key. */
+    BOOKING,
+    /** Long and idempotent: may be retried before its first answer byte, never hedged. */
+    DOWNLOAD;
+
+    /** Returns whether a request of this kind may run more than once. */
+    public boolean isIdempotent() {
+        return this != BOOKING;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/ServiceName.java
@@ -0,0 +1,37 @@
+package org.oleanderturn.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names a service.
+ *
+ * <p>Invariant: the value is a well-formed name, see {@link Names}. Immutable and thread safe.
+ */
+public record ServiceName(@JsonValue String value) implements Comparable<ServiceName> {
+
+    /** Checks the name; a malformed one is an {@link IllegalArgumentException}. */
+    public ServiceName {
+        Names.check(value, "service name");
+    }
+
+    /**
+     * Returns the service name with the given value.
+     *
+     * @throws IllegalArgumentException when the value is not a well-formed name
+     */
+    @JsonCreator
+    public static ServiceName of(String value) {
+        return new ServiceName(value);
+    }
+
+    @Override
+    public int compareTo(ServiceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/oleanderturn/model/TrafficPolicyName.java
@@ -0,0 +1,37 @@
+package org.oleanderturn.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names a traffic policy.
+ *
+ * <p>Invariant: the value is a well-formed name, see {@link Names}. Immutable and thread safe.
+ */
+public record TrafficPolicyName(@JsonValue String value) implements Comparable<TrafficPolicyName> {
+
+    /** Checks the name; a malformed one is an {@link IllegalArgumentException}. */
+    public TrafficPolicyName {
+        Names.check(value, "traffic policy name");
+    }
+
+    /**
+     * Returns the traffic policy name with the given value.
+     *
+     * @throws IllegalArgumentException when the value is not a well-formed name
+     */
+    @JsonCreator
+    public static TrafficPolicyName of(String value) {
+        return new TrafficPolicyName(value);
+    }
+
+    @Override
+    public int compareTo(TrafficPolicyName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/model/src/test/java/org/oleanderturn/model/ConfigurationDeltaTest.java
@@ -0,0 +1,80 @@
+package org.oleanderturn.model;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationDeltaTest {
+    private static final Service BOOKINGS = Service.of("bookings", 10, 120);
+    private static final Service DOCS = Service.of("docs", 10, 120);
+    private static final ConfigurationSnapshot FIRST =
+            snapshot(1, Configuration.of(List.of(BOOKINGS, DOCS), List.of(), List.of()));
+    private static final ConfigurationSnapshot SECOND =
+            snapshot(2, Configuration.of(List.of(Service.of("bookings", 12, 120)), List.of(), List.of()));
+
+    @Test
+    void shouldReachTheLaterSnapshotWhenAppliedToItsBase() {
+        ConfigurationDelta delta = ConfigurationDelta.between(FIRST, SECOND);
+
+        assertThat(delta.applyTo(FIRST)).isEqualTo(Either.right(SECOND));
+        assertThat(delta.removedServices()).containsExactly(DOCS.name());
+    }
+
+    @Test
+    void shouldNotApplyWhenTheBaseDiffers() {
+        ConfigurationDelta delta = ConfigurationDelta.between(FIRST, SECOND);
+
+        assertThat(delta.applyTo(SECOND).getLeft()).isInstanceOf(ConfigurationDelta.Mismatch.OtherBase.class);
+    }
+
+    @Test
+    void shouldNotApplyWhenTheResultHasAnotherDigest() {
+        ConfigurationDelta delta = ConfigurationDelta.between(FIRST, SECOND);
+        ConfigurationDelta forged = new ConfigurationDelta(
+                delta.from(),
+                delta.base(),
+                delta.to(),
+                Digest.of("forged"),
+                delta.changed(),
+                delta.removedServices(),
+                delta.removedRoutes(),
+                delta.removedTrafficPolicies());
+
+        assertThat(forged.applyTo(FIRST).getLeft()).isInstanceOf(ConfigurationDelta.Mismatch.OtherResult.class);
+    }
+
+    @Test
+    void shouldSurviveEncodingWhenCompressed() {
+        ConfigurationDelta delta = ConfigurationDelta.between(FIRST, SECOND);
+        byte[] bytes = Codec.messagePack().encodeCompressed(delta);
+
+        assertThat(Codec.messagePack().decodeCompressed(bytes, ConfigurationDelta.class))
+                .isEqualTo(Either.right(delta));
+    }
+
+    @Test
+    void shouldSurviveEncodingWhenAComponentIsAFlag() {
+        Proposal proposal = new Proposal(ProposalId.of("first"), Optional.empty(), true, FIRST.configuration());
+        byte[] bytes = Codec.json().encode(proposal);
+
+        assertThat(new String(bytes, StandardCharsets.UTF_8)).contains("\"isRebaseAllowed\":true");
+        assertThat(Codec.json().decode(bytes, Proposal.class)).isEqualTo(Either.right(proposal));
+    }
+
+    @Test
+    void shouldNameThePathWhenJsonIsMalformed() {
+        byte[] bytes = "{\"services\":[{\"name\":\"Bad Name\"}],\"routes\":[],\"trafficPolicies\":[]}"
+                .getBytes(StandardCharsets.UTF_8);
+
+        assertThat(Codec.json().decode(bytes, Configuration.class).getLeft().path())
+                .startsWith("services[0]");
+    }
+
+    private static ConfigurationSnapshot snapshot(long version, Configuration configuration) {
+        return ConfigurationSnapshot.of(ConfigurationVersion.of(version), configuration);
+    }
+}
