Add HTTP listener, upstream client, node settings and the target stand-in

Cause: the request path needs HTTP in and out whose failures say whether a request can have run.

Decisions: a booking's body is sent only on the guard's go-ahead (100 Continue), so that a lost connection before it is certainly 'not run'. A caller that goes away is seen by reading one byte ahead of its socket.

--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -0,0 +1,78 @@
+package org.oleanderturn.node;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.AvailabilityZone;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Region;
+import org.oleanderturn.model.ServiceName;
+
+/**
+ * The settings of a node.
+ *
+ * <p>Invariant: made only of a file that {@link SettingsSchema} found without faults. Immutable and thread safe.
+ *
+ * @param node the node's id
+ * @param region the region it stands in
+ * @param availabilityZone the availability zone it stands in
+ * @param platformRegion the region of the platform's store
+ * @param listen the addresses that the node listens on
+ * @param platform how the platform's store is reached
+ * @param target the target on this host
+ * @param join control addresses of other nodes
+ * @param drainMilliseconds the longest that a graceful stop waits for requests in flight
+ */
+public record NodeSettings(
+        NodeId node,
+        Region region,
+        AvailabilityZone availabilityZone,
+        Region platformRegion,
+        Listen listen,
+        Platform platform,
+        Target target,
+        List<Address> join,
+        Optional<Integer> drainMilliseconds) {
+    private static final Duration STANDARD_DRAIN = Duration.ofSeconds(30);
+
+    /** Returns where the node stands. */
+    public Locality locality() {
+        return new Locality(region, availabilityZone);
+    }
+
+    /** Returns the longest that a graceful stop waits for requests in flight. */
+    public Duration drainTime() {
+        return drainMilliseconds.map(Duration::ofMillis).orElse(STANDARD_DRAIN);
+    }
+
+    /**
+     * The addresses that a node listens on.
+     *
+     * @param caller for callers
+     * @param peer for other nodes' requests to the local target
+     * @param control for other nodes' control messages
+     * @param operator for operators
+     */
+    public record Listen(Address caller, Address peer, Address control, Address operator) {}
+
+    /**
+     * How the platform's store is reached.
+     *
+     * @param address its HTTP address
+     * @param callsPerSecond the most calls that this node makes in a second
+     * @param timeoutMilliseconds the longest wait for an answer
+     */
+    public record Platform(Address address, int callsPerSecond, int timeoutMilliseconds) {}
+
+    /**
+     * The target on this host.
+     *
+     * @param address its HTTP address
+     * @param service the service that it answers for
+     * @param healthPath answers 200 when the target takes work
+     * @param loadPath answers with the target's own idea of its load
+     */
+    public record Target(Address address, ServiceName service, String healthPath, String loadPath) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -0,0 +1,86 @@
+package org.oleanderturn.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Every field of a node's settings.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class SettingsSchema {
+    private static final SettingsField.Form SECTION = new SettingsField.Form.Section();
+    private static final SettingsField.Form NAME = new SettingsField.Form.Name();
+    private static final SettingsField.Form ADDRESS = new SettingsField.Form.HostAndPort();
+    private static final SettingsField.Form PATH = new SettingsField.Form.Path();
+    private static final List<SettingsField> FIELDS = List.of(
+            SettingsField.required("node", NAME),
+            SettingsField.required("region", NAME),
+            SettingsField.required("availabilityZone", NAME),
+            SettingsField.required("platformRegion", NAME),
+            SettingsField.required("listen", SECTION),
+            SettingsField.required("listen.caller", ADDRESS),
+            SettingsField.required("listen.peer", ADDRESS),
+            SettingsField.required("listen.control", ADDRESS),
+            SettingsField.required("listen.operator", ADDRESS),
+            SettingsField.required("platform", SECTION),
+            SettingsField.required("platform.address", ADDRESS),
+            SettingsField.required("platform.callsPerSecond", whole("calls per second", 1, 1_000)),
+            SettingsField.required("platform.timeoutMilliseconds", whole("milliseconds", 10, 60_000)),
+            SettingsField.required("target", SECTION),
+            SettingsField.required("target.address", ADDRESS),
+            SettingsField.required("target.service", NAME),
+            SettingsField.required("target.healthPath", PATH),
+            SettingsField.required("target.loadPath", PATH),
+            SettingsField.required("join", new SettingsField.Form.Addresses()),
+            SettingsField.optional("drainMilliseconds", whole("milliseconds", 0, 3_600_000)));
+
+    private SettingsSchema() {}
+
+    /** Returns every fault of the settings, in the order of the fields. */
+    static List<SettingsFault> check(JsonNode root) {
+        List<SettingsFault> faults = new ArrayList<>();
+        for (SettingsField field : FIELDS) {
+            checkField(root, field).ifPresent(faults::add);
+        }
+        checkUnknown(root, "", faults);
+        return List.copyOf(faults);
+    }
+
+    private static Optional<SettingsFault> checkField(JsonNode root, SettingsField field) {
+        JsonNode value = root;
+        for (String step : field.path().split("\\.", -1)) {
+            if (!value.isObject()) {
+                return Optional.empty();
+            }
+            value = value.path(step);
+        }
+        String expected = field.form().describe();
+        if (value.isMissingNode()) {
+            return field.isRequired()
+                    ? Optional.of(new SettingsFault.Missing(field.path(), expected))
+                    : Optional.empty();
+        }
+        return field.form().isMatch(value)
+                ? Optional.empty()
+                : Optional.of(new SettingsFault.Wrong(field.path(), expected, value.toString()));
+    }
+
+    private static void checkUnknown(JsonNode object, String prefix, List<SettingsFault> faults) {
+        for (Map.Entry<String, JsonNode> entry : object.properties()) {
+            String path = prefix + entry.getKey();
+            if (FIELDS.stream().noneMatch(field -> field.path().equals(path))) {
+                faults.add(new SettingsFault.Unknown(path));
+            } else if (entry.getValue().isObject()) {
+                checkUnknown(entry.getValue(), path + ".", faults);
+            }
+        }
+    }
+
+    private static SettingsField.Form whole(String unit, long lowest, long highest) {
+        return new SettingsField.Form.Whole(unit, lowest, highest);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AnswerFraming.java
@@ -0,0 +1,29 @@
+package org.oleanderturn.proxy;
+
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.ProtocolException;
+
+/** Says how an answer's body is framed. */
+final class AnswerFraming {
+    private AnswerFraming() {}
+
+    /** Returns whether an answer of the given status to the given method has a body. */
+    static boolean hasBody(String method, int status) {
+        return !method.equals("HEAD") && status != HttpStatus.SC_NO_CONTENT && status != HttpStatus.SC_NOT_MODIFIED;
+    }
+
+    /**
+     * Checks that the end of the body can be told from a broken connection.
+     *
+     * @throws HttpException when the body ends only with its connection
+     */
+    static void check(HttpResponse response) throws HttpException {
+        if (!response.containsHeader(HttpHeaders.CONTENT_LENGTH)
+                && !response.containsHeader(HttpHeaders.TRANSFER_ENCODING)) {
+            throw new ProtocolException("the answer's body has no length");
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -0,0 +1,208 @@
+package org.oleanderturn.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.HttpProcessors;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.HttpService;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+import org.oleanderturn.model.Address;
+
+/**
+ * An HTTP server: an accept loop, and a virtual thread for each connection.
+ *
+ * <p>Invariant: after {@link #drain} begins no connection is accepted, no connection is closed while a request on it is
+ * served, and every answer asks its peer to close the connection. Thread safe.
+ */
+public final class HttpListener implements AutoCloseable {
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int BACKLOG = 1_024;
+    private static final int BUFFER_BYTES = 8_192;
+    private static final long DRAIN_POLL_MILLISECONDS = 10;
+
+    private final ServerSocket server;
+    private final HttpService service;
+    private final ListenerLimits limits;
+    private final ExecutorService executor;
+    private final Set<ServedConnection> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger open = new AtomicInteger();
+    private final AtomicBoolean isDraining = new AtomicBoolean();
+
+    private HttpListener(ServerSocket server, ExecutorService executor, RequestHandler handler, ListenerLimits limits) {
+        this.server = server;
+        this.executor = executor;
+        this.limits = limits;
+        this.service = new HttpService(
+                HttpProcessors.server(),
+                HandlerBridge.of(handler, isDraining::get),
+                (request, response, context) -> ConnectionReuse.isKept(response, isDraining.get()),
+                null);
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param host the IP number to listen on
+     * @param port the port; 0 takes a free one
+     */
+    public static Either<ProxyFailure, HttpListener> start(
+            String host, int port, RequestHandler handler, ListenerLimits limits) {
+        Objects.requireNonNull(handler, "handler is null");
+        Objects.requireNonNull(limits, "limits is null");
+        ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+        ServerSocket server = null;
+        try {
+            server = new AcceptingSocket(executor);
+            server.setReuseAddress(true);
+            server.bind(new InetSocketAddress(host, port), BACKLOG);
+        } catch (IOException cause) {
+            Quietly.close(server);
+            executor.shutdown();
+            return Either.left(new ProxyFailure.ListenFailed(host + ":" + port, String.valueOf(cause.getMessage())));
+        }
+        HttpListener listener = new HttpListener(server, executor, handler, limits);
+        listener.executor.execute(listener::acceptAll);
+        return Either.right(listener);
+    }
+
+    // -- queries
+
+    /** Returns the address that callers reach. */
+    public Address address() {
+        return Address.of(server.getInetAddress().getHostAddress(), server.getLocalPort());
+    }
+
+    /** Returns how many requests are being served. */
+    public int inFlight() {
+        int count = 0;
+        for (ServedConnection connection : connections) {
+            count += connection.isBusy() ? 1 : 0;
+        }
+        return count;
+    }
+
+    // -- commands
+
+    /**
+     * Stops to accept, waits until nothing is in flight, and closes.
+     *
+     * @param longest how long to wait
+     * @return whether everything in flight was finished
+     */
+    public boolean drain(Duration longest) {
+        isDraining.set(true);
+        Quietly.close(server);
+        long end = System.nanoTime() + longest.toNanos();
+        while (inFlight() > 0 && System.nanoTime() < end) {
+            if (!Quietly.pause(DRAIN_POLL_MILLISECONDS)) {
+                break;
+            }
+        }
+        boolean isFinished = inFlight() == 0;
+        close();
+        return isFinished;
+    }
+
+    @Override
+    public void close() {
+        isDraining.set(true);
+        Quietly.close(server);
+        connections.forEach(ServedConnection::abort);
+        executor.shutdown();
+    }
+
+    // -- connections
+
+    private void acceptAll() {
+        while (!server.isClosed()) {
+            try {
+                admit(server.accept());
+            } catch (IOException cause) {
+                if (server.isClosed()) {
+                    return;
+                }
+                log.atWarning().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log("accept failed");
+                Quietly.pause(DRAIN_POLL_MILLISECONDS);
+            }
+        }
+    }
+
+    private void admit(Socket socket) {
+        if (open.incrementAndGet() > limits.connections()) {
+            open.decrementAndGet();
+            Quietly.close(socket);
+            return;
+        }
+        executor.execute(() -> serve(socket));
+    }
+
+    private void serve(Socket socket) {
+        Http1Config settings = Http1Config.custom()
+                .setBufferSize(BUFFER_BYTES)
+                .setMaxLineLength(limits.lineBytes())
+                .setMaxHeaderCount(limits.headers())
+                .build();
+        DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection("http", settings);
+        ServedConnection served = ServedConnection.of((WatchedSocket) socket, connection);
+        connections.add(served);
+        try {
+            socket.setTcpNoDelay(true);
+            connection.bind(socket);
+            connection.setSocketTimeout(Timeout.of(limits.idle()));
+            serveAll(connection, served);
+        } catch (ConnectionClosedException cause) {
+            log.atFinest().withCause(cause).log("connection closed");
+        } catch (IOException | HttpException cause) {
+            log.atFine().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log("connection failed");
+        } finally {
+            connections.remove(served);
+            connection.close(CloseMode.IMMEDIATE);
+            open.decrementAndGet();
+        }
+    }
+
+    private void serveAll(DefaultBHttpServerConnection connection, ServedConnection served)
+            throws IOException, HttpException {
+        while (connection.isOpen()) {
+            HttpCoreContext context = HttpCoreContext.create();
+            context.setAttribute(ServedConnection.ATTRIBUTE, served);
+            service.handleRequest(connection, context);
+            served.finish();
+        }
+    }
+
+    /** Accepts {@link WatchedSocket}s. */
+    private static final class AcceptingSocket extends ServerSocket {
+        private final ExecutorService executor;
+
+        AcceptingSocket(ExecutorService executor) throws IOException {
+            super();
+            this.executor = executor;
+        }
+
+        @Override
+        public Socket accept() throws IOException {
+            Socket socket = new WatchedSocket(executor);
+            implAccept(socket);
+            return socket;
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LeasedConnection.java
@@ -0,0 +1,69 @@
+package org.oleanderturn.proxy;
+
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.pool.ManagedConnPool;
+import org.apache.hc.core5.pool.PoolEntry;
+import org.oleanderturn.model.Address;
+
+/**
+ * A pooled connection while one request uses it.
+ *
+ * <p>Invariant: it goes back to the pool once, and for further use only when its answer was read to the end. Cutting it is
+ * thread safe; the rest is used by one thread.
+ */
+final class LeasedConnection implements AutoCloseable {
+    private final ManagedConnPool<Address, DefaultBHttpClientConnection> pool;
+    private final PoolEntry<Address, DefaultBHttpClientConnection> entry;
+    private final AtomicBoolean isOpen = new AtomicBoolean(true);
+    private boolean isKept = true;
+    private boolean isFinished;
+
+    private LeasedConnection(
+            ManagedConnPool<Address, DefaultBHttpClientConnection> pool,
+            PoolEntry<Address, DefaultBHttpClientConnection> entry) {
+        this.pool = pool;
+        this.entry = entry;
+    }
+
+    static LeasedConnection of(
+            ManagedConnPool<Address, DefaultBHttpClientConnection> pool,
+            PoolEntry<Address, DefaultBHttpClientConnection> entry) {
+        Objects.requireNonNull(pool, "pool is null");
+        Objects.requireNonNull(entry, "entry is null");
+        return new LeasedConnection(pool, entry);
+    }
+
+    DefaultBHttpClientConnection connection() {
+        return entry.getConnection();
+    }
+
+    /** Says that the peer closes the connection after this answer. */
+    void setUnkept() {
+        isKept = false;
+    }
+
+    /** Says that the answer was read to its end. */
+    void setFinished() {
+        isFinished = true;
+    }
+
+    /** Cuts the connection, which ends a read or write that another thread waits in. */
+    void abort() {
+        entry.discardConnection(CloseMode.IMMEDIATE);
+    }
+
+    @Override
+    public void close() {
+        if (!isOpen.compareAndSet(true, false)) {
+            return;
+        }
+        boolean isReusable = isKept && isFinished && entry.hasConnection();
+        if (!isReusable) {
+            abort();
+        }
+        pool.release(entry, isReusable);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -0,0 +1,148 @@
+package org.oleanderturn.proxy;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.Objects;
+import java.util.concurrent.Executor;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+
+/**
+ * A socket's input that can be watched for its end while nobody reads it.
+ *
+ * <p>Watching reads one byte ahead on another thread; a later read waits for that byte and returns it first, so no byte is
+ * lost. Invariant: at most one thread reads the source at any time. Thread safe.
+ */
+final class LookaheadInputStream extends InputStream {
+
+    /** How far the byte ahead is. */
+    private enum Ahead {
+        NONE,
+        READING,
+        HELD,
+        ENDED
+    }
+
+    private final InputStream source;
+    private final Executor executor;
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition settled = lock.newCondition();
+    private Ahead ahead = Ahead.NONE;
+    private byte held;
+    private Runnable onEnd = () -> {};
+
+    private LookaheadInputStream(InputStream source, Executor executor) {
+        this.source = source;
+        this.executor = executor;
+    }
+
+    static LookaheadInputStream of(InputStream source, Executor executor) {
+        Objects.requireNonNull(source, "source is null");
+        Objects.requireNonNull(executor, "executor is null");
+        return new LookaheadInputStream(source, executor);
+    }
+
+    /** Starts to watch; runs the action once when the input ends before {@link #unwatch} is called. */
+    void watch(Runnable action) {
+        boolean hasEnded = false;
+        lock.lock();
+        try {
+            onEnd = action;
+            switch (ahead) {
+                case NONE -> {
+                    ahead = Ahead.READING;
+                    executor.execute(this::readAhead);
+                }
+                case ENDED -> hasEnded = true;
+                case READING, HELD -> {}
+            }
+        } finally {
+            lock.unlock();
+        }
+        if (hasEnded) {
+            action.run();
+        }
+    }
+
+    /** Forgets the action; a byte that is read ahead is kept for the next read. */
+    void unwatch() {
+        lock.lock();
+        try {
+            onEnd = () -> {};
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private void readAhead() {
+        int found;
+        try {
+            found = source.read();
+        } catch (IOException cause) {
+            found = -1;
+        }
+        settle(found);
+    }
+
+    private void settle(int found) {
+        Runnable action = () -> {};
+        lock.lock();
+        try {
+            ahead = found < 0 ? Ahead.ENDED : Ahead.HELD;
+            held = (byte) found;
+            if (found < 0) {
+                action = onEnd;
+            }
+            settled.signalAll();
+        } finally {
+            lock.unlock();
+        }
+        action.run();
+    }
+
+    @Override
+    public int read() throws IOException {
+        byte[] one = new byte[1];
+        int count = read(one, 0, 1);
+        return count < 0 ? -1 : Byte.toUnsignedInt(one[0]);
+    }
+
+    @Override
+    public int read(byte[] bytes, int offset, int length) throws IOException {
+        if (length == 0) {
+            return 0;
+        }
+        lock.lock();
+        try {
+            while (ahead == Ahead.READING) {
+                settled.awaitUninterruptibly();
+            }
+            if (ahead == Ahead.ENDED) {
+                return -1;
+            }
+            if (ahead == Ahead.HELD) {
+                ahead = Ahead.NONE;
+                bytes[offset] = held;
+                return 1;
+            }
+        } finally {
+            lock.unlock();
+        }
+        return source.read(bytes, offset, length);
+    }
+
+    @Override
+    public int available() throws IOException {
+        lock.lock();
+        try {
+            return ahead == Ahead.HELD ? 1 : 0;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        source.close();
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/OutboundMessage.java
@@ -0,0 +1,45 @@
+package org.oleanderturn.proxy;
+
+import java.util.Set;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+
+/** Makes HttpCore's message of a request. */
+final class OutboundMessage {
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect");
+
+    private OutboundMessage() {}
+
+    static BasicClassicHttpRequest of(OutboundRequest request) {
+        BasicClassicHttpRequest message = new BasicClassicHttpRequest(request.method(), request.path());
+        for (HeaderField header : request.headers()) {
+            if (!isHopByHop(header.name())) {
+                message.addHeader(header.name(), header.value());
+            }
+        }
+        if (request.isGoAheadAwaited()) {
+            message.setHeader(HttpHeaders.EXPECT, "100-continue");
+        }
+        if (request.body().length > 0 || request.isGoAheadAwaited()) {
+            message.setEntity(new ByteArrayEntity(request.body(), null));
+            message.setHeader(HttpHeaders.CONTENT_LENGTH, request.body().length);
+        }
+        return message;
+    }
+
+    /** Returns whether a header speaks of one connection only and is not passed on. */
+    static boolean isHopByHop(String name) {
+        return HOP_BY_HOP.contains(name.toLowerCase(java.util.Locale.ROOT));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/OutboundRequest.java
@@ -0,0 +1,38 @@
+package org.oleanderturn.proxy;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A request to another node or to a target.
+ *
+ * @param method the HTTP method
+ * @param path the path with its query
+ * @param headers the headers, without those that frame the body
+ * @param body the whole body; empty for none
+ * @param isGoAheadAwaited whether the body is sent only when the peer asks for it, so that until then the request has
+ *     certainly not run
+ * @param connectTimeout the longest wait for a connection
+ * @param answerTimeout the longest wait for the answer's headers, and then for each part of its body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+public record OutboundRequest(
+        String method,
+        String path,
+        List<HeaderField> headers,
+        byte[] body,
+        boolean isGoAheadAwaited,
+        Duration connectTimeout,
+        Duration answerTimeout) {
+
+    /** Checks that every part is there and copies the headers. */
+    public OutboundRequest {
+        Objects.requireNonNull(method, "method is null");
+        Objects.requireNonNull(path, "path is null");
+        Objects.requireNonNull(body, "body is null");
+        Objects.requireNonNull(connectTimeout, "connectTimeout is null");
+        Objects.requireNonNull(answerTimeout, "answerTimeout is null");
+        headers = List.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Quietly.java
@@ -0,0 +1,31 @@
+package org.oleanderturn.proxy;
+
+import java.io.Closeable;
+import java.io.IOException;
+
+/** Closes and pauses where a failure changes nothing. */
+final class Quietly {
+    private Quietly() {}
+
+    static void close(Closeable closeable) {
+        if (closeable == null) {
+            return;
+        }
+        try {
+            closeable.close();
+        } catch (IOException ignored) {
+            // It is of no more use in any case.
+        }
+    }
+
+    /** Pauses the thread; returns whether the pause was not interrupted. */
+    static boolean pause(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds);
+            return true;
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamAnswer.java
@@ -0,0 +1,116 @@
+package org.oleanderturn.proxy;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+
+/**
+ * An answer from another node or from a target, whose body is still to come.
+ *
+ * <p>Invariant: the connection goes back to its pool only when the body was read to its stated end; otherwise it is cut.
+ * Used by one thread.
+ */
+public final class UpstreamAnswer implements Answer.Source {
+    private static final int COPY_BYTES = 16_384;
+
+    private final ClassicHttpResponse response;
+    private final LeasedConnection connection;
+    private final List<HeaderField> headers;
+
+    private UpstreamAnswer(ClassicHttpResponse response, LeasedConnection connection, List<HeaderField> headers) {
+        this.response = response;
+        this.connection = connection;
+        this.headers = headers;
+    }
+
+    static UpstreamAnswer of(ClassicHttpResponse response, LeasedConnection connection) {
+        Objects.requireNonNull(response, "response is null");
+        Objects.requireNonNull(connection, "connection is null");
+        List<HeaderField> headers = new ArrayList<>();
+        for (Header header : response.getHeaders()) {
+            headers.add(HeaderField.of(header.getName(), header.getValue()));
+        }
+        return new UpstreamAnswer(response, connection, List.copyOf(headers));
+    }
+
+    // -- queries
+
+    /** Returns the HTTP status. */
+    public int status() {
+        return response.getCode();
+    }
+
+    /** Returns every header, in order. */
+    public List<HeaderField> headers() {
+        return headers;
+    }
+
+    /** Returns the value of the first header with the given name. */
+    public Optional<String> header(String name) {
+        return HeaderField.find(headers, name);
+    }
+
+    /** Returns the body's length in bytes, or {@link Answer#UNKNOWN_LENGTH}. */
+    public long length() {
+        HttpEntity entity = response.getEntity();
+        if (entity == null) {
+            return 0;
+        }
+        return entity.getContentLength() < 0 ? Answer.UNKNOWN_LENGTH : entity.getContentLength();
+    }
+
+    // -- commands
+
+    /**
+     * Reads the whole body.
+     *
+     * @return the body; empty when it is longer than the limit
+     * @throws IOException when the body ends early
+     */
+    public Optional<byte[]> readBody(int limitBytes) throws IOException {
+        HttpEntity entity = response.getEntity();
+        if (entity == null) {
+            connection.setFinished();
+            return Optional.of(new byte[0]);
+        }
+        byte[] bytes = entity.getContent().readNBytes(limitBytes + 1);
+        if (bytes.length > limitBytes) {
+            return Optional.empty();
+        }
+        connection.setFinished();
+        return Optional.of(bytes);
+    }
+
+    @Override
+    public void writeTo(OutputStream output) throws IOException {
+        HttpEntity entity = response.getEntity();
+        if (entity != null) {
+            copy(entity.getContent(), output);
+        }
+        connection.setFinished();
+    }
+
+    @Override
+    public void close() {
+        connection.close();
+    }
+
+    private static void copy(InputStream input, OutputStream output) throws IOException {
+        byte[] chunk = new byte[COPY_BYTES];
+        int count = input.read(chunk);
+        while (count >= 0) {
+            output.write(chunk, 0, count);
+            if (input.available() == 0) {
+                output.flush();
+            }
+            count = input.read(chunk);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -0,0 +1,230 @@
+package org.oleanderturn.proxy;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.pool.LaxConnPool;
+import org.apache.hc.core5.pool.PoolEntry;
+import org.apache.hc.core5.pool.PoolReusePolicy;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.oleanderturn.model.Address;
+
+/**
+ * Sends requests to other nodes and to targets over pooled connections.
+ *
+ * <p>Invariant: a request is sent at most once; a failure says whether it can have run. Thread safe.
+ */
+public final class UpstreamClient implements AutoCloseable {
+    private static final int BUFFER_BYTES = 8_192;
+    private static final TimeValue CONNECTION_LIFE = TimeValue.ofMinutes(5);
+    private static final Duration TRUSTED_IDLE = Duration.ofMillis(250);
+    private static final Http1Config HTTP = Http1Config.custom()
+            .setBufferSize(BUFFER_BYTES)
+            .setMaxLineLength(BUFFER_BYTES)
+            .setMaxHeaderCount(200)
+            .build();
+
+    private final LaxConnPool<Address, DefaultBHttpClientConnection> pool;
+
+    private UpstreamClient(LaxConnPool<Address, DefaultBHttpClientConnection> pool) {
+        this.pool = pool;
+    }
+
+    /**
+     * Returns a client with an empty pool.
+     *
+     * @param connectionsPerPeer the most connections to one peer
+     */
+    public static UpstreamClient of(int connectionsPerPeer) {
+        return new UpstreamClient(
+                new LaxConnPool<>(connectionsPerPeer, CONNECTION_LIFE, PoolReusePolicy.LIFO, null, null));
+    }
+
+    // -- commands
+
+    /** Sends a request and waits for the headers of its answer; the caller closes the answer. */
+    public Either<ForwardFailure, UpstreamAnswer> send(
+            Address peer, OutboundRequest request, Cancellation cancellation) {
+        Objects.requireNonNull(peer, "peer is null");
+        Objects.requireNonNull(request, "request is null");
+        Objects.requireNonNull(cancellation, "cancellation is null");
+        return connect(peer, request).flatMap(connection -> exchange(connection, request, cancellation));
+    }
+
+    /** Closes the idle connections to a peer that is leaving. */
+    public void forget(Address peer) {
+        pool.enumAvailable(entry -> {
+            if (entry.getRoute().equals(peer)) {
+                entry.discardConnection(CloseMode.GRACEFUL);
+            }
+        });
+    }
+
+    /** Closes connections that have stood idle for long. */
+    public void expire(Duration idle) {
+        pool.closeIdle(TimeValue.of(idle));
+        pool.closeExpired();
+    }
+
+    @Override
+    public void close() {
+        pool.close(CloseMode.IMMEDIATE);
+    }
+
+    // -- connections
+
+    private Either<ForwardFailure, LeasedConnection> connect(Address peer, OutboundRequest request) {
+        Timeout timeout = Timeout.of(request.connectTimeout());
+        Future<PoolEntry<Address, DefaultBHttpClientConnection>> lease = pool.lease(peer, null, timeout, null);
+        try {
+            PoolEntry<Address, DefaultBHttpClientConnection> entry =
+                    lease.get(timeout.toMilliseconds(), TimeUnit.MILLISECONDS);
+            return open(peer, entry, request);
+        } catch (TimeoutException cause) {
+            lease.cancel(true);
+            return Either.left(new ForwardFailure.NotSent("no connection was free"));
+        } catch (ExecutionException cause) {
+            return Either.left(new ForwardFailure.NotSent(String.valueOf(cause.getMessage())));
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+            lease.cancel(true);
+            return Either.left(new ForwardFailure.NotSent("interrupted"));
+        }
+    }
+
+    private Either<ForwardFailure, LeasedConnection> open(
+            Address peer, PoolEntry<Address, DefaultBHttpClientConnection> entry, OutboundRequest request) {
+        LeasedConnection leased = LeasedConnection.of(pool, entry);
+        try {
+            if (entry.hasConnection() && isDead(entry)) {
+                entry.discardConnection(CloseMode.IMMEDIATE);
+            }
+            if (!entry.hasConnection()) {
+                entry.assignConnection(dial(peer, request.connectTimeout()));
+            }
+            return Either.right(leased);
+        } catch (IOException cause) {
+            leased.close();
+            return Either.left(new ForwardFailure.NotSent(String.valueOf(cause.getMessage())));
+        }
+    }
+
+    private static boolean isDead(PoolEntry<Address, DefaultBHttpClientConnection> entry) throws IOException {
+        DefaultBHttpClientConnection connection = entry.getConnection();
+        long idleMilliseconds = System.currentTimeMillis() - entry.getUpdated();
+        if (!connection.isOpen()) {
+            return true;
+        }
+        return idleMilliseconds > TRUSTED_IDLE.toMillis() && connection.isStale();
+    }
+
+    private static DefaultBHttpClientConnection dial(Address peer, Duration timeout) throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(new InetSocketAddress(peer.host(), peer.port()), Math.toIntExact(timeout.toMillis()));
+            DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(HTTP);
+            connection.bind(socket);
+            return connection;
+        } catch (IOException cause) {
+            Quietly.close(socket);
+            throw cause;
+        }
+    }
+
+    // -- exchange
+
+    private static Either<ForwardFailure, UpstreamAnswer> exchange(
+            LeasedConnection leased, OutboundRequest request, Cancellation cancellation) {
+        cancellation.onCancel(leased::abort);
+        Progress progress = new Progress();
+        try {
+            ClassicHttpResponse response = transfer(leased.connection(), request, progress);
+            if (response.containsHeader("Connection")
+                    && response.getFirstHeader("Connection").getValue().equalsIgnoreCase("close")) {
+                leased.setUnkept();
+            }
+            return Either.right(UpstreamAnswer.of(response, leased));
+        } catch (IOException | HttpException | RuntimeException cause) {
+            leased.close();
+            return Either.left(progress.failure(cause, cancellation));
+        }
+    }
+
+    private static ClassicHttpResponse transfer(
+            DefaultBHttpClientConnection connection, OutboundRequest request, Progress progress)
+            throws IOException, HttpException {
+        connection.setSocketTimeout(Timeout.of(request.answerTimeout()));
+        BasicClassicHttpRequest message = OutboundMessage.of(request);
+        progress.hasBegun = !request.isGoAheadAwaited();
+        connection.sendRequestHeader(message);
+        if (request.isGoAheadAwaited()) {
+            connection.flush();
+            ClassicHttpResponse first = receive(connection, message);
+            if (first.getCode() != HttpStatus.SC_CONTINUE) {
+                return first;
+            }
+            progress.hasBegun = true;
+        }
+        connection.sendRequestEntity(message);
+        connection.flush();
+        return receiveFinal(connection, message);
+    }
+
+    private static ClassicHttpResponse receiveFinal(
+            DefaultBHttpClientConnection connection, BasicClassicHttpRequest message)
+            throws IOException, HttpException {
+        ClassicHttpResponse response = receive(connection, message);
+        while (response.getCode() < HttpStatus.SC_OK) {
+            response = receive(connection, message);
+        }
+        return response;
+    }
+
+    private static ClassicHttpResponse receive(DefaultBHttpClientConnection connection, BasicClassicHttpRequest message)
+            throws IOException, HttpException {
+        ClassicHttpResponse response = connection.receiveResponseHeader();
+        if (response.getCode() < HttpStatus.SC_OK || !AnswerFraming.hasBody(message.getMethod(), response.getCode())) {
+            return response;
+        }
+        AnswerFraming.check(response);
+        connection.receiveResponseEntity(response);
+        return response;
+    }
+
+    /** How far an exchange has come. */
+    private static final class Progress {
+        private boolean hasBegun;
+
+        ForwardFailure failure(Exception cause, Cancellation cancellation) {
+            if (!hasBegun) {
+                return new ForwardFailure.NotSent(String.valueOf(cause.getMessage()));
+            }
+            if (cancellation.isCancelled()) {
+                return new ForwardFailure.Cancelled();
+            }
+            return switch (cause) {
+                case SocketTimeoutException _ -> new ForwardFailure.TimedOut();
+                case InterruptedIOException _ -> new ForwardFailure.TimedOut();
+                default -> new ForwardFailure.AnswerLost(String.valueOf(cause.getMessage()));
+            };
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/WatchedSocket.java
@@ -0,0 +1,42 @@
+package org.oleanderturn.proxy;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.util.Objects;
+import java.util.concurrent.Executor;
+
+/**
+ * An accepted socket whose peer can be watched for going away while its request is served.
+ *
+ * <p>Invariant: the input stream is made once, on first use. Thread safe.
+ */
+final class WatchedSocket extends Socket {
+    private final Executor executor;
+    private LookaheadInputStream input;
+
+    WatchedSocket(Executor executor) {
+        this.executor = Objects.requireNonNull(executor, "executor is null");
+    }
+
+    @Override
+    public InputStream getInputStream() throws IOException {
+        return lookahead();
+    }
+
+    /** Runs the action once if the peer goes away before {@link #unwatch}. */
+    void watch(Runnable action) throws IOException {
+        lookahead().watch(action);
+    }
+
+    void unwatch() throws IOException {
+        lookahead().unwatch();
+    }
+
+    private synchronized LookaheadInputStream lookahead() throws IOException {
+        if (input == null) {
+            input = LookaheadInputStream.of(super.getInputStream(), executor);
+        }
+        return input;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TargetStandIn.java
@@ -0,0 +1,219 @@
+package org.oleanderturn.testbed;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.DecodeFailure;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.HeaderField;
+import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.ListenerLimits;
+import org.oleanderturn.proxy.ProxyFailure;
+import org.oleanderturn.proxy.ProxyHeaders;
+
+/**
+ * A target in memory: it has slots, sheds load, straggles, fails and records every booking that it runs.
+ *
+ * <p>Thread safe.
+ */
+public final class TargetStandIn implements AutoCloseable {
+    private static final int BODY_LIMIT_BYTES = 1_000_000;
+    private static final int CHUNKS = 20;
+    private static final int PERMILLE = 1_000;
+    private static final int PERCENT = 100;
+
+    private final String name;
+    private final AtomicReference<TargetBehaviour> behaviour;
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicLong served = new AtomicLong();
+    private final AtomicLong shed = new AtomicLong();
+    private final AtomicLong cancelled = new AtomicLong();
+    private final Map<String, AtomicInteger> bookings = new ConcurrentHashMap<>();
+    private HttpListener listener;
+
+    private TargetStandIn(String name, TargetBehaviour behaviour) {
+        this.name = name;
+        this.behaviour = new AtomicReference<>(TargetBehaviour.check(behaviour));
+    }
+
+    /** Starts a target on a loopback port; 0 takes a free one. */
+    public static Either<ProxyFailure, TargetStandIn> start(String name, int port, TargetBehaviour behaviour) {
+        Objects.requireNonNull(name, "name is null");
+        TargetStandIn target = new TargetStandIn(name, behaviour);
+        return HttpListener.start("127.0.0.1", port, target::answer, ListenerLimits.standard())
+                .map(listener -> {
+                    target.listener = listener;
+                    return target;
+                });
+    }
+
+    /** Returns the listener's port. */
+    public int port() {
+        return listener.address().port();
+    }
+
+    /** Returns how often each booking ran, by its idempotency key. */
+    public Map<String, Integer> bookings() {
+        Map<String, Integer> counts = new TreeMap<>();
+        bookings.forEach((key, count) -> counts.put(key, count.get()));
+        return counts;
+    }
+
+    /** Replaces the behaviour. */
+    public void setBehaviour(TargetBehaviour next) {
+        behaviour.set(TargetBehaviour.check(next));
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+    }
+
+    // -- requests
+
+    private Answer answer(InboundRequest request) throws IOException {
+        String path = request.path();
+        return switch (path) {
+            case "/health" -> Answer.text(behaviour.get().isHealthy() ? 200 : 503, "text/plain", "\n");
+            case "/load" -> Answer.json(200, Map.of("running", running.get(), "slots", behaviour.get().slots()));
+            case "/admin/counts" -> Answer.json(200, counts());
+            case "/admin/behaviour" -> replaceBehaviour(request);
+            default -> run(request);
+        };
+    }
+
+    private Map<String, Object> counts() {
+        return Map.of(
+                "target", name,
+                "served", served.get(),
+                "shed", shed.get(),
+                "cancelled", cancelled.get(),
+                "running", running.get(),
+                "bookings", bookings());
+    }
+
+    private Answer replaceBehaviour(InboundRequest request) throws IOException {
+        Optional<byte[]> body = request.readBody(BODY_LIMIT_BYTES);
+        Either<DecodeFailure, TargetBehaviour> next = body.map(
+                        bytes -> Codec.json().decode(bytes, TargetBehaviour.class))
+                .orElseGet(() -> Either.left(DecodeFailure.of("", "too long")));
+        if (next.isLeft()) {
+            return Answer.json(400, next.getLeft());
+        }
+        setBehaviour(next.get());
+        return Answer.json(200, next.get());
+    }
+
+    private Answer run(InboundRequest request) throws IOException {
+        byte[] body = request.readBody(BODY_LIMIT_BYTES).orElse(new byte[0]);
+        TargetBehaviour now = behaviour.get();
+        if (running.incrementAndGet() > now.slots()) {
+            running.decrementAndGet();
+            shed.incrementAndGet();
+            return Answer.text(503, "text/plain", "no slot is free\n")
+                    .withHeader(ProxyHeaders.OUTCOME, "not-run")
+                    .withHeader(ProxyHeaders.RETRY_AFTER, 1);
+        }
+        boolean isDownload = request.path().contains("download");
+        try {
+            Answer answer = serve(request, body, now, isDownload);
+            if (isDownload) {
+                running.incrementAndGet();
+            }
+            return answer;
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
+    private Answer serve(InboundRequest request, byte[] body, TargetBehaviour now, boolean isDownload)
+            throws IOException {
+        if (request.path().contains("crash")) {
+            Runtime.getRuntime().halt(1);
+        }
+        request.header(ProxyHeaders.IDEMPOTENCY_KEY).ifPresent(this::recordBooking);
+        Thread worker = Thread.currentThread();
+        request.onPeerGone(worker::interrupt);
+        if (!work(now)) {
+            cancelled.incrementAndGet();
+            return Answer.text(503, "text/plain", "cancelled\n");
+        }
+        served.incrementAndGet();
+        if (ThreadLocalRandom.current().nextInt(PERCENT) < now.failPercent()) {
+            return Answer.text(500, "text/plain", "failed\n");
+        }
+        if (isDownload) {
+            return Answer.of(200, List.of(), new Answer.Body.Streamed(now.downloadBytes(), new Download(now)));
+        }
+        String text = "%s %s %s %d bytes%n".formatted(name, request.method(), request.path(), body.length);
+        return Answer.text(200, "text/plain", text);
+    }
+
+    private void recordBooking(String key) {
+        bookings.computeIfAbsent(key, _ -> new AtomicInteger()).incrementAndGet();
+    }
+
+    private static boolean work(TargetBehaviour now) {
+        boolean isStraggler = ThreadLocalRandom.current().nextInt(PERMILLE) < now.stragglerPermille();
+        long factor = (long) now.slowFactor() * (isStraggler ? now.stragglerFactor() : 1);
+        try {
+            Thread.sleep(now.serviceMilliseconds() * factor);
+            return true;
+        } catch (InterruptedException interrupt) {
+            return false;
+        }
+    }
+
+    /** A long answer, sent evenly over its time. */
+    private final class Download implements Answer.Source {
+        private final TargetBehaviour behaviour;
+        private boolean isOpen = true;
+
+        Download(TargetBehaviour behaviour) {
+            this.behaviour = behaviour;
+        }
+
+        @Override
+        public void writeTo(OutputStream output) throws IOException {
+            byte[] filler = "0123456789abcdef".repeat(behaviour.downloadBytes() / 16 / CHUNKS + 1)
+                    .getBytes(StandardCharsets.UTF_8);
+            int left = behaviour.downloadBytes();
+            while (left > 0) {
+                int count = Math.min(left, filler.length);
+                output.write(filler, 0, count);
+                output.flush();
+                left -= count;
+                pause();
+            }
+        }
+
+        private void pause() throws IOException {
+            try {
+                Thread.sleep(behaviour.downloadMilliseconds() / CHUNKS);
+            } catch (InterruptedException interrupt) {
+                throw new IOException("the caller is gone", interrupt);
+            }
+        }
+
+        @Override
+        public void close() {
+            if (isOpen) {
+                isOpen = false;
+                running.decrementAndGet();
+            }
+        }
+    }
+}
--- a/testbed/src/main/java/org/oleanderturn/testbed/TestbedMain.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TestbedMain.java
@@ -1,9 +1,19 @@
 package org.oleanderturn.testbed;
 
-/** Starts the process. */
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** Starts a stand-in, a load or a benchmark. */
+@Command(
+        name = "oleanderturn-testbed",
+        mixinStandardHelpOptions = true,
+        description = "Stand-ins and benchmarks; not part of the product.",
+        subcommands = {TargetCommand.class})
 public final class TestbedMain {
     private TestbedMain() {}
 
-    /** Runs until the process is stopped. */
-    public static void main(String[] arguments) {}
+    /** Runs one subcommand. */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new TestbedMain()).execute(arguments));
+    }
 }
