Test HTTP exchanges against broken peers

Each failure says whether the request can have run: no go-ahead is 'not sent', a lost answer after it is 'answer lost', a truncated body is an error on both sides.

Mutation: without the cut in AnswerEntity, shouldNeverEndATruncatedAnswerWhenItsSourceFails goes red: HttpCore ends the chunked body and the peer takes the truncated answer for whole.

11 tests, green.

--- a/proxy/src/main/java/org/oleanderturn/proxy/OutboundMessage.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/OutboundMessage.java
@@ -1,9 +1,11 @@
 package org.oleanderturn.proxy;
 
+import java.util.Locale;
 import java.util.Set;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.oleanderturn.model.Address;
 
 /** Makes HttpCore's message of a request. */
 final class OutboundMessage {
@@ -21,13 +23,16 @@
 
     private OutboundMessage() {}
 
-    static BasicClassicHttpRequest of(OutboundRequest request) {
+    static BasicClassicHttpRequest of(Address peer, OutboundRequest request) {
         BasicClassicHttpRequest message = new BasicClassicHttpRequest(request.method(), request.path());
         for (HeaderField header : request.headers()) {
             if (!isHopByHop(header.name())) {
                 message.addHeader(header.name(), header.value());
             }
         }
+        if (!message.containsHeader(HttpHeaders.HOST)) {
+            message.setHeader(HttpHeaders.HOST, peer);
+        }
         if (request.isGoAheadAwaited()) {
             message.setHeader(HttpHeaders.EXPECT, "100-continue");
         }
@@ -40,6 +45,6 @@
 
     /** Returns whether a header speaks of one connection only and is not passed on. */
     static boolean isHopByHop(String name) {
-        return HOP_BY_HOP.contains(name.toLowerCase(java.util.Locale.ROOT));
+        return HOP_BY_HOP.contains(name.toLowerCase(Locale.ROOT));
     }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -65,7 +65,8 @@
         Objects.requireNonNull(peer, "peer is null");
         Objects.requireNonNull(request, "request is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
-        return connect(peer, request).flatMap(connection -> exchange(connection, request, cancellation));
+        return connect(peer, request)
+                .flatMap(connection -> exchange(connection, OutboundMessage.of(peer, request), request, cancellation));
     }
 
     /** Closes the idle connections to a peer that is leaving. */
@@ -152,11 +153,14 @@
     // -- exchange
 
     private static Either<ForwardFailure, UpstreamAnswer> exchange(
-            LeasedConnection leased, OutboundRequest request, Cancellation cancellation) {
+            LeasedConnection leased,
+            BasicClassicHttpRequest message,
+            OutboundRequest request,
+            Cancellation cancellation) {
         cancellation.onCancel(leased::abort);
         Progress progress = new Progress();
         try {
-            ClassicHttpResponse response = transfer(leased.connection(), request, progress);
+            ClassicHttpResponse response = transfer(leased.connection(), message, request, progress);
             if (response.containsHeader("Connection")
                     && response.getFirstHeader("Connection").getValue().equalsIgnoreCase("close")) {
                 leased.setUnkept();
@@ -169,10 +173,12 @@
     }
 
     private static ClassicHttpResponse transfer(
-            DefaultBHttpClientConnection connection, OutboundRequest request, Progress progress)
+            DefaultBHttpClientConnection connection,
+            BasicClassicHttpRequest message,
+            OutboundRequest request,
+            Progress progress)
             throws IOException, HttpException {
         connection.setSocketTimeout(Timeout.of(request.answerTimeout()));
-        BasicClassicHttpRequest message = OutboundMessage.of(request);
         progress.hasBegun = !request.isGoAheadAwaited();
         connection.sendRequestHeader(message);
         if (request.isGoAheadAwaited()) {
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderturn/proxy/HttpExchangeTest.java
@@ -0,0 +1,252 @@
+package org.oleanderturn.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vavr.control.Either;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.oleanderturn.model.Address;
+
+/** The listener and the client against each other and against broken peers. */
+@Timeout(60)
+class HttpExchangeTest {
+    private static final int LIMIT_BYTES = 1_000_000;
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final UpstreamClient client = UpstreamClient.of(10);
+
+    @AfterEach
+    void closeAll() throws Exception {
+        client.close();
+        for (AutoCloseable closeable : open) {
+            closeable.close();
+        }
+        executor.shutdownNow();
+    }
+
+    @Test
+    void shouldCarryBodiesBothWaysWhenAllIsWell() throws IOException {
+        Address server = listen(request -> {
+            byte[] body = request.readBody(LIMIT_BYTES).orElseThrow();
+            return Answer.of(200, List.of(HeaderField.of("Seen", request.method())), new Answer.Body.Whole(body));
+        });
+        for (int round = 0; round < 3; round++) {
+            UpstreamAnswer answer = send(server, "POST", "hello", false).get();
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(answer.header("seen")).isEqualTo(Optional.of("POST"));
+            assertThat(text(answer)).isEqualTo("hello");
+            answer.close();
+        }
+    }
+
+    @Test
+    void shouldNotSendTheBodyWhenTheGoAheadIsRefused() throws IOException {
+        Address server = listen(_ -> Answer.text(503, "text/plain", "draining"));
+        UpstreamAnswer answer = send(server, "POST", "booking", true).get();
+
+        assertThat(answer.status()).isEqualTo(503);
+        answer.close();
+    }
+
+    @Test
+    void shouldSendTheBodyWhenTheGoAheadIsGiven() throws IOException {
+        AtomicInteger ran = new AtomicInteger();
+        Address server = listen(request -> {
+            byte[] body = request.readBody(LIMIT_BYTES).orElseThrow();
+            ran.incrementAndGet();
+            return Answer.of(200, List.of(), new Answer.Body.Whole(body));
+        });
+        UpstreamAnswer answer = send(server, "POST", "booking", true).get();
+
+        assertThat(text(answer)).isEqualTo("booking");
+        assertThat(ran.get()).isEqualTo(1);
+        answer.close();
+    }
+
+    @Test
+    void shouldSayNotSentWhenThePeerDiesBeforeTheGoAhead() throws IOException {
+        Address server = scripted("");
+        Either<ForwardFailure, UpstreamAnswer> answer = send(server, "POST", "booking", true);
+
+        assertThat(answer.getLeft()).isInstanceOf(ForwardFailure.NotSent.class);
+    }
+
+    @Test
+    void shouldSayAnswerLostWhenThePeerDiesAfterTheGoAhead() throws IOException {
+        Address server = scripted("HTTP/1.1 100 Continue\r\n\r\n");
+        Either<ForwardFailure, UpstreamAnswer> answer = send(server, "POST", "booking", true);
+
+        assertThat(answer.getLeft()).isInstanceOf(ForwardFailure.AnswerLost.class);
+    }
+
+    @Test
+    void shouldSayAnswerLostWhenTheAnswerHasNoLength() throws IOException {
+        Address server = scripted("HTTP/1.1 200 OK\r\n\r\npart of");
+        Either<ForwardFailure, UpstreamAnswer> answer = send(server, "GET", "", false);
+
+        assertThat(answer.getLeft()).isInstanceOf(ForwardFailure.AnswerLost.class);
+    }
+
+    @Test
+    void shouldFailWhenTheAnswerIsTruncated() throws IOException {
+        Address server = scripted("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart of");
+        UpstreamAnswer answer = send(server, "GET", "", false).get();
+
+        assertThrows(IOException.class, () -> answer.writeTo(new ByteArrayOutputStream()));
+        answer.close();
+    }
+
+    @Test
+    void shouldNeverEndATruncatedAnswerWhenItsSourceFails() throws IOException {
+        Address server = listen(
+                _ -> Answer.of(200, List.of(), new Answer.Body.Streamed(Answer.UNKNOWN_LENGTH, new BrokenSource())));
+        UpstreamAnswer answer = send(server, "GET", "", false).get();
+
+        assertThrows(IOException.class, () -> answer.readBody(LIMIT_BYTES));
+        answer.close();
+    }
+
+    @Test
+    void shouldTellTheHandlerWhenThePeerGoesAway() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch gone = new CountDownLatch(1);
+        Address server = listen(request -> {
+            request.onPeerGone(gone::countDown);
+            begun.countDown();
+            await(gone);
+            return Answer.text(200, "text/plain", "");
+        });
+        Cancellation cancellation = Cancellation.create();
+        Future<Either<ForwardFailure, UpstreamAnswer>> answer =
+                executor.submit(() -> client.send(server, request("GET", "", false), cancellation));
+        await(begun);
+        cancellation.cancel();
+
+        assertThat(answer.get().getLeft()).isInstanceOf(ForwardFailure.Cancelled.class);
+        assertThat(gone.await(30, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void shouldFinishWhatIsInFlightWhenDrained() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        HttpListener listener = listener(_ -> {
+            begun.countDown();
+            await(release);
+            return Answer.text(200, "text/plain", "whole");
+        });
+        Future<Either<ForwardFailure, UpstreamAnswer>> answer = executor.submit(
+                () -> client.send(listener.address(), request("GET", "", false), Cancellation.create()));
+        await(begun);
+        Future<Boolean> drained = executor.submit(() -> listener.drain(Duration.ofSeconds(30)));
+        release.countDown();
+
+        assertThat(text(answer.get().get())).isEqualTo("whole");
+        assertThat(drained.get()).isTrue();
+        assertThat(send(listener.address(), "GET", "", false).getLeft()).isInstanceOf(ForwardFailure.NotSent.class);
+    }
+
+    @Test
+    void shouldAnswerOthersWhenOnePeerSendsGarbage() throws IOException {
+        Address server = listen(_ -> Answer.text(200, "text/plain", "well"));
+        try (Socket socket = new Socket(server.host(), server.port())) {
+            socket.getOutputStream().write("\u0000\u0001 garbage\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().flush();
+            assertThat(socket.getInputStream().read()).isNotEqualTo(0);
+        }
+        assertThat(text(send(server, "GET", "", false).get())).isEqualTo("well");
+    }
+
+    // -- helpers
+
+    private Either<ForwardFailure, UpstreamAnswer> send(Address peer, String method, String body, boolean isAwaited) {
+        return client.send(peer, request(method, body, isAwaited), Cancellation.create());
+    }
+
+    private static OutboundRequest request(String method, String body, boolean isAwaited) {
+        return new OutboundRequest(
+                method,
+                "/path",
+                List.of(),
+                body.getBytes(StandardCharsets.UTF_8),
+                isAwaited,
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(30));
+    }
+
+    private static String text(UpstreamAnswer answer) throws IOException {
+        return new String(answer.readBody(LIMIT_BYTES).orElseThrow(), StandardCharsets.UTF_8);
+    }
+
+    private Address listen(RequestHandler handler) {
+        return listener(handler).address();
+    }
+
+    private HttpListener listener(RequestHandler handler) {
+        HttpListener listener = HttpListener.start("127.0.0.1", 0, handler, ListenerLimits.standard())
+                .get();
+        open.add(listener);
+        return listener;
+    }
+
+    /** Listens, reads the first bytes of a request, writes the given text and closes. */
+    private Address scripted(String text) throws IOException {
+        ServerSocket server = new ServerSocket(0);
+        open.add(server);
+        Future<Void> _ = executor.submit(() -> {
+            try (Socket socket = server.accept()) {
+                int first = socket.getInputStream().read();
+                assertThat(first).isAtLeast(0);
+                while (socket.getInputStream().available() > 0) {
+                    socket.getInputStream().read();
+                }
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+                socket.getOutputStream().flush();
+                socket.shutdownOutput();
+                socket.getInputStream().readAllBytes();
+            }
+            return null;
+        });
+        return Address.of("127.0.0.1", server.getLocalPort());
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(30, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException interrupt) {
+            throw new AssertionError(interrupt);
+        }
+    }
+
+    /** Writes a part of a body and then fails. */
+    private static final class BrokenSource implements Answer.Source {
+        @Override
+        public void writeTo(OutputStream output) throws IOException {
+            output.write("part of".getBytes(StandardCharsets.UTF_8));
+            output.flush();
+            throw new IOException("the source broke");
+        }
+
+        @Override
+        public void close() {}
+    }
+}
