--- /dev/null
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Completion.java
@@ -0,0 +1,20 @@
+package org.oleanderturn.traffic;
+
+/** How work that held a permit ended. */
+public enum Completion {
+    /** The target answered. */
+    COMPLETED,
+    /** The target answered with an error of its own. */
+    FAILED,
+    /** The target refused the request as overload. */
+    SHED,
+    /** The caller gave up. */
+    CANCELLED,
+    /** The target died. */
+    TARGET_DIED;
+
+    /** Returns whether its duration tells how fast the target works. */
+    public boolean isTimed() {
+        return this == COMPLETED;
+    }
+}
--- /dev/null
+++ b/traffic/src/main/java/org/oleanderturn/traffic/EjectionStrategy.java
@@ -0,0 +1,17 @@
+package org.oleanderturn.traffic;
+
+/** When the failures of an upstream count as too many. Immutable and thread safe. */
+public sealed interface EjectionStrategy {
+
+    /** Never. */
+    record Never() implements EjectionStrategy {}
+
+    /** After so many failures with no success between them. */
+    record FailureRun(int length) implements EjectionStrategy {}
+
+    /** When failures reach a share of the answers of the last seconds, once there are enough answers. */
+    record FailureShare(int percent, int leastAnswers) implements EjectionStrategy {}
+
+    /** When either says so. */
+    record RunOrShare(FailureRun run, FailureShare share) implements EjectionStrategy {}
+}
--- /dev/null
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Fingerprint.java
@@ -0,0 +1,62 @@
+package org.oleanderturn.traffic;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Objects;
+import org.oleanderturn.model.RouteName;
+
+/**
+ * Identifies requests that are the same to a target: same route, method, path and body.
+ *
+ * <p>Invariant: 32 lower case hexadecimal digits. Immutable and thread safe.
+ */
+public record Fingerprint(@JsonValue String value) {
+    private static final int BYTES = 16;
+    private static final HexFormat HEX = HexFormat.of();
+
+    /** Checks the form. */
+    public Fingerprint {
+        Objects.requireNonNull(value, "value is null");
+        if (value.length() != 2 * BYTES || !value.chars().allMatch(HexFormat::isHexDigit)) {
+            throw new IllegalArgumentException("not a fingerprint: " + value);
+        }
+    }
+
+    /**
+     * Returns the fingerprint with the given digits.
+     *
+     * @throws IllegalArgumentException when they are malformed
+     */
+    @JsonCreator
+    public static Fingerprint of(String value) {
+        return new Fingerprint(value);
+    }
+
+    /** Returns the fingerprint of a request, by the hash of its body. */
+    public static Fingerprint of(RouteName route, String method, String path, byte[] bodyHash) {
+        MessageDigest digest = sha256();
+        for (String part : new String[] {route.value(), method, path}) {
+            digest.update(part.getBytes(StandardCharsets.UTF_8));
+            digest.update((byte) 0);
+        }
+        byte[] full = digest.digest(bodyHash);
+        return new Fingerprint(HEX.formatHex(full, 0, BYTES));
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException cause) {
+            throw new IllegalStateException("the platform lacks SHA-256", cause);
+        }
+    }
+}
--- /dev/null
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RouteBudgets.java
@@ -0,0 +1,66 @@
+package org.oleanderturn.traffic;
+
+import java.util.concurrent.ConcurrentHashMap;
+import org.oleanderturn.model.RouteName;
+import org.oleanderturn.model.RoutingTable;
+import org.oleanderturn.model.TrafficPolicy;
+
+/**
+ * The retry and the hedge budget of each route.
+ *
+ * <p>Invariant: one pair of budgets for a route, replaced when its policy's shares change. Thread safe, without locks
+ * once a route is known.
+ */
+public final class RouteBudgets {
+    private final ConcurrentHashMap<RouteName, Pair> pairs = new ConcurrentHashMap<>();
+
+    private RouteBudgets() {}
+
+    /** Returns budgets with no route known. */
+    public static RouteBudgets empty() {
+        return new RouteBudgets();
+    }
+
+    /** Returns the retry budget of a route. */
+    public RetryBudget retries(RoutingTable.Entry entry) {
+        return pair(entry).retries();
+    }
+
+    /** Returns the hedge budget of a route. */
+    public RetryBudget hedges(RoutingTable.Entry entry) {
+        return pair(entry).hedges();
+    }
+
+    /** Adds the shares of one first attempt to both budgets. */
+    public void recordFirstAttempt(RoutingTable.Entry entry) {
+        Pair pair = pair(entry);
+        pair.retries().recordFirstAttempt();
+        pair.hedges().recordFirstAttempt();
+    }
+
+    private Pair pair(RoutingTable.Entry entry) {
+        RouteName route = entry.route().name();
+        TrafficPolicy policy = entry.trafficPolicy();
+        Pair held = pairs.get(route);
+        if (held != null && held.isFor(policy)) {
+            return held;
+        }
+        return pairs.compute(
+                route, (name, former) -> former != null && former.isFor(policy) ? former : Pair.of(policy));
+    }
+
+    private record Pair(int retryPercent, int hedgePercent, RetryBudget retries, RetryBudget hedges) {
+
+        static Pair of(TrafficPolicy policy) {
+            return new Pair(
+                    policy.retryBudgetPercent(),
+                    policy.hedgeBudgetPercent(),
+                    RetryBudget.of(policy.retryBudgetPercent()),
+                    RetryBudget.of(policy.hedgeBudgetPercent()));
+        }
+
+        boolean isFor(TrafficPolicy policy) {
+            return retryPercent == policy.retryBudgetPercent() && hedgePercent == policy.hedgeBudgetPercent();
+        }
+    }
+}
--- /dev/null
+++ b/traffic/src/main/java/org/oleanderturn/traffic/UpstreamStatistics.java
@@ -0,0 +1,146 @@
+package org.oleanderturn.traffic;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.ServiceName;
+
+/**
+ * What this entry has seen of the endpoints that it sends requests to.
+ *
+ * <p>Invariants: an attempt counts as outstanding from {@link #begin} until its first {@link #finish}; a request that did
+ * not run is no failure of the endpoint, unless no connection came about. Thread safe, without locks on the path of a
+ * request.
+ */
+public final class UpstreamStatistics {
+    private static final Duration LONGEST_REFUSING = Duration.ofMillis(250);
+
+    private final OutlierEjection ejection;
+    private final LongSupplier nanoseconds;
+    private final ConcurrentHashMap<ServiceName, UpstreamGroup> groups = new ConcurrentHashMap<>();
+
+    private UpstreamStatistics(OutlierEjection ejection, LongSupplier nanoseconds) {
+        this.ejection = ejection;
+        this.nanoseconds = nanoseconds;
+    }
+
+    /** Returns statistics with nothing seen. */
+    public static UpstreamStatistics of(OutlierEjection ejection, LongSupplier nanoseconds) {
+        Objects.requireNonNull(ejection, "ejection is null");
+        Objects.requireNonNull(nanoseconds, "nanoseconds is null");
+        return new UpstreamStatistics(ejection, nanoseconds);
+    }
+
+    // -- commands
+
+    /** Notes that an attempt goes out to an endpoint. */
+    public Attempt begin(Endpoint endpoint) {
+        Objects.requireNonNull(endpoint, "endpoint is null");
+        long now = nanoseconds.getAsLong();
+        UpstreamGroup group = groups.get(endpoint.service());
+        Upstream known = group == null ? null : group.find(endpoint.node());
+        Upstream upstream = known == null ? Upstream.of(endpoint, now) : known;
+        upstream.begin();
+        return Attempt.of(upstream, now);
+    }
+
+    /** Notes the first byte of an attempt's answer; the latency is taken up to here. */
+    public void answer(Attempt attempt) {
+        Objects.requireNonNull(attempt, "attempt is null");
+        attempt.answer(nanoseconds.getAsLong());
+    }
+
+    /** Notes how an attempt ended; a second call for the same attempt is ignored. */
+    public void finish(Attempt attempt, AttemptOutcome outcome) {
+        Objects.requireNonNull(attempt, "attempt is null");
+        Objects.requireNonNull(outcome, "outcome is null");
+        if (!attempt.tryFinish()) {
+            return;
+        }
+        long now = nanoseconds.getAsLong();
+        Upstream upstream = attempt.upstream();
+        upstream.end();
+        learn(upstream, attempt.latency(now), outcome, now);
+    }
+
+    /** Takes an endpoint's own report of its load, from 0 to 1, as a weak hint. */
+    public void reportLoad(ServiceName service, NodeId node, double load) {
+        UpstreamGroup group = groups.get(service);
+        Upstream upstream = group == null ? null : group.find(node);
+        if (upstream != null) {
+            upstream.reportLoad(load, nanoseconds.getAsLong());
+        }
+    }
+
+    private void learn(Upstream upstream, long latency, AttemptOutcome outcome, long now) {
+        switch (outcome) {
+            case AttemptOutcome.Succeeded succeeded -> {
+                upstream.succeed(latency, now);
+                weigh(upstream, true, latency, now);
+            }
+            case AttemptOutcome.NotRun notRun
+            when notRun.reason() == NotRunReason.CONNECT_FAILED -> learnFailure(upstream, latency, now);
+            case AttemptOutcome.NotRun notRun -> {
+                Duration pause =
+                        notRun.retryAfter().compareTo(LONGEST_REFUSING) > 0 ? LONGEST_REFUSING : notRun.retryAfter();
+                upstream.refuseUntil(now + pause.toNanos());
+            }
+            case AttemptOutcome.Cancelled cancelled -> upstream.waitedFor(latency, now);
+            case AttemptOutcome.Failed failed -> learnFailure(upstream, latency, now);
+            case AttemptOutcome.TargetDied died -> learnFailure(upstream, latency, now);
+            case AttemptOutcome.Unknown unknown -> learnFailure(upstream, latency, now);
+            case AttemptOutcome.AnswerStarted started -> learnFailure(upstream, latency, now);
+        }
+    }
+
+    private void learnFailure(Upstream upstream, long latency, long now) {
+        upstream.fail(now);
+        weigh(upstream, false, latency, now);
+    }
+
+    private void weigh(Upstream upstream, boolean isSuccess, long latency, long now) {
+        UpstreamGroup group = groups.get(upstream.endpoint().service());
+        if (group == null || group.find(upstream.endpoint().node()) != upstream) {
+            return;
+        }
+        ejection.weigh(group, upstream, isSuccess, latency, now);
+        if (group.tryClaimWeighing(now)) {
+            ejection.weighLatency(group, now);
+        }
+    }
+
+    // -- queries
+
+    /** Returns what is known of a service's ready endpoints, sorted by node. */
+    public List<UpstreamReport> reports(ServiceName service) {
+        UpstreamGroup group = groups.get(service);
+        if (group == null) {
+            return List.of();
+        }
+        long now = nanoseconds.getAsLong();
+        return Arrays.stream(group.upstreams())
+                .map(upstream -> UpstreamReport.of(upstream, ejection.isEjected(group, upstream, now), now))
+                .sorted(Comparator.comparing(UpstreamReport::node))
+                .toList();
+    }
+
+    /** Returns the group of a service, built anew when the endpoints are another list than before. */
+    UpstreamGroup group(ServiceName service, List<Endpoint> endpoints, Locality own) {
+        UpstreamGroup held = groups.get(service);
+        if (held != null && held.isFor(endpoints, own)) {
+            return held;
+        }
+        long now = nanoseconds.getAsLong();
+        return groups.compute(service, (name, former) -> {
+            UpstreamGroup base = former == null ? UpstreamGroup.empty(own, now) : former;
+            return base.isFor(endpoints, own) ? base : base.of(endpoints, own, now);
+        });
+    }
+}
--- /dev/null
+++ b/traffic/src/test/java/org/oleanderturn/traffic/BalancerTest.java
@@ -0,0 +1,89 @@
+package org.oleanderturn.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.model.RoutingTable;
+
+final class BalancerTest {
+    private final FakeClock clock = new FakeClock();
+    private final OutlierEjection ejection = OutlierEjection.of(EjectionSettings.usual());
+    private final UpstreamStatistics statistics = UpstreamStatistics.of(ejection, clock);
+    private final Balancer balancer = Balancer.of(statistics, ejection, clock, new Random(7));
+
+    private Optional<Endpoint> choose(RoutingTable.Entry entry) {
+        return balancer.choose(entry, Fixtures.HOBART, Set.of());
+    }
+
+    @Test
+    void shouldChooseOnlyReadyEndpointsWhenOthersAreListed() {
+        List<Endpoint> endpoints = Stream.of(EndpointState.values())
+                .map(state -> Fixtures.endpoint(
+                        "node-" + state.name().toLowerCase(java.util.Locale.ROOT), Fixtures.HOBART, state))
+                .toList();
+        RoutingTable.Entry entry = Fixtures.entry(RequestKind.LOOKUP, endpoints);
+        for (int round = 0; round < 100; round++) {
+            assertThat(choose(entry).map(Endpoint::state)).hasValue(EndpointState.READY);
+        }
+        NodeId only = NodeId.of("node-ready");
+        assertThat(balancer.choose(entry, Fixtures.HOBART, Set.of(only))).isEmpty();
+    }
+
+    @Test
+    void shouldSpillOverByDistanceWhenNearerLevelsAreSaturated() {
+        Endpoint near = Fixtures.ready("near", Fixtures.HOBART);
+        Endpoint middle = Fixtures.ready("middle", Fixtures.HUONVILLE);
+        Endpoint far = Fixtures.ready("far", Fixtures.LAUNCESTON);
+        RoutingTable.Entry entry = Fixtures.entry(RequestKind.LOOKUP, List.of(far, middle, near));
+        List<Endpoint> chosen = new ArrayList<>();
+        for (int request = 0; request < 3 * Fixtures.SLOTS + 1; request++) {
+            Endpoint endpoint = choose(entry).orElseThrow();
+            statistics.begin(endpoint);
+            chosen.add(endpoint);
+        }
+        assertThat(chosen.subList(0, 10)).containsExactlyElementsIn(java.util.Collections.nCopies(10, near));
+        assertThat(chosen.subList(10, 20)).containsExactlyElementsIn(java.util.Collections.nCopies(10, middle));
+        assertThat(chosen.subList(20, 30)).containsExactlyElementsIn(java.util.Collections.nCopies(10, far));
+        assertThat(chosen.get(30)).isEqualTo(near);
+    }
+
+    @Test
+    void shouldLeaveAnEndpointAloneWhileItRefuses() {
+        RoutingTable.Entry entry = Fixtures.entry(RequestKind.LOOKUP, Fixtures.ready(2, Fixtures.HOBART));
+        Endpoint refusing = choose(entry).orElseThrow();
+        Attempt attempt = statistics.begin(refusing);
+        statistics.finish(attempt, new AttemptOutcome.NotRun(NotRunReason.QUEUE_FULL, Duration.ofMillis(100)));
+        for (int round = 0; round < 20; round++) {
+            assertThat(choose(entry).orElseThrow()).isNotEqualTo(refusing);
+        }
+    }
+
+    @Test
+    void shouldSendLessToANewEndpointWhenPeersAreWarm() {
+        List<Endpoint> warm = Fixtures.ready(3, Fixtures.HOBART);
+        choose(Fixtures.entry(RequestKind.LOOKUP, warm));
+        clock.advance(Duration.ofSeconds(20));
+        List<Endpoint> all = new ArrayList<>(warm);
+        Endpoint fresh = Fixtures.ready("fresh", Fixtures.HOBART);
+        all.add(fresh);
+        RoutingTable.Entry entry = Fixtures.entry(RequestKind.LOOKUP, all);
+        int toFresh = 0;
+        for (int request = 0; request < 16; request++) {
+            Endpoint endpoint = choose(entry).orElseThrow();
+            statistics.begin(endpoint);
+            toFresh += endpoint.equals(fresh) ? 1 : 0;
+        }
+        assertThat(toFresh).isAtMost(1);
+    }
+}
