Add the store's HTTP client and a stand-in of the store

The client pools connections, marks a request right before its first byte and says Unreachable only without that mark; an answer lost after it is Undetermined. The stand-in keeps keys, leases and watches in memory and shows outages, delays, lost answers and lost requests on request. Found by its test: a watch that ran out (204, no entity) failed on the missing entity.

--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/StoreStandInHandler.java
@@ -0,0 +1,215 @@
+package org.oleanderturn.testbed;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.Method;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.platform.LeaseId;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoreProtocol;
+import org.oleanderturn.platform.StoredValue;
+
+/**
+ * Turns HTTP requests into calls on the content of a stand-in of the store.
+ *
+ * <p>Stateless beside the content, and thread safe.
+ */
+final class StoreStandInHandler {
+    /** An answer: its status, and its body when it has one. */
+    record Answer(int status, Optional<Object> body) {}
+
+    /** A request taken apart: its operation for the counts, and its effect. */
+    record Call(String operation, Effect effect) {}
+
+    /** What a request does; called once the request is admitted. */
+    interface Effect {
+        Answer apply() throws IOException;
+    }
+
+    private final StoreStandInMemory memory;
+
+    StoreStandInHandler(StoreStandInMemory memory) {
+        this.memory = memory;
+    }
+
+    Call parse(ClassicHttpRequest request) {
+        String target = request.getPath();
+        int question = target.indexOf('?');
+        String path = question < 0 ? target : target.substring(0, question);
+        Map<String, String> parameters = question < 0 ? Map.of() : parameters(target.substring(question + 1));
+        if (path.equals(StoreProtocol.KEYS)) {
+            String prefix = parameters.getOrDefault(StoreProtocol.PREFIX, "");
+            return new Call("list", () -> answer(memory.list(prefix), StoreStandInHandler::listed));
+        }
+        if (path.startsWith(StoreProtocol.KEYS + "/")) {
+            String key = StoreProtocol.decode(path.substring(StoreProtocol.KEYS.length() + 1));
+            return parseKey(request, key, parameters);
+        }
+        if (path.startsWith(StoreProtocol.LEASES)) {
+            return parseLease(request, path.substring(StoreProtocol.LEASES.length()));
+        }
+        return unknown();
+    }
+
+    // -- keys
+
+    private Call parseKey(ClassicHttpRequest request, String key, Map<String, String> parameters) {
+        Method method = Method.normalizedValueOf(request.getMethod());
+        return switch (method) {
+            case GET -> parameters.containsKey(StoreProtocol.SEEN) ? watch(key, parameters) : read(key);
+            case PUT -> new Call("swap", () -> write(request, key, parameters));
+            case DELETE ->
+                new Call(
+                        "remove",
+                        () -> answer(
+                                memory.remove(key, number(parameters, StoreProtocol.EXPECTED)),
+                                StoreStandInHandler::revision));
+            default -> unknown();
+        };
+    }
+
+    private Call read(String key) {
+        return new Call(
+                "get",
+                () -> answer(
+                        memory.get(key),
+                        found -> found.map(StoreStandInHandler::body)
+                                .orElse(new Answer(HttpStatus.SC_NOT_FOUND, Optional.empty()))));
+    }
+
+    private Call watch(String key, Map<String, String> parameters) {
+        long seen = number(parameters, StoreProtocol.SEEN);
+        Duration wait = Duration.ofMillis(number(parameters, StoreProtocol.WAIT_MILLISECONDS));
+        return new Call(
+                "watch",
+                () -> answer(
+                        memory.watch(key, seen, wait),
+                        found -> found.map(StoreStandInHandler::body)
+                                .orElse(new Answer(HttpStatus.SC_NO_CONTENT, Optional.empty()))));
+    }
+
+    private Answer write(ClassicHttpRequest request, String key, Map<String, String> parameters) throws IOException {
+        byte[] value = decode(request, StoreProtocol.WriteBody.class).value();
+        long expected = number(parameters, StoreProtocol.EXPECTED);
+        String lease = parameters.get(StoreProtocol.LEASE);
+        Either<StoreFailure, Long> result = lease == null
+                ? memory.swap(key, expected, value)
+                : memory.swapLeased(key, expected, value, LeaseId.of(Long.parseLong(lease)));
+        return answer(result, StoreStandInHandler::revision);
+    }
+
+    // -- leases
+
+    private Call parseLease(ClassicHttpRequest request, String rest) {
+        Method method = Method.normalizedValueOf(request.getMethod());
+        if (method == Method.POST && rest.isEmpty()) {
+            return new Call("grantLease", () -> grant(request));
+        }
+        if (method == Method.POST && rest.endsWith(StoreProtocol.KEEP_ALIVE)) {
+            String number = rest.substring(1, rest.length() - StoreProtocol.KEEP_ALIVE.length());
+            return new Call(
+                    "keepAlive",
+                    () -> answer(memory.keepAlive(LeaseId.of(Long.parseLong(number))), StoreStandInHandler::lease));
+        }
+        if (method == Method.DELETE && rest.startsWith("/")) {
+            return new Call(
+                    "revokeLease",
+                    () -> answer(
+                            memory.revokeLease(LeaseId.of(Long.parseLong(rest.substring(1)))),
+                            StoreStandInHandler::lease));
+        }
+        return unknown();
+    }
+
+    private Answer grant(ClassicHttpRequest request) throws IOException {
+        long milliseconds =
+                decode(request, StoreProtocol.LeaseRequestBody.class).timeToLiveMilliseconds();
+        return answer(memory.grantLease(Duration.ofMillis(milliseconds)), StoreStandInHandler::lease);
+    }
+
+    // -- answers
+
+    private static Call unknown() {
+        return new Call("unknown", () -> new Answer(HttpStatus.SC_BAD_REQUEST, Optional.empty()));
+    }
+
+    private static <T> Answer answer(Either<StoreFailure, T> result, Function<T, Answer> success) {
+        return result.fold(StoreStandInHandler::failed, success);
+    }
+
+    private static Answer failed(StoreFailure failure) {
+        return switch (failure) {
+            case StoreFailure.Conflict(long found) ->
+                new Answer(HttpStatus.SC_CONFLICT, Optional.of(new StoreProtocol.RevisionBody(found)));
+            case StoreFailure.LeaseEnded _ -> new Answer(HttpStatus.SC_GONE, Optional.empty());
+            case StoreFailure.ValueTooLarge _ -> new Answer(HttpStatus.SC_REQUEST_TOO_LONG, Optional.empty());
+            case StoreFailure.Throttled _ -> new Answer(HttpStatus.SC_TOO_MANY_REQUESTS, Optional.empty());
+            case StoreFailure.Unreachable _, StoreFailure.Undetermined _, StoreFailure.Malformed _ ->
+                new Answer(HttpStatus.SC_INTERNAL_SERVER_ERROR, Optional.empty());
+        };
+    }
+
+    private static Answer ok(Object body) {
+        return new Answer(HttpStatus.SC_OK, Optional.of(body));
+    }
+
+    private static Answer body(StoredValue stored) {
+        return ok(keyBody(stored));
+    }
+
+    private static Answer listed(List<StoredValue> found) {
+        return ok(new StoreProtocol.KeysBody(
+                found.stream().map(StoreStandInHandler::keyBody).toList()));
+    }
+
+    private static StoreProtocol.KeyBody keyBody(StoredValue stored) {
+        return new StoreProtocol.KeyBody(stored.key(), stored.revision(), stored.value());
+    }
+
+    private static Answer revision(long written) {
+        return ok(new StoreProtocol.RevisionBody(written));
+    }
+
+    private static Answer lease(LeaseId lease) {
+        return ok(new StoreProtocol.LeaseBody(lease.number()));
+    }
+
+    // -- parsing
+
+    static <T> T decode(ClassicHttpRequest request, Class<T> type) throws IOException {
+        HttpEntity entity = request.getEntity();
+        byte[] bytes = entity == null ? new byte[0] : EntityUtils.toByteArray(entity);
+        return Codec.json()
+                .decode(bytes, type)
+                .getOrElseThrow(failure -> new IllegalArgumentException(failure.toString()));
+    }
+
+    private static long number(Map<String, String> parameters, String name) {
+        String text = parameters.get(name);
+        if (text == null) {
+            throw new IllegalArgumentException("parameter is missing: " + name);
+        }
+        return Long.parseLong(text);
+    }
+
+    private static Map<String, String> parameters(String query) {
+        Map<String, String> parameters = new HashMap<>();
+        for (String part : query.split("&", -1)) {
+            int equals = part.indexOf('=');
+            if (equals > 0) {
+                parameters.put(part.substring(0, equals), StoreProtocol.decode(part.substring(equals + 1)));
+            }
+        }
+        return parameters;
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/org/oleanderturn/testbed/StoreStandInTest.java
@@ -0,0 +1,157 @@
+package org.oleanderturn.testbed;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.platform.HttpStore;
+import org.oleanderturn.platform.LeaseId;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoreLimits;
+import org.oleanderturn.platform.StoreSettings;
+import org.oleanderturn.platform.StoredValue;
+
+final class StoreStandInTest {
+    private static final byte[] VALUE = "value".getBytes(StandardCharsets.UTF_8);
+    private static final Duration LONG_WAIT = Duration.ofSeconds(10);
+
+    private StoreStandIn server;
+    private HttpStore store;
+
+    @BeforeEach
+    void start() {
+        open(StoreStandInSettings.defaults());
+    }
+
+    @AfterEach
+    void stop() {
+        store.close();
+        server.close();
+    }
+
+    @Test
+    void shouldReadWhatWasWrittenWhenKeyHasSpecialCharacters() {
+        long revision = store.swap("claims/a b+c/é", StoredValue.ABSENT, VALUE).get();
+        StoredValue stored = store.get("claims/a b+c/é").get().orElseThrow();
+        assertThat(stored.value()).isEqualTo(VALUE);
+        assertThat(stored.revision()).isEqualTo(revision);
+        assertThat(store.list("claims/").get()).hasSize(1);
+        assertThat(store.list("other/").get()).isEmpty();
+        assertThat(store.get("absent").get()).isEmpty();
+    }
+
+    @Test
+    void shouldRefuseWhenRevisionIsAnother() {
+        long revision = store.swap("key", StoredValue.ABSENT, VALUE).get();
+        assertThat(store.swap("key", StoredValue.ABSENT, VALUE))
+                .isEqualTo(Either.left(new StoreFailure.Conflict(revision)));
+        assertThat(store.remove("key", revision + 1)).isEqualTo(Either.left(new StoreFailure.Conflict(revision)));
+        assertThat(store.remove("key", revision).isRight()).isTrue();
+        assertThat(store.get("key").get()).isEmpty();
+    }
+
+    @Test
+    void shouldAnswerWatchWhenKeyChanges() throws Exception {
+        long revision = store.swap("key", StoredValue.ABSENT, VALUE).get();
+        CompletableFuture<Either<StoreFailure, Optional<StoredValue>>> watch =
+                CompletableFuture.supplyAsync(() -> store.watch("key", revision, LONG_WAIT));
+        long next = store.swap("key", revision, VALUE).get();
+        assertThat(watch.get(LONG_WAIT.toSeconds(), TimeUnit.SECONDS)
+                        .get()
+                        .orElseThrow()
+                        .revision())
+                .isEqualTo(next);
+        assertThat(store.watch("key", next, Duration.ofMillis(1)).get()).isEmpty();
+    }
+
+    @Test
+    void shouldRemoveKeyWhenLeaseLapses() {
+        LeaseId lease = store.grantLease(Duration.ofMillis(1)).get();
+        LeaseId kept = store.grantLease(LONG_WAIT).get();
+        long revision =
+                store.swapLeased("kept", StoredValue.ABSENT, VALUE, kept).get();
+        assertThat(store.keepAlive(kept).isRight()).isTrue();
+        while (store.keepAlive(lease).isRight()) {
+            Thread.onSpinWait();
+        }
+        assertThat(store.swapLeased("key", StoredValue.ABSENT, VALUE, lease))
+                .isEqualTo(Either.left(new StoreFailure.LeaseEnded(lease)));
+        assertThat(store.get("kept").get().orElseThrow().revision()).isEqualTo(revision);
+        assertThat(store.revokeLease(kept).isRight()).isTrue();
+        assertThat(store.get("kept").get()).isEmpty();
+    }
+
+    @Test
+    void shouldRefuseWhenValueIsTooLarge() {
+        assertThat(store.swap("key", StoredValue.ABSENT, new byte[StoreLimits.MAXIMUM_VALUE_BYTES])
+                        .isRight())
+                .isTrue();
+        assertThat(store.swap("large", StoredValue.ABSENT, new byte[StoreLimits.MAXIMUM_VALUE_BYTES + 1])
+                        .getLeft())
+                .isInstanceOf(StoreFailure.ValueTooLarge.class);
+    }
+
+    @Test
+    void shouldSayUndeterminedWhenAnswerIsLost() {
+        server.show(StoreStandInFaults.losingAnswers());
+        assertThat(store.swap("key", StoredValue.ABSENT, VALUE).getLeft())
+                .isInstanceOf(StoreFailure.Undetermined.class);
+        server.show(StoreStandInFaults.none());
+        assertThat(store.get("key").get()).isPresent();
+        assertThat(server.counts().calls()).containsEntry("swap", 1L);
+    }
+
+    @Test
+    void shouldSayUndeterminedWhenAnswerTimesOut() {
+        HttpStore impatient = HttpStore.of(
+                StoreSettings.of(server.address()).withTimeouts(Duration.ofMillis(500), Duration.ofMillis(20)));
+        server.show(StoreStandInFaults.delay(200));
+        assertThat(impatient.swap("key", StoredValue.ABSENT, VALUE).getLeft())
+                .isInstanceOf(StoreFailure.Undetermined.class);
+        impatient.close();
+    }
+
+    @Test
+    void shouldSayUnreachableWhenStoreIsDown() {
+        assertThat(store.get("key").isRight()).isTrue();
+        server.show(StoreStandInFaults.down(60_000));
+        List<Either<StoreFailure, Long>> results = List.of(
+                store.swap("key", StoredValue.ABSENT, VALUE),
+                store.swap("key", StoredValue.ABSENT, VALUE),
+                store.swap("key", StoredValue.ABSENT, VALUE));
+        assertThat(results.getLast().getLeft()).isInstanceOf(StoreFailure.Unreachable.class);
+    }
+
+    @Test
+    void shouldServeAgainWhenOutageIsOver() {
+        server.show(StoreStandInFaults.down(20));
+        while (store.get("key").isLeft()) {
+            Thread.onSpinWait();
+        }
+        assertThat(store.swap("key", StoredValue.ABSENT, VALUE).isRight()).isTrue();
+    }
+
+    @Test
+    void shouldThrottleWhenRateIsOver() {
+        stop();
+        open(StoreStandInSettings.defaults().withCallsPerSecond(1));
+        Either<StoreFailure, Optional<StoredValue>> result = store.get("key");
+        while (result.isRight()) {
+            result = store.get("key");
+        }
+        assertThat(result.getLeft()).isEqualTo(new StoreFailure.Throttled(Duration.ofSeconds(1)));
+    }
+
+    private void open(StoreStandInSettings settings) {
+        server = StoreStandIn.start(0, settings);
+        store = HttpStore.of(StoreSettings.of(server.address()));
+    }
+}
