--- /dev/null
+++ b/claims/src/main/java/org/oleanderturn/claims/BookingClaims.java
@@ -0,0 +1,236 @@
+package org.oleanderturn.claims;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+
+/**
+ * Decides which attempt at a booking may run it.
+ *
+ * <p>Invariants: for each key at most one handle that can start exists until the retention ends, and its claim is
+ * durable before it is handed out; a key becomes free again only when the holder of the claim's token says that the
+ * booking did not run and will not; a lost answer never frees a key. Nothing rests on leases or clocks except the
+ * retention. Thread safe.
+ */
+public final class BookingClaims {
+    private final ClaimStore store;
+    private final ClaimSettings settings;
+    private final LongSupplier clockMilliseconds;
+    private final RandomGenerator tokens;
+    private final ClaimSettler settler;
+    private final ClaimCounters counters = new ClaimCounters();
+
+    BookingClaims(ClaimStore store, ClaimSettings settings, LongSupplier clockMilliseconds, RandomGenerator tokens) {
+        this.store = store;
+        this.settings = settings;
+        this.clockMilliseconds = clockMilliseconds;
+        this.tokens = tokens;
+        this.settler = new ClaimSettler(store, settings, clockMilliseconds);
+    }
+
+    /**
+     * Returns the claims held in the given store.
+     *
+     * @param clockMilliseconds the time since the epoch
+     * @param tokens draws the tokens; must never repeat the draws of another process, as a secure one does not
+     */
+    public static BookingClaims of(
+            Store store, ClaimSettings settings, LongSupplier clockMilliseconds, RandomGenerator tokens) {
+        Objects.requireNonNull(store, "store is null");
+        Objects.requireNonNull(settings, "settings is null");
+        Objects.requireNonNull(clockMilliseconds, "clockMilliseconds is null");
+        Objects.requireNonNull(tokens, "tokens is null");
+        ClaimStore keyed = KeyedClaimStore.of(store, settings.retention(), clockMilliseconds);
+        return new BookingClaims(keyed, settings, clockMilliseconds, tokens);
+    }
+
+    // -- queries
+
+    /** Returns how the claims were decided since the start. */
+    public ClaimCounts counts() {
+        return counters.snapshot(settler.waiting());
+    }
+
+    // -- commands
+
+    /**
+     * Claims a key for one attempt; blocks for the store's answers.
+     *
+     * @param fingerprint the digest of the request, by which a key used for another request is told
+     * @return {@link ClaimDecision.Granted} only after the claim is durable; with every other decision this attempt
+     *     never runs the booking
+     */
+    public ClaimDecision claim(IdempotencyKey key, Digest fingerprint) {
+        Objects.requireNonNull(key, "key is null");
+        Objects.requireNonNull(fingerprint, "fingerprint is null");
+        ClaimDecision decision = settler.isFull()
+                ? notRun(new ClaimDecision.Reason.Saturated())
+                : new ClaimAttempt(key, newRecord(fingerprint)).decide();
+        counters.add(decision);
+        return decision;
+    }
+
+    /**
+     * Starts the booking of a granted claim; to be called right before the request is sent on.
+     *
+     * @return whether the booking may run now: true once, and only soon after the claim; after false the handle is to
+     *     be released
+     */
+    public boolean start(ClaimHandle handle) {
+        Objects.requireNonNull(handle, "handle is null");
+        return handle.start(clockMilliseconds.getAsLong());
+    }
+
+    /** Records the whole answer of a booking that ran. */
+    public SettleOutcome complete(ClaimHandle handle, RecordedAnswer answer) {
+        Objects.requireNonNull(handle, "handle is null");
+        Objects.requireNonNull(answer, "answer is null");
+        if (!handle.settleStarted()) {
+            return new SettleOutcome.AlreadySettled();
+        }
+        ClaimState finished = answer.isRecordable()
+                ? new ClaimState.Finished(answer)
+                : new ClaimState.FinishedUnrecorded(answer.status());
+        return settle(handle, finished);
+    }
+
+    /** Frees the key of a booking that certainly did not run; the handle can't start any more. */
+    public SettleOutcome release(ClaimHandle handle) {
+        Objects.requireNonNull(handle, "handle is null");
+        if (!handle.settle()) {
+            return new SettleOutcome.AlreadySettled();
+        }
+        return settle(handle, new ClaimState.Released());
+    }
+
+    /**
+     * Tries again what waits for the store, each once, and stops when the store can't be reached.
+     *
+     * @return how many still wait
+     */
+    public int settleWaiting() {
+        return settler.settleWaiting(counters);
+    }
+
+    // -- decisions
+
+    private ClaimRecord newRecord(Digest fingerprint) {
+        long now = clockMilliseconds.getAsLong();
+        return new ClaimRecord(fingerprint, ClaimToken.draw(tokens), now, new ClaimState.Claimed());
+    }
+
+    private SettleOutcome settle(ClaimHandle handle, ClaimState state) {
+        ClaimRecord record = handle.record().with(state);
+        SettleOutcome outcome = settler.settle(settler.settlement(handle.key(), handle.revision(), record));
+        counters.add(outcome);
+        return outcome;
+    }
+
+    private ClaimDecision notRun(ClaimDecision.Reason reason) {
+        return new ClaimDecision.NotRun(reason, settings.retryAfter());
+    }
+
+    private Optional<Duration> comeBack(ClaimRecord found) {
+        long age = clockMilliseconds.getAsLong() - found.claimedAtMilliseconds();
+        boolean mayFinish = age < settings.startWithin().multipliedBy(2).toMillis();
+        return mayFinish ? Optional.of(settings.retryAfter()) : Optional.empty();
+    }
+
+    /**
+     * One attempt at a key.
+     *
+     * <p>Invariant: every write carries the attempt's token, so sending it again is idempotent; only the last write
+     * whose answer was lost can yet take effect, for the key's revision has moved past what the others expected. Used
+     * by one thread.
+     */
+    private final class ClaimAttempt {
+        private final IdempotencyKey key;
+        private final ClaimRecord record;
+        private long expected;
+        private boolean isLost;
+
+        private ClaimAttempt(IdempotencyKey key, ClaimRecord record) {
+            this.key = key;
+            this.record = record;
+        }
+
+        private ClaimDecision decide() {
+            StoreFailure last = new StoreFailure.Undetermined("no attempt");
+            for (int attempt = 0; attempt < settings.attempts(); attempt++) {
+                var written = store.write(key, expected, record);
+                if (written.isRight()) {
+                    return granted(written.get());
+                }
+                last = written.getLeft();
+                isLost |= last.isUndetermined();
+                if (last instanceof StoreFailure.Conflict) {
+                    Optional<ClaimDecision> decision = readBack();
+                    if (decision.isPresent()) {
+                        return decision.get();
+                    }
+                } else if (!last.isUndetermined()) {
+                    return giveUp(new ClaimDecision.Reason.StoreFailed(last));
+                }
+            }
+            return giveUp(
+                    last instanceof StoreFailure.Conflict
+                            ? new ClaimDecision.Reason.Contended()
+                            : new ClaimDecision.Reason.StoreFailed(last));
+        }
+
+        /** Reads what stands in the way; empty when the write is to be sent again. */
+        private Optional<ClaimDecision> readBack() {
+            var read = store.read(key);
+            if (read.isLeft()) {
+                return read.getLeft().isUndetermined()
+                        ? Optional.empty()
+                        : Optional.of(giveUp(new ClaimDecision.Reason.StoreFailed(read.getLeft())));
+            }
+            if (read.get().isEmpty()) {
+                expected = 0;
+                return Optional.empty();
+            }
+            return judge(read.get().get());
+        }
+
+        private Optional<ClaimDecision> judge(ClaimStore.Versioned found) {
+            ClaimRecord other = found.record();
+            if (isLost && other.equals(record)) {
+                return Optional.of(granted(found.revision()));
+            }
+            if (other.isReleased()) {
+                expected = found.revision();
+                return Optional.empty();
+            }
+            if (!other.fingerprint().equals(record.fingerprint())) {
+                return Optional.of(new ClaimDecision.KeyReused());
+            }
+            return Optional.of(
+                    switch (other.state()) {
+                        case ClaimState.Finished(RecordedAnswer answer) -> new ClaimDecision.AlreadyFinished(answer);
+                        case ClaimState.FinishedUnrecorded(int status) ->
+                            new ClaimDecision.AlreadyFinishedUnrecorded(status);
+                        case ClaimState.Claimed _, ClaimState.Released _ ->
+                            new ClaimDecision.InProgressOrUnknown(comeBack(other));
+                    });
+        }
+
+        private ClaimDecision granted(long revision) {
+            long startBefore =
+                    record.claimedAtMilliseconds() + settings.startWithin().toMillis();
+            return new ClaimDecision.Granted(ClaimHandle.of(key, record, revision, startBefore));
+        }
+
+        private ClaimDecision giveUp(ClaimDecision.Reason reason) {
+            if (isLost) {
+                settler.abandon(settler.settlement(key, expected, record.with(new ClaimState.Released())));
+            }
+            return notRun(reason);
+        }
+    }
+}
--- /dev/null
+++ b/claims/src/main/java/org/oleanderturn/claims/ClaimSettler.java
@@ -0,0 +1,121 @@
+package org.oleanderturn.claims;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.oleanderturn.platform.StoreFailure;
+
+/**
+ * Writes the results of claims, and goes on trying in the background when the store gives no answer.
+ *
+ * <p>Invariant: a record is replaced only by one of its own token, and only while it is claimed; where the claim may
+ * yet take effect late, the write moves the key's revision on, so that it can't. Thread safe.
+ */
+final class ClaimSettler {
+    private static final Duration TRY_FOR = Duration.ofHours(1);
+
+    private final ClaimStore store;
+    private final ClaimSettings settings;
+    private final LongSupplier clockMilliseconds;
+    private final AbandonedClaims abandoned = new AbandonedClaims();
+
+    ClaimSettler(ClaimStore store, ClaimSettings settings, LongSupplier clockMilliseconds) {
+        this.store = store;
+        this.settings = settings;
+        this.clockMilliseconds = clockMilliseconds;
+    }
+
+    // -- queries
+
+    int waiting() {
+        return abandoned.count();
+    }
+
+    boolean isFull() {
+        return abandoned.isFull();
+    }
+
+    Settlement settlement(IdempotencyKey key, long expected, ClaimRecord record) {
+        return new Settlement(key, expected, record, clockMilliseconds.getAsLong() + TRY_FOR.toMillis());
+    }
+
+    // -- commands
+
+    /** Leaves a settlement to the background. */
+    void abandon(Settlement settlement) {
+        abandoned.add(settlement);
+    }
+
+    /** Writes a settlement now, and leaves it to the background when the store gives no usable answer. */
+    SettleOutcome settle(Settlement settlement) {
+        SettleOutcome outcome = write(settlement);
+        if (outcome instanceof SettleOutcome.Pending) {
+            abandoned.add(settlement);
+        }
+        return outcome;
+    }
+
+    /** Tries every waiting settlement once; stops when the store can't be reached. */
+    int settleWaiting(ClaimCounters counters) {
+        int due = abandoned.count();
+        for (int done = 0; done < due; done++) {
+            Optional<Settlement> next = abandoned.poll();
+            if (next.isEmpty()) {
+                break;
+            }
+            if (next.get().endMilliseconds() < clockMilliseconds.getAsLong()) {
+                continue;
+            }
+            SettleOutcome outcome = settle(next.get());
+            counters.add(outcome);
+            if (outcome instanceof SettleOutcome.Pending(StoreFailure failure) && !failure.isUndetermined()) {
+                break;
+            }
+        }
+        return abandoned.count();
+    }
+
+    // -- writes
+
+    private SettleOutcome write(Settlement settlement) {
+        long expected = settlement.expected();
+        StoreFailure last = new StoreFailure.Undetermined("no attempt");
+        for (int attempt = 0; attempt < settings.attempts(); attempt++) {
+            Either<StoreFailure, Long> written = store.write(settlement.key(), expected, settlement.record());
+            if (written.isRight()) {
+                return new SettleOutcome.Settled();
+            }
+            last = written.getLeft();
+            if (last instanceof StoreFailure.Conflict) {
+                Either<StoreFailure, Optional<ClaimStore.Versioned>> read = store.read(settlement.key());
+                if (read.isLeft()) {
+                    return new SettleOutcome.Pending(read.getLeft());
+                }
+                Optional<Long> claimed = claimedRevision(read.get(), settlement.record());
+                if (claimed.isEmpty()) {
+                    return outcome(read.get(), settlement.record());
+                }
+                expected = claimed.get();
+            } else if (!last.isUndetermined()) {
+                return new SettleOutcome.Pending(last);
+            }
+        }
+        return new SettleOutcome.Pending(last);
+    }
+
+    /** Returns the revision at which the record's own token still holds its claim. */
+    private static Optional<Long> claimedRevision(Optional<ClaimStore.Versioned> found, ClaimRecord record) {
+        return found.filter(versioned -> versioned.record().token().equals(record.token()))
+                .filter(versioned -> versioned.record().state() instanceof ClaimState.Claimed)
+                .map(ClaimStore.Versioned::revision);
+    }
+
+    private static SettleOutcome outcome(Optional<ClaimStore.Versioned> found, ClaimRecord record) {
+        boolean isOwn = found.filter(versioned -> versioned.record().token().equals(record.token()))
+                .filter(versioned ->
+                        versioned.record().state().getClass() == record.state().getClass())
+                .isPresent();
+        return isOwn ? new SettleOutcome.Settled() : new SettleOutcome.Superseded();
+    }
+}
