Carry frames of MessagePack over TCP between nodes

Cause: membership, distribution and claims all exchange control messages, and each has to know whether a failed call may have been handled.

A frame that is malformed, oversize or stalled gets a typed error and ends its own connection only.

--- /dev/null
+++ b/wire/src/main/java/org/oleanderturn/wire/Deadlines.java
@@ -0,0 +1,17 @@
+package org.oleanderturn.wire;
+
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+
+/** Makes the executors that close connections whose time is over. */
+final class Deadlines {
+
+    private Deadlines() {}
+
+    static ScheduledExecutorService newExecutor(String name) {
+        ScheduledThreadPoolExecutor executor = new ScheduledThreadPoolExecutor(
+                1, Thread.ofPlatform().daemon().name(name).factory());
+        executor.setRemoveOnCancelPolicy(true);
+        return executor;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/oleanderturn/wire/FrameServer.java
@@ -0,0 +1,206 @@
+package org.oleanderturn.wire;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Codec;
+
+/**
+ * Takes connections and answers the requests that arrive on each, one after another.
+ *
+ * <p>Invariant: a frame that is malformed, oversize or stalled ends its own connection only, after a typed answer; the
+ * connections never outnumber the bound. Thread safe.
+ */
+public final class FrameServer implements AutoCloseable {
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final int MAXIMUM_LINGERING_REFUSALS = 64;
+    private static final int LOG_INTERVAL_SECONDS = 10;
+    private static final int ACCEPT_PAUSE_MILLISECONDS = 20;
+
+    private final ServerSocketChannel listener;
+    private final Address address;
+    private final FrameHandler handler;
+    private final WireLimits limits;
+    private final WireCounters counters = WireCounters.empty();
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final ScheduledExecutorService deadlines = Deadlines.newExecutor("frame-server-deadlines");
+    private final Set<FrameChannel> connections = ConcurrentHashMap.newKeySet();
+    private final Semaphore places;
+    private final Semaphore refusalPlaces = new Semaphore(MAXIMUM_LINGERING_REFUSALS);
+
+    private FrameServer(ServerSocketChannel listener, Address address, FrameHandler handler, WireLimits limits) {
+        this.listener = listener;
+        this.address = address;
+        this.handler = handler;
+        this.limits = limits;
+        this.places = new Semaphore(limits.maximumConnections());
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @return the running server, or {@link WireFailure.ListenFailed}
+     */
+    public static Either<WireFailure, FrameServer> start(
+            ListenAddress listen, FrameHandler handler, WireLimits limits) {
+        Objects.requireNonNull(listen, "listen is null");
+        Objects.requireNonNull(handler, "handler is null");
+        Objects.requireNonNull(limits, "limits is null");
+        try {
+            ServerSocketChannel listener = ServerSocketChannel.open();
+            listener.bind(new InetSocketAddress(listen.host(), listen.port()));
+            int port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
+            FrameServer server = new FrameServer(listener, Address.of(listen.host(), port), handler, limits);
+            server.executor.execute(server::acceptAll);
+            return Either.right(server);
+        } catch (IOException | RuntimeException cause) {
+            return Either.left(new WireFailure.ListenFailed(listen, String.valueOf(cause.getMessage())));
+        }
+    }
+
+    // -- queries
+
+    /** Returns the address in use, with the real port. */
+    public Address address() {
+        return address;
+    }
+
+    /** Returns the counts of bytes over all connections. */
+    public WireCounters counters() {
+        return counters;
+    }
+
+    /** Returns the number of connections held now. */
+    public int connections() {
+        return connections.size();
+    }
+
+    // -- accepting
+
+    private void acceptAll() {
+        while (listener.isOpen()) {
+            try {
+                admit(listener.accept());
+            } catch (ClosedChannelException cause) {
+                return;
+            } catch (IOException cause) {
+                log.atWarning().withCause(cause).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+                        "connection was not accepted");
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(ACCEPT_PAUSE_MILLISECONDS);
+        } catch (InterruptedException cause) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void admit(SocketChannel accepted) throws IOException {
+        FrameChannel connection = FrameChannel.of(accepted, deadlines);
+        if (places.tryAcquire()) {
+            executor.execute(() -> serve(connection));
+            return;
+        }
+        if (refusalPlaces.tryAcquire()) {
+            executor.execute(() -> refuseConnection(connection));
+            return;
+        }
+        connection.close();
+    }
+
+    private void refuseConnection(FrameChannel connection) {
+        try {
+            refuse(connection, RefusalKind.BUSY);
+        } finally {
+            refusalPlaces.release();
+        }
+    }
+
+    // -- serving
+
+    private void serve(FrameChannel connection) {
+        connections.add(connection);
+        try (connection) {
+            boolean isUsable = true;
+            while (isUsable && listener.isOpen()) {
+                isUsable = serveNext(connection);
+            }
+        } finally {
+            connections.remove(connection);
+            places.release();
+        }
+    }
+
+    private boolean serveNext(FrameChannel connection) {
+        return switch (connection.read(limits.idleTimeout(), limits.frameTimeout(), limits.maximumFrameBytes())) {
+            case FrameRead.Whole whole -> answer(connection, whole);
+            case FrameRead.Ended read -> false;
+            case FrameRead.Truncated read -> false;
+            case FrameRead.Silent read -> false;
+            case FrameRead.Stalled read -> refuse(connection, RefusalKind.STALLED);
+            case FrameRead.Oversize read -> refuse(connection, RefusalKind.OVERSIZE);
+            case FrameRead.Malformed read -> refuse(connection, RefusalKind.MALFORMED);
+        };
+    }
+
+    private boolean answer(FrameChannel connection, FrameRead.Whole whole) {
+        counters.addReceived(whole.bytes());
+        byte[] encoded;
+        try {
+            Frame answer = Objects.requireNonNull(handler.handle(whole.frame()), "answer is null");
+            encoded = FrameChannel.encode(answer);
+        } catch (RuntimeException cause) {
+            log.atWarning().withCause(cause).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log("handler failed");
+            return refuse(connection, RefusalKind.FAILED);
+        }
+        return write(connection, encoded);
+    }
+
+    private boolean write(FrameChannel connection, byte[] encoded) {
+        try {
+            connection.write(encoded, limits.frameTimeout());
+            counters.addSent(encoded.length);
+            return true;
+        } catch (IOException cause) {
+            return false;
+        }
+    }
+
+    /** Answers with an error and ends the connection; always returns false, since the connection is of no more use. */
+    private boolean refuse(FrameChannel connection, RefusalKind kind) {
+        Frame refusal = Frame.of(Frame.REFUSAL_KIND, Codec.messagePack().encode(kind));
+        write(connection, FrameChannel.encode(refusal));
+        connection.closeGently();
+        return false;
+    }
+
+    /** Stops listening and closes every connection, also those with a request in hand. */
+    @Override
+    public void close() {
+        try {
+            listener.close();
+        } catch (IOException cause) {
+            log.atWarning().withCause(cause).log("listener can't be closed");
+        }
+        connections.forEach(FrameChannel::close);
+        executor.shutdownNow();
+        deadlines.shutdownNow();
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/oleanderturn/wire/WireCounters.java
@@ -0,0 +1,100 @@
+package org.oleanderturn.wire;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import org.oleanderturn.model.Address;
+
+/**
+ * Counts the bytes sent and received, in all and by peer.
+ *
+ * <p>Invariant: counts never fall; past {@value #MAXIMUM_PEERS} peers, further peers count in the totals only. Thread
+ * safe.
+ */
+public final class WireCounters {
+    private static final int MAXIMUM_PEERS = 8192;
+
+    private final LongAdder sentBytes = new LongAdder();
+    private final LongAdder receivedBytes = new LongAdder();
+    private final Map<Address, PeerCounters> peers = new ConcurrentHashMap<>();
+
+    private WireCounters() {}
+
+    /** Returns counters that stand at zero. */
+    public static WireCounters empty() {
+        return new WireCounters();
+    }
+
+    // -- commands
+
+    void addSent(long bytes) {
+        sentBytes.add(bytes);
+    }
+
+    void addReceived(long bytes) {
+        receivedBytes.add(bytes);
+    }
+
+    void addSent(Address peer, long bytes) {
+        addSent(bytes);
+        if (hasRoomFor(peer)) {
+            countersOf(peer).sent.add(bytes);
+        }
+    }
+
+    void addReceived(Address peer, long bytes) {
+        addReceived(bytes);
+        if (hasRoomFor(peer)) {
+            countersOf(peer).received.add(bytes);
+        }
+    }
+
+    // -- queries
+
+    /** Returns the bytes sent to all peers. */
+    public long sentBytes() {
+        return sentBytes.sum();
+    }
+
+    /** Returns the bytes received from all peers. */
+    public long receivedBytes() {
+        return receivedBytes.sum();
+    }
+
+    /** Returns the bytes exchanged with each peer, sorted by address. */
+    public List<PeerBytes> byPeer() {
+        return peers.entrySet().stream()
+                .map(entry -> entry.getValue().read(entry.getKey()))
+                .sorted(Comparator.comparing(bytes -> bytes.peer().toString()))
+                .toList();
+    }
+
+    private boolean hasRoomFor(Address peer) {
+        return peers.size() < MAXIMUM_PEERS || peers.containsKey(peer);
+    }
+
+    private PeerCounters countersOf(Address peer) {
+        return peers.computeIfAbsent(peer, address -> new PeerCounters());
+    }
+
+    /** The bytes exchanged with one peer. */
+    public record PeerBytes(Address peer, long sentBytes, long receivedBytes) {
+
+        /** Checks that the peer is there. */
+        public PeerBytes {
+            Objects.requireNonNull(peer, "peer is null");
+        }
+    }
+
+    private static final class PeerCounters {
+        private final LongAdder sent = new LongAdder();
+        private final LongAdder received = new LongAdder();
+
+        private PeerBytes read(Address peer) {
+            return new PeerBytes(peer, sent.sum(), received.sum());
+        }
+    }
+}
