Know the members by gossip: records, table, probes, comparison, announcements

Cause: there is no list of targets; each node has to learn of the others, of their state and of the versions that they held.

Change: Gossip is SWIM's probing with indirect probes, suspicion and refutation, plus a comparison of whole tables by 128 bucket digests. Records of one incarnation merge as a join (liveness, state and held version only move forward), so loss, repetition and reordering are harmless. A drain is pushed to the own zone and to a few members of each other zone at once.

Ruled out: replacing a record by the stronger one. A suspicion that knew of no drain would then hide the drain of the same incarnation.

After: 3 tests over a hand-written network with the real encoding pass.

--- /dev/null
+++ b/membership/src/main/java/org/oleanderturn/membership/ByteBudget.java
@@ -0,0 +1,45 @@
+package org.oleanderturn.membership;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * A token bucket of bytes that may be overdrawn: what must be sent is charged, what can wait asks first.
+ *
+ * <p>Invariant: the balance never exceeds one second's bytes. Thread safe.
+ */
+final class ByteBudget {
+    private static final long MILLISECONDS_PER_SECOND = 1000;
+
+    private final long bytesPerSecond;
+    private final AtomicReference<Balance> balance;
+
+    private ByteBudget(long bytesPerSecond, long nowMilliseconds) {
+        this.bytesPerSecond = bytesPerSecond;
+        this.balance = new AtomicReference<>(new Balance(bytesPerSecond, nowMilliseconds));
+    }
+
+    static ByteBudget of(long bytesPerSecond, long nowMilliseconds) {
+        return new ByteBudget(bytesPerSecond, nowMilliseconds);
+    }
+
+    boolean isAvailable(long nowMilliseconds) {
+        return balance.get().at(nowMilliseconds, bytesPerSecond).bytes() > 0;
+    }
+
+    void charge(long bytes, long nowMilliseconds) {
+        balance.updateAndGet(before -> {
+            Balance refilled = before.at(nowMilliseconds, bytesPerSecond);
+            return new Balance(refilled.bytes() - bytes, refilled.sinceMilliseconds());
+        });
+    }
+
+    private record Balance(double bytes, long sinceMilliseconds) {
+
+        private Balance at(long nowMilliseconds, long bytesPerSecond) {
+            long elapsed = Math.max(0, nowMilliseconds - sinceMilliseconds);
+            double refilled = bytes + (double) elapsed * bytesPerSecond / MILLISECONDS_PER_SECOND;
+            return new Balance(
+                    Math.min((double) bytesPerSecond, refilled), Math.max(nowMilliseconds, sinceMilliseconds));
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/oleanderturn/membership/GossipSettings.java
@@ -0,0 +1,73 @@
+package org.oleanderturn.membership;
+
+import org.oleanderturn.model.Locality.Distance;
+
+/**
+ * Intervals and bounds of the protocol.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param probe time between probes
+ * @param sync time between comparisons of the whole table
+ * @param reconnectMilliseconds time between tries to reach a member that is unreachable
+ * @param suspicionMultiplier probe intervals that a suspect has to refute, for each tenfold of members
+ * @param indirectProbes members asked to probe one that did not answer
+ * @param bytesPerSecond bytes that this node may send in all
+ * @param farBytesPerSecond bytes that this node may send to other regions
+ * @param piggybackBytes bytes of records that one message passes on
+ * @param syncBytes bytes of records in one message of a comparison
+ */
+public record GossipSettings(
+        Intervals probe,
+        Intervals sync,
+        long reconnectMilliseconds,
+        int suspicionMultiplier,
+        int indirectProbes,
+        int bytesPerSecond,
+        int farBytesPerSecond,
+        int piggybackBytes,
+        int syncBytes) {
+    private static final int SPREAD_MULTIPLIER = 4;
+
+    /** Returns the usual settings. */
+    public static GossipSettings standard() {
+        return new GossipSettings(
+                new Intervals(1_000, 5_000, 15_000),
+                new Intervals(1_500, 6_000, 30_000),
+                5_000,
+                4,
+                3,
+                21_000,
+                4_000,
+                1_200,
+                16_000);
+    }
+
+    /** Returns how long a suspect may take to refute, in milliseconds; grows with the logarithm of the members. */
+    public long suspicionMilliseconds(int members) {
+        double tenfolds = Math.max(1, Math.log10(members + 1.0));
+        return Math.round(suspicionMultiplier * tenfolds * probe.sameZoneMilliseconds());
+    }
+
+    /** Returns how often one node passes a record on; grows with the logarithm of the members. */
+    public int transmissions(int members) {
+        return SPREAD_MULTIPLIER * (int) Math.ceil(Math.max(1, Math.log10(members + 1.0)));
+    }
+
+    /**
+     * Times between two actions, by the distance of the member that they concern.
+     *
+     * <p>Immutable and thread safe.
+     */
+    public record Intervals(long sameZoneMilliseconds, long sameRegionMilliseconds, long otherRegionMilliseconds) {
+
+        /** Returns the time for a distance, in milliseconds. */
+        public long at(Distance distance) {
+            return switch (distance) {
+                case SAME_ZONE -> sameZoneMilliseconds;
+                case SAME_REGION -> sameRegionMilliseconds;
+                case OTHER_REGION -> otherRegionMilliseconds;
+            };
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/oleanderturn/membership/MemberTable.java
@@ -0,0 +1,290 @@
+package org.oleanderturn.membership;
+
+import io.vavr.Lazy;
+import io.vavr.collection.HashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.oleanderturn.model.AvailabilityZone;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.EndpointView;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+
+/**
+ * One node's knowledge of all members at one moment.
+ *
+ * <p>Invariants: the local member is always there; a record only moves forward, see {@link MemberRecord}; members that
+ * left or are unreachable stay as tombstones for {@value #TOMBSTONE_MILLISECONDS} ms, so that an old record can't bring
+ * them back; the floor of a zone never goes down and outlives the tombstones. Immutable and thread safe.
+ */
+public final class MemberTable {
+    /** How long the record of a member that left or is unreachable is kept. */
+    public static final long TOMBSTONE_MILLISECONDS = 86_400_000;
+
+    private final NodeId local;
+    private final HashMap<NodeId, MemberEntry> entries;
+    private final HashMap<AvailabilityZone, ConfigurationVersion> floors;
+    private final Isolation isolation;
+    private final Lazy<EndpointView> endpointView;
+    private final Lazy<TableDigest> digest;
+
+    private MemberTable(
+            NodeId local,
+            HashMap<NodeId, MemberEntry> entries,
+            HashMap<AvailabilityZone, ConfigurationVersion> floors,
+            Isolation isolation) {
+        this.local = local;
+        this.entries = entries;
+        this.floors = floors;
+        this.isolation = isolation;
+        this.endpointView = Lazy.of(this::deriveEndpointView);
+        this.digest = Lazy.of(() -> TableDigest.of(entries.values()));
+    }
+
+    static MemberTable of(MemberRecord local, long nowMilliseconds) {
+        MemberEntry entry = MemberEntry.of(local, nowMilliseconds);
+        MemberTable empty = new MemberTable(local.node(), HashMap.empty(), HashMap.empty(), Isolation.none());
+        return empty.put(entry);
+    }
+
+    // -- queries
+
+    /** Returns the local member. */
+    public MemberRecord local() {
+        return localEntry().record();
+    }
+
+    /** Returns the record of a node, also when it left or is unreachable. */
+    public Optional<MemberRecord> record(NodeId node) {
+        return entries.get(node).map(MemberEntry::record).toJavaOptional();
+    }
+
+    /** Returns every record, sorted by node. */
+    public List<MemberRecord> records() {
+        return entries.values()
+                .map(MemberEntry::record)
+                .toJavaStream()
+                .sorted(Comparator.comparing(MemberRecord::node))
+                .toList();
+    }
+
+    /** Returns the members other than the local one that are alive or suspect, sorted by node. */
+    public List<MemberRecord> reachablePeers() {
+        return records().stream()
+                .filter(record ->
+                        record.liveness().isReachable() && !record.node().equals(local))
+                .toList();
+    }
+
+    /** Returns the endpoints that take work or finish what they have; see {@link #isLastResort} for those kept. */
+    public EndpointView endpointView() {
+        return endpointView.get();
+    }
+
+    /** Returns whether so many members became unreachable at once that the network is suspected. */
+    public boolean isIsolated() {
+        return isolation.isPresent();
+    }
+
+    /** Returns whether a node is unreachable and stays in the endpoint view only because the network is suspected. */
+    public boolean isLastResort(NodeId node) {
+        return entries.get(node).exists(this::isKept);
+    }
+
+    /**
+     * Returns the highest version that a node was ever known to hold, in any incarnation; kept as long as its
+     * tombstone.
+     */
+    public ConfigurationVersion highestVersionRemembered(NodeId node) {
+        return entries.get(node).map(MemberEntry::rememberedVersion).getOrElse(ConfigurationVersion.none());
+    }
+
+    /** Returns the highest version that any node of a zone was ever known to hold. */
+    public ConfigurationVersion highestVersionInZone(AvailabilityZone zone) {
+        return floors.getOrElse(zone, ConfigurationVersion.none());
+    }
+
+    /** Returns the floor of each zone that is known, sorted by zone. */
+    public List<ZoneFloor> floors() {
+        return floors.toJavaStream()
+                .map(floor -> new ZoneFloor(floor._1(), floor._2()))
+                .sorted(Comparator.comparing(ZoneFloor::zone))
+                .toList();
+    }
+
+    MemberEntry localEntry() {
+        return entries.get(local).get();
+    }
+
+    Optional<MemberEntry> entry(NodeId node) {
+        return entries.get(node).toJavaOptional();
+    }
+
+    TableDigest digest() {
+        return digest.get();
+    }
+
+    // -- what others say
+
+    /** Merges a record; one of the local member is refuted by a higher incarnation where it says anything new. */
+    MemberTable merge(RecordDelta delta, long nowMilliseconds) {
+        MemberTable known =
+                withFloor(delta.zone(), delta.rememberedVersion()).withFloor(delta.zone(), delta.heldVersion());
+        return delta.node().equals(local)
+                ? known.refute(delta, nowMilliseconds)
+                : known.mergePeer(delta, nowMilliseconds);
+    }
+
+    MemberTable withFloor(AvailabilityZone zone, ConfigurationVersion version) {
+        if (!version.isAfter(highestVersionInZone(zone))) {
+            return this;
+        }
+        return new MemberTable(local, entries, floors.put(zone, version), isolation);
+    }
+
+    private MemberTable mergePeer(RecordDelta delta, long nowMilliseconds) {
+        Optional<MemberEntry> known = entry(delta.node());
+        MemberEntry merged = known.map(entry -> entry.merge(delta, nowMilliseconds))
+                .orElseGet(() -> MemberEntry.of(delta, nowMilliseconds));
+        if (known.isPresent() && known.get().equals(merged)) {
+            return this;
+        }
+        if (known.isEmpty() && isExpired(merged, nowMilliseconds)) {
+            return this;
+        }
+        return put(merged);
+    }
+
+    private MemberTable refute(RecordDelta delta, long nowMilliseconds) {
+        MemberEntry own = localEntry();
+        MemberEntry remembering = new MemberEntry(
+                own.record(),
+                own.changedAtMilliseconds(),
+                ConfigurationVersion.newest(own.rememberedVersion(), delta.rememberedVersion()));
+        if (isOwnWord(own.record(), delta.toRecord())) {
+            return own.equals(remembering) ? this : put(remembering);
+        }
+        long incarnation = Math.max(own.record().incarnation(), delta.incarnation()) + 1;
+        return put(remembering.withRecord(own.record().withIncarnation(incarnation), nowMilliseconds));
+    }
+
+    private static boolean isOwnWord(MemberRecord own, MemberRecord heard) {
+        if (heard.incarnation() < own.incarnation()) {
+            return true;
+        }
+        boolean isSamePlace = heard.controlAddress().equals(own.controlAddress())
+                && heard.endpoint().address().equals(own.endpoint().address());
+        return isSamePlace && own.covers(heard);
+    }
+
+    // -- what the local member decides
+
+    MemberTable withLocalState(EndpointState state, long nowMilliseconds) {
+        return put(localEntry().withRecord(local().withState(state), nowMilliseconds));
+    }
+
+    MemberTable withLocalLeft(long nowMilliseconds) {
+        MemberRecord left = local().withState(EndpointState.LEFT).withLiveness(Liveness.LEFT);
+        return put(localEntry().withRecord(left, nowMilliseconds));
+    }
+
+    MemberTable withLocalVersion(ConfigurationVersion version, long nowMilliseconds) {
+        if (!version.isAfter(local().heldVersion())) {
+            return this;
+        }
+        return put(localEntry().withRecord(local().withHeldVersion(version), nowMilliseconds));
+    }
+
+    /** Marks a member as suspect, unless it has another incarnation by now or more is known against it. */
+    MemberTable suspect(MemberRecord probed, long nowMilliseconds) {
+        return change(probed, Liveness.SUSPECT, nowMilliseconds);
+    }
+
+    /** Marks those suspects as unreachable that did not refute in time. */
+    MemberTable expireSuspicions(long timeoutMilliseconds, long nowMilliseconds) {
+        MemberTable table = this;
+        for (MemberEntry entry : suspects()) {
+            if (nowMilliseconds - entry.changedAtMilliseconds() >= timeoutMilliseconds) {
+                table = table.change(entry.record(), Liveness.UNREACHABLE, nowMilliseconds);
+            }
+        }
+        return table;
+    }
+
+    /** Gives every suspect its whole time again. */
+    MemberTable restartSuspicions(long nowMilliseconds) {
+        MemberTable table = this;
+        for (MemberEntry entry : suspects()) {
+            table = table.put(entry.withChangedAt(nowMilliseconds));
+        }
+        return table;
+    }
+
+    /** Drops the tombstones whose time is over and reviews the isolation. */
+    MemberTable review(long nowMilliseconds) {
+        HashMap<NodeId, MemberEntry> kept = entries.filterValues(entry -> !isExpired(entry, nowMilliseconds));
+        Collection<MemberEntry> peers = kept.remove(local).values().toJavaList();
+        Isolation reviewed = isolation.review(peers, local().locality(), nowMilliseconds);
+        if (kept.size() == entries.size() && reviewed.equals(isolation)) {
+            return this;
+        }
+        return new MemberTable(local, kept, floors, reviewed);
+    }
+
+    private MemberTable change(MemberRecord known, Liveness liveness, long nowMilliseconds) {
+        Optional<MemberEntry> entry = entry(known.node());
+        if (entry.isEmpty() || known.node().equals(local)) {
+            return this;
+        }
+        MemberRecord merged = entry.get().record().merge(known.withLiveness(liveness));
+        if (merged.equals(entry.get().record())) {
+            return this;
+        }
+        return put(entry.get().withRecord(merged, nowMilliseconds));
+    }
+
+    // -- helpers
+
+    private MemberTable put(MemberEntry entry) {
+        HashMap<NodeId, MemberEntry> changed = entries.put(entry.record().node(), entry);
+        return new MemberTable(local, changed, floors, isolation)
+                .withFloor(entry.record().locality().zone(), entry.rememberedVersion());
+    }
+
+    private List<MemberEntry> suspects() {
+        return entries.values()
+                .filter(entry -> entry.record().liveness() == Liveness.SUSPECT)
+                .toJavaList();
+    }
+
+    private boolean isExpired(MemberEntry entry, long nowMilliseconds) {
+        return !entry.record().node().equals(local)
+                && !entry.record().liveness().isReachable()
+                && nowMilliseconds - entry.changedAtMilliseconds() >= TOMBSTONE_MILLISECONDS;
+    }
+
+    private boolean isKept(MemberEntry entry) {
+        return isolation.keeps(entry, local().locality());
+    }
+
+    private EndpointView deriveEndpointView() {
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (MemberEntry entry : entries.values()) {
+            Endpoint endpoint = entry.record().endpoint();
+            boolean isServing = endpoint.state() == EndpointState.READY || endpoint.state() == EndpointState.DRAINING;
+            if (isServing && (entry.record().liveness().isReachable() || isKept(entry))) {
+                endpoints.add(endpoint);
+            }
+        }
+        return EndpointView.of(endpoints);
+    }
+
+    Locality locality() {
+        return local().locality();
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/oleanderturn/membership/Membership.java
@@ -0,0 +1,201 @@
+package org.oleanderturn.membership;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
+import java.util.function.UnaryOperator;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.Locality.Distance;
+import org.oleanderturn.model.NodeId;
+
+/**
+ * The table, the records to pass on and the budgets, shared by the parts of the protocol.
+ *
+ * <p>Invariant: the table is replaced as a whole by compare-and-swap. No lock is held over a call to a peer. Thread
+ * safe.
+ */
+final class Membership {
+    private final AtomicReference<MemberTable> table;
+    private final TransmissionQueue queue = new TransmissionQueue();
+    private final GossipSettings settings;
+    private final GossipPeers peers;
+    private final LongSupplier clockMilliseconds;
+    private final MembershipListener listener;
+    private final ByteBudget budget;
+    private final ByteBudget farBudget;
+
+    Membership(
+            MemberRecord local,
+            GossipSettings settings,
+            GossipPeers peers,
+            LongSupplier clockMilliseconds,
+            MembershipListener listener) {
+        long now = clockMilliseconds.getAsLong();
+        this.table = new AtomicReference<>(MemberTable.of(local, now));
+        this.settings = settings;
+        this.peers = peers;
+        this.clockMilliseconds = clockMilliseconds;
+        this.listener = listener;
+        this.budget = ByteBudget.of(settings.bytesPerSecond(), now);
+        this.farBudget = ByteBudget.of(settings.farBytesPerSecond(), now);
+        queue.add(local.node());
+    }
+
+    // -- queries
+
+    MemberTable table() {
+        return table.get();
+    }
+
+    GossipSettings settings() {
+        return settings;
+    }
+
+    long now() {
+        return clockMilliseconds.getAsLong();
+    }
+
+    /** Returns whether bytes that can wait may be sent over a distance now. */
+    boolean hasBudget(Distance distance) {
+        long now = now();
+        return budget.isAvailable(now) && (distance != Distance.OTHER_REGION || farBudget.isAvailable(now));
+    }
+
+    Distance distanceTo(RecordDelta member) {
+        return member.toRecord().locality().distanceTo(table().locality());
+    }
+
+    // -- changes of the table
+
+    /** Replaces the table and returns whether it changed. */
+    boolean update(UnaryOperator<MemberTable> change) {
+        while (true) {
+            MemberTable before = table.get();
+            MemberTable after = change.apply(before);
+            if (after == before) {
+                return false;
+            }
+            if (table.compareAndSet(before, after)) {
+                enqueueChanges(before, after);
+                listener.changed();
+                return true;
+            }
+        }
+    }
+
+    private void enqueueChanges(MemberTable before, MemberTable after) {
+        for (MemberRecord record : after.records()) {
+            Optional<MemberRecord> known = before.record(record.node());
+            if (known.isEmpty() || !known.get().isSameStanding(record)) {
+                queue.add(record.node());
+            }
+        }
+    }
+
+    /** Takes in what a message carries. */
+    void absorb(GossipHeader header) {
+        long now = now();
+        update(known -> {
+            MemberTable merged = known.withFloor(header.sender().zone(), header.zoneFloor());
+            merged = merged.merge(header.sender(), now);
+            return mergeAll(merged, header.records(), now).review(now);
+        });
+    }
+
+    /** Takes in records and returns whether they said anything new. */
+    boolean absorb(List<RecordDelta> records) {
+        long now = now();
+        return update(known -> mergeAll(known, records, now).review(now));
+    }
+
+    void absorbFloors(List<ZoneFloor> floors) {
+        update(known -> {
+            MemberTable merged = known;
+            for (ZoneFloor floor : floors) {
+                merged = merged.withFloor(floor.zone(), floor.version());
+            }
+            return merged;
+        });
+    }
+
+    private static MemberTable mergeAll(MemberTable known, List<RecordDelta> records, long now) {
+        MemberTable merged = known;
+        for (RecordDelta record : records) {
+            merged = merged.merge(record, now);
+        }
+        return merged;
+    }
+
+    // -- messages
+
+    /** Returns the header of a message to a member whose record is told to it unless it is plainly alive. */
+    GossipHeader headerFor(NodeId receiver, Distance distance) {
+        Optional<RecordDelta> told = table().entry(receiver)
+                .filter(entry -> entry.record().liveness() != Liveness.ALIVE)
+                .map(entry -> entry.toDelta(now()));
+        return header(told, distance);
+    }
+
+    /** Returns the header of an answer; the asker is told its own record where it said less. */
+    GossipHeader answerHeader(RecordDelta asker) {
+        Optional<RecordDelta> told = table().entry(asker.node())
+                .filter(entry -> !entry.record().isSameStanding(asker.toRecord()))
+                .map(entry -> entry.toDelta(now()));
+        return header(told, distanceTo(asker));
+    }
+
+    /** Returns the header of a message that passes nothing on. */
+    GossipHeader plainHeader() {
+        MemberTable current = table();
+        return new GossipHeader(
+                current.localEntry().toDelta(now()),
+                current.highestVersionInZone(current.locality().zone()),
+                List.of());
+    }
+
+    private GossipHeader header(Optional<RecordDelta> told, Distance distance) {
+        GossipHeader plain = plainHeader();
+        List<RecordDelta> records = new ArrayList<>();
+        told.ifPresent(records::add);
+        if (hasBudget(distance)) {
+            MemberTable current = table();
+            int limit = settings.transmissions(current.records().size());
+            records.addAll(queue.take(current, settings.piggybackBytes(), limit, now()));
+        }
+        return new GossipHeader(plain.sender(), plain.zoneFloor(), records);
+    }
+
+    Either<PeerFailure, GossipMessage> send(Address controlAddress, Distance distance, GossipMessage message) {
+        charge(message, 1, distance);
+        return peers.exchange(controlAddress, message).peek(answer -> absorb(answer.header()));
+    }
+
+    List<Either<PeerFailure, GossipMessage>> sendAll(
+            List<Address> controlAddresses, Distance distance, GossipMessage message) {
+        charge(message, controlAddresses.size(), distance);
+        List<Either<PeerFailure, GossipMessage>> answers = peers.exchangeAll(controlAddresses, message);
+        answers.forEach(answer -> answer.peek(received -> absorb(received.header())));
+        return answers;
+    }
+
+    void push(List<Address> controlAddresses, Distance distance, GossipMessage message) {
+        if (!controlAddresses.isEmpty()) {
+            charge(message, controlAddresses.size(), distance);
+            peers.push(controlAddresses, message);
+        }
+    }
+
+    /** Charges a message to the budgets, whether they cover it or not. */
+    void charge(GossipMessage message, int receivers, Distance distance) {
+        long bytes = (long) receivers * Codec.messagePack().encode(message).length;
+        long now = now();
+        budget.charge(bytes, now);
+        if (distance == Distance.OTHER_REGION) {
+            farBudget.charge(bytes, now);
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/oleanderturn/membership/MembershipListener.java
@@ -0,0 +1,14 @@
+package org.oleanderturn.membership;
+
+/**
+ * Hears of changes of the table.
+ *
+ * <p>Called by the thread that made the change, after it; two calls may overtake each other, so a listener reads the
+ * present table from {@link Gossip#table} and derives what it needs from that.
+ */
+@FunctionalInterface
+public interface MembershipListener {
+
+    /** Says that the table has changed. */
+    void changed();
+}
--- /dev/null
+++ b/membership/src/main/java/org/oleanderturn/membership/TableDigest.java
@@ -0,0 +1,63 @@
+package org.oleanderturn.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Digests of a table's records in {@value #BUCKETS} buckets; two tables with equal digests hold the same records but
+ * for held versions.
+ *
+ * <p>Immutable and thread safe.
+ */
+record TableDigest(List<Integer> buckets) {
+    static final int BUCKETS = 128;
+    private static final int MIXER = 0x9E3779B9;
+
+    TableDigest {
+        buckets = List.copyOf(buckets);
+    }
+
+    static TableDigest of(Iterable<MemberEntry> entries) {
+        int[] sums = new int[BUCKETS];
+        for (MemberEntry entry : entries) {
+            sums[bucketOf(entry.record())] += digestOf(entry.record());
+        }
+        List<Integer> buckets = new ArrayList<>(BUCKETS);
+        for (int sum : sums) {
+            buckets.add(sum);
+        }
+        return new TableDigest(buckets);
+    }
+
+    /** Returns one number for all buckets. */
+    int whole() {
+        return buckets.hashCode();
+    }
+
+    /** Returns the buckets that differ from another table's; all when the other has another number of them. */
+    List<Integer> difference(List<Integer> others) {
+        List<Integer> different = new ArrayList<>();
+        for (int bucket = 0; bucket < BUCKETS; bucket++) {
+            if (others.size() != BUCKETS || !buckets.get(bucket).equals(others.get(bucket))) {
+                different.add(bucket);
+            }
+        }
+        return different;
+    }
+
+    static int bucketOf(MemberRecord record) {
+        return Math.floorMod(mix(record.node().value().hashCode()), BUCKETS);
+    }
+
+    private static int digestOf(MemberRecord record) {
+        int digest = mix(record.node().value().hashCode());
+        digest = mix(digest ^ Long.hashCode(record.incarnation()));
+        digest = mix(digest ^ record.liveness().name().hashCode());
+        return mix(digest ^ record.endpoint().state().name().hashCode());
+    }
+
+    private static int mix(int number) {
+        int mixed = (number ^ (number >>> 16)) * MIXER;
+        return mixed ^ (mixed >>> 15);
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/oleanderturn/membership/FakeNetwork.java
@@ -0,0 +1,202 @@
+package org.oleanderturn.membership;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.ServiceName;
+
+/**
+ * A handful of members joined by a network that loses, delays, duplicates, reorders and cuts, all from one seed.
+ *
+ * <p>Every message goes through its real encoding. Single threaded.
+ */
+final class FakeNetwork {
+    static final long STEP_MILLISECONDS = 200;
+
+    final Map<NodeId, Member> members = new TreeMap<>();
+    final Set<NodeId> frozen = new HashSet<>();
+    final Set<NodeId> dead = new HashSet<>();
+    final RandomGenerator random;
+    final GossipSettings settings;
+    private final List<Late> late = new ArrayList<>();
+    private final Set<List<String>> cuts = new HashSet<>();
+    long nowMilliseconds = 1_000_000;
+    double lossRate;
+    double answerLossRate;
+    double delayRate;
+    double duplicateRate;
+
+    FakeNetwork(RandomGenerator random, GossipSettings settings) {
+        this.random = random;
+        this.settings = settings;
+    }
+
+    // -- members
+
+    static NodeId node(String name) {
+        return NodeId.of(name);
+    }
+
+    Member start(String name, String region, String zone, long incarnation) {
+        Endpoint endpoint = new Endpoint(
+                node(name),
+                Address.of("10.0.0.1", 8_000 + Math.floorMod(name.hashCode(), 1_000)),
+                Locality.of(region, zone),
+                ServiceName.of("bookings"),
+                10,
+                EndpointState.READY,
+                incarnation);
+        Address control = Address.of(name + ".host", 7_000);
+        Member member = new Member(MemberRecord.of(endpoint, control), this);
+        members.put(member.node(), member);
+        dead.remove(member.node());
+        frozen.remove(member.node());
+        return member;
+    }
+
+    Member member(String name) {
+        return members.get(node(name));
+    }
+
+    List<Member> running() {
+        return members.values().stream()
+                .filter(member -> !dead.contains(member.node()) && !frozen.contains(member.node()))
+                .toList();
+    }
+
+    // -- faults
+
+    void cut(String zone, String otherZone) {
+        cuts.add(List.of(zone, otherZone));
+        cuts.add(List.of(otherZone, zone));
+    }
+
+    void heal() {
+        cuts.clear();
+        lossRate = 0;
+        answerLossRate = 0;
+        delayRate = 0;
+        duplicateRate = 0;
+    }
+
+    // -- time
+
+    /** Lets the given time pass: late messages arrive and every running member ticks, in a random order. */
+    void run(long milliseconds, Runnable check) {
+        long end = nowMilliseconds + milliseconds;
+        while (nowMilliseconds < end) {
+            nowMilliseconds += STEP_MILLISECONDS;
+            deliverLate();
+            List<Member> order = new ArrayList<>(running());
+            ProbeOrder.shuffle(order, random);
+            order.forEach(member -> member.gossip.tick());
+            check.run();
+        }
+    }
+
+    private void deliverLate() {
+        List<Late> arriving = new ArrayList<>(late.stream()
+                .filter(message -> message.dueMilliseconds() <= nowMilliseconds)
+                .toList());
+        late.removeAll(arriving);
+        ProbeOrder.shuffle(arriving, random);
+        arriving.forEach(message -> deliver(message.receiver(), message.message()));
+    }
+
+    private void deliver(NodeId receiver, GossipMessage message) {
+        if (!dead.contains(receiver) && !frozen.contains(receiver)) {
+            members.get(receiver).gossip.receive(message);
+        }
+    }
+
+    // -- messages
+
+    private Either<PeerFailure, GossipMessage> exchange(Member sender, Address address, GossipMessage message) {
+        GossipMessage sent = throughCodec(message);
+        sender.sentBytes += Codec.messagePack().encode(message).length;
+        Member receiver = members.get(node(address.host().replace(".host", "")));
+        if (receiver == null || isLost(sender, receiver)) {
+            return Either.left(new PeerFailure.Unreachable(address, "lost"));
+        }
+        if (random.nextDouble() < delayRate) {
+            late.add(new Late(receiver.node(), sent, nowMilliseconds + random.nextLong(10_000)));
+            return Either.left(new PeerFailure.AnswerLost(address, "delayed"));
+        }
+        if (random.nextDouble() < duplicateRate) {
+            late.add(new Late(receiver.node(), sent, nowMilliseconds + random.nextLong(10_000)));
+        }
+        GossipMessage answer = throughCodec(receiver.gossip.receive(sent));
+        receiver.sentBytes += Codec.messagePack().encode(answer).length;
+        if (random.nextDouble() < answerLossRate) {
+            return Either.left(new PeerFailure.AnswerLost(address, "answer lost"));
+        }
+        return Either.right(answer);
+    }
+
+    private boolean isLost(Member sender, Member receiver) {
+        return dead.contains(receiver.node())
+                || frozen.contains(receiver.node())
+                || cuts.contains(List.of(sender.zone(), receiver.zone()))
+                || random.nextDouble() < lossRate;
+    }
+
+    private static GossipMessage throughCodec(GossipMessage message) {
+        byte[] bytes = Codec.messagePack().encode(message);
+        return Codec.messagePack()
+                .decode(bytes, GossipMessage.class)
+                .getOrElseThrow(failure -> new AssertionError(failure));
+    }
+
+    private record Late(NodeId receiver, GossipMessage message, long dueMilliseconds) {}
+
+    /** One process. */
+    static final class Member {
+        final Gossip gossip;
+        private final MemberRecord first;
+        long sentBytes;
+        int listenerCalls;
+
+        private Member(MemberRecord first, FakeNetwork network) {
+            this.first = first;
+            this.gossip = Gossip.of(
+                    first,
+                    network.settings,
+                    (address, message) -> network.exchange(this, address, message),
+                    () -> network.nowMilliseconds,
+                    network.random,
+                    () -> listenerCalls++);
+        }
+
+        NodeId node() {
+            return first.node();
+        }
+
+        String zone() {
+            return first.locality().zone().value();
+        }
+
+        Address control() {
+            return first.controlAddress();
+        }
+
+        MemberTable table() {
+            return gossip.table();
+        }
+
+        void hold(long version) {
+            gossip.holdVersion(ConfigurationVersion.of(version));
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/oleanderturn/membership/GossipTest.java
@@ -0,0 +1,74 @@
+package org.oleanderturn.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.EndpointState;
+
+final class GossipTest {
+    private final FakeNetwork network = new FakeNetwork(new Random(7), GossipSettings.standard());
+
+    private void startFour() {
+        FakeNetwork.Member first = network.start("a1", "south", "hobart", 10);
+        for (String name : List.of("a2", "b1", "b2")) {
+            FakeNetwork.Member member = network.start(name, "south", name.startsWith("a") ? "hobart" : "huonville", 10);
+            assertThat(member.gossip.join(List.of(first.control()))).isEqualTo(1);
+        }
+        network.run(30_000, () -> {});
+    }
+
+    @Test
+    void shouldKnowAllMembersWhenAllJoinedOne() {
+        startFour();
+        for (FakeNetwork.Member member : network.running()) {
+            assertThat(member.table().reachablePeers()).hasSize(3);
+            assertThat(member.table().endpointView().all()).hasSize(4);
+            assertThat(member.listenerCalls).isGreaterThan(0);
+        }
+    }
+
+    @Test
+    void shouldShowADrainAtEveryPeerAtOnceWhenItIsAnnounced() {
+        startFour();
+        network.member("a1").gossip.drain();
+        for (FakeNetwork.Member member : network.running()) {
+            assertThat(member.table()
+                            .record(FakeNetwork.node("a1"))
+                            .orElseThrow()
+                            .endpoint()
+                            .state())
+                    .isEqualTo(EndpointState.DRAINING);
+        }
+        network.member("a1").gossip.undrain();
+        assertThat(network.member("a1").table().local().incarnation()).isEqualTo(11);
+        assertThat(network.member("b2")
+                        .table()
+                        .record(FakeNetwork.node("a1"))
+                        .orElseThrow()
+                        .endpoint()
+                        .isReady())
+                .isTrue();
+    }
+
+    @Test
+    void shouldDropADeadMemberAndKeepItsVersionWhenItDoesNotAnswer() {
+        startFour();
+        network.member("b1").hold(9);
+        network.run(10_000, () -> {});
+        network.dead.add(FakeNetwork.node("b1"));
+        network.run(60_000, () -> {});
+        MemberTable table = network.member("a1").table();
+        assertThat(table.record(FakeNetwork.node("b1")).orElseThrow().liveness())
+                .isEqualTo(Liveness.UNREACHABLE);
+        assertThat(table.endpointView().all()).hasSize(3);
+        assertThat(table.highestVersionRemembered(FakeNetwork.node("b1"))).isEqualTo(ConfigurationVersion.of(9));
+        assertThat(table.highestVersionInZone(table.record(FakeNetwork.node("b1"))
+                        .orElseThrow()
+                        .locality()
+                        .zone()))
+                .isEqualTo(ConfigurationVersion.of(9));
+    }
+}
