Decide proposals by one swap of the head, and hold only newer configurations

Every write adds one numbered outcome; a swap whose answer was lost is settled by that number, or fenced by a write of the same configuration when the head has not moved.

--- /dev/null
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Acceptor.java
@@ -0,0 +1,203 @@
+package org.oleanderturn.distribution;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.oleanderturn.model.ChangeOutcome;
+import org.oleanderturn.model.ConfigurationFault;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Proposal;
+import org.oleanderturn.model.ProposalId;
+import org.oleanderturn.model.Refusal;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoreLimits;
+
+/**
+ * Decides proposals by a compare-and-swap of the {@link Head}.
+ *
+ * <p>Invariants: a proposal is accepted exactly when a swap that records it succeeds; a refusal is given only when none
+ * of this call's swaps can take effect any more; a refusal of scope {@link ChangeOutcome.Scope#PROPOSAL} is on record
+ * in the store. Thread safe: the store decides between racing calls, here and on other nodes.
+ */
+public final class Acceptor {
+    private static final int ATTEMPTS = 8;
+    private static final int RESOLUTIONS = 4;
+    private static final long RETRY_MILLISECONDS = 1_000;
+
+    private final Store store;
+    private final ConfigurationHolder holder;
+    private final SnapshotHistory history;
+    private final Supplier<ConfigurationVersion> newestKnown;
+
+    private Acceptor(
+            Store store,
+            ConfigurationHolder holder,
+            SnapshotHistory history,
+            Supplier<ConfigurationVersion> newestKnown) {
+        this.store = store;
+        this.holder = holder;
+        this.history = history;
+        this.newestKnown = newestKnown;
+    }
+
+    /**
+     * Returns an acceptor.
+     *
+     * @param newestKnown the newest version that any known peer holds
+     */
+    public static Acceptor of(
+            Store store,
+            ConfigurationHolder holder,
+            SnapshotHistory history,
+            Supplier<ConfigurationVersion> newestKnown) {
+        Objects.requireNonNull(store, "store is null");
+        Objects.requireNonNull(holder, "holder is null");
+        Objects.requireNonNull(history, "history is null");
+        Objects.requireNonNull(newestKnown, "newestKnown is null");
+        return new Acceptor(store, holder, history, newestKnown);
+    }
+
+    // -- queries
+
+    /** Returns what became of a proposal, as far as the store has it on record. */
+    public ChangeOutcome outcome(ProposalId id) {
+        Objects.requireNonNull(id, "id is null");
+        return HeadReading.read(store)
+                .fold(
+                        failure -> undetermined(id, failure),
+                        reading -> reading.head()
+                                .outcome(id)
+                                .map(RecordedOutcome::toOutcome)
+                                .orElseGet(() -> new ChangeOutcome.NotRecorded(
+                                        id, reading.head().recordedSince())));
+    }
+
+    // -- commands
+
+    /** Decides a proposal; an accepted one is adopted here at once. */
+    public ChangeOutcome propose(Proposal proposal) {
+        Objects.requireNonNull(proposal, "proposal is null");
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            Either<StoreFailure, HeadReading> read = HeadReading.read(store);
+            if (read.isLeft()) {
+                return refuse(proposal, unavailable(read.getLeft()));
+            }
+            Optional<ChangeOutcome> decided = attempt(proposal, read.get());
+            if (decided.isPresent()) {
+                return decided.get();
+            }
+        }
+        return refuse(proposal, new Refusal.Contention(RETRY_MILLISECONDS));
+    }
+
+    /** Tries once on top of the head as read; empty when another write came first and this one can't take effect. */
+    private Optional<ChangeOutcome> attempt(Proposal proposal, HeadReading reading) {
+        Optional<ChangeOutcome> recorded = recorded(proposal, reading.head());
+        if (recorded.isPresent()) {
+            return recorded;
+        }
+        ChangeBase base = ChangeBase.of(reading.head(), holder.held(), newestKnown.get(), history);
+        Either<Refusal, ConfigurationSnapshot> next = base.next(proposal);
+        if (next.isLeft()) {
+            return Optional.of(refuse(proposal, next.getLeft()));
+        }
+        Head head = reading.head().accept(proposal, next.get(), base.version());
+        byte[] bytes = head.encode();
+        if (bytes.length > StoreLimits.MAXIMUM_VALUE_BYTES) {
+            return Optional.of(refuse(proposal, tooLarge(bytes.length)));
+        }
+        Either<StoreFailure, Long> written = store.swap(Head.KEY, reading.revision(), bytes);
+        if (written.isRight()) {
+            return Optional.of(accept(proposal, head));
+        }
+        return switch (written.getLeft()) {
+            case StoreFailure.Conflict _ -> Optional.empty();
+            case StoreFailure.Undetermined _, StoreFailure.Malformed _ -> resolve(proposal, reading);
+            case StoreFailure.ValueTooLarge large -> Optional.of(refuse(proposal, tooLarge(large.found())));
+            case StoreFailure.Unreachable _, StoreFailure.LeaseEnded _, StoreFailure.Throttled _ ->
+                Optional.of(refuse(proposal, unavailable(written.getLeft())));
+        };
+    }
+
+    /**
+     * Finds out what became of a swap on top of the given head whose answer was lost; makes sure that it can't take
+     * effect any more when it has not. Empty when it never can.
+     */
+    private Optional<ChangeOutcome> resolve(Proposal proposal, HeadReading expected) {
+        byte[] fence = expected.head().fence(proposal).encode();
+        for (int resolution = 0; resolution < RESOLUTIONS; resolution++) {
+            Either<StoreFailure, HeadReading> read = HeadReading.read(store);
+            if (read.isLeft()) {
+                return Optional.of(undetermined(proposal.id(), read.getLeft()));
+            }
+            HeadReading found = read.get();
+            Optional<ChangeOutcome> recorded = recorded(proposal, found.head());
+            if (recorded.isPresent()) {
+                return recorded;
+            }
+            if (found.revision() != expected.revision()) {
+                return resolveMoved(proposal, expected.head(), found.head());
+            }
+            Either<StoreFailure, Long> written = store.swap(Head.KEY, expected.revision(), fence);
+            if (written.isRight()) {
+                return Optional.of(
+                        new ChangeOutcome.Refused(proposal.id(), new Refusal.Fenced(), ChangeOutcome.Scope.PROPOSAL));
+            }
+        }
+        return Optional.of(new ChangeOutcome.Undetermined(
+                proposal.id(), "the platform's store keeps losing answers", RETRY_MILLISECONDS));
+    }
+
+    private static Optional<ChangeOutcome> resolveMoved(Proposal proposal, Head expected, Head found) {
+        if (expected.isContinuedBy(found)) {
+            return Optional.empty();
+        }
+        return Optional.of(new ChangeOutcome.Undetermined(
+                proposal.id(), "the platform's store has no record of the write", RETRY_MILLISECONDS));
+    }
+
+    private ChangeOutcome accept(Proposal proposal, Head head) {
+        var _ = holder.adopt(head.snapshot());
+        return new ChangeOutcome.Accepted(
+                proposal.id(), head.version(), head.snapshot().digest());
+    }
+
+    private Optional<ChangeOutcome> recorded(Proposal proposal, Head head) {
+        Optional<RecordedOutcome> outcome = head.outcome(proposal.id());
+        if (outcome.isEmpty()) {
+            return Optional.empty();
+        }
+        if (!outcome.get().proposed().equals(ConfigurationSnapshot.digestOf(proposal.configuration()))) {
+            return Optional.of(refuse(proposal, new Refusal.IdReused()));
+        }
+        var _ = holder.adopt(head.snapshot());
+        return outcome.map(RecordedOutcome::toOutcome);
+    }
+
+    private static ChangeOutcome refuse(Proposal proposal, Refusal refusal) {
+        return new ChangeOutcome.Refused(proposal.id(), refusal, ChangeOutcome.Scope.ATTEMPT);
+    }
+
+    private static Refusal tooLarge(long found) {
+        return new Refusal.Invalid(
+                List.of(new ConfigurationFault.TooLarge("", found, StoreLimits.MAXIMUM_VALUE_BYTES)));
+    }
+
+    private static Refusal unavailable(StoreFailure failure) {
+        return new Refusal.PlatformUnavailable(failure.toString(), retryMilliseconds(failure));
+    }
+
+    private static ChangeOutcome undetermined(ProposalId id, StoreFailure failure) {
+        return new ChangeOutcome.Undetermined(id, failure.toString(), retryMilliseconds(failure));
+    }
+
+    private static long retryMilliseconds(StoreFailure failure) {
+        return failure instanceof StoreFailure.Throttled throttled
+                ? throttled.retryAfter().toMillis()
+                : RETRY_MILLISECONDS;
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Adoption.java
@@ -0,0 +1,49 @@
+package org.oleanderturn.distribution;
+
+import java.util.List;
+import org.oleanderturn.model.ConfigurationDelta;
+import org.oleanderturn.model.ConfigurationFault;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Digest;
+
+/**
+ * What a {@link ConfigurationHolder} made of a configuration offered to it.
+ *
+ * <p>Immutable and thread safe.
+ */
+public sealed interface Adoption {
+
+    /** The offered version is now held. */
+    record Adopted(ConfigurationVersion from, ConfigurationVersion to) implements Adoption {}
+
+    /** The offered configuration is the one held. */
+    record AlreadyHeld(ConfigurationVersion version) implements Adoption {}
+
+    /** A newer version than the offered one is held. */
+    record Older(ConfigurationVersion offered, ConfigurationVersion held) implements Adoption {}
+
+    /** The offered configuration is kept out whole. */
+    record Rejected(ConfigurationVersion offered, Rejection rejection) implements Adoption {}
+
+    /** Why a configuration is kept out. */
+    sealed interface Rejection {
+
+        /** The stated digest is not that of the content. */
+        record NotIntact(Digest stated) implements Rejection {}
+
+        /** The configuration has faults. */
+        record Invalid(List<ConfigurationFault> faults) implements Rejection {
+
+            /** Copies the faults. */
+            public Invalid {
+                faults = List.copyOf(faults);
+            }
+        }
+
+        /** The held version has the same number and another content. */
+        record OtherContent(Digest held, Digest offered) implements Rejection {}
+
+        /** The delta does not fit what is held. */
+        record DeltaMismatch(ConfigurationDelta.Mismatch mismatch) implements Rejection {}
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/org/oleanderturn/distribution/ConfigurationHolder.java
@@ -0,0 +1,169 @@
+package org.oleanderturn.distribution;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import org.oleanderturn.model.ConfigurationDelta;
+import org.oleanderturn.model.ConfigurationFault;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationValidator;
+import org.oleanderturn.model.ConfigurationVersion;
+
+/**
+ * The configuration that this node holds.
+ *
+ * <p>Invariants: the held version never falls; what is held is intact and without faults; an offer is adopted whole or
+ * not at all; listeners see the adopted snapshots in the order of their versions. Thread safe: readers take one
+ * reference without a lock, adoptions take turns.
+ */
+public final class ConfigurationHolder {
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    private final AtomicReference<ConfigurationSnapshot> held = new AtomicReference<>(ConfigurationSnapshot.empty());
+    private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
+    private final ReentrantLock adopting = new ReentrantLock();
+    private final Queue<ConfigurationSnapshot> unannounced = new ArrayDeque<>();
+    private boolean isAnnouncing;
+    private long adopted;
+    private long rejected;
+    private Optional<Adoption.Rejected> lastRejected = Optional.empty();
+
+    private ConfigurationHolder() {}
+
+    /** Returns a holder of the empty configuration, as a restarted node has. */
+    public static ConfigurationHolder empty() {
+        return new ConfigurationHolder();
+    }
+
+    // -- queries
+
+    /** Returns the held snapshot. */
+    public ConfigurationSnapshot held() {
+        return held.get();
+    }
+
+    /** Returns the held version. */
+    public ConfigurationVersion version() {
+        return held.get().version();
+    }
+
+    /** Returns what is held and what was kept out. */
+    public AdoptionStatus status() {
+        adopting.lock();
+        try {
+            ConfigurationSnapshot snapshot = held.get();
+            return new AdoptionStatus(snapshot.version(), snapshot.digest(), adopted, rejected, lastRejected);
+        } finally {
+            adopting.unlock();
+        }
+    }
+
+    // -- commands
+
+    /**
+     * Adds a listener of adopted snapshots. It is called on the adopting thread, in the order of versions, and must not
+     * block; what it throws is logged.
+     */
+    public void addListener(Consumer<ConfigurationSnapshot> listener) {
+        listeners.add(Objects.requireNonNull(listener, "listener is null"));
+    }
+
+    /** Adopts a snapshot when it is newer, intact and without faults, and answers what was made of it. */
+    public Adoption adopt(ConfigurationSnapshot offered) {
+        Objects.requireNonNull(offered, "offered is null");
+        adopting.lock();
+        try {
+            return decide(offered);
+        } finally {
+            adopting.unlock();
+        }
+    }
+
+    /** Adopts what a delta leads to from the held snapshot, as {@link #adopt(ConfigurationSnapshot)} does. */
+    public Adoption adopt(ConfigurationDelta delta) {
+        Objects.requireNonNull(delta, "delta is null");
+        adopting.lock();
+        try {
+            ConfigurationSnapshot current = held.get();
+            if (current.version().isAfter(delta.to())) {
+                return new Adoption.Older(delta.to(), current.version());
+            }
+            if (current.version().equals(delta.to()) && current.digest().equals(delta.result())) {
+                return new Adoption.AlreadyHeld(current.version());
+            }
+            Either<ConfigurationDelta.Mismatch, ConfigurationSnapshot> reached = delta.applyTo(current);
+            return reached.fold(
+                    mismatch -> reject(delta.to(), new Adoption.Rejection.DeltaMismatch(mismatch)), this::decide);
+        } finally {
+            adopting.unlock();
+        }
+    }
+
+    private Adoption decide(ConfigurationSnapshot offered) {
+        ConfigurationSnapshot current = held.get();
+        if (current.version().isAfter(offered.version())) {
+            return new Adoption.Older(offered.version(), current.version());
+        }
+        if (!offered.isIntact()) {
+            return reject(offered.version(), new Adoption.Rejection.NotIntact(offered.digest()));
+        }
+        if (offered.version().equals(current.version())) {
+            return decideSameVersion(current, offered);
+        }
+        List<ConfigurationFault> faults = ConfigurationValidator.validate(offered.configuration());
+        if (!faults.isEmpty()) {
+            return reject(offered.version(), new Adoption.Rejection.Invalid(faults));
+        }
+        held.set(offered);
+        adopted++;
+        unannounced.add(offered);
+        announce();
+        return new Adoption.Adopted(current.version(), offered.version());
+    }
+
+    private Adoption decideSameVersion(ConfigurationSnapshot current, ConfigurationSnapshot offered) {
+        if (current.digest().equals(offered.digest())) {
+            return new Adoption.AlreadyHeld(current.version());
+        }
+        return reject(offered.version(), new Adoption.Rejection.OtherContent(current.digest(), offered.digest()));
+    }
+
+    private Adoption reject(ConfigurationVersion version, Adoption.Rejection rejection) {
+        Adoption.Rejected kept = new Adoption.Rejected(version, rejection);
+        rejected++;
+        lastRejected = Optional.of(kept);
+        return kept;
+    }
+
+    private void announce() {
+        if (isAnnouncing) {
+            return;
+        }
+        isAnnouncing = true;
+        try {
+            for (ConfigurationSnapshot next = unannounced.poll(); next != null; next = unannounced.poll()) {
+                announce(next);
+            }
+        } finally {
+            isAnnouncing = false;
+        }
+    }
+
+    private void announce(ConfigurationSnapshot snapshot) {
+        for (Consumer<ConfigurationSnapshot> listener : listeners) {
+            try {
+                listener.accept(snapshot);
+            } catch (RuntimeException cause) {
+                log.atSevere().withCause(cause).log("listener failed at version %s", snapshot.version());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/org/oleanderturn/distribution/HeadReading.java
@@ -0,0 +1,41 @@
+package org.oleanderturn.distribution;
+
+import io.vavr.control.Either;
+import java.util.Objects;
+import java.util.Optional;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoredValue;
+
+/**
+ * The {@link Head} as read from the store, with its revision.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param revision the key's revision; {@link StoredValue#ABSENT} when the key is absent
+ * @param head the head; empty when the key is absent
+ */
+public record HeadReading(long revision, Head head) {
+
+    /** Checks that the head is there. */
+    public HeadReading {
+        Objects.requireNonNull(head, "head is null");
+    }
+
+    /** Reads the head; one that can't be decoded is {@link StoreFailure.Malformed}. */
+    public static Either<StoreFailure, HeadReading> read(Store store) {
+        Objects.requireNonNull(store, "store is null");
+        return store.get(Head.KEY).flatMap(HeadReading::of);
+    }
+
+    /** Decodes a stored head; an absent one is the empty head. */
+    public static Either<StoreFailure, HeadReading> of(Optional<StoredValue> stored) {
+        if (stored.isEmpty()) {
+            return Either.right(new HeadReading(StoredValue.ABSENT, Head.empty()));
+        }
+        long revision = stored.get().revision();
+        return Head.decode(stored.get().value())
+                .<StoreFailure>mapLeft(failure -> new StoreFailure.Malformed(failure.path() + " " + failure.reason()))
+                .map(head -> new HeadReading(revision, head));
+    }
+}
--- /dev/null
+++ b/distribution/src/test/java/org/oleanderturn/distribution/AcceptorTest.java
@@ -0,0 +1,129 @@
+package org.oleanderturn.distribution;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.ChangeOutcome;
+import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.ConfigurationFault;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.ProposalId;
+import org.oleanderturn.model.Refusal;
+import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.platform.StoreLimits;
+
+class AcceptorTest {
+    private final FakeStore store = FakeStore.create();
+    private final ConfigurationHolder holder = ConfigurationHolder.empty();
+    private ConfigurationVersion newestKnown = ConfigurationVersion.none();
+    private final Acceptor acceptor = acceptor(holder);
+
+    @Test
+    void shouldAcceptAndAdoptWhenTheSwapSucceeds() {
+        ChangeOutcome outcome = acceptor.propose(Samples.onTopOf(0, false, "first", Samples.services(10, 10)));
+
+        assertThat(outcome)
+                .isEqualTo(new ChangeOutcome.Accepted(
+                        ProposalId.of("first"),
+                        ConfigurationVersion.of(1),
+                        ConfigurationSnapshot.digestOf(Samples.services(10, 10))));
+        assertThat(holder.version()).isEqualTo(ConfigurationVersion.of(1));
+        assertThat(acceptor.outcome(ProposalId.of("first"))).isEqualTo(outcome);
+    }
+
+    @Test
+    void shouldApplyOnceWhenTheSameProposalIsSentAgain() {
+        ChangeOutcome first = acceptor.propose(Samples.proposal("first", Samples.services(10, 10)));
+        var _ = acceptor.propose(Samples.proposal("second", Samples.services(11, 10)));
+
+        assertThat(acceptor.propose(Samples.proposal("first", Samples.services(10, 10))))
+                .isEqualTo(first);
+        assertThat(holder.version()).isEqualTo(ConfigurationVersion.of(2));
+    }
+
+    @Test
+    void shouldRefuseWhenAnIdIsUsedForAnotherConfiguration() {
+        var _ = acceptor.propose(Samples.proposal("first", Samples.services(10, 10)));
+
+        assertThat(refusal(acceptor.propose(Samples.proposal("first", Samples.services(11, 10)))))
+                .isEqualTo(new Refusal.IdReused());
+    }
+
+    @Test
+    void shouldRefuseWithoutAWriteWhenTheConfigurationHasFaults() {
+        Configuration invalid = Configuration.of(List.of(), List.of(Samples.route("nowhere")), List.of());
+
+        assertThat(refusal(acceptor.propose(Samples.proposal("first", invalid))))
+                .isInstanceOf(Refusal.Invalid.class);
+        assertThat(store.writes()).isEqualTo(0);
+    }
+
+    @Test
+    void shouldRefuseWithoutAWriteWhenTheHeadOutgrowsTheStore() {
+        Refusal refusal = refusal(acceptor.propose(Samples.proposal("first", Samples.incompressible(30_000))));
+
+        ConfigurationFault fault = ((Refusal.Invalid) refusal).faults().getFirst();
+        assertThat(((ConfigurationFault.TooLarge) fault).highest()).isEqualTo(StoreLimits.MAXIMUM_VALUE_BYTES);
+        assertThat(store.writes()).isEqualTo(0);
+    }
+
+    @Test
+    void shouldNameTheClashWhenOperatorsChangeTheSameObject() {
+        var _ = acceptor.propose(Samples.onTopOf(0, false, "first", Samples.services(10, 10)));
+        var _ = acceptor.propose(Samples.onTopOf(1, true, "second", Samples.services(11, 10)));
+
+        assertThat(refusal(acceptor.propose(Samples.onTopOf(1, true, "third", Samples.services(12, 10)))))
+                .isEqualTo(new Refusal.VersionConflict(
+                        ConfigurationVersion.of(1), ConfigurationVersion.of(2), List.of("services/bookings")));
+    }
+
+    @Test
+    void shouldKeepBothChangesWhenOperatorsChangeDisjointObjects() {
+        var _ = acceptor.propose(Samples.onTopOf(0, false, "first", Samples.services(10, 10)));
+        var _ = acceptor.propose(Samples.onTopOf(1, false, "second", Samples.services(11, 10)));
+        var _ = acceptor.propose(Samples.onTopOf(1, true, "third", Samples.services(10, 12)));
+
+        assertThat(holder.held().configuration()).isEqualTo(Samples.services(11, 12));
+    }
+
+    @Test
+    void shouldRefuseTheRebaseWhenTheCombinedConfigurationHasFaults() {
+        Configuration both = Samples.many(2);
+        Configuration withoutRoute =
+                Configuration.of(both.services(), List.of(Samples.route("service-0")), both.trafficPolicies());
+        Configuration withoutService = Configuration.of(
+                List.of(both.services().getFirst()), List.of(Samples.route("service-0")), both.trafficPolicies());
+        var _ = acceptor.propose(Samples.onTopOf(0, false, "first", withoutRoute));
+        var _ = acceptor.propose(Samples.onTopOf(1, false, "second", both));
+
+        assertThat(refusal(acceptor.propose(Samples.onTopOf(1, true, "third", withoutService))))
+                .isInstanceOf(Refusal.Invalid.class);
+    }
+
+    @Test
+    void shouldGiveUpWhenOtherOperatorsWinEachSwap() {
+        Acceptor other = acceptor(ConfigurationHolder.empty());
+        int[] sent = {0};
+        for (int attempt = 0; attempt < 8; attempt++) {
+            store.interlude(() -> {});
+            store.interlude(() -> {
+                var _ = other.propose(Samples.proposal("other-" + sent[0]++, Samples.services(20, 20)));
+            });
+            store.interlude(() -> {});
+            store.interlude(() -> {});
+        }
+
+        assertThat(refusal(acceptor.propose(Samples.proposal("first", Samples.services(10, 10)))))
+                .isInstanceOf(Refusal.Contention.class);
+    }
+
+    private Acceptor acceptor(ConfigurationHolder of) {
+        return Acceptor.of(store, of, SnapshotHistory.of(of), () -> newestKnown);
+    }
+
+    private static Refusal refusal(ChangeOutcome outcome) {
+        return ((ChangeOutcome.Refused) outcome).refusal();
+    }
+}
