Add the operators' command line: commands, queries, prompt

Proposals go to a node once under one id; answers of several nodes are folded so that an attempt-scoped refusal never stands for an earlier sending whose outcome is not known.

--- a/command/src/main/java/org/oleanderturn/command/CommandMain.java
+++ b/command/src/main/java/org/oleanderturn/command/CommandMain.java
@@ -1,9 +1,36 @@
 package org.oleanderturn.command;
 
-/** Starts the process. */
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Runs one line of the operators' grammar, or the prompt, and ends the process with its exit code. */
 public final class CommandMain {
     private CommandMain() {}
 
-    /** Runs until the process is stopped. */
-    public static void main(String[] arguments) {}
+    /** Runs the line that the arguments make up. */
+    public static void main(String[] arguments) {
+        CommandEnvironment environment = new CommandEnvironment(
+                new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8)),
+                new PrintWriter(System.out, true, StandardCharsets.UTF_8),
+                new PrintWriter(System.err, true, StandardCharsets.UTF_8),
+                isTerminal(),
+                System.getenv(),
+                () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+                Pause.sleeping(),
+                new SecureRandom(),
+                Optional.empty());
+        System.exit(Grammar.of(environment).run(List.of(arguments)));
+    }
+
+    private static boolean isTerminal() {
+        return Optional.ofNullable(System.console())
+                .filter(java.io.Console::isTerminal)
+                .isPresent();
+    }
 }
--- /dev/null
+++ b/command/src/main/java/org/oleanderturn/command/ProgramVersion.java
@@ -0,0 +1,16 @@
+package org.oleanderturn.command;
+
+import java.util.Optional;
+import picocli.CommandLine.IVersionProvider;
+
+/** The version of the program, from the manifest of its jar. Stateless and thread safe. */
+final class ProgramVersion implements IVersionProvider {
+    private static final String UNPACKAGED = "unpackaged";
+
+    @Override
+    public String[] getVersion() {
+        String version = Optional.ofNullable(ProgramVersion.class.getPackage().getImplementationVersion())
+                .orElse(UNPACKAGED);
+        return new String[] {"oleanderturn " + version};
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/oleanderturn/command/Texts.java
@@ -0,0 +1,203 @@
+package org.oleanderturn.command;
+
+import java.io.IOException;
+import java.nio.file.NoSuchFileException;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.oleanderturn.model.ChangeOutcome;
+import org.oleanderturn.model.ConfigurationFault;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.DecodeFailure;
+import org.oleanderturn.model.DrainOutcome;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.ProxyStatus;
+import org.oleanderturn.model.Refusal;
+import org.oleanderturn.model.Route;
+import org.oleanderturn.model.RoutingTable;
+import org.oleanderturn.model.Service;
+import org.oleanderturn.model.TrafficPolicy;
+
+/** Writes the model's values as text for people. Stateless and thread safe. */
+final class Texts {
+    private Texts() {}
+
+    // -- outcomes
+
+    static String of(ChangeOutcome outcome) {
+        return switch (outcome) {
+            case ChangeOutcome.Accepted accepted ->
+                "accepted %s as version %s".formatted(accepted.id(), accepted.version());
+            case ChangeOutcome.Refused refused -> of(refused);
+            case ChangeOutcome.Undetermined undetermined ->
+                "undetermined %s: %s%s%nask later with: oleanderturn query change %s"
+                        .formatted(
+                                undetermined.id(),
+                                undetermined.reason(),
+                                comeBack(undetermined.retryAfterMilliseconds()),
+                                undetermined.id());
+            case ChangeOutcome.NotRecorded notRecorded ->
+                "not recorded %s: it has not run so far (outcomes are on record since version %s)"
+                        .formatted(notRecorded.id(), notRecorded.recordedSince());
+        };
+    }
+
+    private static String of(ChangeOutcome.Refused refused) {
+        String scope = refused.scope() == ChangeOutcome.Scope.PROPOSAL
+                ? "for good"
+                : "this sending only; an earlier sending of the same id is not spoken for";
+        return "refused %s, not run (%s): %s".formatted(refused.id(), scope, of(refused.refusal()));
+    }
+
+    static String of(Refusal refusal) {
+        return switch (refusal) {
+            case Refusal.Invalid invalid -> "Invalid" + System.lineSeparator() + faults(invalid.faults());
+            case Refusal.VersionConflict conflict ->
+                "VersionConflict: expected version %s, in force is %s; changed since: %s"
+                        .formatted(conflict.expected(), conflict.current(), String.join(", ", conflict.paths()));
+            case Refusal.IdReused reused -> "IdReused: the id was used for another configuration";
+            case Refusal.PlatformUnavailable unavailable ->
+                "PlatformUnavailable: " + unavailable.reason() + comeBack(unavailable.retryAfterMilliseconds());
+            case Refusal.Fenced fenced -> "Fenced: the write was overtaken and can never take effect";
+            case Refusal.Contention contention ->
+                "Contention: too many changes race this one" + comeBack(contention.retryAfterMilliseconds());
+        };
+    }
+
+    static String of(DrainOutcome outcome) {
+        return switch (outcome) {
+            case DrainOutcome.Applied applied -> "applied: %s is %s".formatted(applied.node(), applied.state());
+            case DrainOutcome.UnknownNode unknown -> "refused, not run: no node %s is known".formatted(unknown.node());
+            case DrainOutcome.Unreachable unreachable ->
+                "unreachable, nothing done: %s: %s".formatted(unreachable.node(), unreachable.reason());
+            case DrainOutcome.Undetermined undetermined ->
+                "undetermined: %s: %s; sending it again is safe".formatted(undetermined.node(), undetermined.reason());
+        };
+    }
+
+    private static String comeBack(long milliseconds) {
+        return milliseconds > 0 ? "; come back in " + milliseconds + " ms" : "";
+    }
+
+    // -- faults
+
+    static String faults(List<ConfigurationFault> faults) {
+        return faults.stream().map(Texts::of).collect(Collectors.joining(System.lineSeparator()));
+    }
+
+    static String of(ConfigurationFault fault) {
+        String detail = switch (fault) {
+            case ConfigurationFault.DuplicateName duplicate -> "DuplicateName";
+            case ConfigurationFault.UnknownService unknown -> "UnknownService " + unknown.service();
+            case ConfigurationFault.UnknownTrafficPolicy unknown -> "UnknownTrafficPolicy " + unknown.trafficPolicy();
+            case ConfigurationFault.MalformedPrefix malformed -> "MalformedPrefix \"" + malformed.prefix() + "\"";
+            case ConfigurationFault.MalformedMethods malformed -> "MalformedMethods";
+            case ConfigurationFault.ShadowedRoute shadowed -> "ShadowedRoute by " + shadowed.by();
+            case ConfigurationFault.MethodUnfitForKind unfit ->
+                "MethodUnfitForKind " + unfit.method() + " " + unfit.kind();
+            case ConfigurationFault.OutOfRange range ->
+                "OutOfRange %s: found %d, expected %d to %d"
+                        .formatted(range.field(), range.found(), range.lowest(), range.highest());
+            case ConfigurationFault.TooLarge large ->
+                "TooLarge: %d bytes, at most %d".formatted(large.found(), large.highest());
+        };
+        return "  " + fault.path() + ": " + detail;
+    }
+
+    static String of(DecodeFailure failure) {
+        return failure.path().isEmpty() ? failure.reason() : failure.path() + ": " + failure.reason();
+    }
+
+    static String reasonOf(IOException cause) {
+        if (cause instanceof NoSuchFileException) {
+            return "no such file";
+        }
+        return cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
+    }
+
+    // -- answers to queries
+
+    static String proxies(ProxyStatus[] proxies) {
+        TextTable table = TextTable.of("NODE", "REGION", "ZONE", "SERVICE", "STATE", "REACHABLE", "VERSION", "LAG");
+        for (ProxyStatus proxy : proxies) {
+            table = table.with(
+                    proxy.node(),
+                    proxy.locality().region(),
+                    proxy.locality().zone(),
+                    proxy.service(),
+                    proxy.state(),
+                    proxy.isReachable() ? "yes" : "no",
+                    proxy.version(),
+                    proxy.lag());
+        }
+        return table.toString();
+    }
+
+    static String endpoints(Endpoint[] endpoints) {
+        TextTable table = TextTable.of("NODE", "ADDRESS", "REGION", "ZONE", "SERVICE", "SLOTS", "STATE");
+        for (Endpoint endpoint : endpoints) {
+            table = table.with(
+                    endpoint.node(),
+                    endpoint.address(),
+                    endpoint.locality().region(),
+                    endpoint.locality().zone(),
+                    endpoint.service(),
+                    endpoint.slots(),
+                    endpoint.state());
+        }
+        return table.toString();
+    }
+
+    static String routes(RoutingTable.Entry[] entries) {
+        TextTable table = TextTable.of("ROUTE", "PREFIX", "METHODS", "KIND", "SERVICE", "POLICY", "READY");
+        for (RoutingTable.Entry entry : entries) {
+            Route route = entry.route();
+            long ready = entry.endpoints().stream().filter(Endpoint::isReady).count();
+            table = table.with(
+                    route.name(),
+                    route.pathPrefix(),
+                    String.join(",", route.methods()),
+                    route.kind(),
+                    route.service(),
+                    route.trafficPolicy(),
+                    ready + "/" + entry.endpoints().size());
+        }
+        return table.toString();
+    }
+
+    static String configuration(ConfigurationSnapshot snapshot) {
+        TextTable services = TextTable.of("SERVICE", "SLOTS", "CONNECTIONS");
+        for (Service service : snapshot.configuration().services()) {
+            services = services.with(service.name(), service.slots(), service.connections());
+        }
+        TextTable routes = TextTable.of("ROUTE", "PREFIX", "METHODS", "KIND", "SERVICE", "POLICY");
+        for (Route route : snapshot.configuration().routes()) {
+            routes = routes.with(
+                    route.name(),
+                    route.pathPrefix(),
+                    String.join(",", route.methods()),
+                    route.kind(),
+                    route.service(),
+                    route.trafficPolicy());
+        }
+        String heading = "version " + snapshot.version() + ", digest " + snapshot.digest();
+        String gap = System.lineSeparator();
+        return String.join(gap, heading, "", services.toString(), "", routes.toString(), "", policies(snapshot));
+    }
+
+    private static String policies(ConfigurationSnapshot snapshot) {
+        TextTable table =
+                TextTable.of("POLICY", "TIMEOUT_MS", "ATTEMPTS", "RETRY_%", "HEDGE_PCT", "HEDGE_%", "QUEUE", "SHORT_%");
+        for (TrafficPolicy policy : snapshot.configuration().trafficPolicies()) {
+            table = table.with(
+                    policy.name(),
+                    policy.timeoutMilliseconds(),
+                    policy.maximumAttempts(),
+                    policy.retryBudgetPercent(),
+                    policy.hedgePercentile(),
+                    policy.hedgeBudgetPercent(),
+                    policy.queueLimit(),
+                    policy.reservedShortPercent());
+        }
+        return table.toString();
+    }
+}
