--- a/command/src/main/java/org/oleanderturn/command/Grammar.java
+++ b/command/src/main/java/org/oleanderturn/command/Grammar.java
@@ -160,7 +160,8 @@
         Arrays.stream(ExitStatus.values())
                 .forEach(status -> codes.put(Integer.toString(status.code()), status.meaning()));
         UsageMessageSpec usage = line.getCommandSpec().usageMessage();
-        usage.width(USAGE_WIDTH_COLUMNS).description(description)
+        usage.width(USAGE_WIDTH_COLUMNS)
+                .description(description)
                 .exitCodeListHeading("%nExit codes:%n")
                 .exitCodeList(codes)
                 .footer("", "Example:", "  oleanderturn " + example);
--- /dev/null
+++ b/command/src/test/java/org/oleanderturn/command/DeclarationFolderTest.java
@@ -0,0 +1,72 @@
+package org.oleanderturn.command;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.ConfigurationValidator;
+
+class DeclarationFolderTest {
+    private static final String DOCS = "{\"services\":[{\"name\":\"docs\",\"slots\":10,\"connections\":120}]}";
+
+    @TempDir
+    private Path folder;
+
+    @ParameterizedTest
+    @ValueSource(strings = {"huon-valley", "cordline"})
+    void shouldReadAValidConfigurationWhenGivenAnExample(String deployment) {
+        Path example = Path.of("..", "examples", deployment, "configuration");
+
+        Configuration configuration = DeclarationFolder.read(example).get();
+
+        assertThat(configuration.services()).hasSize(3);
+        assertThat(ConfigurationValidator.validate(configuration)).isEmpty();
+    }
+
+    @Test
+    void shouldNameBothFilesWhenAnObjectIsDeclaredTwice() throws IOException {
+        Files.writeString(folder.resolve("one.json"), DOCS);
+        Files.writeString(folder.resolve("two.json"), DOCS);
+
+        CommandFailure.DeclaredTwice failure =
+                (CommandFailure.DeclaredTwice) DeclarationFolder.read(folder).getLeft();
+
+        assertThat(failure.path()).isEqualTo("services/docs");
+        assertThat(failure.firstFile()).endsWith("one.json");
+        assertThat(failure.secondFile()).endsWith("two.json");
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{'service':[]}|service",
+                "{'services':[{'name':'docs','slots':10}]}|services[0].connections",
+                "{'services':[{'name':'docs','slots':'ten','connections':1}]}|services[0].slots",
+                "{'services':[{'name':'Docs!','slots':1,'connections':1}]}|services[0].name",
+                "{'routes':[{'name':'docs','pathPrefix':'/','methods':['GET'],'service':'docs','kind':'WALK',"
+                        + "'trafficPolicy':'docs'}]}|routes[0].kind",
+            },
+            quoteCharacter = '`')
+    void shouldNameFileAndPathWhenAFieldIsUnknownOrWrong(String content, String path) throws IOException {
+        Path file = Files.writeString(folder.resolve("wrong.json"), content.replace('\'', '"'));
+
+        CommandFailure.MalformedFile failure =
+                (CommandFailure.MalformedFile) DeclarationFolder.read(folder).getLeft();
+
+        assertThat(failure.file()).isEqualTo(file.toString());
+        assertThat(failure.failure().path()).isEqualTo(path);
+    }
+
+    @Test
+    void shouldFailWhenTheFolderHoldsNoDeclaration() {
+        assertThat(DeclarationFolder.read(folder).getLeft()).isInstanceOf(CommandFailure.NoDeclaration.class);
+    }
+}
--- a/model/src/main/java/org/oleanderturn/model/Codec.java
+++ b/model/src/main/java/org/oleanderturn/model/Codec.java
@@ -107,7 +107,8 @@
     }
 
     private static ObjectMapper strict(ObjectMapper mapper) {
-        return mapper.registerModule(new Jdk8Module())
+        return mapper.setAnnotationIntrospector(new SealedSubtypes())
+                .registerModule(new Jdk8Module())
                 .configure(MapperFeature.AUTO_DETECT_IS_GETTERS, false)
                 .configure(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY, true)
                 .configure(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS, true)
