--- a/traffic/src/main/java/org/oleanderturn/traffic/RetryAllowance.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RetryAllowance.java
@@ -23,9 +23,12 @@
         return new RetryAllowance(remaining);
     }
 
-    /** Returns the allowance of a request that comes from outside, by its policy's limit on attempts. */
+    /**
+     * Returns the allowance of a request that comes from outside: enough for its policy's limit on attempts at the first
+     * entry, and as much again for all later hops together.
+     */
     public static RetryAllowance ofAttempts(int maximumAttempts) {
-        return new RetryAllowance(Math.max(0, maximumAttempts - 1));
+        return new RetryAllowance(Math.max(0, SHARE_KEPT * (maximumAttempts - 1)));
     }
 
     /** Returns whether nothing remains. */
