--- a/traffic/src/main/java/org/oleanderturn/traffic/Observation.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Observation.java
@@ -16,7 +16,7 @@
  * @param earlierAnswers answers in the window before
  * @param earlierFailures failures in the window before
  */
-record Observation(
+public record Observation(
         double latency,
         long latencyNanoseconds,
         int samples,
--- a/traffic/src/main/java/org/oleanderturn/traffic/OutlierEjection.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/OutlierEjection.java
@@ -48,17 +48,6 @@
         return ejection.isOut(now) || upstream.outstanding() > 0;
     }
 
-    private boolean isFailing(EjectionStrategy strategy, Observation seen) {
-        return switch (strategy) {
-            case EjectionStrategy.Never never -> false;
-            case EjectionStrategy.FailureRun run -> seen.failureRun() >= run.length();
-            case EjectionStrategy.FailureShare share ->
-                seen.windowAnswers() >= share.leastAnswers()
-                        && seen.windowFailures() * PERCENT >= share.percent() * seen.windowAnswers();
-            case EjectionStrategy.RunOrShare both -> isFailing(both.run(), seen) || isFailing(both.share(), seen);
-        };
-    }
-
     private boolean isLagging(UpstreamGroup group, double latency) {
         double median = group.typicalLatency();
         return settings.latencyRatio() > 0
@@ -77,7 +66,7 @@
             }
             return;
         }
-        if (isFailing(settings.strategy(), upstream.observation())) {
+        if (settings.strategy().isFailing(upstream.observation())) {
             eject(group, upstream, now);
         }
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/RetryPolicy.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RetryPolicy.java
@@ -52,9 +52,9 @@
             case AttemptOutcome.Cancelled cancelled -> FinalAnswer.of(FinalAnswer.Status.CANCELLED);
             case AttemptOutcome.AnswerStarted started -> FinalAnswer.of(FinalAnswer.Status.TRUNCATED);
             case AttemptOutcome.NotRun notRun ->
-                FinalAnswer.of(
+                refused(
                         state.isPossiblyRun() ? FinalAnswer.Status.OUTCOME_UNKNOWN : FinalAnswer.Status.NOT_RUN,
-                        RetryAfter.jittered(random, notRun.retryAfter()));
+                        notRun.retryAfter());
             case AttemptOutcome.Failed failed -> comeBack(FinalAnswer.Status.FAILED);
             case AttemptOutcome.TargetDied died -> comeBack(FinalAnswer.Status.OUTCOME_UNKNOWN);
             case AttemptOutcome.Unknown unknown -> comeBack(FinalAnswer.Status.OUTCOME_UNKNOWN);
@@ -63,6 +63,10 @@
         };
     }
 
+    private FinalAnswer refused(FinalAnswer.Status status, Duration retryAfter) {
+        return retryAfter.isPositive() ? FinalAnswer.of(status, retryAfter) : comeBack(status);
+    }
+
     private FinalAnswer comeBack(FinalAnswer.Status status) {
         return FinalAnswer.of(status, RetryAfter.jittered(random, COME_BACK));
     }
--- /dev/null
+++ b/traffic/src/test/java/org/oleanderturn/traffic/RetryBudgetTest.java
@@ -0,0 +1,65 @@
+package org.oleanderturn.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+final class RetryBudgetTest {
+
+    @Test
+    void shouldNeverExceedTheShareAndTheBurstWhenAttemptsAndRetriesMix() {
+        for (long seed = 0; seed < 200; seed++) {
+            Random random = new Random(seed);
+            int percent = random.nextInt(101);
+            RetryBudget budget = RetryBudget.of(percent, 5);
+            int firsts = 0;
+            int extras = 0;
+            for (int round = 0; round < 500; round++) {
+                if (random.nextInt(3) == 0) {
+                    budget.recordFirstAttempt();
+                    firsts++;
+                } else {
+                    extras += budget.tryWithdraw() ? 1 : 0;
+                }
+                assertWithMessage("seed %s", seed).that(extras * 100).isAtMost(500 + firsts * percent);
+            }
+        }
+    }
+
+    @Test
+    void shouldNotMultiplyAttemptsWhenAChainOfCallsIsTwelveDeep() {
+        for (int allowance = 0; allowance <= 8; allowance++) {
+            assertThat(attemptsAtTheEnd(RetryAllowance.of(allowance), 12)).isAtMost(1 + allowance);
+        }
+        assertThat(attemptsAtTheEnd(RetryAllowance.ofAttempts(3), 1)).isAtLeast(3);
+    }
+
+    /** Counts what reaches the last of so many hops when it fails always and each hop retries as long as it may. */
+    private static int attemptsAtTheEnd(RetryAllowance allowance, int depth) {
+        if (depth == 0) {
+            return 1;
+        }
+        int reached = attemptsAtTheEnd(allowance.grant(), depth - 1);
+        RetryAllowance kept = allowance.afterGrant();
+        while (!kept.isEmpty()) {
+            RetryAllowance spent = kept.spend();
+            reached += attemptsAtTheEnd(spent.grant(), depth - 1);
+            kept = spent.afterGrant();
+        }
+        return reached;
+    }
+
+    @Test
+    void shouldNeverGiveALaterHopMoreTimeThanRemains() {
+        FakeClock clock = new FakeClock();
+        DeadlineBudget budget = DeadlineBudget.of(clock, Duration.ofMillis(100), Duration.ofMillis(80));
+        clock.advance(Duration.ofMillis(30));
+        assertThat(budget.forNextHop(Duration.ofMillis(2))).isEqualTo(Duration.ofMillis(48));
+        clock.advance(Duration.ofMillis(60));
+        assertThat(budget.forNextHop(Duration.ofMillis(2))).isEqualTo(Duration.ZERO);
+        assertThat(budget.isExpired()).isTrue();
+    }
+}
