Carry callers' requests through entry and guard to the target

Cause: the decisions of the request path need hands: an entry that performs what the request's progress decides, and a guard that admits, runs and answers for the local target.

--- a/model/src/main/java/org/oleanderturn/model/Digest.java
+++ b/model/src/main/java/org/oleanderturn/model/Digest.java
@@ -27,10 +27,14 @@
 
     /** Computes the digest of the given bytes. */
     public static Digest compute(byte[] bytes) {
+        return new Digest(HexFormat.of().formatHex(hash(bytes)));
+    }
+
+    /** Computes the digest of the given bytes, as bytes. */
+    public static byte[] hash(byte[] bytes) {
         Objects.requireNonNull(bytes, "bytes is null");
         try {
-            byte[] hash = MessageDigest.getInstance("SHA-256").digest(bytes);
-            return new Digest(HexFormat.of().formatHex(hash));
+            return MessageDigest.getInstance("SHA-256").digest(bytes);
         } catch (NoSuchAlgorithmException cause) {
             throw new IllegalStateException("every JDK has SHA-256", cause);
         }
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/CourseRequest.java
@@ -0,0 +1,73 @@
+package org.oleanderturn.proxy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.oleanderturn.model.RoutingTable;
+import org.oleanderturn.traffic.DeadlineBudget;
+import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.traffic.RequestAction;
+import org.oleanderturn.traffic.RetryAllowance;
+
+/**
+ * A caller's request with all that its attempts need.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param method the HTTP method
+ * @param path the path with its query
+ * @param headers the headers that are passed on
+ * @param body the whole body
+ * @param entry the route that it takes, with the endpoints known when it came
+ * @param deadline the time it has left
+ * @param allowance the extra attempts it may cause
+ * @param fingerprint identifies requests that are the same to a target
+ * @param claim the claim under which a booking runs
+ */
+@SuppressWarnings("ArrayRecordComponent")
+record CourseRequest(
+        String method,
+        String path,
+        List<HeaderField> headers,
+        byte[] body,
+        RoutingTable.Entry entry,
+        DeadlineBudget deadline,
+        RetryAllowance allowance,
+        Fingerprint fingerprint,
+        Optional<String> claim) {
+    private static final Duration LONGEST_CONNECT = Duration.ofSeconds(1);
+    private static final Duration SHORTEST = Duration.ofMillis(1);
+
+    CourseRequest {
+        Objects.requireNonNull(entry, "entry is null");
+        Objects.requireNonNull(deadline, "deadline is null");
+        headers = List.copyOf(headers);
+    }
+
+    CourseRequest withClaim(String token) {
+        return new CourseRequest(
+                method, path, headers, body, entry, deadline, allowance, fingerprint, Optional.of(token));
+    }
+
+    /** Returns the request of one attempt. */
+    OutboundRequest toGuard(RequestAction.Send send) {
+        List<HeaderField> sent = new ArrayList<>(headers);
+        Duration left = deadline.remaining();
+        sent.add(HeaderField.of(ProxyHeaders.SERVICE, entry.service().name()));
+        sent.add(HeaderField.of(ProxyHeaders.KIND, entry.route().kind()));
+        sent.add(HeaderField.of(ProxyHeaders.ROUTE, entry.route().name()));
+        sent.add(HeaderField.of(ProxyHeaders.FINGERPRINT, fingerprint));
+        sent.add(HeaderField.of(ProxyHeaders.ATTEMPT, send.attempt()));
+        sent.add(HeaderField.of(ProxyHeaders.DEADLINE, left.toMillis()));
+        sent.add(HeaderField.of(ProxyHeaders.RETRIES_LEFT, send.granted().remaining()));
+        claim.ifPresent(token -> sent.add(HeaderField.of(ProxyHeaders.CLAIM, token)));
+        if (send.isSuspect()) {
+            sent.add(HeaderField.of(ProxyHeaders.SUSPECT, true));
+        }
+        Duration patience = left.compareTo(SHORTEST) < 0 ? SHORTEST : left;
+        Duration connect = patience.compareTo(LONGEST_CONNECT) < 0 ? patience : LONGEST_CONNECT;
+        return new OutboundRequest(method, path, sent, body, claim.isPresent(), connect, patience);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Entry.java
@@ -0,0 +1,96 @@
+package org.oleanderturn.proxy;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.model.RoutingTable;
+import org.oleanderturn.traffic.NotRunReason;
+import org.oleanderturn.traffic.Standing;
+
+/**
+ * Answers callers' requests by sending them to guards.
+ *
+ * <p>Invariants: a request is routed by one routing table; each caller gets the whole answer to its own request or a cut
+ * connection, never a part that looks whole; a request that is given up is answered at once. Thread safe.
+ */
+public final class Entry implements RequestHandler {
+    private final Supplier<RoutingTable> tables;
+    private final BooleanSupplier isReady;
+    private final EntryParts parts;
+    private final Bookings bookings;
+
+    private Entry(Supplier<RoutingTable> tables, BooleanSupplier isReady, EntryParts parts, Bookings bookings) {
+        this.tables = tables;
+        this.isReady = isReady;
+        this.parts = parts;
+        this.bookings = bookings;
+    }
+
+    /**
+     * Returns an entry.
+     *
+     * @param tables gives the routing table in force
+     * @param isReady says whether the node holds a configuration that it may serve
+     */
+    public static Entry of(
+            Supplier<RoutingTable> tables, BooleanSupplier isReady, EntryParts parts, Bookings bookings) {
+        Objects.requireNonNull(tables, "tables is null");
+        Objects.requireNonNull(isReady, "isReady is null");
+        Objects.requireNonNull(parts, "parts is null");
+        Objects.requireNonNull(bookings, "bookings is null");
+        return new Entry(tables, isReady, parts, bookings);
+    }
+
+    @Override
+    public Answer handle(InboundRequest request) throws IOException {
+        if (!isReady.getAsBoolean()) {
+            return Refusals.notRun(new RequestFault.NotReady());
+        }
+        RoutingTable table = tables.get();
+        Optional<RoutingTable.Entry> entry = table.find(request.method(), request.path());
+        if (entry.isEmpty()) {
+            return Refusals.notRun(new RequestFault.NoRoute()).withHeader(ProxyHeaders.VERSION, table.version());
+        }
+        return serve(request, entry.get()).withHeader(ProxyHeaders.VERSION, table.version());
+    }
+
+    private Answer serve(InboundRequest request, RoutingTable.Entry entry) throws IOException {
+        Either<RequestFault, CourseRequest> read = EntryRequest.read(request, entry, parts.nanoseconds());
+        if (read.isLeft()) {
+            return Refusals.notRun(read.getLeft());
+        }
+        CourseRequest course = read.get();
+        if (parts.quarantine().standing(course.fingerprint()) instanceof Standing.Convicted convicted) {
+            return Refusals.notRun(NotRunReason.QUARANTINED, convicted.retryAfter());
+        }
+        if (entry.route().kind() == RequestKind.BOOKING) {
+            return bookings.serve(request, course, parts);
+        }
+        return forward(request, course);
+    }
+
+    private Answer forward(InboundRequest request, CourseRequest course) throws IOException {
+        RequestCourse run = new RequestCourse(course, parts);
+        request.onPeerGone(run::callerGone);
+        return switch (run.run()) {
+            case CourseResult.Delivered delivered -> delivered(delivered.answer());
+            case CourseResult.GivenUp givenUp ->
+                givenUp.failure()
+                        .map(failure -> failure.withHeader(ProxyHeaders.OUTCOME, RequestOutcome.RAN.text()))
+                        .orElseGet(() -> Refusals.finalAnswer(givenUp.answer(), givenUp.lastReason()));
+        };
+    }
+
+    private static Answer delivered(AttemptAnswer answer) {
+        UpstreamAnswer upstream = answer.upstream();
+        return Answer.of(
+                        upstream.status(),
+                        HeaderValues.forwarded(upstream.headers()),
+                        new Answer.Body.Streamed(upstream.length(), answer))
+                .withHeader(ProxyHeaders.OUTCOME, RequestOutcome.RAN.text());
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/EntryRequest.java
@@ -0,0 +1,66 @@
+package org.oleanderturn.proxy;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.function.LongSupplier;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.RoutingTable;
+import org.oleanderturn.traffic.DeadlineBudget;
+import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.traffic.RetryAllowance;
+
+/** Makes a {@link CourseRequest} of what a caller sent. */
+final class EntryRequest {
+    /** The longest body that an entry takes, in bytes. */
+    static final int BODY_LIMIT_BYTES = 1_000_000;
+
+    private EntryRequest() {}
+
+    /** Reads the whole request; a body that is too long is a fault. */
+    static Either<RequestFault, CourseRequest> read(
+            InboundRequest request, RoutingTable.Entry entry, LongSupplier nanoseconds) throws IOException {
+        Optional<byte[]> body = request.readBody(BODY_LIMIT_BYTES);
+        if (body.isEmpty()) {
+            return Either.left(new RequestFault.BodyTooLarge(BODY_LIMIT_BYTES));
+        }
+        Fingerprint fingerprint =
+                Fingerprint.of(entry.route().name(), request.method(), request.path(), Digest.hash(body.get()));
+        return Either.right(new CourseRequest(
+                request.method(),
+                request.path(),
+                passedOn(request),
+                body.get(),
+                entry,
+                deadline(request, entry, nanoseconds),
+                allowance(request, entry),
+                fingerprint,
+                Optional.empty()));
+    }
+
+    private static List<HeaderField> passedOn(InboundRequest request) {
+        List<HeaderField> headers = new ArrayList<>(HeaderValues.forwarded(request.headers()));
+        if (HeaderField.find(headers, ProxyHeaders.REQUEST_ID).isEmpty()) {
+            headers.add(HeaderField.of(ProxyHeaders.REQUEST_ID, UUID.randomUUID()));
+        }
+        return headers;
+    }
+
+    private static DeadlineBudget deadline(InboundRequest request, RoutingTable.Entry entry, LongSupplier nanoseconds) {
+        Duration allowed = Duration.ofMillis(entry.trafficPolicy().timeoutMilliseconds());
+        Duration asked = HeaderValues.milliseconds(request.headers(), ProxyHeaders.DEADLINE)
+                .orElse(allowed);
+        return DeadlineBudget.of(nanoseconds, asked, allowed);
+    }
+
+    private static RetryAllowance allowance(InboundRequest request, RoutingTable.Entry entry) {
+        int most = Math.max(0, entry.trafficPolicy().maximumAttempts() - 1);
+        OptionalLong stated = HeaderValues.number(request.headers(), ProxyHeaders.RETRIES_LEFT);
+        return RetryAllowance.of((int) Math.min(most, stated.orElse(most)));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/GuardedAnswer.java
@@ -0,0 +1,42 @@
+package org.oleanderturn.proxy;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Objects;
+import org.oleanderturn.traffic.Completion;
+
+/**
+ * A target's answer while it is passed on; the request holds its slot until the end.
+ *
+ * <p>Used by one thread.
+ */
+final class GuardedAnswer implements Answer.Source {
+    private static final int SERVER_ERROR = 500;
+
+    private final UpstreamAnswer answer;
+    private final GuardedRun run;
+    private final TargetMonitor monitor;
+
+    GuardedAnswer(UpstreamAnswer answer, GuardedRun run, TargetMonitor monitor) {
+        this.answer = Objects.requireNonNull(answer, "answer is null");
+        this.run = Objects.requireNonNull(run, "run is null");
+        this.monitor = Objects.requireNonNull(monitor, "monitor is null");
+    }
+
+    @Override
+    public void writeTo(OutputStream output) throws IOException {
+        try {
+            answer.writeTo(output);
+            run.end(answer.status() >= SERVER_ERROR ? Completion.FAILED : Completion.COMPLETED);
+        } catch (IOException cause) {
+            run.end(monitor.checkBroken() ? Completion.TARGET_DIED : Completion.CANCELLED);
+            throw cause;
+        }
+    }
+
+    @Override
+    public void close() {
+        answer.close();
+        run.end(Completion.CANCELLED);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/GuardedRun.java
@@ -0,0 +1,44 @@
+package org.oleanderturn.proxy;
+
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.oleanderturn.traffic.Completion;
+import org.oleanderturn.traffic.CrashQuarantine;
+import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.traffic.Permit;
+
+/**
+ * One request while it holds a slot of the local target.
+ *
+ * <p>Invariant: the slot is given back once. Thread safe.
+ */
+final class GuardedRun {
+    private final Permit permit;
+    private final CrashQuarantine quarantine;
+    private final CrashQuarantine.Run run;
+    private final AtomicBoolean isOpen = new AtomicBoolean(true);
+
+    private GuardedRun(Permit permit, CrashQuarantine quarantine, CrashQuarantine.Run run) {
+        this.permit = permit;
+        this.quarantine = quarantine;
+        this.run = run;
+    }
+
+    static GuardedRun begin(Fingerprint fingerprint, boolean isAlone, Permit permit, CrashQuarantine quarantine) {
+        Objects.requireNonNull(permit, "permit is null");
+        Objects.requireNonNull(quarantine, "quarantine is null");
+        return new GuardedRun(permit, quarantine, quarantine.begin(fingerprint, isAlone));
+    }
+
+    /** Gives the slot back; later calls do nothing. */
+    void end(Completion completion) {
+        if (!isOpen.compareAndSet(true, false)) {
+            return;
+        }
+        switch (completion) {
+            case COMPLETED, FAILED, SHED -> quarantine.complete(run);
+            case CANCELLED, TARGET_DIED -> quarantine.abandon(run);
+        }
+        permit.release(completion);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
@@ -0,0 +1,71 @@
+package org.oleanderturn.proxy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** Reads and filters the headers that nodes exchange. */
+final class HeaderValues {
+    private static final long LONGEST_MILLISECONDS = 24L * 60 * 60 * 1_000;
+    private static final Set<String> BETWEEN_NODES = Set.of(
+            lower(ProxyHeaders.SERVICE),
+            lower(ProxyHeaders.KIND),
+            lower(ProxyHeaders.ROUTE),
+            lower(ProxyHeaders.ATTEMPT),
+            lower(ProxyHeaders.FINGERPRINT),
+            lower(ProxyHeaders.SUSPECT),
+            lower(ProxyHeaders.CLAIM),
+            lower(ProxyHeaders.OUTCOME),
+            lower(ProxyHeaders.REASON),
+            lower(ProxyHeaders.DEADLINE),
+            lower(ProxyHeaders.RETRIES_LEFT));
+
+    private HeaderValues() {}
+
+    /** Returns the headers that are passed on: neither of one connection nor of one hop between nodes. */
+    static List<HeaderField> forwarded(List<HeaderField> headers) {
+        List<HeaderField> kept = new ArrayList<>();
+        for (HeaderField header : headers) {
+            boolean isOfHop = OutboundMessage.isHopByHop(header.name()) || BETWEEN_NODES.contains(lower(header.name()));
+            if (!isOfHop) {
+                kept.add(header);
+            }
+        }
+        return kept;
+    }
+
+    /** Returns a header's value as a whole number of zero or more. */
+    static OptionalLong number(List<HeaderField> headers, String name) {
+        Optional<String> text = HeaderField.find(headers, name);
+        if (text.isEmpty() || !text.get().matches("[0-9]{1,15}")) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(Long.parseLong(text.get()));
+    }
+
+    /** Returns a header's value as a span of milliseconds. */
+    static Optional<Duration> milliseconds(List<HeaderField> headers, String name) {
+        OptionalLong found = number(headers, name);
+        return found.isEmpty()
+                ? Optional.empty()
+                : Optional.of(Duration.ofMillis(Math.min(found.getAsLong(), LONGEST_MILLISECONDS)));
+    }
+
+    /** Returns when an answer asks its caller to come back. */
+    static Duration retryAfter(List<HeaderField> headers) {
+        Optional<Duration> exact = milliseconds(headers, ProxyHeaders.RETRY_AFTER_MILLISECONDS);
+        if (exact.isPresent()) {
+            return exact.get();
+        }
+        OptionalLong seconds = number(headers, ProxyHeaders.RETRY_AFTER);
+        return Duration.ofSeconds(Math.min(seconds.orElse(1), LONGEST_MILLISECONDS / 1_000));
+    }
+
+    private static String lower(String name) {
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- a/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
@@ -18,6 +18,8 @@
     public static final String ATTEMPT = "Oleanderturn-Attempt";
     /** From callers, between nodes and to targets: retries left for the whole chain of calls. */
     public static final String RETRIES_LEFT = "Oleanderturn-Retries-Left";
+    /** Between nodes: identifies requests that are the same to a target. */
+    public static final String FINGERPRINT = "Oleanderturn-Fingerprint";
     /** Between nodes: the request may have crashed a target. */
     public static final String SUSPECT = "Oleanderturn-Suspect";
     /** Between nodes: the claim under which a booking runs. */
@@ -26,6 +28,8 @@
     public static final String OUTCOME = "Oleanderturn-Outcome";
     /** Between nodes and to callers: the type of the refusal or failure. */
     public static final String REASON = "Oleanderturn-Reason";
+    /** To callers: the answer is that of an earlier run of the same booking. */
+    public static final String REPLAYED = "Oleanderturn-Replayed";
     /** To callers: the configuration version by which the request was routed. */
     public static final String VERSION = "Oleanderturn-Configuration-Version";
     /** To callers: when to come back, in seconds. */
