--- /dev/null
+++ b/distribution/src/main/java/org/oleanderturn/distribution/RelayElection.java
@@ -0,0 +1,155 @@
+package org.oleanderturn.distribution;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.oleanderturn.model.AvailabilityZone;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.platform.LeaseId;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoredValue;
+
+/**
+ * Elects the relays of a zone: each holds one of two keys under a lease of the platform's store.
+ *
+ * <p>Invariants: this node takes itself for a relay no longer than the lease runs by its own clock, counted from before
+ * the call that renewed it; safety does not rest on that, since a former relay can only push what is older. Queries are
+ * thread safe; commands are called from one thread at a time.
+ */
+public final class RelayElection implements RelayRole {
+    /** How many relays a zone has. */
+    public static final int SLOTS = 2;
+
+    private static final long LEASE_MILLISECONDS = 9_000;
+    private static final long RENEWAL_MILLISECONDS = 3_000;
+    private static final long CANDIDACY_MILLISECONDS = 8_000;
+    private static final long BACKOFF_BASE_MILLISECONDS = 500;
+    private static final long BACKOFF_CAP_MILLISECONDS = 30_000;
+
+    private final Store store;
+    private final NodeId self;
+    private final String prefix;
+    private final RelayCandidacy candidacy;
+    private final RandomGenerator random;
+    private final Backoff backoff;
+    private final AtomicReference<Optional<Tenure>> tenure = new AtomicReference<>(Optional.empty());
+    private long nextCallMilliseconds;
+
+    private RelayElection(
+            Store store, NodeId self, AvailabilityZone zone, RelayCandidacy candidacy, RandomGenerator random) {
+        this.store = store;
+        this.self = self;
+        this.prefix = "relay/" + zone + "/";
+        this.candidacy = candidacy;
+        this.random = random;
+        this.backoff = Backoff.of(random, BACKOFF_BASE_MILLISECONDS, BACKOFF_CAP_MILLISECONDS);
+    }
+
+    /** Returns the election of a zone's relays as one node takes part in it. */
+    public static RelayElection of(
+            Store store, NodeId self, AvailabilityZone zone, RelayCandidacy candidacy, RandomGenerator random) {
+        Objects.requireNonNull(store, "store is null");
+        Objects.requireNonNull(self, "self is null");
+        Objects.requireNonNull(zone, "zone is null");
+        Objects.requireNonNull(candidacy, "candidacy is null");
+        Objects.requireNonNull(random, "random is null");
+        return new RelayElection(store, self, zone, candidacy, random);
+    }
+
+    // -- queries
+
+    @Override
+    public OptionalInt slot(long nowMilliseconds) {
+        Optional<Tenure> current = tenure.get();
+        if (current.isEmpty() || nowMilliseconds >= current.get().endMilliseconds()) {
+            return OptionalInt.empty();
+        }
+        return OptionalInt.of(current.get().slot());
+    }
+
+    // -- commands
+
+    /** Renews the lease or stands for relay when that is due; to be called about once a second. */
+    public void tick(long nowMilliseconds) {
+        if (nowMilliseconds < nextCallMilliseconds) {
+            return;
+        }
+        Optional<Tenure> current = tenure.get();
+        if (current.isPresent()) {
+            renew(current.get(), nowMilliseconds);
+            return;
+        }
+        nextCallMilliseconds = nowMilliseconds + Backoff.jittered(random, CANDIDACY_MILLISECONDS);
+        if (candidacy.isCandidate()) {
+            stand(nowMilliseconds);
+        }
+    }
+
+    /** Gives the slot up at once, so that another node can take it. */
+    public void resign() {
+        Optional<Tenure> current = tenure.getAndSet(Optional.empty());
+        current.ifPresent(left -> store.revokeLease(left.lease()));
+    }
+
+    private void renew(Tenure current, long nowMilliseconds) {
+        Either<StoreFailure, LeaseId> kept = store.keepAlive(current.lease());
+        if (kept.isRight()) {
+            backoff.succeeded();
+            tenure.set(Optional.of(new Tenure(current.slot(), current.lease(), nowMilliseconds + LEASE_MILLISECONDS)));
+            nextCallMilliseconds = nowMilliseconds + Backoff.jittered(random, RENEWAL_MILLISECONDS);
+            return;
+        }
+        nextCallMilliseconds = nowMilliseconds + backoff.failed();
+        boolean isOver = kept.getLeft() instanceof StoreFailure.LeaseEnded;
+        if (isOver || nowMilliseconds >= current.endMilliseconds()) {
+            tenure.set(Optional.empty());
+        }
+    }
+
+    private void stand(long nowMilliseconds) {
+        Either<StoreFailure, List<StoredValue>> taken = store.list(prefix);
+        if (taken.isLeft()) {
+            nextCallMilliseconds = nowMilliseconds + backoff.failed();
+            return;
+        }
+        List<Integer> free = freeSlots(taken.get());
+        if (free.isEmpty()) {
+            backoff.succeeded();
+            return;
+        }
+        int slot = free.get(random.nextInt(free.size()));
+        Either<StoreFailure, LeaseId> held = store.grantLease(Duration.ofMillis(LEASE_MILLISECONDS))
+                .flatMap(lease -> store.swapLeased(
+                                prefix + slot, StoredValue.ABSENT, self.value().getBytes(StandardCharsets.UTF_8), lease)
+                        .map(_ -> lease));
+        if (held.isLeft()) {
+            nextCallMilliseconds = nowMilliseconds + backoff.failed();
+            return;
+        }
+        backoff.succeeded();
+        tenure.set(Optional.of(new Tenure(slot, held.get(), nowMilliseconds + LEASE_MILLISECONDS)));
+        nextCallMilliseconds = nowMilliseconds + Backoff.jittered(random, RENEWAL_MILLISECONDS);
+    }
+
+    /** Returns the free slots; none when an earlier lease of this node still runs, which is left to lapse. */
+    private List<Integer> freeSlots(List<StoredValue> taken) {
+        List<Integer> free = new ArrayList<>(List.of(0, 1));
+        for (StoredValue value : taken) {
+            if (self.value().equals(new String(value.value(), StandardCharsets.UTF_8))) {
+                return List.of();
+            }
+            free.removeIf(slot -> value.key().equals(prefix + slot));
+        }
+        return free;
+    }
+
+    private record Tenure(int slot, LeaseId lease, long endMilliseconds) {}
+}
--- /dev/null
+++ b/distribution/src/main/java/org/oleanderturn/distribution/RelayRole.java
@@ -0,0 +1,16 @@
+package org.oleanderturn.distribution;
+
+import java.util.OptionalInt;
+
+/** Says whether this node is one of its zone's relays. Implementations are thread safe. */
+@FunctionalInterface
+public interface RelayRole {
+
+    /** Returns the relay slot that this node holds at the given time; empty when it is no relay. */
+    OptionalInt slot(long nowMilliseconds);
+
+    /** Returns whether this node is a relay at the given time. */
+    default boolean isRelay(long nowMilliseconds) {
+        return slot(nowMilliseconds).isPresent();
+    }
+}
--- /dev/null
+++ b/distribution/src/main/java/org/oleanderturn/distribution/RelayWatch.java
@@ -0,0 +1,161 @@
+package org.oleanderturn.distribution;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.random.RandomGenerator;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.Region;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoredValue;
+
+/**
+ * Learns new heads from the platform's store: a relay waits on a watch; a node of another region that reaches no node of
+ * the platform's region reads the head now and then; every other node makes no call.
+ *
+ * <p>Commands are called from one thread at a time; the status may be read from any thread.
+ */
+public final class RelayWatch {
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
+    private static final long PACE_MILLISECONDS = 200;
+    private static final long IDLE_MILLISECONDS = 1_000;
+    private static final long FALLBACK_MILLISECONDS = 20_000;
+    private static final long BACKOFF_BASE_MILLISECONDS = 500;
+    private static final long BACKOFF_CAP_MILLISECONDS = 30_000;
+
+    private final Store store;
+    private final RelayRole role;
+    private final ConfigurationHolder holder;
+    private final ReadinessFloor floor;
+    private final Locality locality;
+    private final Region platformRegion;
+    private final PeerDirectory directory;
+    private final RandomGenerator random;
+    private final Backoff backoff;
+    private final AtomicReference<StoreStatus> status = new AtomicReference<>(new StoreStatus.NotRead());
+    private Optional<Long> seenRevision = Optional.empty();
+    private long nextFallbackMilliseconds;
+
+    private RelayWatch(
+            Store store,
+            RelayRole role,
+            ConfigurationHolder holder,
+            ReadinessFloor floor,
+            Locality locality,
+            Region platformRegion,
+            PeerDirectory directory,
+            RandomGenerator random) {
+        this.store = store;
+        this.role = role;
+        this.holder = holder;
+        this.floor = floor;
+        this.locality = locality;
+        this.platformRegion = platformRegion;
+        this.directory = directory;
+        this.random = random;
+        this.backoff = Backoff.of(random, BACKOFF_BASE_MILLISECONDS, BACKOFF_CAP_MILLISECONDS);
+    }
+
+    /** Returns a watch of the head that feeds a holder and a readiness floor. */
+    public static RelayWatch of(
+            Store store,
+            RelayRole role,
+            ConfigurationHolder holder,
+            ReadinessFloor floor,
+            Locality locality,
+            Region platformRegion,
+            PeerDirectory directory,
+            RandomGenerator random) {
+        Objects.requireNonNull(store, "store is null");
+        Objects.requireNonNull(role, "role is null");
+        Objects.requireNonNull(holder, "holder is null");
+        Objects.requireNonNull(floor, "floor is null");
+        Objects.requireNonNull(locality, "locality is null");
+        Objects.requireNonNull(platformRegion, "platformRegion is null");
+        Objects.requireNonNull(directory, "directory is null");
+        Objects.requireNonNull(random, "random is null");
+        return new RelayWatch(store, role, holder, floor, locality, platformRegion, directory, random);
+    }
+
+    // -- queries
+
+    /** Returns what was last seen of the head. */
+    public StoreStatus status() {
+        return status.get();
+    }
+
+    // -- commands
+
+    /**
+     * Makes at most one call to the store and adopts what is new. Blocks a relay for as long as its watch waits.
+     *
+     * @return how long to pause before the next run, in milliseconds
+     */
+    public long runOnce(long nowMilliseconds) {
+        if (role.isRelay(nowMilliseconds)) {
+            return watch();
+        }
+        seenRevision = Optional.empty();
+        if (isFallbackDue(nowMilliseconds)) {
+            return settle(HeadReading.read(store).map(Optional::of), IDLE_MILLISECONDS);
+        }
+        return IDLE_MILLISECONDS;
+    }
+
+    private long watch() {
+        if (seenRevision.isEmpty()) {
+            return settle(HeadReading.read(store).map(Optional::of), PACE_MILLISECONDS);
+        }
+        Either<StoreFailure, Optional<StoredValue>> changed = store.watch(Head.KEY, seenRevision.get(), WATCH_WAIT);
+        return settle(changed.flatMap(RelayWatch::reading), PACE_MILLISECONDS);
+    }
+
+    private static Either<StoreFailure, Optional<HeadReading>> reading(Optional<StoredValue> stored) {
+        return stored.isEmpty()
+                ? Either.right(Optional.empty())
+                : HeadReading.of(stored).map(Optional::of);
+    }
+
+    private long settle(Either<StoreFailure, Optional<HeadReading>> read, long pauseMilliseconds) {
+        if (read.isLeft()) {
+            status.set(new StoreStatus.Unavailable(read.getLeft().toString()));
+            return backoff.failed();
+        }
+        backoff.succeeded();
+        read.get().ifPresent(this::observe);
+        return pauseMilliseconds;
+    }
+
+    private void observe(HeadReading reading) {
+        Head head = reading.head();
+        seenRevision = Optional.of(reading.revision());
+        floor.observeHead(head.version());
+        Adoption adoption = holder.adopt(head.snapshot());
+        status.set(
+                switch (adoption) {
+                    case Adoption.Adopted _, Adoption.AlreadyHeld _ -> new StoreStatus.InStep(head.version());
+                    case Adoption.Older older -> new StoreStatus.StoreBehind(head.version(), older.held());
+                    case Adoption.Rejected _ -> new StoreStatus.HeadRejected(head.version(), holder.version());
+                });
+    }
+
+    /** About one node of a zone falls back in each interval, however many nodes the zone has. */
+    private boolean isFallbackDue(long nowMilliseconds) {
+        if (locality.region().equals(platformRegion) || nowMilliseconds < nextFallbackMilliseconds) {
+            return false;
+        }
+        nextFallbackMilliseconds = nowMilliseconds + Backoff.jittered(random, FALLBACK_MILLISECONDS);
+        boolean isPlatformRegionReachable = directory.peers().stream()
+                .anyMatch(peer -> peer.isReachable() && peer.locality().region().equals(platformRegion));
+        if (isPlatformRegionReachable) {
+            return false;
+        }
+        long sharers = directory.peers().stream()
+                .filter(peer -> peer.isReachable() && peer.locality().equals(locality))
+                .count();
+        return random.nextLong(sharers + 1) == 0;
+    }
+}
--- a/distribution/src/main/java/org/oleanderturn/distribution/SnapshotHistory.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/SnapshotHistory.java
@@ -50,8 +50,14 @@
         return Optional.ofNullable(recent.get().get(version));
     }
 
-    /** Returns the delta to a snapshot from a version whose content has the given digest, if that is kept. */
+    /**
+     * Returns the delta to a snapshot from a version whose content has the given digest, if that is kept. From the empty
+     * configuration there is none, since such a delta is as large as the snapshot.
+     */
     public Optional<ConfigurationDelta> delta(ConfigurationVersion from, Digest base, ConfigurationSnapshot to) {
+        if (from.equals(ConfigurationVersion.none())) {
+            return Optional.empty();
+        }
         return snapshot(from)
                 .filter(known -> known.digest().equals(base))
                 .map(known -> ConfigurationDelta.between(known, to));
