--- a/distribution/src/main/java/org/oleanderturn/distribution/Acceptor.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Acceptor.java
@@ -72,8 +72,17 @@
                         reading -> reading.head()
                                 .outcome(id)
                                 .map(RecordedOutcome::toOutcome)
-                                .orElseGet(() -> new ChangeOutcome.NotRecorded(
-                                        id, reading.head().recordedSince())));
+                                .orElseGet(() -> notRecorded(id, reading.head())));
+    }
+
+    /** Nothing is said of an id when the store was restored, since outcomes were lost with it. */
+    private ChangeOutcome notRecorded(ProposalId id, Head head) {
+        ConfigurationVersion known = ConfigurationVersion.newest(holder.version(), newestKnown.get());
+        if (known.isAfter(head.version())) {
+            return new ChangeOutcome.Undetermined(
+                    id, "the platform's store is older than the nodes", RETRY_MILLISECONDS);
+        }
+        return new ChangeOutcome.NotRecorded(id, head.recordedSince());
     }
 
     // -- commands
--- a/distribution/src/main/java/org/oleanderturn/distribution/Adoption.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Adoption.java
@@ -1,7 +1,6 @@
 package org.oleanderturn.distribution;
 
 import java.util.List;
-import org.oleanderturn.model.ConfigurationDelta;
 import org.oleanderturn.model.ConfigurationFault;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Digest;
@@ -22,6 +21,9 @@
     /** A newer version than the offered one is held. */
     record Older(ConfigurationVersion offered, ConfigurationVersion held) implements Adoption {}
 
+    /** The offered delta starts from another snapshot than the one held; the whole snapshot may still fit. */
+    record OtherBase(ConfigurationVersion offered, ConfigurationVersion held) implements Adoption {}
+
     /** The offered configuration is kept out whole. */
     record Rejected(ConfigurationVersion offered, Rejection rejection) implements Adoption {}
 
@@ -43,7 +45,7 @@
         /** The held version has the same number and another content. */
         record OtherContent(Digest held, Digest offered) implements Rejection {}
 
-        /** The delta does not fit what is held. */
-        record DeltaMismatch(ConfigurationDelta.Mismatch mismatch) implements Rejection {}
+        /** The delta leads from what is held to another configuration than it states. */
+        record DeltaMismatch(Digest stated, Digest reached) implements Rejection {}
     }
 }
--- a/distribution/src/main/java/org/oleanderturn/distribution/ChangeBase.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/ChangeBase.java
@@ -33,7 +33,8 @@
             Head head, ConfigurationSnapshot held, ConfigurationVersion newestKnown, SnapshotHistory history) {
         ConfigurationSnapshot snapshot = held.version().isAfter(head.version()) ? held : head.snapshot();
         ConfigurationVersion version = ConfigurationVersion.newest(snapshot.version(), newestKnown);
-        return new ChangeBase(snapshot, version, head.recordedSince(), history);
+        ConfigurationVersion recordedSince = version.isAfter(head.version()) ? version.next() : head.recordedSince();
+        return new ChangeBase(snapshot, version, recordedSince, history);
     }
 
     /** Returns the snapshot that the acceptance of the proposal leads to, or why it can't be accepted. */
--- a/distribution/src/main/java/org/oleanderturn/distribution/ConfigurationHolder.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/ConfigurationHolder.java
@@ -1,7 +1,6 @@
 package org.oleanderturn.distribution;
 
 import com.google.common.flogger.FluentLogger;
-import io.vavr.control.Either;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Objects;
@@ -99,14 +98,20 @@
             if (current.version().equals(delta.to()) && current.digest().equals(delta.result())) {
                 return new Adoption.AlreadyHeld(current.version());
             }
-            Either<ConfigurationDelta.Mismatch, ConfigurationSnapshot> reached = delta.applyTo(current);
-            return reached.fold(
-                    mismatch -> reject(delta.to(), new Adoption.Rejection.DeltaMismatch(mismatch)), this::decide);
+            return delta.applyTo(current).fold(mismatch -> decide(delta, mismatch), this::decide);
         } finally {
             adopting.unlock();
         }
     }
 
+    private Adoption decide(ConfigurationDelta delta, ConfigurationDelta.Mismatch mismatch) {
+        return switch (mismatch) {
+            case ConfigurationDelta.Mismatch.OtherBase other -> new Adoption.OtherBase(delta.to(), other.held());
+            case ConfigurationDelta.Mismatch.OtherResult other ->
+                reject(delta.to(), new Adoption.Rejection.DeltaMismatch(other.expected(), other.reached()));
+        };
+    }
+
     private Adoption decide(ConfigurationSnapshot offered) {
         ConfigurationSnapshot current = held.get();
         if (current.version().isAfter(offered.version())) {
--- a/distribution/src/main/java/org/oleanderturn/distribution/Head.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Head.java
@@ -63,10 +63,17 @@
 
     // -- core operations
 
-    /** Returns the head after the acceptance of a proposal as the given snapshot, which follows the given parent. */
+    /**
+     * Returns the head after the acceptance of a proposal as the given snapshot, which follows the given parent. When
+     * the parent is newer than this head, the outcomes between them were lost with a restored store.
+     */
     public Head accept(Proposal proposal, ConfigurationSnapshot accepted, ConfigurationVersion follows) {
         RecordedOutcome.Result result = new RecordedOutcome.Result.Accepted(accepted.digest());
-        return write(proposal, accepted, follows, result);
+        Head written = write(proposal, accepted, follows, result);
+        if (!follows.isAfter(version())) {
+            return written;
+        }
+        return new Head(written.sequence(), accepted, follows, written.outcomes(), accepted.version());
     }
 
     /** Returns the head with the same configuration that records a proposal as refused for good. */
--- a/distribution/src/main/java/org/oleanderturn/distribution/Puller.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Puller.java
@@ -129,9 +129,14 @@
     }
 
     private static boolean isUnfit(Optional<Adoption> adoption) {
-        return adoption.isPresent()
-                && adoption.get() instanceof Adoption.Rejected rejected
-                && rejected.rejection() instanceof Adoption.Rejection.DeltaMismatch;
+        if (adoption.isEmpty()) {
+            return false;
+        }
+        return switch (adoption.get()) {
+            case Adoption.OtherBase _ -> true;
+            case Adoption.Rejected rejected -> rejected.rejection() instanceof Adoption.Rejection.DeltaMismatch;
+            case Adoption.Adopted _, Adoption.AlreadyHeld _, Adoption.Older _ -> false;
+        };
     }
 
     private boolean isDrawn(Hearing news, long nowMilliseconds) {
--- a/distribution/src/main/java/org/oleanderturn/distribution/RelayWatch.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/RelayWatch.java
@@ -138,7 +138,8 @@
                 switch (adoption) {
                     case Adoption.Adopted _, Adoption.AlreadyHeld _ -> new StoreStatus.InStep(head.version());
                     case Adoption.Older older -> new StoreStatus.StoreBehind(head.version(), older.held());
-                    case Adoption.Rejected _ -> new StoreStatus.HeadRejected(head.version(), holder.version());
+                    case Adoption.OtherBase _, Adoption.Rejected _ ->
+                        new StoreStatus.HeadRejected(head.version(), holder.version());
                 });
     }
 
--- a/distribution/src/main/java/org/oleanderturn/distribution/Spreader.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Spreader.java
@@ -226,6 +226,7 @@
         return switch (adoption) {
             case Adoption.Adopted adopted -> new PushAnswer.Adopted(adopted.to());
             case Adoption.AlreadyHeld _, Adoption.Older _ -> new PushAnswer.AlreadyHeld(held.version());
+            case Adoption.OtherBase _ -> new PushAnswer.Behind(held.version(), held.digest());
             case Adoption.Rejected rejected -> answerTo(rejected, held);
         };
     }
--- /dev/null
+++ b/distribution/src/test/java/org/oleanderturn/distribution/FaultMatrix.java
@@ -0,0 +1,40 @@
+package org.oleanderturn.distribution;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** Writes the cells of the fault matrix under {@code target}: protocol, step, fault, invariant and verdict a line. */
+final class FaultMatrix {
+    private static final Path REPORT = Path.of("target", "fault-matrix", "distribution.txt");
+    private static final AtomicBoolean IS_BEGUN = new AtomicBoolean();
+
+    private FaultMatrix() {}
+
+    /** Runs the check of one cell and writes its verdict. */
+    static void cell(String protocol, String step, String fault, String invariant, Runnable check) {
+        try {
+            check.run();
+        } catch (AssertionError | RuntimeException failure) {
+            write(protocol, step, fault, invariant, "red");
+            throw new AssertionError(String.join(" ", protocol, step, fault, invariant), failure);
+        }
+        write(protocol, step, fault, invariant, "passed");
+    }
+
+    private static synchronized void write(String... fields) {
+        try {
+            Files.createDirectories(REPORT.getParent());
+            if (IS_BEGUN.compareAndSet(false, true)) {
+                Files.deleteIfExists(REPORT);
+            }
+            Files.writeString(
+                    REPORT, String.join("\t", fields) + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        } catch (IOException cause) {
+            throw new UncheckedIOException(cause);
+        }
+    }
+}
--- /dev/null
+++ b/distribution/src/test/java/org/oleanderturn/distribution/ScriptedStore.java
@@ -0,0 +1,110 @@
+package org.oleanderturn.distribution;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.platform.LeaseId;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoredValue;
+
+/** One node's way to a {@link FakeStore}: numbers its calls, scripts the fault of each and checks after each. */
+final class ScriptedStore implements Store {
+    private final FakeStore store;
+    private final Runnable afterEachCall;
+    private final Map<Integer, FakeStore.Fault> faults = new HashMap<>();
+    private final Map<Integer, Runnable> before = new HashMap<>();
+    private int crashAfter = Integer.MAX_VALUE;
+    private int calls;
+
+    ScriptedStore(FakeStore store, Runnable afterEachCall) {
+        this.store = store;
+        this.afterEachCall = afterEachCall;
+    }
+
+    /** The process ends right after a call. */
+    static final class Crash extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    void fault(int call, FakeStore.Fault fault) {
+        faults.put(call, fault);
+    }
+
+    void before(int call, Runnable action) {
+        before.merge(call, action, (first, second) -> () -> {
+            first.run();
+            second.run();
+        });
+    }
+
+    void crashAfter(int call) {
+        crashAfter = call;
+    }
+
+    int calls() {
+        return calls;
+    }
+
+    private <T> T call(Supplier<T> effect) {
+        int number = calls++;
+        before.getOrDefault(number, () -> {}).run();
+        store.script(faults.getOrDefault(number, FakeStore.Fault.NONE));
+        T answer = effect.get();
+        afterEachCall.run();
+        if (number >= crashAfter) {
+            throw new Crash();
+        }
+        return answer;
+    }
+
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> get(String key) {
+        return call(() -> store.get(key));
+    }
+
+    @Override
+    public Either<StoreFailure, List<StoredValue>> list(String prefix) {
+        return call(() -> store.list(prefix));
+    }
+
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> watch(String key, long seen, Duration wait) {
+        return call(() -> store.watch(key, seen, wait));
+    }
+
+    @Override
+    public Either<StoreFailure, Long> swap(String key, long expected, byte[] value) {
+        return call(() -> store.swap(key, expected, value));
+    }
+
+    @Override
+    public Either<StoreFailure, Long> swapLeased(String key, long expected, byte[] value, LeaseId lease) {
+        return call(() -> store.swapLeased(key, expected, value, lease));
+    }
+
+    @Override
+    public Either<StoreFailure, Long> remove(String key, long expected) {
+        return call(() -> store.remove(key, expected));
+    }
+
+    @Override
+    public Either<StoreFailure, LeaseId> grantLease(Duration timeToLive) {
+        return call(() -> store.grantLease(timeToLive));
+    }
+
+    @Override
+    public Either<StoreFailure, LeaseId> keepAlive(LeaseId lease) {
+        return call(() -> store.keepAlive(lease));
+    }
+
+    @Override
+    public Either<StoreFailure, LeaseId> revokeLease(LeaseId lease) {
+        return call(() -> store.revokeLease(lease));
+    }
+}
