Wire the node: the thin whole path runs as separate processes

A store stand-in, target stand-ins, nodes and the command line, over TCP: a proposal is accepted, every node known holds it, a lookup, a download and a booking go entry, guard, target and back whole; the same booking sent to another region's entry is replayed, and its key with another body is refused.

Seen and not mended yet: nodes whose join addresses form two islands never find each other, since a node joins only while it is alone (5 of 13 proxies were listed).

--- a/model/src/main/java/org/oleanderturn/model/Endpoint.java
+++ b/model/src/main/java/org/oleanderturn/model/Endpoint.java
@@ -33,6 +33,11 @@
         Objects.requireNonNull(state, "state is null");
     }
 
+    /** Returns this endpoint with another number of slots. */
+    public Endpoint withSlots(int declaredSlots) {
+        return new Endpoint(node, address, locality, service, declaredSlots, state, incarnation);
+    }
+
     /** Returns whether the target takes new work. */
     public boolean isReady() {
         return state == EndpointState.READY;
--- a/model/src/main/java/org/oleanderturn/model/RoutingTable.java
+++ b/model/src/main/java/org/oleanderturn/model/RoutingTable.java
@@ -41,13 +41,20 @@
                         route,
                         services.get(route.service()),
                         policies.get(route.trafficPolicy()),
-                        view.endpoints(route.service())))
+                        endpoints(view, services.get(route.service()))))
                 .sorted(Comparator.comparingInt(
                         entry -> -entry.route().pathPrefix().length()))
                 .toList();
         return new RoutingTable(snapshot, view, entries);
     }
 
+    /** Returns a service's endpoints, each with the slots that the service declares. */
+    private static List<Endpoint> endpoints(EndpointView view, Service service) {
+        return view.endpoints(service.name()).stream()
+                .map(endpoint -> endpoint.withSlots(service.slots()))
+                .toList();
+    }
+
     /** Returns the table that holds no route. */
     public static RoutingTable empty() {
         return EMPTY;
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -0,0 +1,186 @@
+package org.oleanderturn.node;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.oleanderturn.distribution.ConfigurationPeers;
+import org.oleanderturn.distribution.ConfigurationUpdate;
+import org.oleanderturn.distribution.PeerFailure;
+import org.oleanderturn.distribution.PeerRecollection;
+import org.oleanderturn.distribution.PushAnswer;
+import org.oleanderturn.membership.GossipMessage;
+import org.oleanderturn.membership.GossipPeers;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.DrainOutcome;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.traffic.Conviction;
+import org.oleanderturn.wire.Frame;
+import org.oleanderturn.wire.FrameClient;
+import org.oleanderturn.wire.WireFailure;
+
+/**
+ * Sends control messages to other nodes.
+ *
+ * <p>Invariant: every call ends within its timeout. Thread safe.
+ */
+final class ControlChannel implements GossipPeers, ConfigurationPeers {
+    /** The kind of a frame that carries a {@link ControlMessage}. */
+    static final String FRAME_KIND = "control";
+
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration INDIRECT_TIMEOUT = Duration.ofMillis(1_200);
+    private static final Duration TRANSFER_TIMEOUT = Duration.ofSeconds(3);
+
+    private final FrameClient client;
+    private final Executor executor;
+    private final Address self;
+
+    private ControlChannel(FrameClient client, Executor executor, Address self) {
+        this.client = client;
+        this.executor = executor;
+        this.self = self;
+    }
+
+    /**
+     * Returns a channel.
+     *
+     * @param executor runs messages that go to several nodes at once
+     * @param self this node's control address, as other nodes reach it
+     */
+    static ControlChannel of(FrameClient client, Executor executor, Address self) {
+        Objects.requireNonNull(client, "client is null");
+        Objects.requireNonNull(executor, "executor is null");
+        Objects.requireNonNull(self, "self is null");
+        return new ControlChannel(client, executor, self);
+    }
+
+    // -- membership
+
+    @Override
+    public Either<org.oleanderturn.membership.PeerFailure, GossipMessage> exchange(
+            Address controlAddress, GossipMessage message) {
+        Duration timeout = message instanceof GossipMessage.PingRequest ? INDIRECT_TIMEOUT : PROBE_TIMEOUT;
+        return call(controlAddress, new ControlMessage.Membership(message), timeout)
+                .mapLeft(failure -> memberFailure(controlAddress, failure))
+                .flatMap(answer -> answer instanceof ControlMessage.Membership membership
+                        ? Either.right(membership.message())
+                        : Either.left(new org.oleanderturn.membership.PeerFailure.Malformed(
+                                controlAddress, answer.toString())));
+    }
+
+    @Override
+    public List<Either<org.oleanderturn.membership.PeerFailure, GossipMessage>> exchangeAll(
+            List<Address> controlAddresses, GossipMessage message) {
+        List<CompletableFuture<Either<org.oleanderturn.membership.PeerFailure, GossipMessage>>> pending =
+                new ArrayList<>();
+        for (Address address : controlAddresses) {
+            pending.add(CompletableFuture.supplyAsync(() -> exchange(address, message), executor));
+        }
+        return pending.stream().map(CompletableFuture::join).toList();
+    }
+
+    @Override
+    public void push(List<Address> controlAddresses, GossipMessage message) {
+        for (Address address : controlAddresses) {
+            executor.execute(() -> exchange(address, message)
+                    .peekLeft(failure -> log.atFine().log("announcement failed: %s", failure)));
+        }
+    }
+
+    // -- configuration
+
+    @Override
+    public Either<PeerFailure, ConfigurationUpdate> fetch(Address peer, ConfigurationVersion held, Digest heldDigest) {
+        return call(peer, new ControlMessage.Fetch(held, heldDigest), TRANSFER_TIMEOUT)
+                .mapLeft(ControlChannel::peerFailure)
+                .flatMap(answer -> answer instanceof ControlMessage.Update update
+                        ? Either.right(update.update())
+                        : Either.left(new PeerFailure.Malformed(answer.toString())));
+    }
+
+    @Override
+    public Either<PeerFailure, PushAnswer> push(Address peer, ConfigurationUpdate update) {
+        return call(peer, new ControlMessage.Push(self, update), TRANSFER_TIMEOUT)
+                .mapLeft(ControlChannel::peerFailure)
+                .flatMap(answer -> answer instanceof ControlMessage.Pushed pushed
+                        ? Either.right(pushed.answer())
+                        : Either.left(new PeerFailure.Malformed(answer.toString())));
+    }
+
+    /** Asks a peer what this restarted node has to catch up with. */
+    Either<ControlFailure, PeerRecollection> recollect(Address peer, NodeId asker) {
+        return call(peer, new ControlMessage.Recollect(asker), PROBE_TIMEOUT)
+                .flatMap(answer -> answer instanceof ControlMessage.Recollected recollected
+                        ? Either.right(recollected.recollection())
+                        : Either.left(new ControlFailure.Malformed(answer.toString())));
+    }
+
+    // -- commands to one node
+
+    /** Asks a node to drain its target, or to end the drain. */
+    Either<ControlFailure, DrainOutcome> drain(Address peer, boolean isDraining) {
+        return call(peer, new ControlMessage.Drain(isDraining), TRANSFER_TIMEOUT)
+                .flatMap(answer -> answer instanceof ControlMessage.Drained drained
+                        ? Either.right(drained.outcome())
+                        : Either.left(new ControlFailure.Malformed(answer.toString())));
+    }
+
+    /** Spreads a conviction to the given nodes; returns before they answer. */
+    void convict(List<Address> peers, Conviction conviction) {
+        for (Address peer : peers) {
+            executor.execute(() -> call(peer, new ControlMessage.Convict(conviction), PROBE_TIMEOUT)
+                    .peekLeft(failure -> log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                            "conviction was not spread to %s: %s", peer, failure)));
+        }
+    }
+
+    // -- frames
+
+    private Either<ControlFailure, ControlMessage> call(Address peer, ControlMessage message, Duration timeout) {
+        byte[] payload = Codec.messagePack().encode(message);
+        return client.call(peer, Frame.of(FRAME_KIND, payload), timeout)
+                .mapLeft(ControlChannel::failure)
+                .flatMap(frame -> Codec.messagePack()
+                        .decode(frame.payload(), ControlMessage.class)
+                        .mapLeft(failure -> new ControlFailure.Malformed(failure.toString())));
+    }
+
+    private static ControlFailure failure(WireFailure failure) {
+        return switch (failure) {
+            case WireFailure.Unreachable _, WireFailure.ListenFailed _ ->
+                new ControlFailure.Unreachable(failure.toString());
+            case WireFailure.AnswerLost _, WireFailure.TimedOut _ -> new ControlFailure.AnswerLost(failure.toString());
+            case WireFailure.Oversize _, WireFailure.Malformed _, WireFailure.Refused _ ->
+                new ControlFailure.Malformed(failure.toString());
+        };
+    }
+
+    private static PeerFailure peerFailure(ControlFailure failure) {
+        return switch (failure) {
+            case ControlFailure.Unreachable unreachable -> new PeerFailure.Unreachable(unreachable.reason());
+            case ControlFailure.AnswerLost _ -> new PeerFailure.TimedOut();
+            case ControlFailure.Malformed malformed -> new PeerFailure.Malformed(malformed.reason());
+        };
+    }
+
+    private static org.oleanderturn.membership.PeerFailure memberFailure(Address peer, ControlFailure failure) {
+        return switch (failure) {
+            case ControlFailure.Unreachable unreachable ->
+                new org.oleanderturn.membership.PeerFailure.Unreachable(peer, unreachable.reason());
+            case ControlFailure.AnswerLost lost ->
+                new org.oleanderturn.membership.PeerFailure.AnswerLost(peer, lost.reason());
+            case ControlFailure.Malformed malformed ->
+                new org.oleanderturn.membership.PeerFailure.Malformed(peer, malformed.reason());
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -0,0 +1,98 @@
+package org.oleanderturn.node;
+
+import java.util.Objects;
+import java.util.function.LongSupplier;
+import org.oleanderturn.distribution.ConfigurationHolder;
+import org.oleanderturn.distribution.PeerRecollection;
+import org.oleanderturn.distribution.Spreader;
+import org.oleanderturn.membership.Gossip;
+import org.oleanderturn.membership.GossipMessage;
+import org.oleanderturn.membership.MemberRecord;
+import org.oleanderturn.membership.MemberTable;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.traffic.CrashQuarantine;
+import org.oleanderturn.wire.Frame;
+import org.oleanderturn.wire.FrameHandler;
+
+/**
+ * Answers other nodes' control messages.
+ *
+ * <p>Invariant: every frame gets an answer; one that can't be read changes nothing. Thread safe.
+ */
+final class ControlHandler implements FrameHandler {
+    private final NodeId self;
+    private final Gossip gossip;
+    private final Spreader spreader;
+    private final ConfigurationHolder holder;
+    private final Recovery recovery;
+    private final DrainControl drains;
+    private final CrashQuarantine quarantine;
+    private final LongSupplier milliseconds;
+
+    ControlHandler(
+            NodeId self,
+            Gossip gossip,
+            Spreader spreader,
+            ConfigurationHolder holder,
+            Recovery recovery,
+            DrainControl drains,
+            CrashQuarantine quarantine,
+            LongSupplier milliseconds) {
+        this.self = Objects.requireNonNull(self, "self is null");
+        this.gossip = Objects.requireNonNull(gossip, "gossip is null");
+        this.spreader = Objects.requireNonNull(spreader, "spreader is null");
+        this.holder = Objects.requireNonNull(holder, "holder is null");
+        this.recovery = Objects.requireNonNull(recovery, "recovery is null");
+        this.drains = Objects.requireNonNull(drains, "drains is null");
+        this.quarantine = Objects.requireNonNull(quarantine, "quarantine is null");
+        this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
+    }
+
+    @Override
+    public Frame handle(Frame request) {
+        ControlMessage answer = Codec.messagePack()
+                .decode(request.payload(), ControlMessage.class)
+                .fold(failure -> new ControlMessage.NotUnderstood(failure.toString()), this::answer);
+        return Frame.of(ControlChannel.FRAME_KIND, Codec.messagePack().encode(answer));
+    }
+
+    private ControlMessage answer(ControlMessage message) {
+        return switch (message) {
+            case ControlMessage.Membership membership -> gossip(membership.message());
+            case ControlMessage.Fetch fetch ->
+                new ControlMessage.Update(spreader.serve(fetch.held(), fetch.digest(), milliseconds.getAsLong()));
+            case ControlMessage.Push push -> new ControlMessage.Pushed(spreader.receive(push.sender(), push.update()));
+            case ControlMessage.Recollect recollect -> new ControlMessage.Recollected(recollect(recollect.asker()));
+            case ControlMessage.Drain drain -> new ControlMessage.Drained(drains.apply(drain.isDraining()));
+            case ControlMessage.Convict convict -> {
+                quarantine.learn(convict.conviction());
+                yield new ControlMessage.Noted();
+            }
+            case ControlMessage.Update _,
+                    ControlMessage.Pushed _,
+                    ControlMessage.Recollected _,
+                    ControlMessage.Drained _,
+                    ControlMessage.Noted _,
+                    ControlMessage.NotUnderstood _ -> new ControlMessage.NotUnderstood("an answer is no question");
+        };
+    }
+
+    private ControlMessage gossip(GossipMessage message) {
+        GossipMessage answer = gossip.receive(message);
+        gossip.table()
+                .record(message.header().sender().node())
+                .ifPresent(record -> spreader.heard(record.controlAddress(), record.heldVersion()));
+        return new ControlMessage.Membership(answer);
+    }
+
+    private PeerRecollection recollect(NodeId asker) {
+        MemberTable table = gossip.table();
+        ConfigurationVersion newest = table.highestVersionRemembered(asker);
+        for (MemberRecord record : table.records()) {
+            newest = ConfigurationVersion.newest(newest, record.heldVersion());
+        }
+        return new PeerRecollection(self, recovery.isReady(), holder.version(), newest);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -0,0 +1,175 @@
+package org.oleanderturn.node;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.oleanderturn.distribution.Acceptor;
+import org.oleanderturn.distribution.ConfigurationHolder;
+import org.oleanderturn.distribution.ReadinessFloor;
+import org.oleanderturn.distribution.RelayCandidacy;
+import org.oleanderturn.distribution.RelayElection;
+import org.oleanderturn.distribution.RelayWatch;
+import org.oleanderturn.distribution.SnapshotHistory;
+import org.oleanderturn.distribution.Spreader;
+import org.oleanderturn.distribution.UpdateSource;
+import org.oleanderturn.membership.Gossip;
+import org.oleanderturn.membership.GossipSettings;
+import org.oleanderturn.membership.MemberRecord;
+import org.oleanderturn.membership.MembershipListener;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.platform.Store;
+
+/**
+ * A node's part in membership and in the distribution of configurations.
+ *
+ * <p>Invariant: the parts are wired once and never replaced. Thread safe.
+ */
+final class ControlPlane {
+    private static final long GOSSIP_PAUSE_MILLISECONDS = 100;
+    private static final long SPREAD_PAUSE_MILLISECONDS = 20;
+    private static final long ELECTION_PAUSE_MILLISECONDS = 250;
+    private static final long RECOVERY_PAUSE_MILLISECONDS = 100;
+    private static final long JOIN_PAUSE_MILLISECONDS = 2_000;
+    private static final int UNKNOWN_SLOTS = 1;
+
+    private final NodeSettings settings;
+    private final ConfigurationHolder holder = ConfigurationHolder.empty();
+    private final ReadinessFloor floor = ReadinessFloor.unknown();
+    private final Gossip gossip;
+    private final MemberDirectory directory;
+    private final RelayElection election;
+    private final RelayWatch watch;
+    private final Spreader spreader;
+    private final Acceptor acceptor;
+    private final Recovery recovery;
+    private final LongSupplier milliseconds;
+
+    ControlPlane(
+            NodeSettings settings,
+            Store store,
+            ControlChannel channel,
+            LongSupplier milliseconds,
+            MembershipListener listener) {
+        this.settings = Objects.requireNonNull(settings, "settings is null");
+        Objects.requireNonNull(channel, "channel is null");
+        this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
+        RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
+        this.gossip =
+                Gossip.of(localRecord(settings), GossipSettings.standard(), channel, milliseconds, random, listener);
+        this.directory = new MemberDirectory(gossip::table);
+        RelayCandidacy candidacy =
+                RelayCandidacy.of(settings.node(), settings.locality(), settings.platformRegion(), directory);
+        this.election = RelayElection.of(store, settings.node(), settings.availabilityZone(), candidacy, split(random));
+        this.watch = RelayWatch.of(
+                store,
+                election,
+                holder,
+                floor,
+                settings.locality(),
+                settings.platformRegion(),
+                directory,
+                split(random));
+        SnapshotHistory history = SnapshotHistory.of(holder);
+        this.spreader = Spreader.of(
+                holder,
+                UpdateSource.of(holder, history),
+                channel,
+                directory,
+                election,
+                settings.locality(),
+                settings.platformRegion(),
+                split(random));
+        this.acceptor = Acceptor.of(store, holder, history, directory::newestVersion);
+        this.recovery = new Recovery(settings.node(), settings.locality(), directory, holder, floor, spreader, channel);
+    }
+
+    // -- parts
+
+    ConfigurationHolder holder() {
+        return holder;
+    }
+
+    Gossip gossip() {
+        return gossip;
+    }
+
+    MemberDirectory directory() {
+        return directory;
+    }
+
+    RelayElection election() {
+        return election;
+    }
+
+    RelayWatch watch() {
+        return watch;
+    }
+
+    Spreader spreader() {
+        return spreader;
+    }
+
+    Acceptor acceptor() {
+        return acceptor;
+    }
+
+    Recovery recovery() {
+        return recovery;
+    }
+
+    // -- commands
+
+    /** Starts the loops; tells when the node has become ready. */
+    void start(Loops loops, Runnable onReady) {
+        holder.addListener(snapshot -> {
+            gossip.holdVersion(snapshot.version());
+            loops.executor().execute(() -> spreader.spread(milliseconds.getAsLong()));
+        });
+        loops.every(GOSSIP_PAUSE_MILLISECONDS, gossip::tick);
+        loops.every(SPREAD_PAUSE_MILLISECONDS, () -> spreader.tick(milliseconds.getAsLong()));
+        loops.every(ELECTION_PAUSE_MILLISECONDS, () -> election.tick(milliseconds.getAsLong()));
+        loops.repeat(() -> watch.runOnce(milliseconds.getAsLong()));
+        loops.every(JOIN_PAUSE_MILLISECONDS, this::joinWhenAlone);
+        loops.every(RECOVERY_PAUSE_MILLISECONDS, () -> {
+            if (recovery.step()) {
+                onReady.run();
+            }
+        });
+    }
+
+    /** Hands the relay's slot over and tells the other nodes that this one is gone. */
+    void leave() {
+        election.resign();
+        gossip.leave();
+        LockSupport.parkNanos(Duration.ofMillis(GOSSIP_PAUSE_MILLISECONDS).toNanos());
+    }
+
+    private void joinWhenAlone() {
+        boolean isAlone =
+                gossip.table().reachablePeers().isEmpty() || gossip.table().isIsolated();
+        if (isAlone) {
+            gossip.join(settings.join());
+        }
+    }
+
+    private static RandomGenerator split(RandomGenerator random) {
+        return new SplittableRandom(random.nextLong());
+    }
+
+    private static MemberRecord localRecord(NodeSettings settings) {
+        Endpoint endpoint = new Endpoint(
+                settings.node(),
+                settings.listen().peer(),
+                settings.locality(),
+                settings.target().service(),
+                UNKNOWN_SLOTS,
+                EndpointState.STARTING,
+                System.currentTimeMillis());
+        return MemberRecord.of(endpoint, settings.listen().control());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/MemberDirectory.java
@@ -0,0 +1,52 @@
+package org.oleanderturn.node;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Supplier;
+import org.oleanderturn.distribution.Peer;
+import org.oleanderturn.distribution.PeerDirectory;
+import org.oleanderturn.membership.Liveness;
+import org.oleanderturn.membership.MemberRecord;
+import org.oleanderturn.membership.MemberTable;
+import org.oleanderturn.model.ConfigurationVersion;
+
+/**
+ * The members as the distribution of configurations sees them.
+ *
+ * <p>Thread safe.
+ */
+final class MemberDirectory implements PeerDirectory {
+    private final Supplier<MemberTable> table;
+
+    MemberDirectory(Supplier<MemberTable> table) {
+        this.table = Objects.requireNonNull(table, "table is null");
+    }
+
+    @Override
+    public List<Peer> peers() {
+        MemberTable members = table.get();
+        return members.records().stream()
+                .filter(record -> !record.node().equals(members.local().node()))
+                .filter(record -> record.liveness() != Liveness.LEFT)
+                .map(MemberDirectory::peer)
+                .toList();
+    }
+
+    /** Returns the newest version that any member is known to hold. */
+    ConfigurationVersion newestVersion() {
+        ConfigurationVersion newest = ConfigurationVersion.none();
+        for (MemberRecord record : table.get().records()) {
+            newest = ConfigurationVersion.newest(newest, record.heldVersion());
+        }
+        return newest;
+    }
+
+    private static Peer peer(MemberRecord record) {
+        return new Peer(
+                record.node(),
+                record.controlAddress(),
+                record.locality(),
+                record.heldVersion(),
+                record.liveness().isReachable());
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/MonotonicClock.java
@@ -0,0 +1,28 @@
+package org.oleanderturn.node;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * The milliseconds since the epoch as they were at the start, carried on by a clock that never goes back.
+ *
+ * <p>Immutable and thread safe.
+ */
+final class MonotonicClock implements LongSupplier {
+    private final long startMilliseconds;
+    private final long startNanoseconds;
+
+    private MonotonicClock(long startMilliseconds, long startNanoseconds) {
+        this.startMilliseconds = startMilliseconds;
+        this.startNanoseconds = startNanoseconds;
+    }
+
+    static MonotonicClock start() {
+        return new MonotonicClock(System.currentTimeMillis(), System.nanoTime());
+    }
+
+    @Override
+    public long getAsLong() {
+        return startMilliseconds + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanoseconds);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/OperatorHandler.java
@@ -0,0 +1,184 @@
+package org.oleanderturn.node;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.oleanderturn.membership.MemberRecord;
+import org.oleanderturn.membership.MemberTable;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.ConfigurationCheck;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.DecodeFailure;
+import org.oleanderturn.model.DrainOutcome;
+import org.oleanderturn.model.Names;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.OperatorPaths;
+import org.oleanderturn.model.Proposal;
+import org.oleanderturn.model.ProposalId;
+import org.oleanderturn.model.ProxyStatus;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.RequestHandler;
+
+/**
+ * Answers operators over HTTP; see {@link OperatorPaths}.
+ *
+ * <p>Thread safe.
+ */
+final class OperatorHandler implements RequestHandler {
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_LARGE = 413;
+    private static final int BODY_LIMIT_BYTES = 16_000_000;
+    private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
+
+    private final ControlPlane control;
+    private final RoutingState routing;
+    private final DrainControl drains;
+    private final ControlChannel channel;
+    private final NodeMetrics metrics;
+    private final Supplier<StateDump> state;
+
+    OperatorHandler(
+            ControlPlane control,
+            RoutingState routing,
+            DrainControl drains,
+            ControlChannel channel,
+            NodeMetrics metrics,
+            Supplier<StateDump> state) {
+        this.control = Objects.requireNonNull(control, "control is null");
+        this.routing = Objects.requireNonNull(routing, "routing is null");
+        this.drains = Objects.requireNonNull(drains, "drains is null");
+        this.channel = Objects.requireNonNull(channel, "channel is null");
+        this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+        this.state = Objects.requireNonNull(state, "state is null");
+    }
+
+    /** What a refused call says in its body. */
+    record CallFault(String type, String path, String reason) {}
+
+    @Override
+    public Answer handle(InboundRequest request) throws IOException {
+        return switch (request.method()) {
+            case "GET" -> query(request.path());
+            case "POST" -> command(request);
+            default -> fault(BAD_REQUEST, "UnknownMethod", request.method(), "GET and POST are known");
+        };
+    }
+
+    // -- queries
+
+    private Answer query(String path) {
+        return switch (path) {
+            case OperatorPaths.STATE -> Answer.json(OK, state.get());
+            case OperatorPaths.CONFIGURATION -> Answer.json(OK, control.holder().held());
+            case OperatorPaths.PROXIES -> Answer.json(OK, proxies());
+            case OperatorPaths.ROUTES -> Answer.json(OK, routing.table().entries());
+            case OperatorPaths.ENDPOINTS ->
+                Answer.json(OK, routing.table().view().all());
+            case OperatorPaths.METRICS -> Answer.text(OK, TEXT, metrics.text());
+            default -> queryChange(path);
+        };
+    }
+
+    private Answer queryChange(String path) {
+        Optional<String> name = nameAfter(OperatorPaths.CHANGES, path);
+        return name.map(text -> Answer.json(OK, control.acceptor().outcome(ProposalId.of(text))))
+                .orElseGet(() -> fault(NOT_FOUND, "UnknownPath", path, "no such query"));
+    }
+
+    private List<ProxyStatus> proxies() {
+        ConfigurationVersion newest = ConfigurationVersion.newest(
+                control.holder().version(), control.directory().newestVersion());
+        MemberTable table = control.gossip().table();
+        return table.records().stream()
+                .map(record -> status(table, record, newest))
+                .toList();
+    }
+
+    private ProxyStatus status(MemberTable table, MemberRecord record, ConfigurationVersion newest) {
+        boolean isSelf = record.node().equals(table.local().node());
+        ConfigurationVersion held = isSelf ? control.holder().version() : record.heldVersion();
+        return new ProxyStatus(
+                record.node(),
+                record.endpoint().address(),
+                record.locality(),
+                record.endpoint().service(),
+                record.endpoint().state(),
+                isSelf || record.liveness().isReachable(),
+                held,
+                newest.number() - held.number());
+    }
+
+    // -- commands
+
+    private Answer command(InboundRequest request) throws IOException {
+        Optional<byte[]> body = request.readBody(BODY_LIMIT_BYTES);
+        if (body.isEmpty()) {
+            return fault(TOO_LARGE, "BodyTooLarge", "", "the limit is " + BODY_LIMIT_BYTES + " bytes");
+        }
+        String path = request.path();
+        return switch (path) {
+            case OperatorPaths.CHANGES -> decoded(body.get(), Proposal.class, control.acceptor()::propose);
+            case OperatorPaths.CHECK -> decoded(body.get(), Configuration.class, ConfigurationCheck::of);
+            default -> commandNode(path);
+        };
+    }
+
+    private Answer commandNode(String path) {
+        Optional<String> drained = nameAfter(OperatorPaths.DRAIN, path);
+        if (drained.isPresent()) {
+            return Answer.json(OK, drain(NodeId.of(drained.get()), true));
+        }
+        Optional<String> undrained = nameAfter(OperatorPaths.UNDRAIN, path);
+        return undrained
+                .map(name -> Answer.json(OK, drain(NodeId.of(name), false)))
+                .orElseGet(() -> fault(NOT_FOUND, "UnknownPath", path, "no such command"));
+    }
+
+    private DrainOutcome drain(NodeId node, boolean isDraining) {
+        MemberTable table = control.gossip().table();
+        if (node.equals(table.local().node())) {
+            return drains.apply(isDraining);
+        }
+        Optional<MemberRecord> record = table.record(node);
+        if (record.isEmpty()) {
+            return new DrainOutcome.UnknownNode(node);
+        }
+        Either<ControlFailure, DrainOutcome> outcome =
+                channel.drain(record.get().controlAddress(), isDraining);
+        return outcome.getOrElseGet(failure -> switch (failure) {
+            case ControlFailure.Unreachable unreachable -> new DrainOutcome.Unreachable(node, unreachable.reason());
+            case ControlFailure.AnswerLost lost -> new DrainOutcome.Undetermined(node, lost.reason());
+            case ControlFailure.Malformed malformed -> new DrainOutcome.Undetermined(node, malformed.reason());
+        });
+    }
+
+    // -- plumbing
+
+    private static <T> Answer decoded(byte[] body, Class<T> type, Function<T, ?> action) {
+        Either<DecodeFailure, T> value = Codec.json().decode(body, type);
+        if (value.isLeft()) {
+            DecodeFailure failure = value.getLeft();
+            return fault(BAD_REQUEST, "Malformed", failure.path(), failure.reason());
+        }
+        return Answer.json(OK, action.apply(value.get()));
+    }
+
+    private static Optional<String> nameAfter(String prefix, String path) {
+        if (!path.startsWith(prefix + "/")) {
+            return Optional.empty();
+        }
+        return Optional.of(path.substring(prefix.length() + 1)).filter(Names::isWellFormed);
+    }
+
+    private static Answer fault(int status, String type, String path, String reason) {
+        return Answer.json(status, new CallFault(type, path, reason));
+    }
+}
--- a/node/src/main/java/org/oleanderturn/node/SettingsReader.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsReader.java
@@ -46,7 +46,8 @@
             return Either.left(List.of(new SettingsFault.Malformed("file", cause.toString())));
         }
         if (!root.isObject()) {
-            return Either.left(List.of(new SettingsFault.Wrong("file", "an object", root.getNodeType().name())));
+            return Either.left(List.of(new SettingsFault.Wrong(
+                    "file", "an object", root.getNodeType().name())));
         }
         List<SettingsFault> faults = SettingsSchema.check(root);
         if (!faults.isEmpty()) {
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/StateMetrics.java
@@ -0,0 +1,71 @@
+package org.oleanderturn.node;
+
+import java.util.function.Supplier;
+
+/** Makes metrics of a node's state. */
+final class StateMetrics {
+    private StateMetrics() {}
+
+    static void register(NodeMetrics metrics, Supplier<StateDump> state) {
+        registerConfiguration(metrics, state);
+        registerMembers(metrics, state);
+        registerWork(metrics, state);
+    }
+
+    private static void registerConfiguration(NodeMetrics metrics, Supplier<StateDump> state) {
+        metrics.gauge(
+                "oleanderturn_configuration_version",
+                "The configuration version that the node holds.",
+                () -> state.get().configuration().held().number());
+        metrics.counter(
+                "oleanderturn_configurations_rejected_total",
+                "Offered configurations that the node kept out.",
+                () -> state.get().configuration().rejected());
+        metrics.gauge(
+                "oleanderturn_ready",
+                "1 when the node may serve, else 0.",
+                () -> flag(state.get().readiness().isReady()));
+        metrics.gauge(
+                "oleanderturn_relay",
+                "1 when the node is a relay of its zone, else 0.",
+                () -> flag(state.get().relaySlot().isPresent()));
+    }
+
+    private static void registerMembers(NodeMetrics metrics, Supplier<StateDump> state) {
+        metrics.gauge(
+                "oleanderturn_members_reachable",
+                "Members that the node takes for reachable, itself counted.",
+                () -> state.get().members().reachable());
+        metrics.counter(
+                "oleanderturn_control_sent_bytes_total",
+                "Bytes of control messages sent.",
+                () -> state.get().control().sentBytes());
+        metrics.counter(
+                "oleanderturn_control_received_bytes_total",
+                "Bytes of control messages received.",
+                () -> state.get().control().receivedBytes());
+    }
+
+    private static void registerWork(NodeMetrics metrics, Supplier<StateDump> state) {
+        metrics.gauge(
+                "oleanderturn_target_in_flight",
+                "Requests that hold a slot of the local target.",
+                () -> state.get().work().atTarget());
+        metrics.gauge(
+                "oleanderturn_target_queued",
+                "Requests that wait for a slot of the local target.",
+                () -> state.get().work().queued());
+        metrics.counter(
+                "oleanderturn_claims_granted_total",
+                "Bookings that were allowed to run.",
+                () -> state.get().claims().granted());
+        metrics.counter(
+                "oleanderturn_claims_replayed_total",
+                "Bookings that were answered from their record.",
+                () -> state.get().claims().replayed());
+    }
+
+    private static double flag(boolean isSet) {
+        return isSet ? 1 : 0;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/StateReader.java
@@ -0,0 +1,65 @@
+package org.oleanderturn.node;
+
+import java.util.List;
+import org.oleanderturn.membership.MemberTable;
+import org.oleanderturn.model.Service;
+import org.oleanderturn.traffic.Admission;
+import org.oleanderturn.traffic.UpstreamReport;
+import org.oleanderturn.wire.FrameClient;
+import org.oleanderturn.wire.FrameServer;
+
+/** Reads a node's parts into a {@link StateDump}. */
+final class StateReader {
+    private StateReader() {}
+
+    static StateDump read(
+            NodeSettings settings,
+            ControlPlane control,
+            DataPlane data,
+            RoutingState routing,
+            FrameClient frames,
+            FrameServer server) {
+        return new StateDump(
+                settings.node(),
+                settings.locality(),
+                control.recovery().readiness(),
+                data.monitor().state(),
+                control.holder().status(),
+                routing.table().version(),
+                control.watch().status(),
+                control.election().slot(System.currentTimeMillis()),
+                control.spreader().status(),
+                members(control.gossip().table()),
+                work(data),
+                data.claims().counts(),
+                upstreams(data, routing),
+                data.quarantine().convictions(),
+                traffic(frames, server));
+    }
+
+    private static StateDump.Members members(MemberTable table) {
+        return new StateDump.Members(
+                table.records().size(),
+                table.reachablePeers().size() + 1,
+                table.isIsolated(),
+                table.local().incarnation());
+    }
+
+    private static StateDump.Work work(DataPlane data) {
+        Admission admission = data.admission();
+        return new StateDump.Work(data.inFlight(), admission.inFlight(), admission.queued(), admission.concurrency());
+    }
+
+    private static List<UpstreamReport> upstreams(DataPlane data, RoutingState routing) {
+        return routing.table().snapshot().configuration().services().stream()
+                .map(Service::name)
+                .flatMap(service -> data.statistics().reports(service).stream())
+                .toList();
+    }
+
+    private static StateDump.Traffic traffic(FrameClient frames, FrameServer server) {
+        return new StateDump.Traffic(
+                frames.counters().sentBytes() + server.counters().sentBytes(),
+                frames.counters().receivedBytes() + server.counters().receivedBytes());
+    }
+}
--- a/testbed/src/main/java/org/oleanderturn/testbed/TargetStandIn.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TargetStandIn.java
@@ -17,7 +17,6 @@
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.DecodeFailure;
 import org.oleanderturn.proxy.Answer;
-import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.HttpListener;
 import org.oleanderturn.proxy.InboundRequest;
 import org.oleanderturn.proxy.ListenerLimits;
@@ -88,7 +87,14 @@
         String path = request.path();
         return switch (path) {
             case "/health" -> Answer.text(behaviour.get().isHealthy() ? 200 : 503, "text/plain", "\n");
-            case "/load" -> Answer.json(200, Map.of("running", running.get(), "slots", behaviour.get().slots()));
+            case "/load" ->
+                Answer.json(
+                        200,
+                        Map.of(
+                                "running",
+                                running.get(),
+                                "slots",
+                                behaviour.get().slots()));
             case "/admin/counts" -> Answer.json(200, counts());
             case "/admin/behaviour" -> replaceBehaviour(request);
             default -> run(request);
@@ -188,7 +194,8 @@
 
         @Override
         public void writeTo(OutputStream output) throws IOException {
-            byte[] filler = "0123456789abcdef".repeat(behaviour.downloadBytes() / 16 / CHUNKS + 1)
+            byte[] filler = "0123456789abcdef"
+                    .repeat(behaviour.downloadBytes() / 16 / CHUNKS + 1)
                     .getBytes(StandardCharsets.UTF_8);
             int left = behaviour.downloadBytes();
             while (left > 0) {
