--- /dev/null
+++ b/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrialTest.java
@@ -0,0 +1,116 @@
+package org.oleanderturn.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** Compares variants of the decisions in virtual time; the figures go to target/trials/traffic.txt. */
+final class DecisionTrialTest {
+    private static final int SEEDS = 3;
+    private static final EjectionStrategy RUN = new EjectionStrategy.FailureRun(5);
+    private static final EjectionStrategy SHARE = new EjectionStrategy.FailureShare(50, 10);
+    private static final EjectionSettings NO_LATENCY = new EjectionSettings(
+            ((EjectionStrategy.RunOrShare) EjectionSettings.usual().strategy()),
+            0,
+            50,
+            EjectionSettings.usual().base(),
+            EjectionSettings.usual().longest());
+    private static final DecisionTrial.Variant USUAL =
+            new DecisionTrial.Variant("usual", false, EjectionSettings.usual(), true, true);
+    private static final DecisionTrial.Variant BASELINE =
+            new DecisionTrial.Variant("random, no ejection, no hedge", true, EjectionSettings.off(), false, false);
+    private static final List<DecisionTrial.Variant> VARIANTS = List.of(
+            BASELINE,
+            new DecisionTrial.Variant("two choices", false, EjectionSettings.off(), false, false),
+            new DecisionTrial.Variant("two choices, hedge", false, EjectionSettings.off(), true, false),
+            new DecisionTrial.Variant("ejection without latency, hedge", false, NO_LATENCY, true, false),
+            new DecisionTrial.Variant("ejection by run, hedge", false, EjectionSettings.of(RUN), true, false),
+            new DecisionTrial.Variant("ejection by share, hedge", false, EjectionSettings.of(SHARE), true, false),
+            new DecisionTrial.Variant("usual, fixed slots", false, EjectionSettings.usual(), true, false),
+            USUAL);
+    private static final DecisionTrial.Scenario SLOWED =
+            new DecisionTrial.Scenario("third slowed tenfold", 0.5, 0.5, 10, 0, 99, 0);
+    private static final DecisionTrial.Scenario FAILING =
+            new DecisionTrial.Scenario("third failing", 0.5, 0.5, 1, 1, 99, 0);
+    private static final List<DecisionTrial.Scenario> SCENARIOS = List.of(
+            new DecisionTrial.Scenario("quiet", 0.5, 0.5, 1, 0, 99, 0),
+            SLOWED,
+            FAILING,
+            new DecisionTrial.Scenario("third failing half its requests", 0.5, 0.5, 1, 0.5, 99, 0),
+            new DecisionTrial.Scenario("third shedding above half its slots", 0.7, 0.7, 1, 0, 5, 0),
+            new DecisionTrial.Scenario("downloads for 0.9 of all slots", 0.4, 0.4, 1, 0, 99, 0.045),
+            new DecisionTrial.Scenario("crest of 1.5", 0.5, 1.5, 1, 0, 99, 0),
+            new DecisionTrial.Scenario("crest of 3", 0.5, 3, 1, 0, 99, 0));
+
+    @Test
+    void shouldPrintTheFiguresOfEachVariant() throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (DecisionTrial.Scenario scenario : SCENARIOS) {
+            for (DecisionTrial.Variant variant : VARIANTS) {
+                lines.add(line(scenario, variant, trials(variant, scenario)));
+            }
+        }
+        Path file = Path.of("target", "trials", "traffic.txt");
+        Files.createDirectories(file.getParent());
+        Files.write(file, lines);
+        assertThat(lines).hasSize(SCENARIOS.size() * VARIANTS.size());
+    }
+
+    @Test
+    void shouldShortenTheTailAgainstRandomChoiceWhenAThirdIsSlowed() {
+        double usual = median(trials(USUAL, SLOWED), trial -> percentile(trial, 0.99));
+        double baseline = median(trials(BASELINE, SLOWED), trial -> percentile(trial, 0.99));
+        assertThat(usual).isLessThan(baseline / 2);
+    }
+
+    @Test
+    void shouldFailFewerRequestsThanRandomChoiceWhenAThirdFails() {
+        double usual = median(trials(USUAL, FAILING), trial -> trial.failed);
+        double baseline = median(trials(BASELINE, FAILING), trial -> trial.failed);
+        assertThat(usual).isLessThan(baseline / 2);
+    }
+
+    private static List<DecisionTrial> trials(DecisionTrial.Variant variant, DecisionTrial.Scenario scenario) {
+        return LongStream.range(0, SEEDS)
+                .mapToObj(seed -> new DecisionTrial(variant, scenario, seed).run())
+                .toList();
+    }
+
+    private static String line(
+            DecisionTrial.Scenario scenario, DecisionTrial.Variant variant, List<DecisionTrial> trials) {
+        return String.format(
+                Locale.ROOT,
+                "%s\t%s\tanswered %.2f%%\trefused %.2f%%\tfailed %.2f%%\t"
+                        + "p50 %.0f\tp99 %.0f\tp99.9 %.0f\tattempts %.3f\trefusal %.0f ms",
+                scenario.name(),
+                variant.name(),
+                median(trials, trial -> 100.0 * trial.latencies.size() / trial.requests),
+                median(trials, trial -> 100.0 * trial.refused / trial.requests),
+                median(trials, trial -> 100.0 * trial.failed / trial.requests),
+                median(trials, trial -> percentile(trial, 0.5)),
+                median(trials, trial -> percentile(trial, 0.99)),
+                median(trials, trial -> percentile(trial, 0.999)),
+                median(trials, trial -> (double) trial.attempts / trial.requests),
+                median(trials, trial -> trial.longestRefusal));
+    }
+
+    private static double median(List<DecisionTrial> trials, ToDoubleFunction<DecisionTrial> figure) {
+        return trials.stream().mapToDouble(figure).sorted().toArray()[SEEDS / 2];
+    }
+
+    private static double percentile(DecisionTrial trial, double share) {
+        double[] sorted = trial.latencies.stream()
+                .mapToDouble(Double::doubleValue)
+                .sorted()
+                .toArray();
+        return sorted[(int) Math.min(sorted.length - 1, Math.ceil(sorted.length * share))];
+    }
+}
