Let failures raise an upstream's cost

Cause: a failing target answers soon, looks idle and draws work; ejection alone stops at half of a service. Change: the cost grows with the share of failures of the last seconds. Ruled out: a higher cap on ejection, which would empty a service when all of it fails.

The trials gain thrashing and shedding targets, downloads against reserved slots, and a slowdown of all targets.

--- a/traffic/src/main/java/org/oleanderturn/traffic/Observation.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Observation.java
@@ -44,6 +44,11 @@
         return failures + earlierFailures;
     }
 
+    double failureShare() {
+        int all = windowAnswers();
+        return all == 0 ? 0 : (double) windowFailures() / all;
+    }
+
     /** Returns the average, faded by the time in which nothing was heard; zero when unknown. */
     double latencyAt(long now) {
         long silent = now - latencyNanoseconds;
--- a/traffic/src/main/java/org/oleanderturn/traffic/Upstream.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Upstream.java
@@ -13,6 +13,7 @@
     private static final long SLOW_START_NANOSECONDS = 10_000_000_000L;
     private static final double SLOW_START_LEAST = 0.1;
     private static final double LOAD_WEIGHT = 0.1;
+    private static final double FAILURE_WEIGHT = 20;
     private static final long LOAD_USE_NANOSECONDS = 5_000_000_000L;
 
     private final Endpoint endpoint;
@@ -58,11 +59,13 @@
 
     /** Returns the expected time of one more request here, higher while the endpoint is new or reports load. */
     double cost(double typicalLatency, long now) {
-        double known = observation.get().latencyAt(now);
+        Observation seen = observation.get();
+        double known = seen.latencyAt(now);
+        double failing = FAILURE_WEIGHT * seen.failureShare();
         double latency = known > 0 ? known : typicalLatency;
         LoadReport report = loadReport.get();
         double load = now - report.reportedNanoseconds() < LOAD_USE_NANOSECONDS ? report.load() : 0;
-        return (outstanding.get() + 1) * latency * (1 + LOAD_WEIGHT * load) / warmth(now);
+        return (outstanding.get() + 1) * latency * (1 + LOAD_WEIGHT * load) * (1 + failing) / warmth(now);
     }
 
     private double warmth(long now) {
--- a/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrial.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrial.java
@@ -29,21 +29,20 @@
     private static final long FAULT_UNTIL = Duration.ofSeconds(5).toNanos();
     private static final long END = Duration.ofSeconds(7).toNanos();
 
-    /** What is compared. */
-    record Variant(String name, boolean isRandom, EjectionSettings ejection, boolean isHedged, boolean isAdaptive) {}
-
-    /**
-     * The load as a share of capacity; from the second to the fifth second its crest, the share of downloads, and what
-     * befalls a third of the targets: a slowdown, a share of errors, or shedding above so many requests.
-     */
-    record Scenario(
+    /** What is compared; a reserve below zero treats downloads as lookups. */
+    record Variant(
             String name,
-            double load,
-            double crest,
-            double slowFactor,
-            double errors,
-            int shedAbove,
-            double downloads) {}
+            boolean isRandom,
+            EjectionSettings ejection,
+            boolean isHedged,
+            boolean isAdaptive,
+            int reserve) {}
+
+    /** What befalls the first targets: a slowdown, a share of errors, shedding or thrashing above so many requests. */
+    record Fault(int targets, double slowFactor, double errors, int shedAbove, int thrashAbove) {}
+
+    /** The load as a share of capacity; from the second to the fifth second its crest, downloads and faults. */
+    record Scenario(String name, double load, double crest, double downloads, Fault fault) {}
 
     private final FakeClock clock = new FakeClock();
     private final long start = clock.getAsLong();
@@ -68,7 +67,7 @@
         this.variant = variant;
         this.scenario = scenario;
         this.random = new Random(seed);
-        AdmissionLimits limits = AdmissionLimits.of(Fixtures.SLOTS, 20, 20);
+        AdmissionLimits limits = AdmissionLimits.of(Fixtures.SLOTS, 20, Math.max(0, variant.reserve()));
         endpoints.forEach(endpoint -> guards.put(
                 endpoint.node(), Admission.of(variant.isAdaptive() ? limits : limits.fixed(), clock, random)));
         this.entries =
@@ -248,7 +247,8 @@
             if (isCancelled) {
                 return;
             }
-            Work work = Work.of(request.kind, clock.in(request.remaining().minus(ONE_WAY)));
+            RequestKind kind = variant.reserve() < 0 ? RequestKind.LOOKUP : request.kind;
+            Work work = Work.of(kind, clock.in(request.remaining().minus(ONE_WAY)));
             switch (guards.get(endpoint.node()).offer(work)) {
                 case AdmissionDecision.Queued queued -> {
                     ticket = Optional.of(queued.ticket());
@@ -264,10 +264,13 @@
                     answer(new AttemptOutcome.NotRun(refusal.reason(), refusal.retryAfter()));
                 case AdmissionDecision.Admitted admitted -> {
                     permit = Optional.of(admitted.permit());
-                    boolean isHit = isFaulty() && endpoints.indexOf(endpoint) < TARGETS / 3;
-                    boolean isShed = isHit && guards.get(endpoint.node()).inFlight() > scenario.shedAbove();
-                    boolean isError = isHit && random.nextDouble() < scenario.errors();
-                    double span = isShed || isError ? 1 : span() * (isHit ? scenario.slowFactor() : 1);
+                    Fault fault = scenario.fault();
+                    boolean isHit = isFaulty() && endpoints.indexOf(endpoint) < fault.targets();
+                    int running = guards.get(endpoint.node()).inFlight();
+                    boolean isShed = isHit && running > fault.shedAbove();
+                    boolean isError = isHit && random.nextDouble() < fault.errors();
+                    double thrash = Math.pow(Math.max(1, (double) running / fault.thrashAbove()), 2);
+                    double span = isShed || isError ? 1 : span() * (isHit ? fault.slowFactor() * thrash : 1);
                     after(milliseconds(span), () -> end(isShed, isError));
                 }
             }
--- a/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrialTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrialTest.java
@@ -24,31 +24,42 @@
             EjectionSettings.usual().base(),
             EjectionSettings.usual().longest());
     private static final DecisionTrial.Variant USUAL =
-            new DecisionTrial.Variant("usual", false, EjectionSettings.usual(), true, true);
+            new DecisionTrial.Variant("usual", false, EjectionSettings.usual(), true, true, 20);
     private static final DecisionTrial.Variant BASELINE =
-            new DecisionTrial.Variant("random, no ejection, no hedge", true, EjectionSettings.off(), false, false);
+            new DecisionTrial.Variant("random", true, EjectionSettings.off(), false, false, -1);
     private static final List<DecisionTrial.Variant> VARIANTS = List.of(
             BASELINE,
-            new DecisionTrial.Variant("two choices", false, EjectionSettings.off(), false, false),
-            new DecisionTrial.Variant("two choices, hedge", false, EjectionSettings.off(), true, false),
-            new DecisionTrial.Variant("ejection without latency, hedge", false, NO_LATENCY, true, false),
-            new DecisionTrial.Variant("ejection by run, hedge", false, EjectionSettings.of(RUN), true, false),
-            new DecisionTrial.Variant("ejection by share, hedge", false, EjectionSettings.of(SHARE), true, false),
-            new DecisionTrial.Variant("usual, fixed slots", false, EjectionSettings.usual(), true, false),
+            new DecisionTrial.Variant("two choices", false, EjectionSettings.off(), false, false, 20),
+            new DecisionTrial.Variant("two choices, hedge", false, EjectionSettings.off(), true, false, 20),
+            new DecisionTrial.Variant("ejection without latency", false, NO_LATENCY, true, false, 20),
+            new DecisionTrial.Variant("ejection by run", false, EjectionSettings.of(RUN), true, false, 20),
+            new DecisionTrial.Variant("ejection by share", false, EjectionSettings.of(SHARE), true, false, 20),
+            new DecisionTrial.Variant("usual, fixed slots", false, EjectionSettings.usual(), true, false, 20),
+            new DecisionTrial.Variant("usual, no classes", false, EjectionSettings.usual(), true, true, -1),
+            new DecisionTrial.Variant("usual, half reserved", false, EjectionSettings.usual(), true, true, 50),
             USUAL);
+    private static final DecisionTrial.Fault NONE = new DecisionTrial.Fault(0, 1, 0, 99, 99);
     private static final DecisionTrial.Scenario SLOWED =
-            new DecisionTrial.Scenario("third slowed tenfold", 0.5, 0.5, 10, 0, 99, 0);
+            new DecisionTrial.Scenario("third slowed tenfold", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 10, 0, 99, 99));
     private static final DecisionTrial.Scenario FAILING =
-            new DecisionTrial.Scenario("third failing", 0.5, 0.5, 1, 1, 99, 0);
+            new DecisionTrial.Scenario("third failing", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 1, 1, 99, 99));
     private static final List<DecisionTrial.Scenario> SCENARIOS = List.of(
-            new DecisionTrial.Scenario("quiet", 0.5, 0.5, 1, 0, 99, 0),
+            new DecisionTrial.Scenario("quiet", 0.5, 0.5, 0, NONE),
             SLOWED,
             FAILING,
-            new DecisionTrial.Scenario("third failing half its requests", 0.5, 0.5, 1, 0.5, 99, 0),
-            new DecisionTrial.Scenario("third shedding above half its slots", 0.7, 0.7, 1, 0, 5, 0),
-            new DecisionTrial.Scenario("downloads for 0.9 of all slots", 0.4, 0.4, 1, 0, 99, 0.045),
-            new DecisionTrial.Scenario("crest of 1.5", 0.5, 1.5, 1, 0, 99, 0),
-            new DecisionTrial.Scenario("crest of 3", 0.5, 3, 1, 0, 99, 0));
+            new DecisionTrial.Scenario(
+                    "third failing half its requests", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 1, 0.5, 99, 99)),
+            new DecisionTrial.Scenario("two thirds failing", 0.25, 0.25, 0, new DecisionTrial.Fault(4, 1, 1, 99, 99)),
+            new DecisionTrial.Scenario(
+                    "third shedding above half its slots", 0.7, 0.7, 0, new DecisionTrial.Fault(2, 1, 0, 5, 99)),
+            new DecisionTrial.Scenario(
+                    "third thrashing above half its slots", 0.7, 0.7, 0, new DecisionTrial.Fault(2, 1, 0, 99, 5)),
+            new DecisionTrial.Scenario(
+                    "all thrashing above half their slots", 0.5, 0.5, 0, new DecisionTrial.Fault(6, 1, 0, 99, 5)),
+            new DecisionTrial.Scenario("all slowed threefold", 0.28, 0.28, 0, new DecisionTrial.Fault(6, 3, 0, 99, 99)),
+            new DecisionTrial.Scenario("downloads for 0.9 of all slots", 0.4, 0.4, 0.045, NONE),
+            new DecisionTrial.Scenario("crest of 1.5", 0.5, 1.5, 0, NONE),
+            new DecisionTrial.Scenario("crest of 3", 0.5, 3, 0, NONE));
 
     @Test
     void shouldPrintTheFiguresOfEachVariant() throws IOException {
