Try to shrink concurrency sooner when answers slow down

Change: from 2.5 times the best smoothed latency in place of 4, smoothed over more answers. It can't tell a target that suffers from its load from one with a slow neighbour, and the second is the usual case.

--- a/traffic/src/main/java/org/oleanderturn/traffic/ConcurrencyLimit.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/ConcurrencyLimit.java
@@ -11,8 +11,8 @@
 final class ConcurrencyLimit {
     private static final double SHED_FACTOR = 0.7;
     private static final double SLOW_FACTOR = 0.9;
-    private static final double SLOW_RATIO = 4.0;
-    private static final double SMOOTHING = 0.1;
+    private static final double SLOW_RATIO = 2.5;
+    private static final double SMOOTHING = 0.05;
     private static final double BASELINE_RISE = 0.002;
     private static final long SHRINK_PAUSE_NANOSECONDS = 50_000_000;
 
