Shrink concurrency only by what a target sheds

Change: a shed request sets concurrency to what ran beside it, answers raise it again; latency is left out.

--- a/traffic/src/main/java/org/oleanderturn/traffic/Admission.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Admission.java
@@ -139,7 +139,7 @@
             times.observe(work.isLong(), latency);
         }
         if (!work.isLong()) {
-            concurrency.observe(before.limits(), before.inFlight(), completion, latency, now);
+            concurrency.observe(before.limits(), before.inFlight(), completion);
         }
         swap(held -> held.release(work));
         expire();
--- a/traffic/src/main/java/org/oleanderturn/traffic/AdmissionLimits.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/AdmissionLimits.java
@@ -10,7 +10,7 @@
  * @param slots requests that the target runs at once, one or more
  * @param queueLimit requests that may wait
  * @param reservedShortPercent share of the slots that downloads may not take
- * @param isAdaptive whether concurrency below the slots follows the observed latency
+ * @param isAdaptive whether concurrency falls below the slots while the target sheds
  */
 public record AdmissionLimits(int slots, int queueLimit, int reservedShortPercent, boolean isAdaptive) {
     private static final int PERCENT = 100;
--- a/traffic/src/main/java/org/oleanderturn/traffic/ConcurrencyLimit.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/ConcurrencyLimit.java
@@ -3,23 +3,17 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * How many requests may run at once on a target: its slots at most, fewer while it sheds or slows down.
+ * How many requests may run at once on a target: its slots at most, fewer while it sheds.
  *
- * <p>Grows by one for each round of answers, shrinks by a share when the target sheds or when answers take several times
- * as long as they do at their best. Invariant: from one to the slots. Thread safe, without locks.
+ * <p>A target that sheds a request shows how many it can carry; from there concurrency grows by one for each round of
+ * answers. Latency is left out: it can't tell a target that suffers from its load from one with a slow neighbour.
+ * Invariant: from one to the slots. Thread safe, without locks.
  */
 final class ConcurrencyLimit {
-    private static final double SHED_FACTOR = 0.7;
-    private static final double SLOW_FACTOR = 0.9;
-    private static final double SLOW_RATIO = 2.5;
-    private static final double SMOOTHING = 0.05;
-    private static final double BASELINE_RISE = 0.002;
-    private static final long SHRINK_PAUSE_NANOSECONDS = 50_000_000;
-
-    private final AtomicReference<State> state;
+    private final AtomicReference<Double> limit;
 
     private ConcurrencyLimit(int slots) {
-        this.state = new AtomicReference<>(new State(slots, 0, 0, Long.MIN_VALUE));
+        this.limit = new AtomicReference<>((double) slots);
     }
 
     static ConcurrencyLimit of(int slots) {
@@ -30,46 +24,20 @@
         if (!limits.isAdaptive()) {
             return limits.slots();
         }
-        return (int) Math.max(1, Math.min(limits.slots(), Math.floor(state.get().limit())));
-    }
-
-    void observe(AdmissionLimits limits, int inFlight, Completion completion, long latency, long now) {
-        state.updateAndGet(held -> held.after(limits.slots(), inFlight, completion, latency, now));
+        return (int) Math.max(1, Math.min(limits.slots(), Math.floor(limit.get())));
     }
 
-    private record State(double limit, double smoothed, double baseline, long shrunkNanoseconds) {
-
-        State after(int slots, int inFlight, Completion completion, long latency, long now) {
-            if (completion == Completion.SHED) {
-                return shrink(SHED_FACTOR, now);
-            }
-            if (!completion.isTimed()) {
-                return this;
-            }
-            State timed = withLatency(latency);
-            if (timed.smoothed > timed.baseline * SLOW_RATIO) {
-                return timed.shrink(SLOW_FACTOR, now);
-            }
-            if (inFlight * 2 < timed.limit) {
-                return timed;
-            }
-            double grown = Math.min(slots, timed.limit + 1 / timed.limit);
-            return new State(grown, timed.smoothed, timed.baseline, timed.shrunkNanoseconds);
-        }
-
-        private State withLatency(long latency) {
-            if (baseline == 0) {
-                return new State(limit, latency, latency, shrunkNanoseconds);
-            }
-            double next = smoothed + SMOOTHING * (latency - smoothed);
-            double best = next < baseline ? next : baseline + BASELINE_RISE * (next - baseline);
-            return new State(limit, next, best, shrunkNanoseconds);
+    /** Learns from one answer, given how many requests were in flight with it. */
+    void observe(AdmissionLimits limits, int inFlight, Completion completion) {
+        switch (completion) {
+            case SHED -> limit.updateAndGet(held -> Math.max(1, Math.min(held, inFlight - 1)));
+            case COMPLETED -> limit.updateAndGet(held -> grown(held, limits.slots(), inFlight));
+            case FAILED, CANCELLED, TARGET_DIED -> {}
         }
+    }
 
-        private State shrink(double factor, long now) {
-            boolean isTooSoon =
-                    shrunkNanoseconds != Long.MIN_VALUE && now - shrunkNanoseconds < SHRINK_PAUSE_NANOSECONDS;
-            return isTooSoon ? this : new State(Math.max(1, limit * factor), smoothed, baseline, now);
-        }
+    private static double grown(double held, int slots, int inFlight) {
+        boolean isUsed = inFlight * 2 >= held;
+        return isUsed ? Math.min(slots, held + 1 / held) : held;
     }
 }
