--- /dev/null
+++ b/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrialTest.java
@@ -0,0 +1,127 @@
+package org.oleanderturn.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/** Compares variants of the decisions in virtual time; the figures go to target/trials/traffic.txt. */
+final class DecisionTrialTest {
+    private static final int SEEDS = 3;
+    private static final EjectionStrategy RUN = new EjectionStrategy.FailureRun(5);
+    private static final EjectionStrategy SHARE = new EjectionStrategy.FailureShare(50, 10);
+    private static final EjectionSettings NO_LATENCY = new EjectionSettings(
+            ((EjectionStrategy.RunOrShare) EjectionSettings.usual().strategy()),
+            0,
+            50,
+            EjectionSettings.usual().base(),
+            EjectionSettings.usual().longest());
+    private static final DecisionTrial.Variant USUAL =
+            new DecisionTrial.Variant("usual", false, EjectionSettings.usual(), true, true, 20);
+    private static final DecisionTrial.Variant BASELINE =
+            new DecisionTrial.Variant("random", true, EjectionSettings.off(), false, false, -1);
+    private static final List<DecisionTrial.Variant> VARIANTS = List.of(
+            BASELINE,
+            new DecisionTrial.Variant("two choices", false, EjectionSettings.off(), false, false, 20),
+            new DecisionTrial.Variant("two choices, hedge", false, EjectionSettings.off(), true, false, 20),
+            new DecisionTrial.Variant("ejection without latency", false, NO_LATENCY, true, false, 20),
+            new DecisionTrial.Variant("ejection by run", false, EjectionSettings.of(RUN), true, false, 20),
+            new DecisionTrial.Variant("ejection by share", false, EjectionSettings.of(SHARE), true, false, 20),
+            new DecisionTrial.Variant("usual, fixed slots", false, EjectionSettings.usual(), true, false, 20),
+            new DecisionTrial.Variant("usual, no classes", false, EjectionSettings.usual(), true, true, -1),
+            new DecisionTrial.Variant("usual, half reserved", false, EjectionSettings.usual(), true, true, 50),
+            USUAL);
+    private static final DecisionTrial.Fault NONE = new DecisionTrial.Fault(0, 1, 0, 99, 99);
+    private static final DecisionTrial.Scenario SLOWED =
+            new DecisionTrial.Scenario("third slowed tenfold", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 10, 0, 99, 99));
+    private static final DecisionTrial.Scenario FAILING =
+            new DecisionTrial.Scenario("third failing", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 1, 1, 99, 99));
+    private static final List<DecisionTrial.Scenario> SCENARIOS = List.of(
+            new DecisionTrial.Scenario("quiet", 0.5, 0.5, 0, NONE),
+            SLOWED,
+            FAILING,
+            new DecisionTrial.Scenario(
+                    "third failing half its requests", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 1, 0.5, 99, 99)),
+            new DecisionTrial.Scenario("two thirds failing", 0.25, 0.25, 0, new DecisionTrial.Fault(4, 1, 1, 99, 99)),
+            new DecisionTrial.Scenario(
+                    "third shedding above half its slots", 0.7, 0.7, 0, new DecisionTrial.Fault(2, 1, 0, 5, 99)),
+            new DecisionTrial.Scenario(
+                    "third thrashing above half its slots", 0.7, 0.7, 0, new DecisionTrial.Fault(2, 1, 0, 99, 5)),
+            new DecisionTrial.Scenario(
+                    "all thrashing above half their slots", 0.5, 0.5, 0, new DecisionTrial.Fault(6, 1, 0, 99, 5)),
+            new DecisionTrial.Scenario("all slowed threefold", 0.28, 0.28, 0, new DecisionTrial.Fault(6, 3, 0, 99, 99)),
+            new DecisionTrial.Scenario("downloads for 0.9 of all slots", 0.4, 0.4, 0.045, NONE),
+            new DecisionTrial.Scenario("crest of 1.5", 0.5, 1.5, 0, NONE),
+            new DecisionTrial.Scenario("crest of 3", 0.5, 3, 0, NONE));
+
+    @Test
+    void shouldPrintTheFiguresOfEachVariant() throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (DecisionTrial.Scenario scenario : SCENARIOS) {
+            for (DecisionTrial.Variant variant : VARIANTS) {
+                lines.add(line(scenario, variant, trials(variant, scenario)));
+            }
+        }
+        Path file = Path.of("target", "trials", "traffic.txt");
+        Files.createDirectories(file.getParent());
+        Files.write(file, lines);
+        assertThat(lines).hasSize(SCENARIOS.size() * VARIANTS.size());
+    }
+
+    @Test
+    void shouldShortenTheTailAgainstRandomChoiceWhenAThirdIsSlowed() {
+        double usual = median(trials(USUAL, SLOWED), trial -> percentile(trial, 0.99));
+        double baseline = median(trials(BASELINE, SLOWED), trial -> percentile(trial, 0.99));
+        assertThat(usual).isLessThan(baseline / 2);
+    }
+
+    @Test
+    void shouldFailFewerRequestsThanRandomChoiceWhenAThirdFails() {
+        double usual = median(trials(USUAL, FAILING), trial -> trial.failed);
+        double baseline = median(trials(BASELINE, FAILING), trial -> trial.failed);
+        assertThat(usual).isLessThan(baseline / 2);
+    }
+
+    private static List<DecisionTrial> trials(DecisionTrial.Variant variant, DecisionTrial.Scenario scenario) {
+        return LongStream.range(0, SEEDS)
+                .mapToObj(seed -> new DecisionTrial(variant, scenario, seed).run())
+                .toList();
+    }
+
+    private static String line(
+            DecisionTrial.Scenario scenario, DecisionTrial.Variant variant, List<DecisionTrial> trials) {
+        return String.format(
+                Locale.ROOT,
+                "%s\t%s\tanswered %.2f%%\trefused %.2f%%\tfailed %.2f%%\t"
+                        + "p50 %.0f\tp99 %.0f\tp99.9 %.0f\tattempts %.3f\trefusal %.0f ms",
+                scenario.name(),
+                variant.name(),
+                median(trials, trial -> 100.0 * trial.latencies.size() / trial.requests),
+                median(trials, trial -> 100.0 * trial.refused / trial.requests),
+                median(trials, trial -> 100.0 * trial.failed / trial.requests),
+                median(trials, trial -> percentile(trial, 0.5)),
+                median(trials, trial -> percentile(trial, 0.99)),
+                median(trials, trial -> percentile(trial, 0.999)),
+                median(trials, trial -> (double) trial.attempts / trial.requests),
+                median(trials, trial -> trial.longestRefusal));
+    }
+
+    private static double median(List<DecisionTrial> trials, ToDoubleFunction<DecisionTrial> figure) {
+        return trials.stream().mapToDouble(figure).sorted().toArray()[SEEDS / 2];
+    }
+
+    private static double percentile(DecisionTrial trial, double share) {
+        double[] sorted = trial.latencies.stream()
+                .mapToDouble(Double::doubleValue)
+                .sorted()
+                .toArray();
+        return sorted[(int) Math.min(sorted.length - 1, Math.ceil(sorted.length * share))];
+    }
+}
