--- a/claims/src/main/java/org/oleanderturn/claims/ClaimState.java
+++ b/claims/src/main/java/org/oleanderturn/claims/ClaimState.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.claims;
 
+import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 
 /**
@@ -8,6 +9,12 @@
  * <p>Immutable and thread safe.
  */
 @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME)
+@JsonSubTypes({
+    @JsonSubTypes.Type(ClaimState.Claimed.class),
+    @JsonSubTypes.Type(ClaimState.Finished.class),
+    @JsonSubTypes.Type(ClaimState.FinishedUnrecorded.class),
+    @JsonSubTypes.Type(ClaimState.Released.class)
+})
 public sealed interface ClaimState {
 
     /** The holder of the token may run the booking, runs it, or ran it. */
--- /dev/null
+++ b/claims/src/test/java/org/oleanderturn/claims/BookingClaimsTest.java
@@ -0,0 +1,175 @@
+package org.oleanderturn.claims;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.platform.FakeStore;
+
+final class BookingClaimsTest {
+    private static final IdempotencyKey KEY = new IdempotencyKey(ServiceName.of("bookings"), "order-1");
+    private static final Digest FINGERPRINT = Digest.compute(new byte[] {1});
+    private static final Digest OTHER_FINGERPRINT = Digest.compute(new byte[] {2});
+    private static final RecordedAnswer ANSWER =
+            RecordedAnswer.of(201, List.of(new RecordedAnswer.Header("Location", "/1")), new byte[] {3, 4});
+
+    private final long[] clock = {0};
+    private final FakeStore store = FakeStore.of(() -> clock[0]);
+    private final ClaimSettings settings = ClaimSettings.defaults();
+    private final BookingClaims claims = claims(1);
+    private final BookingClaims others = claims(2);
+
+    @Test
+    void shouldReplayWholeAnswerWhenFinished() {
+        ClaimHandle handle = grant(claims);
+        assertThat(claims.start(handle)).isTrue();
+        assertThat(claims.complete(handle, ANSWER)).isEqualTo(new SettleOutcome.Settled());
+        var replay = (ClaimDecision.AlreadyFinished) others.claim(KEY, FINGERPRINT);
+        assertThat(replay.answer().status()).isEqualTo(ANSWER.status());
+        assertThat(replay.answer().headers()).isEqualTo(ANSWER.headers());
+        assertThat(replay.answer().body()).isEqualTo(ANSWER.body());
+    }
+
+    @Test
+    void shouldSayThatItRanWhenAnswerIsTooLarge() {
+        ClaimHandle handle = grant(claims);
+        assertThat(claims.start(handle)).isTrue();
+        var large = RecordedAnswer.of(201, List.of(), new byte[RecordedAnswer.MAXIMUM_BYTES + 1]);
+        assertThat(claims.complete(handle, large)).isEqualTo(new SettleOutcome.Settled());
+        assertThat(others.claim(KEY, FINGERPRINT)).isEqualTo(new ClaimDecision.AlreadyFinishedUnrecorded(201));
+    }
+
+    @Test
+    void shouldRefuseWhenKeyWasUsedForAnotherRequest() {
+        ClaimHandle handle = grant(claims);
+        assertThat(others.claim(KEY, OTHER_FINGERPRINT)).isEqualTo(new ClaimDecision.KeyReused());
+        assertThat(claims.release(handle)).isEqualTo(new SettleOutcome.Settled());
+        assertThat(others.claim(KEY, OTHER_FINGERPRINT)).isInstanceOf(ClaimDecision.Granted.class);
+    }
+
+    @Test
+    void shouldKeepKeysApartWhenServicesDiffer() {
+        grant(claims);
+        IdempotencyKey other = new IdempotencyKey(ServiceName.of("visits"), KEY.text());
+        assertThat(others.claim(other, FINGERPRINT)).isInstanceOf(ClaimDecision.Granted.class);
+    }
+
+    @Test
+    void shouldSayUnknownWhenAnotherAttemptHoldsKey() {
+        grant(claims);
+        assertThat(others.claim(KEY, FINGERPRINT))
+                .isEqualTo(new ClaimDecision.InProgressOrUnknown(Optional.of(settings.retryAfter())));
+        clock[0] += settings.startWithin().multipliedBy(2).toMillis();
+        assertThat(others.claim(KEY, FINGERPRINT)).isEqualTo(new ClaimDecision.InProgressOrUnknown(Optional.empty()));
+    }
+
+    @Test
+    void shouldSayNotRunWhenStoreIsUnreachable() {
+        store.setStanding(FakeStore.Fault.UNREACHABLE);
+        assertThat(claims.claim(KEY, FINGERPRINT)).isInstanceOf(ClaimDecision.NotRun.class);
+        assertThat(claims.counts().waiting()).isEqualTo(0);
+        store.setStanding(FakeStore.Fault.NONE);
+        grant(others);
+    }
+
+    @Test
+    void shouldSettleOnceWhenHandleIsUsedAgain() {
+        ClaimHandle handle = grant(claims);
+        assertThat(claims.complete(handle, ANSWER)).isEqualTo(new SettleOutcome.AlreadySettled());
+        assertThat(claims.release(handle)).isEqualTo(new SettleOutcome.Settled());
+        assertThat(claims.release(handle)).isEqualTo(new SettleOutcome.AlreadySettled());
+        assertThat(claims.start(handle)).isFalse();
+        assertThat(claims.complete(handle, ANSWER)).isEqualTo(new SettleOutcome.AlreadySettled());
+    }
+
+    @Test
+    void shouldLeaveOthersClaimAloneWhenReleasedTwiceByStaleHandle() {
+        ClaimHandle stale = grant(claims);
+        ClaimHandle copy = ClaimHandle.of(stale.key(), stale.record(), stale.revision(), Long.MAX_VALUE);
+        assertThat(claims.release(stale)).isEqualTo(new SettleOutcome.Settled());
+        grant(others);
+        assertThat(claims.start(copy)).isTrue();
+        assertThat(claims.release(copy)).isEqualTo(new SettleOutcome.Superseded());
+        assertThat(claims.claim(KEY, FINGERPRINT)).isInstanceOf(ClaimDecision.InProgressOrUnknown.class);
+    }
+
+    @Test
+    void shouldHoldKeyUntilRetentionEndsWhenLeaseIsShared() {
+        IdempotencyKey earlier = new IdempotencyKey(ServiceName.of("bookings"), "order-0");
+        assertThat(claims.claim(earlier, FINGERPRINT)).isInstanceOf(ClaimDecision.Granted.class);
+        clock[0] += RetentionLease.SHARING.minusMillis(1).toMillis();
+        grant(claims);
+        clock[0] += settings.retention().toMillis();
+        assertThat(others.claim(KEY, FINGERPRINT)).isInstanceOf(ClaimDecision.InProgressOrUnknown.class);
+        clock[0] += RetentionLease.SHARING.toMillis();
+        assertThat(others.claim(KEY, FINGERPRINT)).isInstanceOf(ClaimDecision.Granted.class);
+    }
+
+    @Test
+    void shouldHoldKeyUntilRetentionEndsWhenSharedLeaseIsPastItsTime() {
+        grant(claims);
+        clock[0] += RetentionLease.SHARING.toMillis();
+        IdempotencyKey later = new IdempotencyKey(ServiceName.of("bookings"), "order-2");
+        assertThat(claims.claim(later, FINGERPRINT)).isInstanceOf(ClaimDecision.Granted.class);
+        clock[0] += settings.retention().toMillis();
+        assertThat(others.claim(later, FINGERPRINT)).isInstanceOf(ClaimDecision.InProgressOrUnknown.class);
+    }
+
+    @Test
+    void shouldNotStartWhenFrozenPastRetention() {
+        ClaimHandle handle = grant(claims);
+        clock[0] += settings.retention().plus(RetentionLease.SHARING).toMillis();
+        ClaimHandle again = grant(others);
+        assertThat(claims.start(handle)).isFalse();
+        assertThat(claims.release(handle)).isEqualTo(new SettleOutcome.Superseded());
+        assertThat(others.start(again)).isTrue();
+    }
+
+    @Test
+    void shouldClaimUnderNewLeaseWhenStoreEndedTheLast() {
+        grant(claims);
+        store.restore(java.util.Map.of());
+        var _ = store.revokeLease(org.oleanderturn.platform.LeaseId.of(1));
+        grant(claims);
+    }
+
+    @Test
+    void shouldKeepTryingWhenResultIsNotRecorded() {
+        ClaimHandle handle = grant(claims);
+        assertThat(claims.start(handle)).isTrue();
+        store.setStanding(FakeStore.Fault.UNREACHABLE);
+        assertThat(claims.complete(handle, ANSWER)).isInstanceOf(SettleOutcome.Pending.class);
+        assertThat(claims.settleWaiting()).isEqualTo(1);
+        store.setStanding(FakeStore.Fault.NONE);
+        assertThat(claims.settleWaiting()).isEqualTo(0);
+        assertThat(others.claim(KEY, FINGERPRINT)).isInstanceOf(ClaimDecision.AlreadyFinished.class);
+    }
+
+    @Test
+    void shouldRefuseWhenTooManySettlementsWait() {
+        store.setStanding(FakeStore.Fault.NONE);
+        grant(claims);
+        store.setStanding(FakeStore.Fault.REQUEST_LOST);
+        for (int lost = 0; lost < AbandonedClaims.CAPACITY; lost++) {
+            IdempotencyKey key = new IdempotencyKey(ServiceName.of("bookings"), "lost-" + lost);
+            assertThat(claims.claim(key, FINGERPRINT)).isInstanceOf(ClaimDecision.NotRun.class);
+        }
+        store.setStanding(FakeStore.Fault.NONE);
+        assertThat(claims.claim(KEY, FINGERPRINT))
+                .isEqualTo(new ClaimDecision.NotRun(new ClaimDecision.Reason.Saturated(), Duration.ofSeconds(2)));
+        assertThat(claims.settleWaiting()).isEqualTo(0);
+    }
+
+    private BookingClaims claims(long seed) {
+        return BookingClaims.of(store, settings, () -> clock[0], new Random(seed));
+    }
+
+    private static ClaimHandle grant(BookingClaims claims) {
+        return ((ClaimDecision.Granted) claims.claim(KEY, FINGERPRINT)).handle();
+    }
+}
--- /dev/null
+++ b/claims/src/test/java/org/oleanderturn/claims/ClaimScenario.java
@@ -0,0 +1,225 @@
+package org.oleanderturn.claims;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.platform.FakeStore;
+
+/** Runs one booking through claims whose store calls fail as scripted, and checks the invariants after each step. */
+final class ClaimScenario {
+    enum Protocol {
+        CLAIM,
+        COMPLETE,
+        RELEASE
+    }
+
+    enum SecondCaller {
+        NONE,
+        BEFORE_EFFECT,
+        AFTER_PROTOCOL
+    }
+
+    enum Crash {
+        NONE,
+        BEFORE_RUN,
+        AFTER_RUN,
+        FROZEN_BEFORE_RUN
+    }
+
+    enum LateEffect {
+        AT_ONCE,
+        AFTER_SECOND_CALLER,
+        AFTER_SETTLING
+    }
+
+    record Case(
+            Protocol protocol,
+            int step,
+            FakeStore.Fault fault,
+            int repeats,
+            SecondCaller secondCaller,
+            Crash crash,
+            LateEffect late) {}
+
+    private static final IdempotencyKey KEY = new IdempotencyKey(ServiceName.of("bookings"), "order-1");
+    private static final Digest FINGERPRINT = Digest.compute(new byte[] {1});
+
+    private final Case scenario;
+    private final long[] clock = {1_000};
+    private final FakeStore store = FakeStore.of(() -> clock[0]);
+    private final ClaimSettings settings = ClaimSettings.defaults();
+    private final BookingClaims first;
+    private final BookingClaims second;
+    private final List<ClaimToken> runs = new ArrayList<>();
+    private final Map<ClaimToken, RecordedAnswer> answers = new HashMap<>();
+    private boolean isFirstDead;
+    private boolean isReached;
+
+    ClaimScenario(Case scenario, long seed) {
+        this.scenario = scenario;
+        this.first = BookingClaims.of(store, settings, () -> clock[0], new Random(seed));
+        this.second = BookingClaims.of(store, settings, () -> clock[0], new Random(seed + 1));
+    }
+
+    /** Runs the scenario; answers whether the fault was reached. */
+    boolean run() {
+        runFirst();
+        deliverLate(LateEffect.AT_ONCE);
+        if (scenario.secondCaller() == SecondCaller.AFTER_PROTOCOL) {
+            attempt(second);
+        }
+        deliverLate(LateEffect.AFTER_SECOND_CALLER);
+        settle();
+        deliverLate(LateEffect.AFTER_SETTLING);
+        settle();
+        attempt(second);
+        store.heal();
+        settle();
+        attempt(second);
+        store.deliverLate();
+        attempt(first);
+        checkUsable();
+        return isReached;
+    }
+
+    // -- steps
+
+    private void runFirst() {
+        arm(Protocol.CLAIM);
+        if (!(first.claim(KEY, FINGERPRINT) instanceof ClaimDecision.Granted(ClaimHandle handle))) {
+            return;
+        }
+        checkDurable(handle);
+        switch (scenario.crash()) {
+            case BEFORE_RUN -> isFirstDead = true;
+            case FROZEN_BEFORE_RUN -> resumeLate(handle);
+            case AFTER_RUN -> {
+                start(first, handle);
+                isFirstDead = true;
+            }
+            case NONE -> finish(handle);
+        }
+        check(runs.size() <= 1, "one run");
+    }
+
+    private void resumeLate(ClaimHandle handle) {
+        clock[0] += settings.startWithin().toMillis();
+        attempt(second);
+        check(!first.start(handle), "a frozen claimer does not start");
+        arm(Protocol.RELEASE);
+        var _ = first.release(handle);
+    }
+
+    private void finish(ClaimHandle handle) {
+        if (scenario.protocol() == Protocol.RELEASE) {
+            check(first.start(handle), "start");
+            arm(Protocol.RELEASE);
+            var _ = first.release(handle);
+            return;
+        }
+        start(first, handle);
+        arm(Protocol.COMPLETE);
+        var _ = first.complete(handle, answers.get(handle.token()));
+    }
+
+    private void attempt(BookingClaims claims) {
+        switch (claims.claim(KEY, FINGERPRINT)) {
+            case ClaimDecision.Granted(ClaimHandle handle) -> {
+                checkDurable(handle);
+                start(claims, handle);
+                var _ = claims.complete(handle, answers.get(handle.token()));
+            }
+            case ClaimDecision.AlreadyFinished(RecordedAnswer answer) -> checkWhole(answer);
+            case ClaimDecision.KeyReused _ -> check(false, "the key was not reused");
+            default -> {}
+        }
+    }
+
+    private void start(BookingClaims claims, ClaimHandle handle) {
+        check(claims.start(handle), "a fresh claim starts");
+        check(!claims.start(handle), "a handle starts once");
+        runs.add(handle.token());
+        answers.put(handle.token(), answerOf(handle.token()));
+        check(runs.size() == 1, "a booking runs at most once");
+    }
+
+    private void settle() {
+        if (!isFirstDead) {
+            var _ = first.settleWaiting();
+        }
+        var _ = second.settleWaiting();
+        check(runs.size() <= 1, "a booking runs at most once");
+    }
+
+    private void arm(Protocol protocol) {
+        if (protocol != scenario.protocol()) {
+            return;
+        }
+        for (int call = 0; call < scenario.step(); call++) {
+            store.interlude(() -> {});
+        }
+        store.interlude(() -> {
+            isReached = true;
+            if (scenario.secondCaller() == SecondCaller.BEFORE_EFFECT) {
+                attempt(second);
+            }
+            for (int repeat = 0; repeat < scenario.repeats(); repeat++) {
+                store.script(scenario.fault());
+            }
+        });
+    }
+
+    private void deliverLate(LateEffect when) {
+        if (when == scenario.late()) {
+            store.deliverLate();
+        }
+    }
+
+    // -- invariants
+
+    private void checkDurable(ClaimHandle handle) {
+        check(
+                stored().stream().anyMatch(record -> record.equals(handle.record())),
+                "a grant is durable before it is answered");
+    }
+
+    private void checkWhole(RecordedAnswer answer) {
+        boolean isWhole = answers.values().stream()
+                .anyMatch(recorded -> recorded.status() == answer.status()
+                        && recorded.headers().equals(answer.headers())
+                        && Arrays.equals(recorded.body(), answer.body()));
+        check(isWhole, "a replay is the whole recorded answer");
+    }
+
+    /** A live first caller leaves no key blocked that never ran. */
+    private void checkUsable() {
+        if (!isFirstDead) {
+            check(runs.size() == 1, "a booking not run can run when it is sent again");
+        }
+    }
+
+    private List<ClaimRecord> stored() {
+        return store.content().values().stream()
+                .map(bytes ->
+                        Codec.messagePack().decode(bytes, ClaimRecord.class).get())
+                .toList();
+    }
+
+    private void check(boolean holds, String invariant) {
+        if (!holds) {
+            throw new AssertionError(invariant + ": " + scenario + ", runs " + runs.size());
+        }
+    }
+
+    private static RecordedAnswer answerOf(ClaimToken token) {
+        byte[] body = ("booked by " + token.text()).getBytes(StandardCharsets.UTF_8);
+        return RecordedAnswer.of(201, List.of(new RecordedAnswer.Header("Location", "/bookings/1")), body);
+    }
+}
