--- a/claims/src/test/java/org/oleanderturn/claims/BookingClaimsTest.java
+++ b/claims/src/test/java/org/oleanderturn/claims/BookingClaimsTest.java
@@ -98,6 +98,24 @@
         assertThat(claims.claim(KEY, FINGERPRINT)).isInstanceOf(ClaimDecision.InProgressOrUnknown.class);
     }
 
+    @Test
+    void shouldKeepResultWhenReleasedByStaleHandle() {
+        ClaimHandle handle = grant(claims);
+        ClaimHandle stale = ClaimHandle.of(handle.key(), handle.record(), handle.revision(), Long.MAX_VALUE);
+        assertThat(claims.start(handle)).isTrue();
+        assertThat(claims.complete(handle, ANSWER)).isEqualTo(new SettleOutcome.Settled());
+        assertThat(claims.release(stale)).isEqualTo(new SettleOutcome.Superseded());
+        assertThat(others.claim(KEY, FINGERPRINT)).isInstanceOf(ClaimDecision.AlreadyFinished.class);
+    }
+
+    @Test
+    void shouldLeaveNothingToSettleWhenAnswerToLeaseIsLost() {
+        store.script(FakeStore.Fault.ANSWER_LOST);
+        assertThat(claims.claim(KEY, FINGERPRINT)).isInstanceOf(ClaimDecision.NotRun.class);
+        assertThat(claims.counts().waiting()).isEqualTo(0);
+        assertThat(store.content()).isEmpty();
+    }
+
     @Test
     void shouldHoldKeyUntilRetentionEndsWhenLeaseIsShared() {
         IdempotencyKey earlier = new IdempotencyKey(ServiceName.of("bookings"), "order-0");
