--- a/distribution/src/main/java/org/oleanderturn/distribution/Adoption.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Adoption.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.distribution;
 
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import org.oleanderturn.model.ConfigurationFault;
 import org.oleanderturn.model.ConfigurationVersion;
@@ -10,6 +11,7 @@
  *
  * <p>Immutable and thread safe.
  */
+@JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
 public sealed interface Adoption {
 
     /** The offered version is now held. */
@@ -28,6 +30,7 @@
     record Rejected(ConfigurationVersion offered, Rejection rejection) implements Adoption {}
 
     /** Why a configuration is kept out. */
+    @JsonTypeInfo(use = JsonTypeInfo.Id.SIMPLE_NAME, property = "type")
     sealed interface Rejection {
 
         /** The stated digest is not that of the content. */
--- /dev/null
+++ b/distribution/src/test/java/org/oleanderturn/distribution/MessageEncodingTest.java
@@ -0,0 +1,76 @@
+package org.oleanderturn.distribution;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.ConfigurationDelta;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.NodeId;
+
+class MessageEncodingTest {
+    private static final ConfigurationVersion VERSION = ConfigurationVersion.of(2);
+
+    static Stream<ConfigurationUpdate> updates() {
+        return Stream.of(
+                new ConfigurationUpdate.Current(VERSION),
+                new ConfigurationUpdate.Delta(ConfigurationDelta.between(Samples.snapshot(1), Samples.snapshot(2))),
+                new ConfigurationUpdate.Snapshot(Samples.snapshot(2)),
+                new ConfigurationUpdate.Busy(500));
+    }
+
+    static Stream<PushAnswer> answers() {
+        return Stream.of(
+                new PushAnswer.Adopted(VERSION),
+                new PushAnswer.AlreadyHeld(VERSION),
+                new PushAnswer.Behind(VERSION, Samples.snapshot(2).digest()),
+                new PushAnswer.Rejected(VERSION));
+    }
+
+    @ParameterizedTest
+    @MethodSource("updates")
+    void shouldSurviveEncodingWhenItIsAnUpdate(ConfigurationUpdate update) {
+        byte[] bytes = Codec.messagePack().encode(update);
+
+        assertThat(Codec.messagePack().decode(bytes, ConfigurationUpdate.class)).isEqualTo(Either.right(update));
+    }
+
+    @ParameterizedTest
+    @MethodSource("answers")
+    void shouldSurviveEncodingWhenItIsAnAnswer(PushAnswer answer) {
+        byte[] bytes = Codec.messagePack().encode(answer);
+
+        assertThat(Codec.messagePack().decode(bytes, PushAnswer.class)).isEqualTo(Either.right(answer));
+    }
+
+    @Test
+    void shouldSurviveEncodingWhenItIsARecollectionOrAStatus() {
+        PeerRecollection recollection = new PeerRecollection(NodeId.of("first"), true, VERSION, VERSION);
+        Readiness readiness = new Readiness.Asking(List.of(NodeId.of("first")));
+        StoreStatus status = new StoreStatus.StoreBehind(VERSION, VERSION);
+
+        assertThat(Codec.messagePack().decode(Codec.messagePack().encode(recollection), PeerRecollection.class))
+                .isEqualTo(Either.right(recollection));
+        assertThat(Codec.json().decode(Codec.json().encode(readiness), Readiness.class))
+                .isEqualTo(Either.right(readiness));
+        assertThat(Codec.json().decode(Codec.json().encode(status), StoreStatus.class))
+                .isEqualTo(Either.right(status));
+    }
+
+    @Test
+    void shouldSurviveEncodingWhenARejectionIsInTheStateDump() {
+        ConfigurationHolder holder = ConfigurationHolder.empty();
+        holder.adopt(Samples.snapshot(1));
+        holder.adopt(ConfigurationSnapshot.of(ConfigurationVersion.of(1), Samples.services(9, 9)));
+        AdoptionStatus status = holder.status();
+
+        assertThat(Codec.json().decode(Codec.json().encode(status), AdoptionStatus.class))
+                .isEqualTo(Either.right(status));
+    }
+}
