Refuse JSON that says a field twice or gives another type for it

"slots": 1.5 was taken as 1, "10" as 10, a second "slots" replaced the first in silence, and a number stood for a text: what is declared must be what is proposed. MessagePack between processes is left as it was.

Also: one walk over the nodes for all queries, and a null element is a typed failure.

--- a/command/src/main/java/org/oleanderturn/command/CommandSettings.java
+++ b/command/src/main/java/org/oleanderturn/command/CommandSettings.java
@@ -60,9 +60,9 @@
         List<Address> addresses = new ArrayList<>();
         for (String text : texts) {
             try {
-                addresses.add(Address.parse(text.strip()));
+                addresses.add(Address.parse(String.valueOf(text).strip()));
             } catch (IllegalArgumentException malformed) {
-                return Either.left(new CommandFailure.MalformedValue(place, text, "HOST:PORT"));
+                return Either.left(new CommandFailure.MalformedValue(place, String.valueOf(text), "HOST:PORT"));
             }
         }
         return Either.right(new CommandSettings(addresses, timeoutMilliseconds, format));
--- a/command/src/main/java/org/oleanderturn/command/DeclarationFolder.java
+++ b/command/src/main/java/org/oleanderturn/command/DeclarationFolder.java
@@ -15,6 +15,7 @@
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.DecodeFailure;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.Service;
 import org.oleanderturn.model.TrafficPolicy;
@@ -92,6 +93,10 @@
             Source source,
             Map<String, String> declaredIn) {
         for (T object : objects.orElse(List.of())) {
+            if (object == null) {
+                DecodeFailure failure = DecodeFailure.of(sort, "an element is null");
+                return Optional.of(new CommandFailure.MalformedFile(source.file(), failure));
+            }
             String path = sort + name.apply(object);
             String earlier = declaredIn.putIfAbsent(path, source.file());
             if (earlier != null) {
--- a/command/src/main/java/org/oleanderturn/command/Nodes.java
+++ b/command/src/main/java/org/oleanderturn/command/Nodes.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Function;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ChangeOutcome;
 import org.oleanderturn.model.Codec;
@@ -45,30 +46,13 @@
 
     /** Returns the first answer that is whole and of the given type. */
     public <T> Either<CommandFailure, T> ask(String path, Class<T> type) {
-        List<CommandFailure> failures = new ArrayList<>();
-        for (Address node : addresses) {
-            Either<CommandFailure, T> answer = decoded(node, client.get(node, path), type);
-            if (answer.isRight()) {
-                return answer;
-            }
-            failures.add(answer.getLeft());
-        }
-        return Either.left(CommandFailure.NoNodeAnswered.of(failures));
+        return first(node -> client.get(node, path), type);
     }
 
     /** Returns what a node finds wrong with a configuration. */
     public Either<CommandFailure, ConfigurationCheck> check(Configuration configuration) {
         byte[] body = Codec.json().encode(configuration);
-        List<CommandFailure> failures = new ArrayList<>();
-        for (Address node : addresses) {
-            Either<CommandFailure, ConfigurationCheck> answer =
-                    decoded(node, client.post(node, OperatorPaths.CHECK, body), ConfigurationCheck.class);
-            if (answer.isRight()) {
-                return answer;
-            }
-            failures.add(answer.getLeft());
-        }
-        return Either.left(CommandFailure.NoNodeAnswered.of(failures));
+        return first(node -> client.post(node, OperatorPaths.CHECK, body), ConfigurationCheck.class);
     }
 
     /** Returns what is known of a proposal, asking until some node knows for certain. */
@@ -108,6 +92,19 @@
         return fold.result();
     }
 
+    private <T> Either<CommandFailure, T> first(
+            Function<Address, Either<CommandFailure, byte[]>> exchange, Class<T> type) {
+        List<CommandFailure> failures = new ArrayList<>();
+        for (Address node : addresses) {
+            Either<CommandFailure, T> answer = decoded(node, exchange.apply(node), type);
+            if (answer.isRight()) {
+                return answer;
+            }
+            failures.add(answer.getLeft());
+        }
+        return Either.left(CommandFailure.NoNodeAnswered.of(failures));
+    }
+
     private OutcomeFold askAll(OutcomeFold start, ProposalId id) {
         OutcomeFold fold = start;
         for (Address node : addresses) {
--- a/command/src/test/java/org/oleanderturn/command/CommandSettingsTest.java
+++ b/command/src/test/java/org/oleanderturn/command/CommandSettingsTest.java
@@ -33,6 +33,7 @@
             value = {
                 "{'node':[]}|node",
                 "{'nodes':['here']}|nodes: expected HOST:PORT",
+                "{'nodes':[null]}|nodes: expected HOST:PORT",
                 "{'timeoutMilliseconds':0}|timeoutMilliseconds: expected milliseconds from 1 to 600000",
                 "{'timeoutMilliseconds':'soon'}|timeoutMilliseconds",
                 "[]|Cannot deserialize"
--- a/command/src/test/java/org/oleanderturn/command/DeclarationFolderTest.java
+++ b/command/src/test/java/org/oleanderturn/command/DeclarationFolderTest.java
@@ -50,6 +50,14 @@
                 "{'service':[]}|service",
                 "{'services':[{'name':'docs','slots':10}]}|services[0].connections",
                 "{'services':[{'name':'docs','slots':'ten','connections':1}]}|services[0].slots",
+                "{'services':[{'name':'docs','slots':'10','connections':1}]}|services[0].slots",
+                "{'services':[{'name':'docs','slots':1.5,'connections':1}]}|services[0].slots",
+                "{'services':[{'name':'docs','slots':1,'slots':2,'connections':1}]}|services[0]",
+                "{'services':[{'name':'docs','slots':null,'connections':1}]}|services[0].slots",
+                "{'services':[null]}|services/",
+                "{'routes':[{'name':'docs','pathPrefix':5}]}|routes[0].pathPrefix",
+                "{'routes':[{'name':'docs','pathPrefix':'/','methods':['GET'],'service':'docs','kind':0,"
+                        + "'trafficPolicy':'docs'}]}|routes[0].kind",
                 "{'services':[{'name':'Docs!','slots':1,'connections':1}]}|services[0].name",
                 "{'routes':[{'name':'docs','pathPrefix':'/','methods':['GET'],'service':'docs','kind':'WALK',"
                         + "'trafficPolicy':'docs'}]}|routes[0].kind",
--- a/command/src/test/java/org/oleanderturn/command/GrammarTest.java
+++ b/command/src/test/java/org/oleanderturn/command/GrammarTest.java
@@ -6,12 +6,16 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -27,6 +31,7 @@
 
 class GrammarTest {
     private static final String CONFIGURATION = "GET /v1/configuration";
+    private static final long SLOW_BYTE_NANOSECONDS = 5_000_000;
     private static final NodeId NODE = NodeId.of("hobart-1");
     private static final ConfigurationSnapshot SNAPSHOT = ConfigurationSnapshot.of(
             ConfigurationVersion.of(7), Configuration.of(List.of(Service.of("docs", 10, 120)), List.of(), List.of()));
@@ -104,6 +109,31 @@
         }
     }
 
+    @Test
+    @Timeout(20)
+    void shouldEndWithinItsTimeoutWhenAnAnswerComesByteByByte() throws IOException {
+        try (ServerSocket slow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> sendHeaderForever(slow));
+            String node = "127.0.0.1:" + slow.getLocalPort();
+
+            CommandRun run = CommandRun.of(List.of(), "query", "state", "--node", node, "--timeout", "200");
+
+            assertThat(run.code()).isEqualTo(4);
+        }
+    }
+
+    private static void sendHeaderForever(ServerSocket server) {
+        try (Socket socket = server.accept()) {
+            socket.getOutputStream().write("HTTP/1.1 200 OK\r\nSlow: ".getBytes(StandardCharsets.US_ASCII));
+            while (true) {
+                socket.getOutputStream().write('a');
+                LockSupport.parkNanos(SLOW_BYTE_NANOSECONDS);
+            }
+        } catch (IOException closedByClient) {
+            return;
+        }
+    }
+
     @Test
     void shouldNameEachDifferenceWhenDeclarationsDiffer() throws IOException {
         first.answers(CONFIGURATION, SNAPSHOT);
--- a/model/src/main/java/org/oleanderturn/model/Codec.java
+++ b/model/src/main/java/org/oleanderturn/model/Codec.java
@@ -1,11 +1,15 @@
 package org.oleanderturn.model;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.cfg.CoercionAction;
+import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.type.LogicalType;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vavr.control.Either;
 import java.io.ByteArrayInputStream;
@@ -22,12 +26,12 @@
  * Encodes and decodes records as JSON, as MessagePack, and as compressed MessagePack.
  *
  * <p>Invariant: decoding is strict; an unknown field or a null primitive is a failure, and so are bytes left over
- * after JSON. Thread safe.
+ * after JSON. JSON takes no field twice and no number or text in place of another type. Thread safe.
  */
 public final class Codec {
     private static final int MAXIMUM_INFLATED_BYTES = 64 * 1024 * 1024;
-    private static final Codec JSON = new Codec(
-            strict(JsonMapper.builder().build()).configure(DeserializationFeature.FAIL_ON_TRAILING_TOKENS, true));
+    private static final Codec JSON =
+            new Codec(stricter(strict(JsonMapper.builder().build())));
     private static final Codec MESSAGE_PACK = new Codec(strict(new ObjectMapper(new MessagePackFactory())));
 
     private final ObjectMapper mapper;
@@ -116,4 +120,16 @@
                 .configure(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES, true)
                 .configure(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES, false);
     }
+
+    private static ObjectMapper stricter(ObjectMapper mapper) {
+        mapper.coercionConfigFor(LogicalType.Textual)
+                .setCoercion(CoercionInputShape.Integer, CoercionAction.Fail)
+                .setCoercion(CoercionInputShape.Float, CoercionAction.Fail)
+                .setCoercion(CoercionInputShape.Boolean, CoercionAction.Fail);
+        return mapper.configure(DeserializationFeature.FAIL_ON_TRAILING_TOKENS, true)
+                .configure(DeserializationFeature.ACCEPT_FLOAT_AS_INT, false)
+                .configure(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS, true)
+                .configure(MapperFeature.ALLOW_COERCION_OF_SCALARS, false)
+                .configure(JsonParser.Feature.STRICT_DUPLICATE_DETECTION, true);
+    }
 }
