End an exchange by one deadline

A socket timeout beside the deadline protected nothing that the deadline does not (a trial without it stayed green), and gave the same failure two names. The deadline alone closes the socket, and the failure says how long it waited.

--- a/command/src/main/java/org/oleanderturn/command/OperatorClient.java
+++ b/command/src/main/java/org/oleanderturn/command/OperatorClient.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -27,7 +28,6 @@
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.net.URIAuthority;
-import org.apache.hc.core5.util.Timeout;
 import org.oleanderturn.model.Address;
 
 /**
@@ -83,16 +83,19 @@
     private Either<CommandFailure, byte[]> exchangeWithin(Address node, ClassicHttpRequest request, Socket socket)
             throws IOException, HttpException {
         Executor atDeadline = CompletableFuture.delayedExecutor(timeoutMilliseconds, TimeUnit.MILLISECONDS);
-        CompletableFuture<Void> deadline = CompletableFuture.runAsync(() -> close(socket), atDeadline);
+        AtomicBoolean isExpired = new AtomicBoolean();
+        CompletableFuture<Void> deadline = CompletableFuture.runAsync(() -> expire(isExpired, socket), atDeadline);
         try (DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(Http1Config.DEFAULT)) {
             connection.bind(socket);
-            connection.setSocketTimeout(Timeout.ofMilliseconds(timeoutMilliseconds));
             HttpRequestExecutor executor = new HttpRequestExecutor();
             HttpCoreContext context = HttpCoreContext.create();
             executor.preProcess(request, PROCESSOR, context);
             try (ClassicHttpResponse response = executor.execute(request, connection, context)) {
                 return answer(node, response);
             }
+        } catch (IOException cause) {
+            String reason = isExpired.get() ? "no whole answer within " + timeoutMilliseconds + " ms" : reasonOf(cause);
+            return Either.left(new CommandFailure.AnswerLost(node, reason));
         } finally {
             deadline.cancel(false);
         }
@@ -112,7 +115,8 @@
         return Either.left(new CommandFailure.Rejected(node, response.getCode(), retryAfter, text));
     }
 
-    private static void close(Socket socket) {
+    private static void expire(AtomicBoolean isExpired, Socket socket) {
+        isExpired.set(true);
         try {
             socket.close();
         } catch (IOException cause) {
--- a/command/src/test/java/org/oleanderturn/command/GrammarTest.java
+++ b/command/src/test/java/org/oleanderturn/command/GrammarTest.java
@@ -105,7 +105,7 @@
             CommandRun run = CommandRun.of(List.of(), "query", "state", "--node", node, "--timeout", "50");
 
             assertThat(run.code()).isEqualTo(4);
-            assertThat(run.errors()).contains("AnswerLost");
+            assertThat(run.errors()).contains("its answer lost: no whole answer within 50 ms");
         }
     }
 
