Let the tests of the deadline fail rather than hang

With the line that closes the socket taken out, both tests blocked in a read that an interrupt does not end, so the proof could not fail.

--- a/command/src/test/java/org/oleanderturn/command/GrammarTest.java
+++ b/command/src/test/java/org/oleanderturn/command/GrammarTest.java
@@ -98,6 +98,7 @@
     }
 
     @Test
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void shouldEndWithinItsTimeoutWhenANodeNeverAnswers() throws IOException {
         try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             String node = "127.0.0.1:" + silent.getLocalPort();
@@ -110,7 +111,7 @@
     }
 
     @Test
-    @Timeout(20)
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void shouldEndWithinItsTimeoutWhenAnAnswerComesByteByByte() throws IOException {
         try (ServerSocket slow = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Thread.ofVirtual().start(() -> sendHeaderForever(slow));
