Name every failure where a status or an outcome is derived from it

A default branch would have taken a new failure as a usage error, or as a lost answer, without a word from the compiler. Failures of input are a type of their own now.

--- a/command/src/main/java/org/oleanderturn/command/CommandFailure.java
+++ b/command/src/main/java/org/oleanderturn/command/CommandFailure.java
@@ -84,26 +84,29 @@
         }
     }
 
-    // -- input
-
-    /** No operator address was given. */
-    record NoNodeGiven() implements CommandFailure {
+    /** The program itself is at fault. */
+    record InternalFault(String reason) implements CommandFailure {
         @Override
         public String describe() {
-            return "give --node HOST:PORT, a settings file or " + CommandSettings.NODES_VARIABLE;
+            return reason;
         }
     }
 
-    /** The line does not fit the grammar. */
-    record MalformedCommandLine(String reason) implements CommandFailure {
+    // -- input
+
+    /** What the operator gave is malformed; nothing was sent. */
+    sealed interface Input extends CommandFailure {}
+
+    /** No operator address was given. */
+    record NoNodeGiven() implements Input {
         @Override
         public String describe() {
-            return reason;
+            return "give --node HOST:PORT, a settings file or " + CommandSettings.NODES_VARIABLE;
         }
     }
 
-    /** The program itself is at fault. */
-    record InternalFault(String reason) implements CommandFailure {
+    /** The line does not fit the grammar. */
+    record MalformedCommandLine(String reason) implements Input {
         @Override
         public String describe() {
             return reason;
@@ -111,7 +114,7 @@
     }
 
     /** A value on the command line, in the environment or in a settings file is malformed. */
-    record MalformedValue(String place, String found, String expected) implements CommandFailure {
+    record MalformedValue(String place, String found, String expected) implements Input {
         @Override
         public String describe() {
             return place + ": expected " + expected + ", found \"" + found + "\"";
@@ -119,7 +122,7 @@
     }
 
     /** A file or folder can't be read. */
-    record UnreadableFile(String file, String reason) implements CommandFailure {
+    record UnreadableFile(String file, String reason) implements Input {
         @Override
         public String describe() {
             return file + ": " + reason;
@@ -127,7 +130,7 @@
     }
 
     /** A file is not the JSON that was expected. */
-    record MalformedFile(String file, DecodeFailure failure) implements CommandFailure {
+    record MalformedFile(String file, DecodeFailure failure) implements Input {
         @Override
         public String describe() {
             return file + ": " + Texts.of(failure);
@@ -135,7 +138,7 @@
     }
 
     /** A folder holds no declaration file. */
-    record NoDeclaration(String folder) implements CommandFailure {
+    record NoDeclaration(String folder) implements Input {
         @Override
         public String describe() {
             return folder + ": holds no *.json file";
@@ -143,7 +146,7 @@
     }
 
     /** Two files, or one file twice, declare an object of one sort and name. */
-    record DeclaredTwice(String path, String firstFile, String secondFile) implements CommandFailure {
+    record DeclaredTwice(String path, String firstFile, String secondFile) implements Input {
         @Override
         public String describe() {
             return path + " is declared in " + firstFile + " and in " + secondFile;
@@ -151,7 +154,7 @@
     }
 
     /** A saved snapshot's digest is not that of its content. */
-    record DamagedSnapshot(String file) implements CommandFailure {
+    record DamagedSnapshot(String file) implements Input {
         @Override
         public String describe() {
             return file + ": the digest is not that of the configuration";
--- a/command/src/main/java/org/oleanderturn/command/ExitStatus.java
+++ b/command/src/main/java/org/oleanderturn/command/ExitStatus.java
@@ -59,7 +59,7 @@
             case CommandFailure.Rejected rejected -> rejected.isNotRun() ? REFUSED : UNDETERMINED;
             case CommandFailure.NoNodeAnswered noNodeAnswered -> worst(noNodeAnswered);
             case CommandFailure.InternalFault internalFault -> INTERNAL;
-            default -> USAGE;
+            case CommandFailure.Input input -> USAGE;
         };
     }
 
--- a/command/src/main/java/org/oleanderturn/command/OutcomeFold.java
+++ b/command/src/main/java/org/oleanderturn/command/OutcomeFold.java
@@ -98,7 +98,11 @@
         return switch (failure) {
             case CommandFailure.NotConnected notConnected -> true;
             case CommandFailure.Rejected rejected -> rejected.isNotRun();
-            default -> false;
+            case CommandFailure.Input input -> true;
+            case CommandFailure.AnswerLost answerLost -> false;
+            case CommandFailure.MalformedAnswer malformedAnswer -> false;
+            case CommandFailure.NoNodeAnswered noNodeAnswered -> false;
+            case CommandFailure.InternalFault internalFault -> false;
         };
     }
 
