Let split members find each other, and tell operators what each proxy holds now

Cause: 5 of 13 proxies were listed, because a node joined only while it was alone and the join addresses formed two islands; two nodes were named as behind for half a minute after they had adopted the version, because membership carries held versions lazily within its byte ration.

Ruled out: sending held versions eagerly; at 1,100 nodes that is one record a node for each change, for a figure that only operators read.

Change: a node that is not alone tries one unseen join address every 5 to 10 s; a query of the proxies asks the members that seem behind themselves. A node's admission no longer starts at one request at a time.

--- a/model/src/main/java/org/oleanderturn/model/Codec.java
+++ b/model/src/main/java/org/oleanderturn/model/Codec.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.model;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -113,6 +114,7 @@
     private static ObjectMapper strict(ObjectMapper mapper) {
         return mapper.setAnnotationIntrospector(new SealedSubtypes())
                 .registerModule(new Jdk8Module())
+                .setDefaultPropertyInclusion(JsonInclude.Include.NON_ABSENT)
                 .configure(MapperFeature.AUTO_DETECT_IS_GETTERS, false)
                 .configure(MapperFeature.SORT_PROPERTIES_ALPHABETICALLY, true)
                 .configure(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS, true)
--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -125,6 +125,15 @@
                         : Either.left(new ControlFailure.Malformed(answer.toString())));
     }
 
+    /** Asks several peers what they hold, all at once; a peer that does not answer gives a failure. */
+    List<Either<ControlFailure, PeerRecollection>> recollectAll(List<Address> peers, NodeId asker) {
+        List<CompletableFuture<Either<ControlFailure, PeerRecollection>>> pending = new ArrayList<>();
+        for (Address peer : peers) {
+            pending.add(CompletableFuture.supplyAsync(() -> recollect(peer, asker), executor));
+        }
+        return pending.stream().map(CompletableFuture::join).toList();
+    }
+
     // -- commands to one node
 
     /** Asks a node to drain its target, or to end the drain. */
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -34,10 +34,8 @@
     private static final long SPREAD_PAUSE_MILLISECONDS = 20;
     private static final long ELECTION_PAUSE_MILLISECONDS = 250;
     private static final long RECOVERY_PAUSE_MILLISECONDS = 100;
-    private static final long JOIN_PAUSE_MILLISECONDS = 2_000;
     private static final int UNKNOWN_SLOTS = 1;
 
-    private final NodeSettings settings;
     private final ConfigurationHolder holder = ConfigurationHolder.empty();
     private final ReadinessFloor floor = ReadinessFloor.unknown();
     private final Gossip gossip;
@@ -47,6 +45,7 @@
     private final Spreader spreader;
     private final Acceptor acceptor;
     private final Recovery recovery;
+    private final Joining joining;
     private final LongSupplier milliseconds;
 
     ControlPlane(
@@ -55,7 +54,7 @@
             ControlChannel channel,
             LongSupplier milliseconds,
             MembershipListener listener) {
-        this.settings = Objects.requireNonNull(settings, "settings is null");
+        Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(channel, "channel is null");
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
         RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
@@ -85,6 +84,7 @@
                 settings.platformRegion(),
                 split(random));
         this.acceptor = Acceptor.of(store, holder, history, directory::newestVersion);
+        this.joining = new Joining(gossip, settings.join(), split(random));
         this.recovery = new Recovery(settings.node(), settings.locality(), directory, holder, floor, spreader, channel);
     }
 
@@ -134,7 +134,7 @@
         loops.every(SPREAD_PAUSE_MILLISECONDS, () -> spreader.tick(milliseconds.getAsLong()));
         loops.every(ELECTION_PAUSE_MILLISECONDS, () -> election.tick(milliseconds.getAsLong()));
         loops.repeat(() -> watch.runOnce(milliseconds.getAsLong()));
-        loops.every(JOIN_PAUSE_MILLISECONDS, this::joinWhenAlone);
+        loops.repeat(joining::step);
         loops.every(RECOVERY_PAUSE_MILLISECONDS, () -> {
             if (recovery.step()) {
                 onReady.run();
@@ -149,14 +149,6 @@
         LockSupport.parkNanos(Duration.ofMillis(GOSSIP_PAUSE_MILLISECONDS).toNanos());
     }
 
-    private void joinWhenAlone() {
-        boolean isAlone =
-                gossip.table().reachablePeers().isEmpty() || gossip.table().isIsolated();
-        if (isAlone) {
-            gossip.join(settings.join());
-        }
-    }
-
     private static RandomGenerator split(RandomGenerator random) {
         return new SplittableRandom(random.nextLong());
     }
--- a/node/src/main/java/org/oleanderturn/node/DataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/DataPlane.java
@@ -41,7 +41,7 @@
  */
 final class DataPlane implements AutoCloseable {
     private static final int CONNECTIONS_PER_PEER = 512;
-    private static final int SLOTS_BEFORE_CONFIGURATION = 1;
+    private static final int SLOTS_BEFORE_CONFIGURATION = 10_000;
     private static final int QUEUE_BEFORE_CONFIGURATION = 0;
     private static final long HEALTH_PAUSE_MILLISECONDS = 500;
     private static final long EXPIRY_PAUSE_MILLISECONDS = 50;
--- a/node/src/main/java/org/oleanderturn/node/OperatorHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorHandler.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
@@ -12,7 +11,6 @@
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationCheck;
-import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.DecodeFailure;
 import org.oleanderturn.model.DrainOutcome;
 import org.oleanderturn.model.Names;
@@ -20,7 +18,6 @@
 import org.oleanderturn.model.OperatorPaths;
 import org.oleanderturn.model.Proposal;
 import org.oleanderturn.model.ProposalId;
-import org.oleanderturn.model.ProxyStatus;
 import org.oleanderturn.proxy.Answer;
 import org.oleanderturn.proxy.InboundRequest;
 import org.oleanderturn.proxy.RequestHandler;
@@ -42,6 +39,7 @@
     private final RoutingState routing;
     private final DrainControl drains;
     private final ControlChannel channel;
+    private final ProxyList proxies;
     private final NodeMetrics metrics;
     private final Supplier<StateDump> state;
 
@@ -56,6 +54,7 @@
         this.routing = Objects.requireNonNull(routing, "routing is null");
         this.drains = Objects.requireNonNull(drains, "drains is null");
         this.channel = Objects.requireNonNull(channel, "channel is null");
+        this.proxies = new ProxyList(control, channel);
         this.metrics = Objects.requireNonNull(metrics, "metrics is null");
         this.state = Objects.requireNonNull(state, "state is null");
     }
@@ -78,7 +77,7 @@
         return switch (path) {
             case OperatorPaths.STATE -> Answer.json(OK, state.get());
             case OperatorPaths.CONFIGURATION -> Answer.json(OK, control.holder().held());
-            case OperatorPaths.PROXIES -> Answer.json(OK, proxies());
+            case OperatorPaths.PROXIES -> Answer.json(OK, proxies.read());
             case OperatorPaths.ROUTES -> Answer.json(OK, routing.table().entries());
             case OperatorPaths.ENDPOINTS ->
                 Answer.json(OK, routing.table().view().all());
@@ -93,29 +92,6 @@
                 .orElseGet(() -> fault(NOT_FOUND, "UnknownPath", path, "no such query"));
     }
 
-    private List<ProxyStatus> proxies() {
-        ConfigurationVersion newest = ConfigurationVersion.newest(
-                control.holder().version(), control.directory().newestVersion());
-        MemberTable table = control.gossip().table();
-        return table.records().stream()
-                .map(record -> status(table, record, newest))
-                .toList();
-    }
-
-    private ProxyStatus status(MemberTable table, MemberRecord record, ConfigurationVersion newest) {
-        boolean isSelf = record.node().equals(table.local().node());
-        ConfigurationVersion held = isSelf ? control.holder().version() : record.heldVersion();
-        return new ProxyStatus(
-                record.node(),
-                record.endpoint().address(),
-                record.locality(),
-                record.endpoint().service(),
-                record.endpoint().state(),
-                isSelf || record.liveness().isReachable(),
-                held,
-                newest.number() - held.number());
-    }
-
     // -- commands
 
     private Answer command(InboundRequest request) throws IOException {
--- a/proxy/src/main/java/org/oleanderturn/proxy/CourseRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/CourseRequest.java
@@ -68,6 +68,7 @@
         }
         Duration patience = left.compareTo(SHORTEST) < 0 ? SHORTEST : left;
         Duration connect = patience.compareTo(LONGEST_CONNECT) < 0 ? patience : LONGEST_CONNECT;
-        return new OutboundRequest(method, path, sent, body, claim.isPresent(), connect, patience);
+        Delivery delivery = claim.isPresent() ? Delivery.GO_AHEAD : Delivery.POOLED;
+        return new OutboundRequest(method, path, sent, body, delivery, connect, patience);
     }
 }
--- /dev/null
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Delivery.java
@@ -0,0 +1,11 @@
+package org.oleanderturn.proxy;
+
+/** How much care is taken that a failure says truly whether a request can have run. */
+public enum Delivery {
+    /** For requests that may run twice: a pooled connection is taken as it is. */
+    POOLED,
+    /** For bookings to a node: the body is sent only when the peer asks for it, and nothing runs before. */
+    GO_AHEAD,
+    /** For bookings to a target: a new connection, which the target can't have been closing as idle. */
+    NEW_CONNECTION
+}
--- a/proxy/src/main/java/org/oleanderturn/proxy/GuardedRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/GuardedRequest.java
@@ -80,7 +80,8 @@
         HeaderField.find(headers, ProxyHeaders.RETRIES_LEFT)
                 .ifPresent(retries -> passed.add(HeaderField.of(ProxyHeaders.RETRIES_LEFT, retries)));
         Duration patience = left.isZero() ? Duration.ofMillis(1) : left;
-        return new OutboundRequest(method, path, passed, body, false, connectTimeout, patience);
+        Delivery delivery = kind.isIdempotent() ? Delivery.POOLED : Delivery.NEW_CONNECTION;
+        return new OutboundRequest(method, path, passed, body, delivery, connectTimeout, patience);
     }
 
     private static Either<RequestFault, GuardedRequest> malformed(String header) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -34,6 +34,7 @@
  */
 public final class HttpListener implements AutoCloseable {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final String SERVER_NAME = "oleanderturn";
     private static final int BACKLOG = 1_024;
     private static final int BUFFER_BYTES = 8_192;
     private static final long DRAIN_POLL_MILLISECONDS = 10;
@@ -51,7 +52,7 @@
         this.executor = executor;
         this.limits = limits;
         this.service = new HttpService(
-                HttpProcessors.server(),
+                HttpProcessors.server(SERVER_NAME),
                 HandlerBridge.of(handler, isDraining::get),
                 (request, response, context) -> ConnectionReuse.isKept(response, isDraining.get()),
                 null);
--- a/proxy/src/main/java/org/oleanderturn/proxy/OutboundRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/OutboundRequest.java
@@ -11,8 +11,7 @@
  * @param path the path with its query
  * @param headers the headers, without those that frame the body
  * @param body the whole body; empty for none
- * @param isGoAheadAwaited whether the body is sent only when the peer asks for it, so that until then the request has
- *     certainly not run
+ * @param delivery how much care is taken that a failure says truly whether the request can have run
  * @param connectTimeout the longest wait for a connection
  * @param answerTimeout the longest wait for the answer's headers, and then for each part of its body
  */
@@ -22,7 +21,7 @@
         String path,
         List<HeaderField> headers,
         byte[] body,
-        boolean isGoAheadAwaited,
+        Delivery delivery,
         Duration connectTimeout,
         Duration answerTimeout) {
 
@@ -31,8 +30,14 @@
         Objects.requireNonNull(method, "method is null");
         Objects.requireNonNull(path, "path is null");
         Objects.requireNonNull(body, "body is null");
+        Objects.requireNonNull(delivery, "delivery is null");
         Objects.requireNonNull(connectTimeout, "connectTimeout is null");
         Objects.requireNonNull(answerTimeout, "answerTimeout is null");
         headers = List.copyOf(headers);
     }
+
+    /** Returns whether the body waits for the peer's go-ahead. */
+    public boolean isGoAheadAwaited() {
+        return delivery == Delivery.GO_AHEAD;
+    }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/TargetMonitor.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/TargetMonitor.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
@@ -134,8 +135,8 @@
     }
 
     private Probe probe() {
-        OutboundRequest request =
-                new OutboundRequest("GET", healthPath, List.of(), new byte[0], false, HEALTH_TIMEOUT, HEALTH_TIMEOUT);
+        OutboundRequest request = new OutboundRequest(
+                "GET", healthPath, List.of(), new byte[0], Delivery.NEW_CONNECTION, HEALTH_TIMEOUT, HEALTH_TIMEOUT);
         Either<ForwardFailure, UpstreamAnswer> answer = client.send(target, request, Cancellation.create());
         if (answer.isLeft()) {
             return answer.getLeft() instanceof ForwardFailure.NotSent ? Probe.REFUSED : Probe.UNHEALTHY;
@@ -143,7 +144,7 @@
         try (UpstreamAnswer open = answer.get()) {
             boolean isWhole = open.readBody(BODY_LIMIT_BYTES).isPresent();
             return isWhole && open.status() == OK ? Probe.HEALTHY : Probe.UNHEALTHY;
-        } catch (java.io.IOException cause) {
+        } catch (IOException cause) {
             return Probe.UNHEALTHY;
         }
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -114,7 +114,8 @@
             Address peer, PoolEntry<Address, DefaultBHttpClientConnection> entry, OutboundRequest request) {
         LeasedConnection leased = LeasedConnection.of(pool, entry);
         try {
-            if (entry.hasConnection() && isDead(entry)) {
+            boolean isUnfit = request.delivery() == Delivery.NEW_CONNECTION;
+            if (entry.hasConnection() && (isUnfit || isDead(entry))) {
                 entry.discardConnection(CloseMode.IMMEDIATE);
             }
             if (!entry.hasConnection()) {
