Bound how long a suspect holds a target for itself

Cause: while a suspect waited for downloads to end, nothing else was admitted, and a suspect download kept a target to itself to its end: short work stood behind long work. Change: while long work is in flight only new long work waits for a suspect; a suspect shares the target from its first answer byte, or after two seconds.

--- a/traffic/src/main/java/org/oleanderturn/traffic/Admission.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Admission.java
@@ -1,8 +1,6 @@
 package org.oleanderturn.traffic;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
@@ -14,14 +12,15 @@
  * Decides which requests the local target runs, which wait for a slot and which are refused at once.
  *
  * <p>Invariants: permits out never exceed the slots; the queue never exceeds its limit and gives no permit to work past
- * its deadline; work that runs alone has no other permit beside it; a refusal is given at once, with a time to come
- * back, and truly nothing ran; after {@link #close} no permit is given.
+ * its deadline; work that runs alone has no other permit beside it until it is shared; a refusal is given at once, with a
+ * time to come back, and truly nothing ran; after {@link #close} no permit is given.
  *
  * <p>Thread safe: the state is immutable and swapped by compare-and-set; tickets are settled after the swap. The random
  * generator must be thread safe.
  */
 public final class Admission {
-    private static final long ALONE_PATIENCE_NANOSECONDS = 500_000_000;
+    private static final long ALONE_PATIENCE_NANOSECONDS = 2_000_000_000;
+    private static final long ALONE_SPAN_NANOSECONDS = 2_000_000_000;
     private static final Duration CLOSED_RETRY_AFTER = Duration.ofMillis(500);
 
     private final LongSupplier nanoseconds;
@@ -60,7 +59,7 @@
             }
             int limit = concurrency.current(held.limits());
             if (held.queueOf(work).isEmpty() && held.isAdmissible(work, limit)) {
-                if (state.compareAndSet(held, held.admit(work))) {
+                if (state.compareAndSet(held, held.admit(work, now))) {
                     return new AdmissionDecision.Admitted(Permit.of(this, work, now));
                 }
                 continue;
@@ -77,9 +76,13 @@
         }
     }
 
-    /** Refuses the waiting work whose time is over and admits what can run; to be called as tickets' patience ends. */
+    /**
+     * Refuses the waiting work whose time is over, lets others run beside work that has run alone for long enough, and
+     * admits what can run; to be called as tickets' patience ends.
+     */
     public void expire() {
         long now = nanoseconds.getAsLong();
+        state.updateAndGet(held -> held.isAloneFor(ALONE_SPAN_NANOSECONDS, now) ? held.share() : held);
         for (Ticket ticket : state.get().expired(now)) {
             settleOut(ticket, ticket.work().isAlone() ? NotRunReason.SUSPECT_WAITING : NotRunReason.DEADLINE);
         }
@@ -145,6 +148,11 @@
         expire();
     }
 
+    void share(Permit permit) {
+        swap(held -> held.isAloneSince(permit.admittedNanoseconds()) ? held.share() : held);
+        promote();
+    }
+
     void cancel(Ticket ticket) {
         settleOut(ticket, NotRunReason.CANCELLED);
         promote();
@@ -192,28 +200,24 @@
     // -- transitions
 
     private void promote() {
-        List<Ticket> admitted = new ArrayList<>();
         while (true) {
             AdmissionState held = state.get();
             Optional<Ticket> next =
                     held.closed().isPresent() ? Optional.empty() : held.next(concurrency.current(held.limits()));
             if (next.isEmpty()) {
-                break;
+                return;
             }
             Ticket ticket = next.get();
-            if (ticket.patienceNanoseconds() - nanoseconds.getAsLong() <= 0) {
+            long now = nanoseconds.getAsLong();
+            if (ticket.patienceNanoseconds() - now <= 0) {
                 settleOut(ticket, NotRunReason.DEADLINE);
                 continue;
             }
-            if (state.compareAndSet(held, held.remove(ticket).admit(ticket.work()))) {
-                admitted.add(ticket);
+            if (state.compareAndSet(held, held.remove(ticket).admit(ticket.work(), now))) {
+                Permit permit = Permit.of(this, ticket.work(), now);
+                ticket.decision().complete(new AdmissionDecision.Admitted(permit));
             }
         }
-        long now = nanoseconds.getAsLong();
-        for (Ticket ticket : admitted) {
-            Permit permit = Permit.of(this, ticket.work(), now);
-            ticket.decision().complete(new AdmissionDecision.Admitted(permit));
-        }
     }
 
     private void settleOut(Ticket ticket, NotRunReason reason) {
--- a/traffic/src/main/java/org/oleanderturn/traffic/AdmissionState.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/AdmissionState.java
@@ -3,19 +3,32 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * One moment of a guard: what runs, what waits, and in which order the waiting work comes next.
  *
  * <p>Invariants: long work in flight stays within its limit; while work runs alone nothing else is in flight; short work
- * goes before long work, but for every eighth turn. Immutable and thread safe.
+ * goes before long work, but for every eighth turn. Before a suspect runs, no new long work starts; short work does until
+ * the long work has ended. Immutable and thread safe.
+ *
+ * @param limits the limits
+ * @param closed why no permit is given, when none is
+ * @param inFlight permits out
+ * @param longInFlight permits out for long work
+ * @param aloneNanoseconds since when a request has run alone, when one does
+ * @param turnsBeforeAlone ordinary requests that go before the next suspect
+ * @param shortTurns short requests admitted while long ones waited
+ * @param shortQueue short requests that wait
+ * @param longQueue long requests that wait
+ * @param aloneQueue suspects that wait
  */
 record AdmissionState(
         AdmissionLimits limits,
         Optional<NotRunReason> closed,
         int inFlight,
         int longInFlight,
-        boolean isAloneRunning,
+        OptionalLong aloneNanoseconds,
         int turnsBeforeAlone,
         int shortTurns,
         List<Ticket> shortQueue,
@@ -24,7 +37,8 @@
     private static final int SHORT_TURNS_BEFORE_LONG = 8;
 
     static AdmissionState of(AdmissionLimits limits) {
-        return new AdmissionState(limits, Optional.empty(), 0, 0, false, 0, 0, List.of(), List.of(), List.of());
+        return new AdmissionState(
+                limits, Optional.empty(), 0, 0, OptionalLong.empty(), 0, 0, List.of(), List.of(), List.of());
     }
 
     // -- queries
@@ -33,6 +47,14 @@
         return shortQueue.size() + longQueue.size() + aloneQueue.size();
     }
 
+    boolean isAloneFor(long span, long now) {
+        return aloneNanoseconds.isPresent() && now - aloneNanoseconds.getAsLong() >= span;
+    }
+
+    boolean isAloneSince(long admitted) {
+        return aloneNanoseconds.isPresent() && aloneNanoseconds.getAsLong() == admitted;
+    }
+
     boolean isWaiting(Ticket ticket) {
         return queueOf(ticket.work()).contains(ticket);
     }
@@ -45,13 +67,13 @@
     }
 
     boolean isAdmissible(Work work, int concurrency) {
-        if (isAloneRunning || inFlight >= concurrency) {
+        if (aloneNanoseconds.isPresent() || inFlight >= concurrency) {
             return false;
         }
         if (work.isAlone()) {
             return inFlight == 0;
         }
-        if (isGateClosing()) {
+        if (isAloneNext() && (work.isLong() || longInFlight == 0)) {
             return false;
         }
         return !work.isLong() || longInFlight < limits.longLimit(concurrency);
@@ -59,8 +81,8 @@
 
     /** Returns the waiting work that comes next, when it can be admitted now. */
     Optional<Ticket> next(int concurrency) {
-        if (isGateClosing()) {
-            return admissibleHead(aloneQueue, concurrency);
+        if (isAloneNext()) {
+            return admissibleHead(longInFlight == 0 ? aloneQueue : shortQueue, concurrency);
         }
         boolean isLongTurn = shortTurns >= SHORT_TURNS_BEFORE_LONG;
         Optional<Ticket> first = admissibleHead(isLongTurn ? longQueue : shortQueue, concurrency);
@@ -95,7 +117,7 @@
 
     // -- successors
 
-    AdmissionState admit(Work work) {
+    AdmissionState admit(Work work, long now) {
         boolean isOrdinary = !work.isAlone();
         int turns = work.isLong() || work.isAlone() ? 0 : shortTurns + 1;
         return new AdmissionState(
@@ -103,7 +125,7 @@
                 closed,
                 inFlight + 1,
                 longInFlight + (work.isLong() ? 1 : 0),
-                isAloneRunning || work.isAlone(),
+                work.isAlone() ? OptionalLong.of(now) : aloneNanoseconds,
                 isOrdinary ? Math.max(0, turnsBeforeAlone - 1) : turnsBeforeAlone,
                 longQueue.isEmpty() ? 0 : turns,
                 shortQueue,
@@ -118,7 +140,7 @@
                 closed,
                 inFlight - 1,
                 longInFlight - (work.isLong() ? 1 : 0),
-                isAloneRunning && !work.isAlone(),
+                work.isAlone() ? OptionalLong.empty() : aloneNanoseconds,
                 work.isAlone() ? Math.min(limits.slots(), ordinaryWaiting) : turnsBeforeAlone,
                 shortTurns,
                 shortQueue,
@@ -138,13 +160,28 @@
         return withQueue(ticket.work(), List.copyOf(shorter));
     }
 
+    /** Lets others run beside the work that ran alone until now. */
+    AdmissionState share() {
+        return new AdmissionState(
+                limits,
+                closed,
+                inFlight,
+                longInFlight,
+                OptionalLong.empty(),
+                turnsBeforeAlone,
+                shortTurns,
+                shortQueue,
+                longQueue,
+                aloneQueue);
+    }
+
     AdmissionState withLimits(AdmissionLimits replacement) {
         return new AdmissionState(
                 replacement,
                 closed,
                 inFlight,
                 longInFlight,
-                isAloneRunning,
+                aloneNanoseconds,
                 turnsBeforeAlone,
                 shortTurns,
                 shortQueue,
@@ -158,7 +195,7 @@
                 reason,
                 inFlight,
                 longInFlight,
-                isAloneRunning,
+                aloneNanoseconds,
                 turnsBeforeAlone,
                 shortTurns,
                 shortQueue,
@@ -174,7 +211,7 @@
                 closed,
                 inFlight,
                 longInFlight,
-                isAloneRunning,
+                aloneNanoseconds,
                 turnsBeforeAlone,
                 shortTurns,
                 isShort ? queue : shortQueue,
@@ -182,7 +219,8 @@
                 work.isAlone() ? queue : aloneQueue);
     }
 
-    private boolean isGateClosing() {
+    /** Returns whether suspects have their turn: long work ends first, then short work, then a suspect runs. */
+    private boolean isAloneNext() {
         boolean isOrdinaryWaiting = !shortQueue.isEmpty() || !longQueue.isEmpty();
         return !aloneQueue.isEmpty() && (turnsBeforeAlone == 0 || !isOrdinaryWaiting);
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/Permit.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Permit.java
@@ -32,6 +32,13 @@
         }
     }
 
+    /** Lets others run beside work that ran alone; to be called when its first answer byte has come. */
+    public void share() {
+        if (work.isAlone()) {
+            admission.share(this);
+        }
+    }
+
     /** Returns the work that runs under this permit. */
     public Work work() {
         return work;
--- a/traffic/src/test/java/org/oleanderturn/traffic/RetryBudgetTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/RetryBudgetTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 final class RetryBudgetTest {
@@ -29,6 +30,15 @@
         }
     }
 
+    @Test
+    void shouldSaveUpNoMoreThanTheBurstWhenAllIsWellForLong() {
+        RetryBudget budget = RetryBudget.of(20, 5);
+        IntStream.range(0, 10_000).forEach(attempt -> budget.recordFirstAttempt());
+        long taken =
+                IntStream.range(0, 100).filter(retry -> budget.tryWithdraw()).count();
+        assertThat(taken).isEqualTo(5);
+    }
+
     @Test
     void shouldNotMultiplyAttemptsWhenAChainOfCallsIsTwelveDeep() {
         for (int allowance = 0; allowance <= 8; allowance++) {
