Take an unknown upstream for a typical one

Cause: until an entry had seen five answers of some upstream, an upstream that it had not heard of counted as almost free, so a cold target drew 8 of 16 requests beside three warm ones; an entry with little traffic would send its work to cold targets. Latency also faded to nothing in silence, with the same effect. Change: the typical latency is learnt from the first answer, an unknown one counts as typical, and silence fades towards it. The test of slow start now warms the peers with answers; it failed with 8 before and passes with at most 1.

--- a/traffic/src/main/java/org/oleanderturn/traffic/Observation.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Observation.java
@@ -3,8 +3,9 @@
 /**
  * What an entry has seen of one upstream.
  *
- * <p>Latency is a moving average that rises at once with a slower answer and fades while nothing is heard, so that a slow
- * upstream is tried again. Failures count as a run and as a share of two rotating windows. Immutable and thread safe.
+ * <p>Latency is a moving average. While nothing is heard it fades towards what is typical of the peers, and the next answer
+ * weighs more, so that an upstream that was slow is tried again. Failures count as a run and as a share of two rotating
+ * windows. Immutable and thread safe.
  *
  * @param latency the average in nanoseconds, zero when unknown
  * @param latencyNanoseconds the moment of the last latency
@@ -49,10 +50,13 @@
         return all == 0 ? 0 : (double) windowFailures() / all;
     }
 
-    /** Returns the average, faded by the time in which nothing was heard; zero when unknown. */
-    double latencyAt(long now) {
-        long silent = now - latencyNanoseconds;
-        return silent <= 0 ? latency : latency * Math.exp(-silent / FADE_NANOSECONDS);
+    /** Returns the average, faded towards the typical latency of the peers; the typical one when none is known. */
+    double latencyAt(long now, double typical) {
+        return samples == 0 ? typical : typical + (latency - typical) * weight(now);
+    }
+
+    private double weight(long now) {
+        return Math.exp(-Math.max(0, now - latencyNanoseconds) / FADE_NANOSECONDS);
     }
 
     // -- successors
@@ -69,12 +73,12 @@
 
     /** Learns that an answer takes at least so long; a shorter time teaches nothing. */
     Observation waitedFor(long nanoseconds, long now) {
-        return nanoseconds > latencyAt(now) ? withLatency(nanoseconds, now) : this;
+        return nanoseconds > latency ? withLatency(nanoseconds, now) : this;
     }
 
     private Observation withLatency(long nanoseconds, long now) {
-        double held = latencyAt(now);
-        double next = samples == 0 ? nanoseconds : held + SMOOTHING * (nanoseconds - held);
+        double share = samples == 0 ? 1 : 1 - (1 - SMOOTHING) * weight(now);
+        double next = latency + share * (nanoseconds - latency);
         return new Observation(
                 next,
                 now,
--- a/traffic/src/main/java/org/oleanderturn/traffic/OutlierEjection.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/OutlierEjection.java
@@ -74,7 +74,7 @@
     /** Weighs every upstream of a group against the median latency of its peers. */
     void weighLatency(UpstreamGroup group, long now) {
         double[] latencies = Arrays.stream(group.upstreams())
-                .filter(upstream -> upstream.observation().samples() >= LATENCY_LEAST_SAMPLES)
+                .filter(upstream -> upstream.observation().samples() > 0)
                 .mapToDouble(upstream -> upstream.observation().latency())
                 .sorted()
                 .toArray();
--- a/traffic/src/main/java/org/oleanderturn/traffic/Upstream.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Upstream.java
@@ -60,9 +60,8 @@
     /** Returns the expected time of one more request here, higher while the endpoint is new or reports load. */
     double cost(double typicalLatency, long now) {
         Observation seen = observation.get();
-        double known = seen.latencyAt(now);
         double failing = FAILURE_WEIGHT * seen.failureShare();
-        double latency = known > 0 ? known : typicalLatency;
+        double latency = seen.latencyAt(now, typicalLatency);
         LoadReport report = loadReport.get();
         double load = now - report.reportedNanoseconds() < LOAD_USE_NANOSECONDS ? report.load() : 0;
         return (outstanding.get() + 1) * latency * (1 + LOAD_WEIGHT * load) * (1 + failing) / warmth(now);
--- a/traffic/src/main/java/org/oleanderturn/traffic/UpstreamReport.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/UpstreamReport.java
@@ -30,7 +30,7 @@
         return new UpstreamReport(
                 upstream.endpoint().node(),
                 upstream.outstanding(),
-                Math.round(seen.latencyAt(now) / NANOSECONDS_PER_MICROSECOND),
+                Math.round(seen.latency() / NANOSECONDS_PER_MICROSECOND),
                 seen.failureRun(),
                 seen.windowAnswers(),
                 seen.windowFailures(),
--- a/traffic/src/test/java/org/oleanderturn/traffic/BalancerTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/BalancerTest.java
@@ -73,6 +73,11 @@
     void shouldSendLessToANewEndpointWhenPeersAreWarm() {
         List<Endpoint> warm = Fixtures.ready(3, Fixtures.HOBART);
         choose(Fixtures.entry(RequestKind.LOOKUP, warm));
+        for (Endpoint endpoint : warm) {
+            Attempt attempt = statistics.begin(endpoint);
+            clock.advance(Duration.ofMillis(20));
+            statistics.finish(attempt, new AttemptOutcome.Succeeded());
+        }
         clock.advance(Duration.ofSeconds(20));
         List<Endpoint> all = new ArrayList<>(warm);
         Endpoint fresh = Fixtures.ready("fresh", Fixtures.HOBART);
