Check choices against 6000 random tables

Endpoints change state, place and number while attempts are out and fail: only ready endpoints outside the excluded ones are chosen, and one is chosen whenever there is one. A check of the ejected share was left out of this test: the share is bounded as endpoints are ejected, not as a table shrinks, which the class now says.

--- a/traffic/src/main/java/org/oleanderturn/traffic/OutlierEjection.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/OutlierEjection.java
@@ -12,9 +12,11 @@
 /**
  * Takes upstreams that fail or lag behind their peers out of the choice for a while.
  *
- * <p>Invariants: at most the stated share of a service's endpoints is ejected at once, and never the last one; after its
- * time an ejected endpoint gets one request at a time until one succeeds; each ejection that follows soon is twice as
- * long. Thread safe: one immutable map for a service, swapped by compare-and-set.
+ * <p>Invariants: an ejection never takes more than the stated share of a service's endpoints out, nor the last one; when
+ * the table shrinks to ejected endpoints the balancer chooses among them all the same. After its time an ejected endpoint
+ * is on trial until one request succeeds, and gets the next request only when it has none (threads that choose at the same
+ * moment may each send one). Each ejection that follows soon is twice as long. Thread safe: one immutable map for a
+ * service, swapped by compare-and-set.
  */
 public final class OutlierEjection {
     private static final int PERCENT = 100;
--- a/traffic/src/test/java/org/oleanderturn/traffic/BalancerTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/BalancerTest.java
@@ -1,6 +1,7 @@
 package org.oleanderturn.traffic;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -8,10 +9,13 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.RoutingTable;
@@ -40,6 +44,44 @@
         assertThat(balancer.choose(entry, Fixtures.HOBART, Set.of(only))).isEmpty();
     }
 
+    @Test
+    void shouldChooseReadyAndNotExcludedEndpointsWhenTheTableChangesUnderLoad() {
+        LongStream.range(0, 300).forEach(seed -> {
+            Random random = new Random(seed);
+            for (int round = 0; round < 20; round++) {
+                List<Endpoint> endpoints = anyEndpoints(random);
+                RoutingTable.Entry entry = Fixtures.entry(RequestKind.LOOKUP, endpoints);
+                Set<NodeId> excluded = Set.of(NodeId.of("node-" + random.nextInt(6)));
+                boolean isPossible = endpoints.stream()
+                        .anyMatch(endpoint -> endpoint.isReady() && !excluded.contains(endpoint.node()));
+                Optional<Endpoint> chosen = balancer.choose(entry, Fixtures.HOBART, excluded);
+                assertWithMessage("seed %s", seed).that(chosen.isPresent()).isEqualTo(isPossible);
+                chosen.ifPresent(endpoint -> {
+                    assertWithMessage("seed %s", seed).that(endpoint.isReady()).isTrue();
+                    assertWithMessage("seed %s", seed).that(excluded).doesNotContain(endpoint.node());
+                    Attempt attempt = statistics.begin(endpoint);
+                    clock.advance(Duration.ofMillis(random.nextInt(300)));
+                    if (random.nextInt(4) > 0) {
+                        boolean isFailure = random.nextBoolean();
+                        statistics.finish(
+                                attempt, isFailure ? new AttemptOutcome.Unknown() : new AttemptOutcome.Succeeded());
+                    }
+                });
+            }
+        });
+    }
+
+    private static List<Endpoint> anyEndpoints(Random random) {
+        List<Locality> localities = List.of(Fixtures.HOBART, Fixtures.HUONVILLE, Fixtures.LAUNCESTON);
+        List<EndpointState> states = List.of(EndpointState.values());
+        return IntStream.range(0, random.nextInt(6))
+                .mapToObj(number -> Fixtures.endpoint(
+                        "node-" + number,
+                        localities.get(random.nextInt(3)),
+                        random.nextBoolean() ? EndpointState.READY : states.get(random.nextInt(4))))
+                .toList();
+    }
+
     @Test
     void shouldSpillOverByDistanceWhenNearerLevelsAreSaturated() {
         Endpoint near = Fixtures.ready("near", Fixtures.HOBART);
