Let refused callers come back in the trials

Callers that were refused as not run come again at their Retry-After, nine times at most. Retry-After says when the queue has drained, not when there is room for all who were told so.

--- a/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrial.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrial.java
@@ -41,8 +41,8 @@
     /** What befalls the first targets: a slowdown, a share of errors, shedding or thrashing above so many requests. */
     record Fault(int targets, double slowFactor, double errors, int shedAbove, int thrashAbove) {}
 
-    /** The load as a share of capacity; from the second to the fifth second its crest, downloads and faults. */
-    record Scenario(String name, double load, double crest, double downloads, Fault fault) {}
+    /** The load as a share of capacity; from the second to the fifth second its crest, downloads and faults; refused callers come back. */
+    record Scenario(String name, double load, double crest, double downloads, Fault fault, int returns) {}
 
     private final FakeClock clock = new FakeClock();
     private final long start = clock.getAsLong();
@@ -61,7 +61,7 @@
     int attempts;
     int refused;
     int failed;
-    double longestRefusal;
+    int comebacks;
 
     DecisionTrial(Variant variant, Scenario scenario, long seed) {
         this.variant = variant;
@@ -114,7 +114,9 @@
             return;
         }
         boolean isDownload = isFaulty() && random.nextDouble() < scenario.downloads();
-        new Request(entries.get(random.nextInt(ENTRIES)), isDownload ? RequestKind.DOWNLOAD : RequestKind.LOOKUP);
+        RequestKind kind = isDownload ? RequestKind.DOWNLOAD : RequestKind.LOOKUP;
+        requests += isDownload ? 0 : 1;
+        new Request(kind, scenario.returns());
         double load = isFaulty() ? scenario.crest() : scenario.load();
         after(milliseconds(exponential(1e3 / (CAPACITY * load))), this::arrive);
     }
@@ -141,15 +143,16 @@
     private final class Request {
         private final Entry home;
         private final RequestKind kind;
+        private final int returns;
         private final long begun = clock.getAsLong();
         private final Map<Integer, Runnable> cancels = new HashMap<>();
         private final Set<NodeId> tried = new HashSet<>();
         private RequestProgress progress;
 
-        Request(Entry home, RequestKind kind) {
-            this.home = home;
+        Request(RequestKind kind, int returns) {
+            this.home = entries.get(random.nextInt(ENTRIES));
             this.kind = kind;
-            requests += isLookup() ? 1 : 0;
+            this.returns = returns;
             home.budgets.recordFirstAttempt(entry);
             RequestProgress.Step step = RequestProgress.start(home.limits, RetryAllowance.ofAttempts(3), false);
             apply(step);
@@ -201,10 +204,14 @@
             if (!isLookup()) {
                 return;
             }
+            if (answer.status() == FinalAnswer.Status.NOT_RUN && returns > 0) {
+                comebacks++;
+                after(answer.retryAfter().get(), () -> new Request(kind, returns - 1));
+                return;
+            }
             boolean isRefusal = answer.status() == FinalAnswer.Status.NOT_RUN;
             refused += isRefusal ? 1 : 0;
             failed += isRefusal ? 0 : 1;
-            longestRefusal = isRefusal ? Math.max(longestRefusal, elapsed()) : longestRefusal;
         }
 
         private void send(int number) {
--- a/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrialTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/DecisionTrialTest.java
@@ -39,27 +39,31 @@
             new DecisionTrial.Variant("usual, half reserved", false, EjectionSettings.usual(), true, true, 50),
             USUAL);
     private static final DecisionTrial.Fault NONE = new DecisionTrial.Fault(0, 1, 0, 99, 99);
-    private static final DecisionTrial.Scenario SLOWED =
-            new DecisionTrial.Scenario("third slowed tenfold", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 10, 0, 99, 99));
+    private static final DecisionTrial.Scenario SLOWED = new DecisionTrial.Scenario(
+            "third slowed tenfold", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 10, 0, 99, 99), 0);
     private static final DecisionTrial.Scenario FAILING =
-            new DecisionTrial.Scenario("third failing", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 1, 1, 99, 99));
+            new DecisionTrial.Scenario("third failing", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 1, 1, 99, 99), 0);
     private static final List<DecisionTrial.Scenario> SCENARIOS = List.of(
-            new DecisionTrial.Scenario("quiet", 0.5, 0.5, 0, NONE),
+            new DecisionTrial.Scenario("quiet", 0.5, 0.5, 0, NONE, 0),
             SLOWED,
             FAILING,
             new DecisionTrial.Scenario(
-                    "third failing half its requests", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 1, 0.5, 99, 99)),
-            new DecisionTrial.Scenario("two thirds failing", 0.25, 0.25, 0, new DecisionTrial.Fault(4, 1, 1, 99, 99)),
+                    "third failing half its requests", 0.5, 0.5, 0, new DecisionTrial.Fault(2, 1, 0.5, 99, 99), 0),
             new DecisionTrial.Scenario(
-                    "third shedding above half its slots", 0.7, 0.7, 0, new DecisionTrial.Fault(2, 1, 0, 5, 99)),
+                    "two thirds failing", 0.25, 0.25, 0, new DecisionTrial.Fault(4, 1, 1, 99, 99), 0),
             new DecisionTrial.Scenario(
-                    "third thrashing above half its slots", 0.7, 0.7, 0, new DecisionTrial.Fault(2, 1, 0, 99, 5)),
+                    "third shedding above half its slots", 0.7, 0.7, 0, new DecisionTrial.Fault(2, 1, 0, 5, 99), 0),
             new DecisionTrial.Scenario(
-                    "all thrashing above half their slots", 0.5, 0.5, 0, new DecisionTrial.Fault(6, 1, 0, 99, 5)),
-            new DecisionTrial.Scenario("all slowed threefold", 0.28, 0.28, 0, new DecisionTrial.Fault(6, 3, 0, 99, 99)),
-            new DecisionTrial.Scenario("downloads for 0.9 of all slots", 0.4, 0.4, 0.045, NONE),
-            new DecisionTrial.Scenario("crest of 1.5", 0.5, 1.5, 0, NONE),
-            new DecisionTrial.Scenario("crest of 3", 0.5, 3, 0, NONE));
+                    "third thrashing above half its slots", 0.7, 0.7, 0, new DecisionTrial.Fault(2, 1, 0, 99, 5), 0),
+            new DecisionTrial.Scenario(
+                    "all thrashing above half their slots", 0.5, 0.5, 0, new DecisionTrial.Fault(6, 1, 0, 99, 5), 0),
+            new DecisionTrial.Scenario(
+                    "all slowed threefold", 0.28, 0.28, 0, new DecisionTrial.Fault(6, 3, 0, 99, 99), 0),
+            new DecisionTrial.Scenario("downloads for 0.9 of all slots", 0.4, 0.4, 0.045, NONE, 0),
+            new DecisionTrial.Scenario("crest of 1.5", 0.5, 1.5, 0, NONE, 0),
+            new DecisionTrial.Scenario("crest of 3", 0.5, 3, 0, NONE, 0),
+            new DecisionTrial.Scenario("crest of 1.5, callers come back", 0.5, 1.5, 0, NONE, 9),
+            new DecisionTrial.Scenario("crest of 3, callers come back", 0.5, 3, 0, NONE, 9));
 
     @Test
     void shouldPrintTheFiguresOfEachVariant() throws IOException {
@@ -110,7 +114,7 @@
         return String.format(
                 Locale.ROOT,
                 "%s\t%s\tanswered %.2f%%\trefused %.2f%%\tfailed %.2f%%\t"
-                        + "p50 %.0f\tp99 %.0f\tp99.9 %.0f\tattempts %.3f\trefusal %.0f ms",
+                        + "p50 %.0f\tp99 %.0f\tp99.9 %.0f\tattempts %.3f\tcame back %.3f",
                 scenario.name(),
                 variant.name(),
                 median(trials, trial -> 100.0 * trial.latencies.size() / trial.requests),
@@ -120,7 +124,7 @@
                 median(trials, trial -> percentile(trial, 0.99)),
                 median(trials, trial -> percentile(trial, 0.999)),
                 median(trials, trial -> (double) trial.attempts / trial.requests),
-                median(trials, trial -> trial.longestRefusal));
+                median(trials, trial -> (double) trial.comebacks / trial.requests));
     }
 
     private static double median(List<DecisionTrial> trials, ToDoubleFunction<DecisionTrial> figure) {
