Keep places for refused callers who come back

Change: each refusal takes the next place of a schedule that serves returning callers at half of the target's rate, ten seconds ahead at most. Ruled out: holding requests longer at the guard, which delays the final answer.

--- a/traffic/src/main/java/org/oleanderturn/traffic/Admission.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Admission.java
@@ -28,12 +28,14 @@
     private final AtomicReference<AdmissionState> state;
     private final ConcurrencyLimit concurrency;
     private final ServiceTimes times = ServiceTimes.empty();
+    private final ReturnSchedule returns;
 
     private Admission(AdmissionLimits limits, LongSupplier nanoseconds, RandomGenerator random) {
         this.nanoseconds = nanoseconds;
         this.random = random;
         this.state = new AtomicReference<>(AdmissionState.of(limits));
         this.concurrency = ConcurrencyLimit.of(limits.slots());
+        this.returns = ReturnSchedule.of(nanoseconds.getAsLong());
     }
 
     /** Returns an open admission with nothing in flight. */
@@ -165,27 +167,36 @@
             return Optional.of(refused(held.closed().get(), CLOSED_RETRY_AFTER));
         }
         if (work.deadlineNanoseconds() - now <= 0) {
-            return Optional.of(refused(NotRunReason.DEADLINE, drainTime(held, work)));
+            return Optional.of(refused(NotRunReason.DEADLINE, returnTime(held, work)));
         }
         return Optional.empty();
     }
 
     private Optional<AdmissionDecision.Refused> overload(AdmissionState held, Work work, long now) {
         if (held.isQueueFull(work)) {
-            return Optional.of(refused(NotRunReason.QUEUE_FULL, drainTime(held, work)));
+            return Optional.of(refused(NotRunReason.QUEUE_FULL, returnTime(held, work)));
         }
         if (drainTime(held, work).toNanos() > work.deadlineNanoseconds() - now) {
-            return Optional.of(refused(NotRunReason.DEADLINE, drainTime(held, work)));
+            return Optional.of(refused(NotRunReason.DEADLINE, returnTime(held, work)));
         }
         return Optional.empty();
     }
 
     /** Returns the estimate of how long the work would wait: what stands before it at the rate its class drains. */
     private Duration drainTime(AdmissionState held, Work work) {
+        long before = held.queueOf(work).size() + 1L;
+        return Duration.ofNanos(before * nanosecondsForOne(held, work));
+    }
+
+    /** Returns the time at which a refused caller finds room, and keeps that place for it. */
+    private Duration returnTime(AdmissionState held, Work work) {
+        return returns.next(nanoseconds.getAsLong(), drainTime(held, work), nanosecondsForOne(held, work));
+    }
+
+    private long nanosecondsForOne(AdmissionState held, Work work) {
         int limit = concurrency.current(held.limits());
         int lanes = work.isLong() ? held.limits().longLimit(limit) : Math.max(1, limit - held.longInFlight());
-        long before = held.queueOf(work).size() + 1L;
-        return Duration.ofNanos(before * times.average(work.isLong()) / lanes);
+        return times.average(work.isLong()) / lanes;
     }
 
     private AdmissionDecision.Refused refused(NotRunReason reason, Duration estimate) {
@@ -227,7 +238,7 @@
                 return;
             }
             if (state.compareAndSet(held, held.remove(ticket))) {
-                Duration estimate = held.closed().isPresent() ? CLOSED_RETRY_AFTER : drainTime(held, ticket.work());
+                Duration estimate = held.closed().isPresent() ? CLOSED_RETRY_AFTER : returnTime(held, ticket.work());
                 ticket.decision().complete(refused(reason, estimate));
                 return;
             }
