--- a/claims/src/main/java/org/oleanderturn/claims/BookingClaims.java
+++ b/claims/src/main/java/org/oleanderturn/claims/BookingClaims.java
@@ -49,6 +49,25 @@
         return new BookingClaims(keyed, settings, clockMilliseconds, tokens);
     }
 
+    /**
+     * Returns the claims held in journals of the given store, one for each partition of the keys.
+     *
+     * @param partitionCount the same in every process, for as long as claims are retained
+     * @param clockMilliseconds the time since the epoch; those of two processes differ by ten minutes at most
+     * @param tokens draws the tokens, see {@link #of}
+     */
+    public static BookingClaims inJournals(
+            Store store,
+            int partitionCount,
+            ClaimSettings settings,
+            LongSupplier clockMilliseconds,
+            RandomGenerator tokens) {
+        Objects.requireNonNull(settings, "settings is null");
+        Objects.requireNonNull(tokens, "tokens is null");
+        ClaimStore journals = JournalClaimStore.of(store, partitionCount, settings.retention(), clockMilliseconds);
+        return new BookingClaims(journals, settings, clockMilliseconds, tokens);
+    }
+
     // -- queries
 
     /** Returns how the claims were decided since the start. */
--- /dev/null
+++ b/claims/src/main/java/org/oleanderturn/claims/ClaimJournal.java
@@ -0,0 +1,68 @@
+package org.oleanderturn.claims;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoredValue;
+
+/**
+ * The claims of one partition, held in one value of the store.
+ *
+ * <p>Invariant: the sequence rises with every record written, so an entry's revision is never used twice. Immutable
+ * and thread safe.
+ *
+ * @param sequence the highest revision given to an entry
+ * @param entries the records by the key's digest
+ */
+record ClaimJournal(long sequence, Map<String, Entry> entries) {
+
+    /** A record at the revision that wrote it. */
+    record Entry(long revision, ClaimRecord record) {}
+
+    ClaimJournal {
+        entries = Map.copyOf(entries);
+    }
+
+    static ClaimJournal empty() {
+        return new ClaimJournal(StoredValue.ABSENT, Map.of());
+    }
+
+    static Either<StoreFailure, ClaimJournal> decode(byte[] value) {
+        return Codec.messagePack()
+                .decode(value, ClaimJournal.class)
+                .mapLeft(failure -> new StoreFailure.Malformed(failure.toString()));
+    }
+
+    // -- core operations
+
+    byte[] encode() {
+        return Codec.messagePack().encode(this);
+    }
+
+    Optional<Entry> find(IdempotencyKey key) {
+        return Optional.ofNullable(entries.get(key.digest().hexadecimal()));
+    }
+
+    /** Returns the journal with a record in place of the key's last one. */
+    ClaimJournal put(IdempotencyKey key, ClaimRecord record) {
+        Map<String, Entry> changed = new HashMap<>(entries);
+        changed.put(key.digest().hexadecimal(), new Entry(sequence + 1, record));
+        return new ClaimJournal(sequence + 1, changed);
+    }
+
+    /** Returns the journal without the records claimed before the given time. */
+    ClaimJournal without(long claimedBeforeMilliseconds) {
+        Map<String, Entry> kept = new HashMap<>(entries);
+        kept.values().removeIf(entry -> entry.record().claimedAtMilliseconds() < claimedBeforeMilliseconds);
+        return new ClaimJournal(sequence, kept);
+    }
+
+    // -- derived operations
+
+    long revisionOf(IdempotencyKey key) {
+        return find(key).map(Entry::revision).orElse(StoredValue.ABSENT);
+    }
+}
--- /dev/null
+++ b/claims/src/main/java/org/oleanderturn/claims/JournalPartition.java
@@ -0,0 +1,184 @@
+package org.oleanderturn.claims;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongSupplier;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoredValue;
+
+/**
+ * Writes one partition's journal by group commit: what arrives while a swap is out joins the next one.
+ *
+ * <p>Invariant: a result rests on a journal read from the store or written to it, and a write is answered as done only
+ * after the swap that carries it. A swap whose answer was lost can take effect only while the journal's revision is
+ * still the one it expected, so only while no entry has changed. Thread safe; one lock orders the swaps of a process, and
+ * the swap itself those of several.
+ */
+final class JournalPartition {
+    private static final int SWAP_ATTEMPTS = 8;
+    private static final Duration CONTENDED_RETRY_AFTER = Duration.ofMillis(200);
+
+    /** A write that waits for its swap; its result is written once, under the lock. */
+    private static final class Write {
+        private final IdempotencyKey key;
+        private final long expected;
+        private final ClaimRecord record;
+        private Optional<Either<StoreFailure, Long>> result = Optional.empty();
+
+        private Write(IdempotencyKey key, long expected, ClaimRecord record) {
+            this.key = key;
+            this.expected = expected;
+            this.record = record;
+        }
+    }
+
+    /** A journal at the store's revision. */
+    private record Version(long revision, ClaimJournal journal) {}
+
+    private final Store store;
+    private final String storeKey;
+    private final Duration retention;
+    private final LongSupplier clockMilliseconds;
+    private final Queue<Write> waiting = new ConcurrentLinkedQueue<>();
+    private final ReentrantLock lock = new ReentrantLock(true);
+    private Optional<Version> known = Optional.empty();
+
+    JournalPartition(Store store, String storeKey, Duration retention, LongSupplier clockMilliseconds) {
+        this.store = store;
+        this.storeKey = storeKey;
+        this.retention = retention;
+        this.clockMilliseconds = clockMilliseconds;
+    }
+
+    // -- queries
+
+    Either<StoreFailure, Optional<ClaimStore.Versioned>> read(IdempotencyKey key) {
+        return fetch().map(version ->
+                version.journal().find(key).map(entry -> new ClaimStore.Versioned(entry.revision(), entry.record())));
+    }
+
+    // -- commands
+
+    Either<StoreFailure, Long> write(IdempotencyKey key, long expected, ClaimRecord record) {
+        Write write = new Write(key, expected, record);
+        waiting.add(write);
+        lock.lock();
+        try {
+            if (write.result.isEmpty()) {
+                commit(drain());
+            }
+            return write.result.orElseThrow();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // -- group commit
+
+    private List<Write> drain() {
+        List<Write> group = new ArrayList<>();
+        Write next = waiting.poll();
+        while (next != null) {
+            group.add(next);
+            next = waiting.poll();
+        }
+        return group;
+    }
+
+    private void commit(List<Write> group) {
+        for (int attempt = 0; attempt < SWAP_ATTEMPTS; attempt++) {
+            boolean isFresh = known.isEmpty();
+            Either<StoreFailure, Version> base = isFresh ? fetch() : Either.right(known.get());
+            if (base.isLeft()) {
+                finish(group, nothingWritten(base.getLeft()));
+                return;
+            }
+            if (!isFresh && hasConflict(group, base.get().journal())) {
+                known = Optional.empty();
+                continue;
+            }
+            if (swap(group, base.get())) {
+                return;
+            }
+            known = Optional.empty();
+        }
+        finish(group, new StoreFailure.Throttled(CONTENDED_RETRY_AFTER));
+    }
+
+    /** Swaps the journal for one with the group's writes; answers false when another swap came before. */
+    private boolean swap(List<Write> group, Version base) {
+        long oldest = clockMilliseconds.getAsLong() - retention.toMillis();
+        ClaimJournal changed = base.journal().without(oldest);
+        List<Either<StoreFailure, Long>> results = new ArrayList<>();
+        for (Write write : group) {
+            long found = changed.revisionOf(write.key);
+            if (found != write.expected) {
+                results.add(Either.left(new StoreFailure.Conflict(found)));
+                continue;
+            }
+            changed = changed.put(write.key, write.record);
+            results.add(Either.right(changed.sequence()));
+        }
+        if (results.stream().noneMatch(Either::isRight)) {
+            known = Optional.of(base);
+            answer(group, results);
+            return true;
+        }
+        Either<StoreFailure, Long> swapped = store.swap(storeKey, base.revision(), changed.encode());
+        if (swapped.isRight()) {
+            known = Optional.of(new Version(swapped.get(), changed));
+            answer(group, results);
+            return true;
+        }
+        if (swapped.getLeft() instanceof StoreFailure.Conflict) {
+            return false;
+        }
+        known = Optional.empty();
+        finishWrites(group, results, swapped.getLeft());
+        return true;
+    }
+
+    private boolean hasConflict(List<Write> group, ClaimJournal journal) {
+        return group.stream().anyMatch(write -> journal.revisionOf(write.key) != write.expected);
+    }
+
+    private Either<StoreFailure, Version> fetch() {
+        return store.get(storeKey)
+                .flatMap(found -> found.isEmpty()
+                        ? Either.right(new Version(StoredValue.ABSENT, ClaimJournal.empty()))
+                        : ClaimJournal.decode(found.get().value())
+                                .map(journal -> new Version(found.get().revision(), journal)));
+    }
+
+    // -- results
+
+    private static void answer(List<Write> group, List<Either<StoreFailure, Long>> results) {
+        for (int index = 0; index < group.size(); index++) {
+            group.get(index).result = Optional.of(results.get(index));
+        }
+    }
+
+    private static void finishWrites(
+            List<Write> group, List<Either<StoreFailure, Long>> results, StoreFailure failure) {
+        for (int index = 0; index < group.size(); index++) {
+            Either<StoreFailure, Long> result = results.get(index);
+            group.get(index).result = Optional.of(result.isRight() ? Either.left(failure) : result);
+        }
+    }
+
+    private static void finish(List<Write> group, StoreFailure failure) {
+        group.forEach(write -> write.result = Optional.of(Either.left(failure)));
+    }
+
+    /** A read that failed leaves the group unwritten. */
+    private static StoreFailure nothingWritten(StoreFailure failure) {
+        return failure.isUndetermined() ? new StoreFailure.Unreachable("journal not read: " + failure) : failure;
+    }
+}
--- a/claims/src/test/java/org/oleanderturn/claims/ClaimFaultMatrixTest.java
+++ b/claims/src/test/java/org/oleanderturn/claims/ClaimFaultMatrixTest.java
@@ -20,10 +20,12 @@
 
     static Stream<Arguments> cells() {
         List<Arguments> cells = new ArrayList<>();
-        for (ClaimScenario.Protocol protocol : ClaimScenario.Protocol.values()) {
-            for (int step = 0; step < STEPS; step++) {
-                for (FakeStore.Fault fault : FakeStore.Fault.values()) {
-                    cells.add(Arguments.of(protocol, step, fault));
+        for (ClaimScenario.Strategy strategy : ClaimScenario.Strategy.values()) {
+            for (ClaimScenario.Protocol protocol : ClaimScenario.Protocol.values()) {
+                for (int step = 0; step < STEPS; step++) {
+                    for (FakeStore.Fault fault : FakeStore.Fault.values()) {
+                        cells.add(Arguments.of(strategy, protocol, step, fault));
+                    }
                 }
             }
         }
@@ -32,12 +34,13 @@
 
     @ParameterizedTest
     @MethodSource("cells")
-    void shouldRunAtMostOnceWhenStoreCallFails(ClaimScenario.Protocol protocol, int step, FakeStore.Fault fault) {
+    void shouldRunAtMostOnceWhenStoreCallFails(
+            ClaimScenario.Strategy strategy, ClaimScenario.Protocol protocol, int step, FakeStore.Fault fault) {
         String verdict = "red, seed " + SEED;
         try {
-            verdict = runCell(protocol, step, fault) ? "passed" : "not covered";
+            verdict = runCell(strategy, protocol, step, fault) ? "passed" : "not covered";
         } finally {
-            REPORT.add(String.join("\t", protocol.name(), "call " + step, fault.name(), INVARIANTS, verdict));
+            REPORT.add(String.join("\t", protocol + " " + strategy, "call " + step, fault.name(), INVARIANTS, verdict));
         }
     }
 
@@ -47,13 +50,15 @@
         Files.write(directory.resolve("claims.txt"), REPORT);
     }
 
-    private static boolean runCell(ClaimScenario.Protocol protocol, int step, FakeStore.Fault fault) {
+    private static boolean runCell(
+            ClaimScenario.Strategy strategy, ClaimScenario.Protocol protocol, int step, FakeStore.Fault fault) {
         boolean isReached = false;
         for (int repeats = 1; repeats <= 4; repeats++) {
             for (ClaimScenario.SecondCaller caller : ClaimScenario.SecondCaller.values()) {
                 for (ClaimScenario.Crash crash : ClaimScenario.Crash.values()) {
                     for (ClaimScenario.LateEffect late : ClaimScenario.LateEffect.values()) {
-                        var scenario = new ClaimScenario.Case(protocol, step, fault, repeats, caller, crash, late);
+                        var scenario =
+                                new ClaimScenario.Case(strategy, protocol, step, fault, repeats, caller, crash, late);
                         isReached |= new ClaimScenario(scenario, SEED).run();
                     }
                 }
--- a/claims/src/test/java/org/oleanderturn/claims/ClaimScenario.java
+++ b/claims/src/test/java/org/oleanderturn/claims/ClaimScenario.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.ServiceName;
@@ -20,6 +21,11 @@
         RELEASE
     }
 
+    enum Strategy {
+        KEYED,
+        JOURNAL
+    }
+
     enum SecondCaller {
         NONE,
         BEFORE_EFFECT,
@@ -40,6 +46,7 @@
     }
 
     record Case(
+            Strategy strategy,
             Protocol protocol,
             int step,
             FakeStore.Fault fault,
@@ -64,8 +71,8 @@
 
     ClaimScenario(Case scenario, long seed) {
         this.scenario = scenario;
-        this.first = BookingClaims.of(store, settings, () -> clock[0], new Random(seed));
-        this.second = BookingClaims.of(store, settings, () -> clock[0], new Random(seed + 1));
+        this.first = claims(seed);
+        this.second = claims(seed + 1);
     }
 
     /** Runs the scenario; answers whether the fault was reached. */
@@ -89,6 +96,13 @@
         return isReached;
     }
 
+    private BookingClaims claims(long seed) {
+        return switch (scenario.strategy()) {
+            case KEYED -> BookingClaims.of(store, settings, () -> clock[0], new Random(seed));
+            case JOURNAL -> BookingClaims.inJournals(store, 1, settings, () -> clock[0], new Random(seed));
+        };
+    }
+
     // -- steps
 
     private void runFirst() {
@@ -207,8 +221,15 @@
 
     private List<ClaimRecord> stored() {
         return store.content().values().stream()
-                .map(bytes ->
-                        Codec.messagePack().decode(bytes, ClaimRecord.class).get())
+                .flatMap(bytes -> switch (scenario.strategy()) {
+                    case KEYED ->
+                        Stream.of(Codec.messagePack()
+                                .decode(bytes, ClaimRecord.class)
+                                .get());
+                    case JOURNAL ->
+                        ClaimJournal.decode(bytes).get().entries().values().stream()
+                                .map(ClaimJournal.Entry::record);
+                })
                 .toList();
     }
 
