--- a/claims/src/main/java/org/oleanderturn/claims/JournalPartition.java
+++ b/claims/src/main/java/org/oleanderturn/claims/JournalPartition.java
@@ -64,6 +64,11 @@
                 version.journal().find(key).map(entry -> new ClaimStore.Versioned(entry.revision(), entry.record())));
     }
 
+    /** Returns how many writes wait for the next swap. */
+    int waiting() {
+        return waiting.size();
+    }
+
     // -- commands
 
     Either<StoreFailure, Long> write(IdempotencyKey key, long expected, ClaimRecord record) {
--- /dev/null
+++ b/claims/src/test/java/org/oleanderturn/claims/JournalPartitionTest.java
@@ -0,0 +1,111 @@
+package org.oleanderturn.claims;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoreLimits;
+import org.oleanderturn.platform.StoredValue;
+
+final class JournalPartitionTest {
+    private static final Duration RETENTION = Duration.ofHours(1);
+    private static final int FOLLOWERS = 5;
+
+    private final long[] clock = {RETENTION.toMillis()};
+    private final FakeStore store = FakeStore.of(() -> clock[0]);
+    private final JournalPartition partition = partition();
+
+    @Test
+    void shouldCarryWritesInOneSwapWhenTheyArriveTogether() throws Exception {
+        store.interlude(() -> {});
+        store.interlude(() -> {
+            while (partition.waiting() < FOLLOWERS) {
+                Thread.onSpinWait();
+            }
+        });
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            List<Future<Either<StoreFailure, Long>>> results = new ArrayList<>();
+            for (int number = 0; number <= FOLLOWERS; number++) {
+                IdempotencyKey key = key("order-" + number);
+                results.add(executor.submit(() -> partition.write(key, StoredValue.ABSENT, record("token"))));
+            }
+            for (Future<Either<StoreFailure, Long>> result : results) {
+                assertThat(result.get().isRight()).isTrue();
+            }
+        }
+        assertThat(store.writes()).isEqualTo(2);
+    }
+
+    @Test
+    void shouldGrantOneWhenTwoProcessesWriteTheSameKey() {
+        JournalPartition other = partition();
+        assertThat(other.write(key("earlier"), StoredValue.ABSENT, record("other"))
+                        .isRight())
+                .isTrue();
+        assertThat(partition
+                        .write(key("order"), StoredValue.ABSENT, record("one"))
+                        .isRight())
+                .isTrue();
+        assertThat(other.write(key("order"), StoredValue.ABSENT, record("other"))
+                        .getLeft())
+                .isInstanceOf(StoreFailure.Conflict.class);
+        assertThat(other.read(key("order")).get().orElseThrow().record()).isEqualTo(record("one"));
+    }
+
+    @Test
+    void shouldKeepRecordUntilRetentionEnds() {
+        assertThat(partition
+                        .write(key("order"), StoredValue.ABSENT, record("one"))
+                        .isRight())
+                .isTrue();
+        clock[0] += RETENTION.toMillis();
+        assertThat(partition()
+                        .write(key("order"), StoredValue.ABSENT, record("two"))
+                        .isLeft())
+                .isTrue();
+        clock[0] += 1;
+        assertThat(partition()
+                        .write(key("order"), StoredValue.ABSENT, record("two"))
+                        .isRight())
+                .isTrue();
+    }
+
+    @Test
+    void shouldRefuseWhenJournalIsFull() {
+        byte[] body = new byte[RecordedAnswer.MAXIMUM_BYTES];
+        ClaimRecord large = record("one").with(new ClaimState.Finished(RecordedAnswer.of(200, List.of(), body)));
+        int fitting = StoreLimits.MAXIMUM_VALUE_BYTES / RecordedAnswer.MAXIMUM_BYTES;
+        for (int number = 0; number < fitting; number++) {
+            assertThat(partition
+                            .write(key("order-" + number), StoredValue.ABSENT, large)
+                            .isRight())
+                    .isTrue();
+        }
+        assertThat(partition.write(key("order"), StoredValue.ABSENT, large).getLeft())
+                .isInstanceOf(StoreFailure.ValueTooLarge.class);
+        assertThat(partition.read(key("order")).get().isEmpty()).isTrue();
+    }
+
+    private JournalPartition partition() {
+        return new JournalPartition(store, "journal", RETENTION, () -> clock[0]);
+    }
+
+    private ClaimRecord record(String token) {
+        Digest fingerprint = Digest.compute(new byte[] {1});
+        return new ClaimRecord(fingerprint, ClaimToken.of(token), RETENTION.toMillis(), new ClaimState.Claimed());
+    }
+
+    private static IdempotencyKey key(String text) {
+        return new IdempotencyKey(ServiceName.of("bookings"), text);
+    }
+}
