--- a/claims/src/main/java/org/oleanderturn/claims/BookingClaims.java
+++ b/claims/src/main/java/org/oleanderturn/claims/BookingClaims.java
@@ -151,7 +151,15 @@
     }
 
     private ClaimDecision notRun(ClaimDecision.Reason reason) {
-        return new ClaimDecision.NotRun(reason, settings.retryAfter());
+        return new ClaimDecision.NotRun(reason, retryAfter(reason));
+    }
+
+    private Duration retryAfter(ClaimDecision.Reason reason) {
+        if (reason instanceof ClaimDecision.Reason.StoreFailed(StoreFailure.Throttled(Duration wait))
+                && wait.compareTo(settings.retryAfter()) > 0) {
+            return wait;
+        }
+        return settings.retryAfter();
     }
 
     private Optional<Duration> comeBack(ClaimRecord found) {
--- a/claims/src/test/java/org/oleanderturn/claims/BookingClaimsTest.java
+++ b/claims/src/test/java/org/oleanderturn/claims/BookingClaimsTest.java
@@ -4,12 +4,15 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.platform.BudgetedStore;
 import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.platform.LeaseId;
 
 final class BookingClaimsTest {
     private static final IdempotencyKey KEY = new IdempotencyKey(ServiceName.of("bookings"), "order-1");
@@ -77,6 +80,20 @@
         grant(others);
     }
 
+    @Test
+    void shouldAskToComeBackLaterWhenBudgetIsSpentForLonger() {
+        BudgetedStore budgeted = BudgetedStore.of(store, 1, 2, () -> 0);
+        BookingClaims narrow = BookingClaims.of(budgeted, settings, () -> clock[0], new Random(3));
+        grant(narrow);
+        var notRun = (ClaimDecision.NotRun) narrow.claim(KEY, FINGERPRINT);
+        assertThat(notRun.retryAfter()).isEqualTo(settings.retryAfter());
+        for (int lease = 0; lease < 5; lease++) {
+            var _ = budgeted.keepAlive(LeaseId.of(1));
+        }
+        assertThat(((ClaimDecision.NotRun) narrow.claim(KEY, FINGERPRINT)).retryAfter())
+                .isEqualTo(Duration.ofSeconds(6));
+    }
+
     @Test
     void shouldSettleOnceWhenHandleIsUsedAgain() {
         ClaimHandle handle = grant(claims);
@@ -151,8 +168,8 @@
     @Test
     void shouldClaimUnderNewLeaseWhenStoreEndedTheLast() {
         grant(claims);
-        store.restore(java.util.Map.of());
-        var _ = store.revokeLease(org.oleanderturn.platform.LeaseId.of(1));
+        store.restore(Map.of());
+        var _ = store.revokeLease(LeaseId.of(1));
         grant(claims);
     }
 
