Let the group commit's followers arrive while the leader's swap is out

The test could hang: the leader's first group could take a follower along, and the test then waited for one follower too few. Seen once, on a busy machine. The followers now start inside the leader's swap.

--- a/claims/src/test/java/org/oleanderturn/claims/JournalPartitionTest.java
+++ b/claims/src/test/java/org/oleanderturn/claims/JournalPartitionTest.java
@@ -27,20 +27,24 @@
 
     @Test
     void shouldCarryWritesInOneSwapWhenTheyArriveTogether() throws Exception {
-        store.interlude(() -> {});
-        store.interlude(() -> {
-            while (partition.waiting() < FOLLOWERS) {
-                Thread.onSpinWait();
-            }
-        });
+        List<Future<Either<StoreFailure, Long>>> followers = new ArrayList<>();
         try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
-            List<Future<Either<StoreFailure, Long>>> results = new ArrayList<>();
-            for (int number = 0; number <= FOLLOWERS; number++) {
-                IdempotencyKey key = key("order-" + number);
-                results.add(executor.submit(() -> partition.write(key, StoredValue.ABSENT, record("token"))));
-            }
-            for (Future<Either<StoreFailure, Long>> result : results) {
-                assertThat(result.get().isRight()).isTrue();
+            store.interlude(() -> {});
+            store.interlude(() -> {
+                for (int number = 0; number < FOLLOWERS; number++) {
+                    IdempotencyKey key = key("follower-" + number);
+                    followers.add(executor.submit(() -> partition.write(key, StoredValue.ABSENT, record("token"))));
+                }
+                while (partition.waiting() < FOLLOWERS) {
+                    Thread.onSpinWait();
+                }
+            });
+            assertThat(partition
+                            .write(key("leader"), StoredValue.ABSENT, record("token"))
+                            .isRight())
+                    .isTrue();
+            for (Future<Either<StoreFailure, Long>> follower : followers) {
+                assertThat(follower.get().isRight()).isTrue();
             }
         }
         assertThat(store.writes()).isEqualTo(2);
