Answer the request for an outage before the outage begins

The stand-in closed the connection of the admin request itself; it now waits 50 ms. Faults that a request leaves out are none: strict decoding refused such a request with 400. The test of a timed-out answer no longer depends on a connection within 500 ms.

--- a/testbed/src/main/java/org/oleanderturn/testbed/StoreStandIn.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/StoreStandIn.java
@@ -44,6 +44,7 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final String FAULTS = "/admin/faults";
     private static final String COUNTS = "/admin/counts";
+    private static final long ANSWER_GRACE_MILLISECONDS = 50;
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
     private static final long MILLISECONDS_PER_SECOND = 1_000;
 
@@ -200,12 +201,32 @@
             return;
         }
         if (request.getPath().equals(FAULTS)) {
+            handleFaults(request, response);
+            return;
+        }
+        handleCall(request, response);
+    }
+
+    private void handleFaults(ClassicHttpRequest request, ClassicHttpResponse response) throws IOException {
+        try {
             StoreStandInFaults requested = StoreStandInHandler.decode(request, StoreStandInFaults.class);
             write(response, new StoreStandInHandler.Answer(HttpStatus.SC_OK, Optional.of(requested)));
+            showOnceAnswered(requested);
+        } catch (IllegalArgumentException malformed) {
+            write(response, new StoreStandInHandler.Answer(HttpStatus.SC_BAD_REQUEST, Optional.empty()));
+        }
+    }
+
+    /** An outage would close the connection of the request that asked for it. */
+    private void showOnceAnswered(StoreStandInFaults requested) {
+        if (requested.downMilliseconds() == 0) {
             show(requested);
             return;
         }
-        handleCall(request, response);
+        var _ = executor.submit(() -> {
+            pause(ANSWER_GRACE_MILLISECONDS);
+            show(requested);
+        });
     }
 
     private void handleCall(ClassicHttpRequest request, ClassicHttpResponse response) throws IOException {
--- a/testbed/src/main/java/org/oleanderturn/testbed/StoreStandInFaults.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/StoreStandInFaults.java
@@ -1,5 +1,9 @@
 package org.oleanderturn.testbed;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Optional;
+
 /**
  * The faults that a stand-in of the store shows on request; the body of {@code POST /admin/faults}.
  *
@@ -13,6 +17,20 @@
 public record StoreStandInFaults(
         long downMilliseconds, long delayMilliseconds, boolean loseAnswers, boolean loseRequests) {
 
+    /** Returns the faults that a request names; those it leaves out are none. */
+    @JsonCreator
+    static StoreStandInFaults parse(
+            @JsonProperty("downMilliseconds") Optional<Long> downMilliseconds,
+            @JsonProperty("delayMilliseconds") Optional<Long> delayMilliseconds,
+            @JsonProperty("loseAnswers") Optional<Boolean> loseAnswers,
+            @JsonProperty("loseRequests") Optional<Boolean> loseRequests) {
+        return new StoreStandInFaults(
+                downMilliseconds.orElse(0L),
+                delayMilliseconds.orElse(0L),
+                loseAnswers.orElse(false),
+                loseRequests.orElse(false));
+    }
+
     /** Returns no faults. */
     public static StoreStandInFaults none() {
         return new StoreStandInFaults(0, 0, false, false);
--- a/testbed/src/test/java/org/oleanderturn/testbed/StoreStandInTest.java
+++ b/testbed/src/test/java/org/oleanderturn/testbed/StoreStandInTest.java
@@ -3,6 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.vavr.control.Either;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -111,8 +115,8 @@
 
     @Test
     void shouldSayUndeterminedWhenAnswerTimesOut() {
-        HttpStore impatient = HttpStore.of(
-                StoreSettings.of(server.address()).withTimeouts(Duration.ofMillis(500), Duration.ofMillis(20)));
+        HttpStore impatient =
+                HttpStore.of(StoreSettings.of(server.address()).withTimeouts(LONG_WAIT, Duration.ofMillis(20)));
         server.show(StoreStandInFaults.delay(200));
         assertThat(impatient.swap("key", StoredValue.ABSENT, VALUE).getLeft())
                 .isInstanceOf(StoreFailure.Undetermined.class);
@@ -150,6 +154,32 @@
         assertThat(result.getLeft()).isEqualTo(new StoreFailure.Throttled(Duration.ofSeconds(1)));
     }
 
+    @Test
+    void shouldShowFaultsAndCountsWhenAskedByAdminPath() throws Exception {
+        assertThat(admin("/admin/faults", "{\"loseAnswers\":true}")).isEqualTo(200);
+        assertThat(store.swap("key", StoredValue.ABSENT, VALUE).getLeft())
+                .isInstanceOf(StoreFailure.Undetermined.class);
+        assertThat(admin("/admin/faults", "{\"downMilliseconds\":60000}")).isEqualTo(200);
+        while (store.get("key").isRight() || !(store.get("key").getLeft() instanceof StoreFailure.Unreachable)) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void shouldRefuseFaultsWhenBodyIsMalformed() throws Exception {
+        assertThat(admin("/admin/faults", "{\"unknown\":1}")).isEqualTo(400);
+        assertThat(store.get("key").isRight()).isTrue();
+    }
+
+    private int admin(String path, String body) throws Exception {
+        try (HttpClient client = HttpClient.newHttpClient()) {
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + server.address() + path))
+                    .POST(HttpRequest.BodyPublishers.ofString(body))
+                    .build();
+            return client.send(request, HttpResponse.BodyHandlers.ofString()).statusCode();
+        }
+    }
+
     private void open(StoreStandInSettings settings) {
         server = StoreStandIn.start(0, settings);
         store = HttpStore.of(StoreSettings.of(server.address()));
