--- a/claims/src/test/java/org/oleanderturn/claims/JournalPartitionTest.java
+++ b/claims/src/test/java/org/oleanderturn/claims/JournalPartitionTest.java
@@ -66,6 +66,15 @@
         assertThat(other.read(key("order")).get().orElseThrow().record()).isEqualTo(record("one"));
     }
 
+    @Test
+    void shouldWriteWhenItsOwnCopyOfTheJournalIsOld() {
+        JournalPartition other = partition();
+        long first =
+                other.write(key("order"), StoredValue.ABSENT, record("one")).get();
+        long second = partition.write(key("order"), first, record("one")).get();
+        assertThat(other.write(key("order"), second, record("one")).isRight()).isTrue();
+    }
+
     @Test
     void shouldKeepRecordUntilRetentionEnds() {
         assertThat(partition
