--- a/membership/src/main/java/org/oleanderturn/membership/Isolation.java
+++ b/membership/src/main/java/org/oleanderturn/membership/Isolation.java
@@ -1,6 +1,5 @@
 package org.oleanderturn.membership;
 
-import java.util.Collection;
 import java.util.OptionalLong;
 import org.oleanderturn.model.Locality;
 
@@ -40,14 +39,14 @@
     // -- core operations
 
     /** Returns the isolation that follows from the members as they stand now; the local member is not among them. */
-    Isolation review(Collection<MemberEntry> members, Locality local, long nowMilliseconds) {
+    Isolation review(Iterable<MemberEntry> members, Locality local, long nowMilliseconds) {
         OptionalLong ownZone = review(members, local, true, ownZoneSince, nowMilliseconds);
         OptionalLong otherZones = review(members, local, false, otherZonesSince, nowMilliseconds);
         return new Isolation(ownZone, otherZones);
     }
 
     private static OptionalLong review(
-            Collection<MemberEntry> members, Locality local, boolean isOwn, OptionalLong since, long now) {
+            Iterable<MemberEntry> members, Locality local, boolean isOwn, OptionalLong since, long now) {
         if (since.isPresent() && now - since.getAsLong() >= MAXIMUM_MILLISECONDS) {
             return OptionalLong.empty();
         }
--- a/membership/src/main/java/org/oleanderturn/membership/MemberTable.java
+++ b/membership/src/main/java/org/oleanderturn/membership/MemberTable.java
@@ -5,7 +5,6 @@
 import io.vavr.collection.HashMap;
 import io.vavr.control.Option;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -34,6 +33,7 @@
     private final Isolation isolation;
     private final Lazy<List<MemberRecord>> records;
     private final Lazy<List<MemberRecord>> reachablePeers;
+    private final Lazy<Boolean> allReachable;
     private final Lazy<EndpointView> endpointView;
     private final Lazy<TableDigest> digest;
 
@@ -48,8 +48,10 @@
         this.isolation = isolation;
         this.records = Lazy.of(this::deriveRecords);
         this.reachablePeers = Lazy.of(this::deriveReachablePeers);
+        this.allReachable = Lazy.of(() -> entries.valuesIterator()
+                .forAll(entry -> entry.record().liveness().isReachable()));
         this.endpointView = Lazy.of(this::deriveEndpointView);
-        this.digest = Lazy.of(() -> TableDigest.of(entries.values()));
+        this.digest = Lazy.of(() -> TableDigest.of(entries.valuesIterator()));
     }
 
     static MemberTable of(MemberRecord local, long nowMilliseconds) {
@@ -122,7 +124,7 @@
 
     /** Returns the members that became unreachable after a time of this node's clock, sorted by node. */
     List<MemberRecord> unreachableSince(long milliseconds) {
-        return entries.values()
+        return entries.valuesIterator()
                 .filter(entry -> entry.record().liveness() == Liveness.UNREACHABLE)
                 .filter(entry -> entry.changedAtMilliseconds() > milliseconds)
                 .map(MemberEntry::record)
@@ -259,8 +261,12 @@
 
     /** Drops the tombstones whose time is over and reviews the isolation. */
     MemberTable review(long nowMilliseconds) {
-        HashMap<NodeId, MemberEntry> kept = entries.filterValues(entry -> !isExpired(entry, nowMilliseconds));
-        Collection<MemberEntry> peers = kept.remove(local).values().toJavaList();
+        if (!isolation.isPresent() && allReachable.get()) {
+            return this;
+        }
+        HashMap<NodeId, MemberEntry> kept = withoutExpired(nowMilliseconds);
+        Iterable<MemberEntry> peers = () ->
+                kept.valuesIterator().filter(entry -> !entry.record().node().equals(local));
         Isolation reviewed = isolation.review(peers, local().locality(), nowMilliseconds);
         if (kept.size() == entries.size() && reviewed.equals(isolation)) {
             return this;
@@ -268,6 +274,11 @@
         return new MemberTable(local, kept, floors, reviewed);
     }
 
+    private HashMap<NodeId, MemberEntry> withoutExpired(long nowMilliseconds) {
+        boolean hasExpired = entries.valuesIterator().exists(entry -> isExpired(entry, nowMilliseconds));
+        return hasExpired ? entries.filterValues(entry -> !isExpired(entry, nowMilliseconds)) : entries;
+    }
+
     private MemberTable change(MemberRecord known, Liveness liveness, long nowMilliseconds) {
         Optional<MemberEntry> entry = entry(known.node());
         if (entry.isEmpty() || known.node().equals(local)) {
@@ -289,7 +300,7 @@
     }
 
     private List<MemberEntry> suspects() {
-        return entries.values()
+        return entries.valuesIterator()
                 .filter(entry -> entry.record().liveness() == Liveness.SUSPECT)
                 .toJavaList();
     }
@@ -305,7 +316,7 @@
     }
 
     private List<MemberRecord> deriveRecords() {
-        return entries.values()
+        return entries.valuesIterator()
                 .map(MemberEntry::record)
                 .toJavaStream()
                 .sorted(Comparator.comparing(MemberRecord::node))
@@ -321,7 +332,7 @@
 
     private EndpointView deriveEndpointView() {
         List<Endpoint> endpoints = new ArrayList<>();
-        for (MemberEntry entry : entries.values()) {
+        for (MemberEntry entry : entries.valuesIterator()) {
             Endpoint endpoint = entry.record().endpoint();
             boolean isServing = endpoint.state() == EndpointState.READY || endpoint.state() == EndpointState.DRAINING;
             if (isServing && (entry.record().liveness().isReachable() || isKept(entry))) {
--- a/membership/src/main/java/org/oleanderturn/membership/Membership.java
+++ b/membership/src/main/java/org/oleanderturn/membership/Membership.java
@@ -100,14 +100,18 @@
         update(known -> {
             MemberTable merged = known.withFloor(header.sender().zone(), header.zoneFloor());
             merged = merged.merge(header.sender(), now);
-            return mergeAll(merged, header.records(), now).review(now);
+            merged = mergeAll(merged, header.records(), now);
+            return merged == known ? known : merged.review(now);
         });
     }
 
     /** Takes in records and returns whether they said anything new. */
     boolean absorb(List<RecordDelta> records) {
         long now = now();
-        return update(known -> mergeAll(known, records, now).review(now));
+        return update(known -> {
+            MemberTable merged = mergeAll(known, records, now);
+            return merged == known ? known : merged.review(now);
+        });
     }
 
     void absorbFloors(List<ZoneFloor> floors) {
--- /dev/null
+++ b/membership/src/test/java/org/oleanderturn/membership/MemberRecordTest.java
@@ -0,0 +1,63 @@
+package org.oleanderturn.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.EndpointState;
+
+final class MemberRecordTest {
+    private static final int ROUNDS = 2_000;
+
+    private static MemberRecord anyRecord(Random random) {
+        MemberRecord record = FakeNetwork.record("a1", "south", "hobart", random.nextInt(3));
+        Liveness liveness = any(List.of(Liveness.values()), random);
+        EndpointState state = any(List.of(EndpointState.values()), random);
+        MemberRecord moved = state == EndpointState.STARTING ? record : record.withState(state);
+        return moved.withLiveness(liveness).withHeldVersion(ConfigurationVersion.of(random.nextInt(3)));
+    }
+
+    private static <T> T any(List<T> items, Random random) {
+        return items.get(random.nextInt(items.size()));
+    }
+
+    @Test
+    void shouldMergeToTheSameWhenOrderAndRepetitionDiffer() {
+        for (int seed = 0; seed < ROUNDS; seed++) {
+            Random random = new Random(seed);
+            MemberRecord first = anyRecord(random);
+            MemberRecord second = anyRecord(random);
+            MemberRecord third = anyRecord(random);
+            assertWithMessage("seed %s", seed).that(first.merge(second)).isEqualTo(second.merge(first));
+            assertWithMessage("seed %s", seed)
+                    .that(first.merge(second).merge(third))
+                    .isEqualTo(first.merge(second.merge(third)));
+            assertWithMessage("seed %s", seed).that(first.merge(first)).isEqualTo(first);
+            assertWithMessage("seed %s", seed)
+                    .that(first.merge(second).covers(second))
+                    .isTrue();
+        }
+    }
+
+    @Test
+    void shouldTakeANewIncarnationWhenTheStateStepsBack() {
+        MemberRecord draining = FakeNetwork.record("a1", "south", "hobart", 5).withState(EndpointState.DRAINING);
+        assertThat(draining.incarnation()).isEqualTo(5);
+        assertThat(draining.withState(EndpointState.READY).incarnation()).isEqualTo(6);
+    }
+
+    @Test
+    void shouldStayWithinItsBoundWhenADeltaIsEncoded() {
+        MemberRecord record = FakeNetwork.record("a1", "south", "hobart", Long.MAX_VALUE)
+                .withState(EndpointState.DRAINING)
+                .withLiveness(Liveness.UNREACHABLE);
+        RecordDelta delta = RecordDelta.of(record, ConfigurationVersion.of(Long.MAX_VALUE), Long.MAX_VALUE);
+        byte[] bytes = Codec.messagePack().encode(delta);
+        assertThat(bytes.length).isAtMost(delta.boundOnBytes());
+        assertThat(Codec.messagePack().decode(bytes, RecordDelta.class).get()).isEqualTo(delta);
+    }
+}
