Forward an announcement before its header hides that it is news

Cause: a drain announced to a zone of more than eight members reached three of them only. The receiver took in the message's header first; the header holds the sender's own record, so the announced record was no news any more and was not forwarded.

Change: an announcement is taken in, and forwarded, before its header.

Found by a new test over three zones of twelve members, which failed with "expected DRAINING but was READY"; it now also counts six announcements between zones. Further tests: a zone cut for ten minutes while members leave and die on the other side, and a member frozen for two minutes.

--- a/membership/src/main/java/org/oleanderturn/membership/Announcer.java
+++ b/membership/src/main/java/org/oleanderturn/membership/Announcer.java
@@ -38,8 +38,12 @@
         });
     }
 
-    /** Takes in an announcement and forwards news from another zone within the own one. */
-    GossipMessage answer(GossipMessage.Announce announce) {
+    /**
+     * Takes in an announcement and forwards news from another zone within the own one.
+     *
+     * <p>To be called before the header is taken in, since the header of the first hop holds the same record.
+     */
+    void takeIn(GossipMessage.Announce announce) {
         boolean isNews = membership.absorb(List.of(announce.subject()));
         MemberTable table = membership.table();
         AvailabilityZone ownZone = table.locality().zone();
@@ -48,8 +52,6 @@
             List<MemberRecord> own = peersByZone(table).getOrDefault(ownZone, List.of());
             membership.push(addresses(own), Distance.SAME_ZONE, forwarded);
         }
-        return new GossipMessage.Acknowledge(
-                membership.answerHeader(announce.header().sender()), true);
     }
 
     private List<Address> receivers(List<MemberRecord> members, Distance distance) {
--- a/membership/src/main/java/org/oleanderturn/membership/Gossip.java
+++ b/membership/src/main/java/org/oleanderturn/membership/Gossip.java
@@ -102,6 +102,9 @@
     public GossipMessage receive(GossipMessage message) {
         Objects.requireNonNull(message, "message is null");
         RecordDelta sender = message.header().sender();
+        if (message instanceof GossipMessage.Announce announce) {
+            announcer.takeIn(announce);
+        }
         membership.absorb(message.header());
         GossipMessage answer = answer(message);
         membership.charge(answer, 1, membership.distanceTo(sender));
@@ -113,7 +116,7 @@
             case GossipMessage.PingRequest request -> acknowledge(request, isReached(request));
             case GossipMessage.SyncRequest request -> synchronizer.answer(request);
             case GossipMessage.BucketRequest request -> synchronizer.answer(request);
-            case GossipMessage.Announce announce -> announcer.answer(announce);
+            case GossipMessage.Announce announce -> acknowledge(announce, true);
             case GossipMessage.Ping ping -> acknowledge(ping, true);
             case GossipMessage.Acknowledge late -> acknowledge(late, true);
             case GossipMessage.SyncAnswer late -> acknowledge(late, true);
--- a/membership/src/test/java/org/oleanderturn/membership/FakeNetwork.java
+++ b/membership/src/test/java/org/oleanderturn/membership/FakeNetwork.java
@@ -39,6 +39,7 @@
     double answerLossRate;
     double delayRate;
     double duplicateRate;
+    int announcementsBetweenZones;
 
     FakeNetwork(RandomGenerator random, GossipSettings settings) {
         this.random = random;
@@ -131,6 +132,11 @@
         GossipMessage sent = throughCodec(message);
         sender.sentBytes += Codec.messagePack().encode(message).length;
         Member receiver = members.get(node(address.host().replace(".host", "")));
+        if (receiver != null
+                && message instanceof GossipMessage.Announce
+                && !sender.zone().equals(receiver.zone())) {
+            announcementsBetweenZones++;
+        }
         if (receiver == null || isCut(sender, receiver) || hits(sent, lossRate)) {
             return Either.left(new PeerFailure.Unreachable(address, "lost"));
         }
--- a/membership/src/test/java/org/oleanderturn/membership/GossipTest.java
+++ b/membership/src/test/java/org/oleanderturn/membership/GossipTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.EndpointState;
 
@@ -71,4 +72,67 @@
                         .zone()))
                 .isEqualTo(ConfigurationVersion.of(9));
     }
+
+    private void startZones(int membersEach) {
+        Address first = Address.of("a0.host", 7_000);
+        for (String zone : List.of("a", "b", "c")) {
+            for (int index = 0; index < membersEach; index++) {
+                network.start(zone + index, zone.equals("c") ? "north" : "south", zone, 10);
+            }
+        }
+        network.running().forEach(member -> member.gossip.join(List.of(first)));
+        network.run(30_000, () -> {});
+    }
+
+    @Test
+    void shouldCrossALinkAFewTimesOnlyWhenADrainIsAnnouncedToLargeZones() {
+        startZones(12);
+        network.member("a3").gossip.drain();
+        for (FakeNetwork.Member member : network.running()) {
+            assertThat(member.table()
+                            .record(FakeNetwork.node("a3"))
+                            .orElseThrow()
+                            .endpoint()
+                            .state())
+                    .isEqualTo(EndpointState.DRAINING);
+        }
+        assertThat(network.announcementsBetweenZones).isEqualTo(6);
+    }
+
+    @Test
+    void shouldKeepTheLastViewWhenAZoneIsCutForMinutesAndAgreeWhenItHeals() {
+        InvariantCheck invariants = new InvariantCheck(network, "seed 7");
+        startZones(3);
+        network.cut("b", "a");
+        network.cut("b", "c");
+        network.run(60_000, invariants::check);
+        network.member("a0").gossip.leave();
+        network.dead.add(FakeNetwork.node("a0"));
+        network.dead.add(FakeNetwork.node("c0"));
+        network.run(540_000, invariants::check);
+        MemberTable cutOff = network.member("b0").table();
+        assertThat(cutOff.isIsolated()).isTrue();
+        assertThat(cutOff.endpointView().all()).hasSize(9);
+        assertThat(cutOff.isLastResort(FakeNetwork.node("a0"))).isTrue();
+        network.heal();
+        network.run(90_000, invariants::check);
+        invariants.checkAgreement();
+        assertThat(network.member("b0").table().endpointView().all()).hasSize(7);
+    }
+
+    @Test
+    void shouldNotGiveUpOthersWhenItWasFrozenItself() {
+        startZones(4);
+        network.lossRate = 0.9;
+        network.run(3_000, () -> {});
+        FakeNetwork.Member frozen = network.member("a1");
+        network.frozen.add(frozen.node());
+        network.heal();
+        network.run(120_000, () -> {});
+        network.frozen.clear();
+        frozen.gossip.tick();
+        assertThat(frozen.table().unreachableSince(Long.MIN_VALUE)).isEmpty();
+        network.run(60_000, () -> {});
+        assertThat(frozen.table().reachablePeers()).hasSize(11);
+    }
 }
--- a/membership/src/test/java/org/oleanderturn/membership/MembershipFaultMatrixTest.java
+++ b/membership/src/test/java/org/oleanderturn/membership/MembershipFaultMatrixTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,6 +30,9 @@
     private static final List<Address> SEED_MEMBERS =
             List.of(Address.of("a2.host", 7_000), Address.of("b2.host", 7_000));
 
+    private static final Set<Fault> ANNOUNCED_AT_ONCE =
+            Set.of(Fault.ANSWER_LOST, Fault.DUPLICATED, Fault.PEER_FROZEN, Fault.ZONE_CUT);
+
     private FakeNetwork network;
     private InvariantCheck invariants;
     private String seedText;
@@ -100,6 +104,9 @@
         startAll();
         inject(step, fault);
         act(step);
+        if (step == Step.ANNOUNCE && ANNOUNCED_AT_ONCE.contains(fault)) {
+            checkDrainedAtOnce();
+        }
         network.run(FAULT_MILLISECONDS, this::checkEachStep);
         network.heal();
         network.frozen.clear();
@@ -108,6 +115,18 @@
         checkOutcome(step);
     }
 
+    /** After the announcement no member that could be reached sees the drained one as ready. */
+    private void checkDrainedAtOnce() {
+        for (FakeNetwork.Member member : network.running()) {
+            boolean isHidden = isCut && member.zone().equals("b");
+            boolean isReady = member.table().endpointView().all().stream()
+                    .anyMatch(endpoint -> endpoint.node().equals(FakeNetwork.node("a1")) && endpoint.isReady());
+            assertWithMessage("drained, yet ready at %s, %s", member.node(), seedText)
+                    .that(isReady && !isHidden)
+                    .isFalse();
+        }
+    }
+
     private void startAll() {
         for (String name : NAMES) {
             startAlone(name, 100);
