Pass on within a region which version each node holds

Cause: a node knew the held version only of those it had met lately, so no node could say whether a version is in force on its region's proxies.

Change: messages within a region carry triples of node, incarnation and version, at most 1,000 bytes each, passed on a limited number of times. The incarnation keeps the version of a dead process off its successor. Changes between two tables are found in one pass that skips entries not replaced.

Ruled out: queueing whole records; at 1,100 members each change of version would send each record again. Passing triples over the link between regions, which is paid by volume.

--- a/membership/src/main/java/org/oleanderturn/membership/GossipHeader.java
+++ b/membership/src/main/java/org/oleanderturn/membership/GossipHeader.java
@@ -12,13 +12,16 @@
  * @param sender the sender's own record, with the version that it holds
  * @param zoneFloor the highest version that any node of the sender's zone was ever known to hold
  * @param records changes that the sender passes on
+ * @param held versions that nodes came to hold, which the sender passes on within a region
  */
-public record GossipHeader(RecordDelta sender, ConfigurationVersion zoneFloor, List<RecordDelta> records) {
+public record GossipHeader(
+        RecordDelta sender, ConfigurationVersion zoneFloor, List<RecordDelta> records, List<HeldVersion> held) {
 
-    /** Copies the records. */
+    /** Copies the lists. */
     public GossipHeader {
         Objects.requireNonNull(sender, "sender is null");
         Objects.requireNonNull(zoneFloor, "zoneFloor is null");
         records = List.copyOf(records);
+        held = List.copyOf(held);
     }
 }
--- a/membership/src/main/java/org/oleanderturn/membership/GossipSettings.java
+++ b/membership/src/main/java/org/oleanderturn/membership/GossipSettings.java
@@ -15,6 +15,7 @@
  * @param bytesPerSecond bytes that this node may send in all
  * @param farBytesPerSecond bytes that this node may send to other regions
  * @param piggybackBytes bytes of records that one message passes on
+ * @param heldBytes bytes of held versions that one message passes on
  * @param syncBytes bytes of records in one message of a comparison
  */
 public record GossipSettings(
@@ -26,6 +27,7 @@
         int bytesPerSecond,
         int farBytesPerSecond,
         int piggybackBytes,
+        int heldBytes,
         int syncBytes) {
     private static final int SPREAD_MULTIPLIER = 4;
 
@@ -40,6 +42,7 @@
                 21_000,
                 4_000,
                 1_200,
+                1_000,
                 16_000);
     }
 
--- a/membership/src/main/java/org/oleanderturn/membership/MemberTable.java
+++ b/membership/src/main/java/org/oleanderturn/membership/MemberTable.java
@@ -1,9 +1,7 @@
 package org.oleanderturn.membership;
 
 import io.vavr.Lazy;
-import io.vavr.Tuple2;
 import io.vavr.collection.HashMap;
-import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -133,18 +131,12 @@
                 .toList();
     }
 
-    /** Returns the nodes whose records say something else here than in an earlier table, but for held versions. */
-    List<NodeId> changedSince(MemberTable earlier) {
-        List<NodeId> changed = new ArrayList<>();
-        for (Tuple2<NodeId, MemberEntry> entry : entries) {
-            Option<MemberEntry> known = earlier.entries.get(entry._1());
-            boolean isSame = known.exists(
-                    before -> before.record().isSameStanding(entry._2().record()));
-            if (!isSame) {
-                changed.add(entry._1());
-            }
-        }
-        return changed;
+    TableChanges changesSince(MemberTable earlier) {
+        return TableChanges.between(earlier.entries, entries);
+    }
+
+    int size() {
+        return entries.size();
     }
 
     boolean hasSameIsolation(MemberTable other) {
@@ -174,6 +166,20 @@
                 : known.mergePeer(delta, nowMilliseconds);
     }
 
+    /** Takes in the version that another member came to hold; one of another incarnation changes nothing. */
+    MemberTable merge(HeldVersion held) {
+        Optional<MemberEntry> known = entry(held.node());
+        boolean isNews = known.isPresent()
+                && !held.node().equals(local)
+                && known.get().record().incarnation() == held.incarnation()
+                && held.version().isAfter(known.get().record().heldVersion());
+        if (!isNews) {
+            return this;
+        }
+        MemberEntry entry = known.get();
+        return put(entry.withRecord(entry.record().withHeldVersion(held.version()), entry.changedAtMilliseconds()));
+    }
+
     MemberTable withFloor(AvailabilityZone zone, ConfigurationVersion version) {
         if (!version.isAfter(highestVersionInZone(zone))) {
             return this;
--- a/membership/src/main/java/org/oleanderturn/membership/Membership.java
+++ b/membership/src/main/java/org/oleanderturn/membership/Membership.java
@@ -20,7 +20,8 @@
  */
 final class Membership {
     private final AtomicReference<MemberTable> table;
-    private final TransmissionQueue queue = new TransmissionQueue();
+    private final TransmissionQueue<RecordDelta> queue = new TransmissionQueue<>(RecordDelta::boundOnBytes);
+    private final TransmissionQueue<HeldVersion> heldQueue = new TransmissionQueue<>(HeldVersion::boundOnBytes);
     private final GossipSettings settings;
     private final GossipPeers peers;
     private final LongSupplier clockMilliseconds;
@@ -87,9 +88,10 @@
     }
 
     private void publish(MemberTable before, MemberTable after) {
-        List<NodeId> changed = after.changedSince(before);
-        changed.forEach(queue::add);
-        if (!changed.isEmpty() || !after.hasSameIsolation(before)) {
+        TableChanges changes = after.changesSince(before);
+        changes.standing().forEach(queue::add);
+        changes.held().forEach(heldQueue::add);
+        if (!changes.standing().isEmpty() || !after.hasSameIsolation(before)) {
             listener.changed();
         }
     }
@@ -101,6 +103,9 @@
             MemberTable merged = known.withFloor(header.sender().zone(), header.zoneFloor());
             merged = merged.merge(header.sender(), now);
             merged = mergeAll(merged, header.records(), now);
+            for (HeldVersion held : header.held()) {
+                merged = merged.merge(held);
+            }
             return merged == known ? known : merged.review(now);
         });
     }
@@ -156,6 +161,7 @@
         return new GossipHeader(
                 current.localEntry().toDelta(now()),
                 current.highestVersionInZone(current.locality().zone()),
+                List.of(),
                 List.of());
     }
 
@@ -163,12 +169,21 @@
         GossipHeader plain = plainHeader();
         List<RecordDelta> records = new ArrayList<>();
         told.ifPresent(records::add);
-        if (hasBudget(distance)) {
-            MemberTable current = table();
-            int limit = settings.transmissions(current.records().size());
-            records.addAll(queue.take(current, settings.piggybackBytes(), limit, now()));
+        if (!hasBudget(distance)) {
+            return new GossipHeader(plain.sender(), plain.zoneFloor(), records, List.of());
         }
-        return new GossipHeader(plain.sender(), plain.zoneFloor(), records);
+        MemberTable current = table();
+        long now = now();
+        int limit = settings.transmissions(current.size());
+        records.addAll(queue.take(
+                settings.piggybackBytes(), limit, node -> current.entry(node).map(entry -> entry.toDelta(now))));
+        List<HeldVersion> held = distance == Distance.OTHER_REGION
+                ? List.of()
+                : heldQueue.take(
+                        settings.heldBytes(),
+                        limit,
+                        node -> current.record(node).map(HeldVersion::of));
+        return new GossipHeader(plain.sender(), plain.zoneFloor(), records, held);
     }
 
     Either<PeerFailure, GossipMessage> send(Address controlAddress, Distance distance, GossipMessage message) {
--- a/membership/src/main/java/org/oleanderturn/membership/TransmissionQueue.java
+++ b/membership/src/main/java/org/oleanderturn/membership/TransmissionQueue.java
@@ -6,39 +6,44 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.ToIntFunction;
 import org.oleanderturn.model.NodeId;
 
 /**
- * The nodes whose records this node passes on, each a limited number of times, the least passed on first.
+ * The nodes of which this node passes something on, each a limited number of times, the least passed on first.
  *
  * <p>Invariant: a node is there once; a new change starts its count anew. Thread safe by its own lock.
+ *
+ * @param <T> what is passed on of a node
  */
-final class TransmissionQueue {
+final class TransmissionQueue<T> {
     private final Map<NodeId, Integer> transmissions = new HashMap<>();
+    private final ToIntFunction<T> boundOnBytes;
 
-    synchronized void add(NodeId node) {
-        transmissions.put(node, 0);
+    TransmissionQueue(ToIntFunction<T> boundOnBytes) {
+        this.boundOnBytes = boundOnBytes;
     }
 
-    synchronized int size() {
-        return transmissions.size();
+    synchronized void add(NodeId node) {
+        transmissions.put(node, 0);
     }
 
-    /** Takes records of at most the given bytes to pass on and counts them. */
-    synchronized List<RecordDelta> take(MemberTable table, int bytes, int limit, long nowMilliseconds) {
-        List<RecordDelta> taken = new ArrayList<>();
+    /** Takes items of at most the given bytes to pass on and counts them; a node without an item is dropped. */
+    synchronized List<T> take(int bytes, int limit, Function<NodeId, Optional<T>> items) {
+        List<T> taken = new ArrayList<>();
         int remaining = bytes;
         for (NodeId node : byCount()) {
-            Optional<RecordDelta> delta = table.entry(node).map(entry -> entry.toDelta(nowMilliseconds));
-            if (delta.isEmpty()) {
+            Optional<T> item = items.apply(node);
+            if (item.isEmpty()) {
                 transmissions.remove(node);
                 continue;
             }
-            remaining -= delta.get().boundOnBytes();
+            remaining -= boundOnBytes.applyAsInt(item.get());
             if (remaining < 0) {
                 return taken;
             }
-            taken.add(delta.get());
+            taken.add(item.get());
             count(node, limit);
         }
         return taken;
--- a/membership/src/test/java/org/oleanderturn/membership/GossipTest.java
+++ b/membership/src/test/java/org/oleanderturn/membership/GossipTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
@@ -135,4 +136,52 @@
         network.run(60_000, () -> {});
         assertThat(frozen.table().reachablePeers()).hasSize(11);
     }
+
+    @Test
+    void shouldKnowWhatItsRegionHoldsAfterSecondsWhenAllAdoptAVersion() {
+        startZones(12);
+        network.running().forEach(member -> member.hold(8));
+        network.run(20_000, () -> {});
+        for (FakeNetwork.Member member : network.running()) {
+            for (MemberRecord record : member.table().records()) {
+                if (record.locality().region().equals(member.table().locality().region())) {
+                    assertThat(record.heldVersion()).isEqualTo(ConfigurationVersion.of(8));
+                }
+            }
+        }
+    }
+
+    @Test
+    void shouldNotTakeTheVersionOfAnEarlierIncarnationWhenANodeRestarted() {
+        startZones(2);
+        MemberTable table = network.member("a0").table();
+        HeldVersion old = new HeldVersion(FakeNetwork.node("a1"), 9, ConfigurationVersion.of(8));
+        assertThat(table.merge(old)).isSameInstanceAs(table);
+        HeldVersion own = new HeldVersion(FakeNetwork.node("a0"), 10, ConfigurationVersion.of(8));
+        assertThat(table.merge(own)).isSameInstanceAs(table);
+    }
+
+    @Test
+    void shouldKeepEveryRecordWhenSeveralThreadsReceiveAtOnce() throws InterruptedException {
+        startZones(2);
+        Gossip receiver = network.member("a0").gossip;
+        List<Thread> threads = new ArrayList<>();
+        for (int index = 0; index < 8; index++) {
+            int sender = index;
+            threads.add(Thread.ofVirtual().start(() -> pingAs(receiver, sender)));
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        assertThat(receiver.table().reachablePeers()).hasSize(5 + 8 * 50);
+    }
+
+    private static void pingAs(Gossip receiver, int sender) {
+        for (int index = 0; index < 50; index++) {
+            MemberRecord record = FakeNetwork.record("new-" + sender + "-" + index, "south", "a", 1);
+            RecordDelta delta = RecordDelta.of(record, ConfigurationVersion.none(), 0);
+            GossipHeader header = new GossipHeader(delta, ConfigurationVersion.none(), List.of(), List.of());
+            receiver.receive(new GossipMessage.Ping(header));
+        }
+    }
 }
