--- a/membership/src/test/java/org/oleanderturn/membership/GossipTest.java
+++ b/membership/src/test/java/org/oleanderturn/membership/GossipTest.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.EndpointState;
 
@@ -71,4 +73,115 @@
                         .zone()))
                 .isEqualTo(ConfigurationVersion.of(9));
     }
+
+    private void startZones(int membersEach) {
+        Address first = Address.of("a0.host", 7_000);
+        for (String zone : List.of("a", "b", "c")) {
+            for (int index = 0; index < membersEach; index++) {
+                network.start(zone + index, zone.equals("c") ? "north" : "south", zone, 10);
+            }
+        }
+        network.running().forEach(member -> member.gossip.join(List.of(first)));
+        network.run(30_000, () -> {});
+    }
+
+    @Test
+    void shouldCrossALinkAFewTimesOnlyWhenADrainIsAnnouncedToLargeZones() {
+        startZones(12);
+        network.member("a3").gossip.drain();
+        for (FakeNetwork.Member member : network.running()) {
+            assertThat(member.table()
+                            .record(FakeNetwork.node("a3"))
+                            .orElseThrow()
+                            .endpoint()
+                            .state())
+                    .isEqualTo(EndpointState.DRAINING);
+        }
+        assertThat(network.announcementsBetweenZones).isEqualTo(6);
+    }
+
+    @Test
+    void shouldKeepTheLastViewWhenAZoneIsCutForMinutesAndAgreeWhenItHeals() {
+        InvariantCheck invariants = new InvariantCheck(network, "seed 7");
+        startZones(3);
+        network.cut("b", "a");
+        network.cut("b", "c");
+        network.run(60_000, invariants::check);
+        network.member("a0").gossip.leave();
+        network.dead.add(FakeNetwork.node("a0"));
+        network.dead.add(FakeNetwork.node("c0"));
+        network.run(540_000, invariants::check);
+        MemberTable cutOff = network.member("b0").table();
+        assertThat(cutOff.isIsolated()).isTrue();
+        assertThat(cutOff.endpointView().all()).hasSize(9);
+        assertThat(cutOff.isLastResort(FakeNetwork.node("a0"))).isTrue();
+        network.heal();
+        network.run(90_000, invariants::check);
+        invariants.checkAgreement();
+        assertThat(network.member("b0").table().endpointView().all()).hasSize(7);
+    }
+
+    @Test
+    void shouldNotGiveUpOthersWhenItWasFrozenItself() {
+        startZones(4);
+        network.lossRate = 0.9;
+        network.run(3_000, () -> {});
+        FakeNetwork.Member frozen = network.member("a1");
+        network.frozen.add(frozen.node());
+        network.heal();
+        network.run(120_000, () -> {});
+        network.frozen.clear();
+        frozen.gossip.tick();
+        assertThat(frozen.table().unreachableSince(Long.MIN_VALUE)).isEmpty();
+        network.run(60_000, () -> {});
+        assertThat(frozen.table().reachablePeers()).hasSize(11);
+    }
+
+    @Test
+    void shouldKnowWhatItsRegionHoldsAfterSecondsWhenAllAdoptAVersion() {
+        startZones(12);
+        network.running().forEach(member -> member.hold(8));
+        network.run(20_000, () -> {});
+        for (FakeNetwork.Member member : network.running()) {
+            for (MemberRecord record : member.table().records()) {
+                if (record.locality().region().equals(member.table().locality().region())) {
+                    assertThat(record.heldVersion()).isEqualTo(ConfigurationVersion.of(8));
+                }
+            }
+        }
+    }
+
+    @Test
+    void shouldNotTakeTheVersionOfAnEarlierIncarnationWhenANodeRestarted() {
+        startZones(2);
+        MemberTable table = network.member("a0").table();
+        HeldVersion old = new HeldVersion(FakeNetwork.node("a1"), 9, ConfigurationVersion.of(8));
+        assertThat(table.merge(old)).isSameInstanceAs(table);
+        HeldVersion own = new HeldVersion(FakeNetwork.node("a0"), 10, ConfigurationVersion.of(8));
+        assertThat(table.merge(own)).isSameInstanceAs(table);
+    }
+
+    @Test
+    void shouldKeepEveryRecordWhenSeveralThreadsReceiveAtOnce() throws InterruptedException {
+        startZones(2);
+        Gossip receiver = network.member("a0").gossip;
+        List<Thread> threads = new ArrayList<>();
+        for (int index = 0; index < 8; index++) {
+            int sender = index;
+            threads.add(Thread.ofVirtual().start(() -> pingAs(receiver, sender)));
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        assertThat(receiver.table().reachablePeers()).hasSize(5 + 8 * 50);
+    }
+
+    private static void pingAs(Gossip receiver, int sender) {
+        for (int index = 0; index < 50; index++) {
+            MemberRecord record = FakeNetwork.record("new-" + sender + "-" + index, "south", "a", 1);
+            RecordDelta delta = RecordDelta.of(record, ConfigurationVersion.none(), 0);
+            GossipHeader header = new GossipHeader(delta, ConfigurationVersion.none(), List.of(), List.of());
+            receiver.receive(new GossipMessage.Ping(header));
+        }
+    }
 }
