--- a/distribution/src/main/java/org/oleanderturn/distribution/Spreader.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Spreader.java
@@ -119,7 +119,10 @@
         Objects.requireNonNull(peer, "peer is null");
         Objects.requireNonNull(update, "update is null");
         return switch (update) {
-            case ConfigurationUpdate.Current current -> answerTo(current.version());
+            case ConfigurationUpdate.Current current -> {
+                heard(peer, current.version());
+                yield answerTo(current.version());
+            }
             case ConfigurationUpdate.Delta delta -> {
                 puller.arriving(peer, delta.delta().to());
                 yield answer(holder.adopt(delta.delta()));
