Pause fetches of a rejected version that every message mentions

A version that a node rejects stays newer than what it holds, so each message that mentioned it started another fetch of the same content. After a rejection it is fetched on hearsay again only after 15 to 30 s; a higher one at once.

--- a/distribution/src/main/java/org/oleanderturn/distribution/Puller.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Puller.java
@@ -15,11 +15,13 @@
  * Fetches from peers what this node has heard to be newer.
  *
  * <p>Invariants: one fetch at a time; a version heard from another region is fetched by about two nodes of this region
- * in each interval, whatever its size, unless this node is a relay. Thread safe.
+ * in each interval, whatever its size, unless this node is a relay; a version that was rejected is not fetched on hearsay
+ * for a while. Thread safe.
  */
 final class Puller {
     private static final int DRAWS_ACROSS_REGIONS = 2;
     private static final long DRAW_MILLISECONDS = 500;
+    private static final long REJECTION_MILLISECONDS = 30_000;
     private static final Digest UNKNOWN = Digest.of("");
 
     private final ConfigurationHolder holder;
@@ -31,6 +33,7 @@
     private final AtomicBoolean isPulling = new AtomicBoolean();
     private volatile long notBeforeMilliseconds = Long.MIN_VALUE;
     private volatile long nextDrawMilliseconds = Long.MIN_VALUE;
+    private volatile Rejected rejected = new Rejected(ConfigurationVersion.none(), Long.MIN_VALUE);
 
     private Puller(ConfigurationHolder holder, ConfigurationPeers peers, PeerChoice choice, RelayRole role) {
         this.holder = holder;
@@ -78,7 +81,10 @@
 
     void pull(long nowMilliseconds) {
         Optional<Hearing> news = hearing.get().filter(heard -> heard.version().isAfter(holder.version()));
-        if (news.isEmpty() || nowMilliseconds < notBeforeMilliseconds || !isDrawn(news.get(), nowMilliseconds)) {
+        if (news.isEmpty() || nowMilliseconds < notBeforeMilliseconds) {
+            return;
+        }
+        if (rejected.covers(news.get().version(), nowMilliseconds) || !isDrawn(news.get(), nowMilliseconds)) {
             return;
         }
         fetch(news.get().peer(), nowMilliseconds);
@@ -114,11 +120,11 @@
             case ConfigurationUpdate.Current _ -> Optional.empty();
             case ConfigurationUpdate.Delta delta -> {
                 arriving(peer, delta.delta().to());
-                yield Optional.of(holder.adopt(delta.delta()));
+                yield Optional.of(noted(holder.adopt(delta.delta()), nowMilliseconds));
             }
             case ConfigurationUpdate.Snapshot snapshot -> {
                 arriving(peer, snapshot.snapshot().version());
-                yield Optional.of(holder.adopt(snapshot.snapshot()));
+                yield Optional.of(noted(holder.adopt(snapshot.snapshot()), nowMilliseconds));
             }
             case ConfigurationUpdate.Busy busy -> {
                 long wait = Math.max(1, busy.retryAfterMilliseconds());
@@ -128,6 +134,13 @@
         };
     }
 
+    private Adoption noted(Adoption adoption, long nowMilliseconds) {
+        if (adoption instanceof Adoption.Rejected kept) {
+            rejected = new Rejected(kept.offered(), nowMilliseconds + choice.jittered(REJECTION_MILLISECONDS));
+        }
+        return adoption;
+    }
+
     private static boolean isUnfit(Optional<Adoption> adoption) {
         if (adoption.isEmpty()) {
             return false;
@@ -150,6 +163,12 @@
         return choice.isDrawnInRegion(DRAWS_ACROSS_REGIONS);
     }
 
+    private record Rejected(ConfigurationVersion version, long untilMilliseconds) {
+        boolean covers(ConfigurationVersion heard, long nowMilliseconds) {
+            return nowMilliseconds < untilMilliseconds && !heard.isAfter(version);
+        }
+    }
+
     private record Hearing(Address peer, ConfigurationVersion version, Distance distance) {
         boolean isBetterThan(Hearing other) {
             if (!version.equals(other.version)) {
--- a/distribution/src/test/java/org/oleanderturn/distribution/SpreadFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/SpreadFaultMatrixTest.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.vavr.control.Either;
 import java.util.Arrays;
+import java.util.List;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -14,7 +17,10 @@
 import org.oleanderturn.distribution.FakeNetwork.Node;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationDelta;
+import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.Locality;
 
 /** Every fault at every message of the spread of three versions over two regions. */
 class SpreadFaultMatrixTest {
@@ -165,6 +171,63 @@
         network.checkAllHold(1);
     }
 
+    /** A version that this node rejects is mentioned by every message that it gets. */
+    @Test
+    void shouldNotFetchAgainAtOnceWhenAVersionWasRejected() {
+        ConfigurationSnapshot forged = new ConfigurationSnapshot(
+                ConfigurationVersion.of(2),
+                Samples.services(1, 1),
+                Samples.snapshot(9).digest());
+        ForgingPeer forger = new ForgingPeer(forged);
+        ConfigurationHolder holder = ConfigurationHolder.empty();
+        UpdateSource source = UpdateSource.of(holder, SnapshotHistory.of(holder));
+        Locality locality = Locality.of("south", "south-1");
+        Spreader spreader = Spreader.of(
+                holder,
+                source,
+                forger,
+                forger,
+                _ -> OptionalInt.of(0),
+                locality,
+                FakeNetwork.PLATFORM_REGION,
+                new Random(6));
+        for (long nowMilliseconds = 0; nowMilliseconds < 10_000; nowMilliseconds += 100) {
+            spreader.heard(ForgingPeer.ADDRESS, forged.version());
+            spreader.pull(nowMilliseconds);
+        }
+
+        assertThat(forger.fetches).isEqualTo(1);
+        assertThat(holder.version()).isEqualTo(ConfigurationVersion.none());
+    }
+
+    /** Answers each fetch with a snapshot that is not intact. */
+    private static final class ForgingPeer implements ConfigurationPeers, PeerDirectory {
+        private static final Address ADDRESS = Address.of("127.0.0.1", 1);
+        private final ConfigurationSnapshot forged;
+        private int fetches;
+
+        private ForgingPeer(ConfigurationSnapshot forged) {
+            this.forged = forged;
+        }
+
+        @Override
+        public List<Peer> peers() {
+            return List.of();
+        }
+
+        @Override
+        public Either<PeerFailure, ConfigurationUpdate> fetch(
+                Address peer, ConfigurationVersion held, Digest heldDigest) {
+            fetches++;
+            return Either.right(new ConfigurationUpdate.Snapshot(forged));
+        }
+
+        @Override
+        public Either<PeerFailure, PushAnswer> push(Address peer, ConfigurationUpdate update) {
+            return Either.left(new PeerFailure.TimedOut());
+        }
+    }
+
     @Test
     void shouldTellApartWhatItKnowsWhenPeersAreUnknown() {
         Places places = new Places(5, "unknown peer");
