Remember the newest version heard of, and answer restarted nodes with it

A membership record starts anew with the node it speaks of, so it forgets what that node held. Each node now keeps the newest version anyone mentioned and gives it to whoever restarts. The table of evidence of ReadinessFloorTest stood twice; its rows are in RestartFaultMatrixTest, where an empty store joins.

--- a/distribution/src/main/java/org/oleanderturn/distribution/Puller.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Puller.java
@@ -30,6 +30,7 @@
     private final RelayRole role;
     private final AtomicReference<Optional<Hearing>> hearing = new AtomicReference<>(Optional.empty());
     private final AtomicReference<ConfigurationVersion> fromAfar = new AtomicReference<>(ConfigurationVersion.none());
+    private final AtomicReference<ConfigurationVersion> newest = new AtomicReference<>(ConfigurationVersion.none());
     private final AtomicBoolean isPulling = new AtomicBoolean();
     private volatile long notBeforeMilliseconds = Long.MIN_VALUE;
     private volatile long nextDrawMilliseconds = Long.MIN_VALUE;
@@ -56,6 +57,11 @@
                 .isPresent();
     }
 
+    /** Returns the newest version that any peer ever mentioned. */
+    ConfigurationVersion newestHeard() {
+        return newest.get();
+    }
+
     /** Returns whether a version reached this node from another region. */
     boolean isFromAfar(ConfigurationVersion version) {
         return fromAfar.get().equals(version);
@@ -67,6 +73,7 @@
         if (!version.isAfter(holder.version())) {
             return;
         }
+        newest.accumulateAndGet(version, ConfigurationVersion::newest);
         Hearing news = new Hearing(peer, version, choice.distanceTo(peer));
         hearing.updateAndGet(
                 known -> known.filter(old -> !news.isBetterThan(old)).or(() -> Optional.of(news)));
--- a/distribution/src/main/java/org/oleanderturn/distribution/Spreader.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Spreader.java
@@ -10,6 +10,7 @@
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.Region;
 
 /**
@@ -94,6 +95,17 @@
         return puller.isDue();
     }
 
+    /** Returns the newest version that this node holds or ever heard of; it never falls. */
+    public ConfigurationVersion newestKnown() {
+        return ConfigurationVersion.newest(holder.version(), puller.newestHeard());
+    }
+
+    /** Returns the answer to a restarted node that asks what it has to catch up with. */
+    public PeerRecollection recollect(NodeId self, boolean isReady) {
+        Objects.requireNonNull(self, "self is null");
+        return new PeerRecollection(self, isReady, holder.version(), newestKnown());
+    }
+
     /** Returns the update for a peer that asks with what it holds. */
     public ConfigurationUpdate serve(ConfigurationVersion held, Digest heldDigest, long nowMilliseconds) {
         return source.serve(held, heldDigest, nowMilliseconds);
--- a/distribution/src/test/java/org/oleanderturn/distribution/ReadinessFloorTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/ReadinessFloorTest.java
@@ -4,8 +4,6 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
 
@@ -60,28 +58,6 @@
         assertThat(floor.assess(version(3), List.of(SECOND)).isReady()).isTrue();
     }
 
-    /** Each evidence against each other: store head (-1 is unread), peer's state, and what it remembers. */
-    @ParameterizedTest
-    @CsvSource({
-        "-1, true, 6, 6, 6, true", "-1, true, 6, 7, 6, false", "-1, true, 7, 6, 6, false",
-        "-1, false, 6, 6, 6, false", "-1, false, 0, 7, 7, false", "6, false, 0, 0, 6, true",
-        "7, true, 6, 6, 6, false", "7, true, 6, 6, 7, true", "5, true, 6, 6, 5, false",
-        "5, false, 6, 6, 5, false", "0, false, 0, 0, 0, true", "0, true, 0, 3, 0, false"
-    })
-    void shouldBeReadyOnlyAtTheFloorWhenEvidenceMeets(
-            long head, boolean isPeerReady, long peerHeld, long remembered, long held, boolean isReady) {
-        String fault = (head < 0 ? "STORE_DOWN" : "HEAD_" + head) + "/PEER_" + isPeerReady + "_" + peerHeld + "_"
-                + remembered + "/HELD_" + held;
-        FaultMatrix.cell("restart", "assess", fault, "ready only at the floor", () -> {
-            if (head >= 0) {
-                floor.observeHead(version(head));
-            }
-            floor.observe(answer(FIRST, isPeerReady, peerHeld, remembered));
-
-            assertThat(floor.assess(version(held), List.of(FIRST)).isReady()).isEqualTo(isReady);
-        });
-    }
-
     private static PeerRecollection answer(NodeId peer, boolean isReady, long held, long newestKnown) {
         return new PeerRecollection(peer, isReady, version(held), version(newestKnown));
     }
--- a/distribution/src/test/java/org/oleanderturn/distribution/RestartFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/RestartFaultMatrixTest.java
@@ -24,6 +24,7 @@
     /** What the platform's store says. */
     enum StoreState {
         DOWN(-1),
+        EMPTY(0),
         RESTORED(5),
         SAME(7),
         NEWER(8);
--- a/distribution/src/test/java/org/oleanderturn/distribution/SpreadFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/SpreadFaultMatrixTest.java
@@ -21,6 +21,7 @@
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
 
 /** Every fault at every message of the spread of three versions over two regions. */
 class SpreadFaultMatrixTest {
@@ -228,6 +229,18 @@
         }
     }
 
+    @Test
+    void shouldRememberForOthersWhenItHeardOfANewerVersionThanItHolds() {
+        FakeNetwork network = new FakeNetwork(7, "memory");
+        Node node = network.add("south", "south-1");
+        node.holder.adopt(Samples.snapshot(6));
+        node.spreader.heard(Address.of("127.0.0.1", 9_999), ConfigurationVersion.of(7));
+
+        assertThat(node.spreader.recollect(NodeId.of("first"), true))
+                .isEqualTo(new PeerRecollection(
+                        NodeId.of("first"), true, ConfigurationVersion.of(6), ConfigurationVersion.of(7)));
+    }
+
     @Test
     void shouldFetchAcrossRegionsFewTimesWhenAWholeRegionHearsOfAVersion() {
         FakeNetwork network = new FakeNetwork(5, "hearsay across regions");
