--- a/distribution/src/test/java/org/oleanderturn/distribution/ConfigurationHolderTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/ConfigurationHolderTest.java
@@ -7,6 +7,8 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationDelta;
@@ -101,6 +103,22 @@
         assertThat(seen).hasSize(2);
     }
 
+    @Test
+    void shouldCallListenersInOrderWhenThreadsRace() {
+        List<ConfigurationVersion> seen = new ArrayList<>();
+        holder.addListener(snapshot -> seen.add(snapshot.version()));
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int version = 1; version <= 200; version++) {
+                ConfigurationSnapshot offered = Samples.snapshot(version);
+                executor.execute(() -> holder.adopt(offered));
+            }
+        }
+
+        assertThat(seen).isInStrictOrder();
+        assertThat(seen.getLast()).isEqualTo(ConfigurationVersion.of(200));
+        assertThat(holder.version()).isEqualTo(ConfigurationVersion.of(200));
+    }
+
     @Test
     void shouldGoOnWhenAListenerThrows() {
         List<ConfigurationVersion> seen = new ArrayList<>();
