--- a/distribution/src/test/java/org/oleanderturn/distribution/MessageEncodingTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/MessageEncodingTest.java
@@ -3,16 +3,19 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationDelta;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Service;
 
 class MessageEncodingTest {
     private static final ConfigurationVersion VERSION = ConfigurationVersion.of(2);
@@ -49,6 +52,29 @@
         assertThat(Codec.messagePack().decode(bytes, PushAnswer.class)).isEqualTo(Either.right(answer));
     }
 
+    @Test
+    void shouldBeSmallWhenOneOfManyServicesChanges() {
+        Configuration before = Samples.many(170);
+        List<Service> services = new ArrayList<>(before.services());
+        services.set(0, new Service(services.getFirst().name(), 99, 120));
+        Configuration after = Configuration.of(services, before.routes(), before.trafficPolicies());
+        ConfigurationSnapshot from = ConfigurationSnapshot.of(ConfigurationVersion.of(1), before);
+        ConfigurationSnapshot to = ConfigurationSnapshot.of(VERSION, after);
+
+        int number = sizeOf(new ConfigurationUpdate.Current(VERSION));
+        int delta = sizeOf(new ConfigurationUpdate.Delta(ConfigurationDelta.between(from, to)));
+        int snapshot = sizeOf(new ConfigurationUpdate.Snapshot(to));
+
+        System.out.printf("number %d, delta %d, snapshot %d bytes%n", number, delta, snapshot);
+        assertThat(number).isLessThan(100);
+        assertThat(delta).isLessThan(1_000);
+        assertThat(delta).isLessThan(snapshot / 20);
+    }
+
+    private static int sizeOf(ConfigurationUpdate update) {
+        return Codec.messagePack().encode(update).length;
+    }
+
     @Test
     void shouldSurviveEncodingWhenItIsARecollectionOrAStatus() {
         PeerRecollection recollection = new PeerRecollection(NodeId.of("first"), true, VERSION, VERSION);
