Warm the request path up before a node is ready; let kept connections move before a stop

Cause: a fresh node's first requests take tens of times as long as later ones while their code is interpreted, and a stopping node closed kept connections on which a request had just come.

Change: a node sends lookups through a private entry and guard on loopback before it asks to serve; from the start of a graceful stop each answer asks its peer to close the connection, and a connection with unread bytes counts as in flight.

--- a/node/src/main/java/org/oleanderturn/node/DataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/DataPlane.java
@@ -155,6 +155,12 @@
         }
     }
 
+    /** Lets callers and other nodes move their connections elsewhere. */
+    void shed() {
+        callers.ifPresent(HttpListener::shed);
+        peers.ifPresent(HttpListener::shed);
+    }
+
     /** Finishes what callers sent, then what other nodes sent; returns whether all was finished. */
     boolean drain(Duration longest) {
         long end = System.nanoTime() + longest.toNanos();
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -33,6 +33,8 @@
 public final class Node {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final Duration ANNOUNCE_TIME = Duration.ofSeconds(1);
+    private static final Duration WARMUP_TIME = Duration.ofSeconds(3);
+    private static final int WARMUP_REQUESTS = 4_000;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
     private final NodeSettings settings;
@@ -93,6 +95,7 @@
             return true;
         }
         log.atInfo().log("stopping");
+        data.shed();
         drains.apply(true);
         LockSupport.parkNanos(ANNOUNCE_TIME.toNanos());
         boolean isFinished = data.drain(settings.drainTime());
@@ -142,6 +145,7 @@
         data.monitor().onConviction(this::spread);
         control.holder().addListener(_ -> routing.refresh());
         data.start(loops);
+        Warmup.run(WARMUP_TIME, WARMUP_REQUESTS);
         control.start(loops, this::ready);
         log.atInfo().log("node %s started in %s", settings.node(), settings.locality());
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/Entry.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Entry.java
@@ -21,9 +21,10 @@
     private final Supplier<RoutingTable> tables;
     private final BooleanSupplier isReady;
     private final EntryParts parts;
-    private final Bookings bookings;
+    private final Optional<Bookings> bookings;
 
-    private Entry(Supplier<RoutingTable> tables, BooleanSupplier isReady, EntryParts parts, Bookings bookings) {
+    private Entry(
+            Supplier<RoutingTable> tables, BooleanSupplier isReady, EntryParts parts, Optional<Bookings> bookings) {
         this.tables = tables;
         this.isReady = isReady;
         this.parts = parts;
@@ -42,7 +43,14 @@
         Objects.requireNonNull(isReady, "isReady is null");
         Objects.requireNonNull(parts, "parts is null");
         Objects.requireNonNull(bookings, "bookings is null");
-        return new Entry(tables, isReady, parts, bookings);
+        return new Entry(tables, isReady, parts, Optional.of(bookings));
+    }
+
+    /** Returns an entry that is always ready and refuses bookings. */
+    public static Entry ofLookups(Supplier<RoutingTable> tables, EntryParts parts) {
+        Objects.requireNonNull(tables, "tables is null");
+        Objects.requireNonNull(parts, "parts is null");
+        return new Entry(tables, () -> true, parts, Optional.empty());
     }
 
     @Override
@@ -68,7 +76,8 @@
             return Refusals.notRun(NotRunReason.QUARANTINED, convicted.retryAfter());
         }
         if (entry.route().kind() == RequestKind.BOOKING) {
-            return bookings.serve(request, course, parts);
+            return bookings.map(served -> served.serve(request, course, parts))
+                    .orElseGet(() -> Refusals.notRun(new RequestFault.NotReady()));
         }
         return forward(request, course);
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -29,8 +29,8 @@
 /**
  * An HTTP server: an accept loop, and a virtual thread for each connection.
  *
- * <p>Invariant: after {@link #drain} begins no connection is accepted, no connection is closed while a request on it is
- * served, and every answer asks its peer to close the connection. Thread safe.
+ * <p>Invariant: after {@link #shed} every answer asks its peer to close the connection; after {@link #drain} begins no
+ * connection is accepted, and none is closed while a request on it is served or has come. Thread safe.
  */
 public final class HttpListener implements AutoCloseable {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
@@ -91,17 +91,22 @@
         return Address.of(server.getInetAddress().getHostAddress(), server.getLocalPort());
     }
 
-    /** Returns how many requests are being served. */
+    /** Returns how many requests are being served, or have come and are about to be. */
     public int inFlight() {
         int count = 0;
         for (ServedConnection connection : connections) {
-            count += connection.isBusy() ? 1 : 0;
+            count += connection.isBusy() || connection.hasInput() ? 1 : 0;
         }
         return count;
     }
 
     // -- commands
 
+    /** Asks the peer of each further answer to close its connection, so that it moves elsewhere; goes on accepting. */
+    public void shed() {
+        isDraining.set(true);
+    }
+
     /**
      * Stops to accept, waits until nothing is in flight, and closes.
      *
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -135,7 +135,7 @@
     public int available() throws IOException {
         lock.lock();
         try {
-            return ahead == Ahead.HELD ? 1 : 0;
+            return ahead == Ahead.HELD ? 1 : source.available();
         } finally {
             lock.unlock();
         }
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServedConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServedConnection.java
@@ -33,6 +33,15 @@
         return busy.get();
     }
 
+    /** Returns whether a request has come that is not yet served. */
+    boolean hasInput() {
+        try {
+            return connection.isOpen() && socket.hasInput();
+        } catch (IOException broken) {
+            return false;
+        }
+    }
+
     void begin() {
         busy.set(true);
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/WatchedSocket.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/WatchedSocket.java
@@ -33,6 +33,11 @@
         lookahead().unwatch();
     }
 
+    /** Returns whether bytes have come that nobody has read. */
+    boolean hasInput() throws IOException {
+        return lookahead().available() > 0;
+    }
+
     private synchronized LookaheadInputStream lookahead() throws IOException {
         if (input == null) {
             input = LookaheadInputStream.of(super.getInputStream(), executor);
