--- a/testbed/src/test/java/org/oleanderturn/testbed/StoreStandInTest.java
+++ b/testbed/src/test/java/org/oleanderturn/testbed/StoreStandInTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -134,6 +135,19 @@
         assertThat(results.getLast().getLeft()).isInstanceOf(StoreFailure.Unreachable.class);
     }
 
+    @Test
+    void shouldDropAllIdleConnectionsWhenOneIsBroken() {
+        server.show(StoreStandInFaults.delay(100));
+        List<CompletableFuture<Boolean>> reads = IntStream.range(0, 4)
+                .mapToObj(number ->
+                        CompletableFuture.supplyAsync(() -> store.get("key").isRight(), Thread::startVirtualThread))
+                .toList();
+        assertThat(reads.stream().allMatch(CompletableFuture::join)).isTrue();
+        server.show(StoreStandInFaults.down(60_000));
+        var _ = store.swap("key", StoredValue.ABSENT, VALUE);
+        assertThat(store.swap("key", StoredValue.ABSENT, VALUE).getLeft()).isInstanceOf(StoreFailure.Unreachable.class);
+    }
+
     @Test
     void shouldServeAgainWhenOutageIsOver() {
         server.show(StoreStandInFaults.down(20));
