Hold a node's store calls to its budget and count them

The setting platform.callsPerSecond was read and not used. Calls go through the budgeted store; the state dump and the metrics show them. A graceful stop settles what waits for the store once more.

--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -11,8 +11,8 @@
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.platform.BudgetedStore;
 import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.Store;
 import org.oleanderturn.platform.StoreSettings;
 import org.oleanderturn.proxy.HttpListener;
 import org.oleanderturn.proxy.ListenerLimits;
@@ -33,6 +33,7 @@
 public final class Node {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final Duration ANNOUNCE_TIME = Duration.ofSeconds(1);
+    private static final int BURST_SECONDS = 2;
     private static final Duration WARMUP_TIME = Duration.ofSeconds(3);
     private static final int WARMUP_REQUESTS = 4_000;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
@@ -41,6 +42,7 @@
     private final Loops loops = new Loops();
     private final FrameClient frames = FrameClient.of(WireLimits.standard());
     private final HttpStore store;
+    private final BudgetedStore budgeted;
     private final ControlChannel channel;
     private final ControlPlane control;
     private final DataPlane data;
@@ -54,7 +56,8 @@
     private Node(NodeSettings settings) {
         this.settings = settings;
         this.store = HttpStore.of(storeSettings(settings));
-        Store budgeted = store;
+        int callsPerSecond = settings.platform().callsPerSecond();
+        this.budgeted = BudgetedStore.of(store, callsPerSecond, callsPerSecond * BURST_SECONDS, System::nanoTime);
         LongSupplier milliseconds = MonotonicClock.start();
         this.channel =
                 ControlChannel.of(frames, loops.executor(), settings.listen().control());
@@ -80,7 +83,13 @@
 
     /** Returns everything that the node knows of itself. */
     public StateDump state() {
-        return StateReader.read(settings, control, data, routing, frames, controlServer);
+        return StateReader.read(settings, control, data, routing, budgeted.counters(), traffic());
+    }
+
+    private StateDump.Traffic traffic() {
+        return new StateDump.Traffic(
+                frames.counters().sentBytes() + controlServer.counters().sentBytes(),
+                frames.counters().receivedBytes() + controlServer.counters().receivedBytes());
     }
 
     // -- commands
@@ -99,6 +108,7 @@
         drains.apply(true);
         LockSupport.parkNanos(ANNOUNCE_TIME.toNanos());
         boolean isFinished = data.drain(settings.drainTime());
+        data.claims().settleWaiting();
         control.leave();
         closeAll();
         log.atInfo().log("stopped, everything in flight finished: %s", isFinished);
--- a/node/src/main/java/org/oleanderturn/node/StateDump.java
+++ b/node/src/main/java/org/oleanderturn/node/StateDump.java
@@ -11,6 +11,7 @@
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.platform.StoreCounters;
 import org.oleanderturn.traffic.Conviction;
 import org.oleanderturn.traffic.UpstreamReport;
 
@@ -34,6 +35,7 @@
         ClaimCounts claims,
         List<UpstreamReport> upstreams,
         List<Conviction> convictions,
+        StoreCounters storeCalls,
         Traffic control) {
 
     /** The members as this node sees them. */
--- a/node/src/main/java/org/oleanderturn/node/StateMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/StateMetrics.java
@@ -55,6 +55,10 @@
                 "oleanderturn_target_queued",
                 "Requests that wait for a slot of the local target.",
                 () -> state.get().work().queued());
+        metrics.counter(
+                "oleanderturn_store_calls_total",
+                "Calls to the platform's store, a watch as one.",
+                () -> state.get().storeCalls().totalCalls());
         metrics.counter(
                 "oleanderturn_claims_granted_total",
                 "Bookings that were allowed to run.",
--- a/node/src/main/java/org/oleanderturn/node/StateReader.java
+++ b/node/src/main/java/org/oleanderturn/node/StateReader.java
@@ -3,10 +3,9 @@
 import java.util.List;
 import org.oleanderturn.membership.MemberTable;
 import org.oleanderturn.model.Service;
+import org.oleanderturn.platform.StoreCounters;
 import org.oleanderturn.traffic.Admission;
 import org.oleanderturn.traffic.UpstreamReport;
-import org.oleanderturn.wire.FrameClient;
-import org.oleanderturn.wire.FrameServer;
 
 /** Reads a node's parts into a {@link StateDump}. */
 final class StateReader {
@@ -17,8 +16,8 @@
             ControlPlane control,
             DataPlane data,
             RoutingState routing,
-            FrameClient frames,
-            FrameServer server) {
+            StoreCounters calls,
+            StateDump.Traffic traffic) {
         return new StateDump(
                 settings.node(),
                 settings.locality(),
@@ -34,7 +33,8 @@
                 data.claims().counts(),
                 upstreams(data, routing),
                 data.quarantine().convictions(),
-                traffic(frames, server));
+                calls,
+                traffic);
     }
 
     private static StateDump.Members members(MemberTable table) {
@@ -56,10 +56,4 @@
                 .flatMap(service -> data.statistics().reports(service).stream())
                 .toList();
     }
-
-    private static StateDump.Traffic traffic(FrameClient frames, FrameServer server) {
-        return new StateDump.Traffic(
-                frames.counters().sentBytes() + server.counters().sentBytes(),
-                frames.counters().receivedBytes() + server.counters().receivedBytes());
-    }
 }
