--- a/distribution/src/test/java/org/oleanderturn/distribution/SpreadFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/SpreadFaultMatrixTest.java
@@ -246,13 +246,15 @@
         FakeNetwork network = new FakeNetwork(5, "hearsay across regions");
         Node source = network.add("south", "south-1");
         source.holder.adopt(Samples.snapshot(1));
+        source.holder.adopt(Samples.snapshot(2));
         for (int number = 0; number < 200; number++) {
             Node node = network.add("north", "north-" + number % 3);
-            node.spreader.heard(source.address, ConfigurationVersion.of(1));
+            node.holder.adopt(Samples.snapshot(1));
+            node.spreader.heard(source.address, ConfigurationVersion.of(2));
         }
         network.pass(BOUND_MILLISECONDS);
 
-        network.checkAllHold(1);
+        network.checkAllHold(2);
         assertThat(network.contentAcross()).isAtMost(8);
     }
 
