Check that suspects are not hedged; record the mutation trials

Each protecting line was taken out on a scratch copy and the tests of this module run (the trials in virtual time left out). Red, as they should be: late and duplicated events ignored; waiting for the hedge; hedges for lookups only; losers cancelled; attempts out at the deadline may have run; bookings after an unknown or failed outcome; one retry after a death; an earlier attempt may have run; the retry budget and its ceiling; the grant taken out of the allowance; deadline at promotion and in the queue; estimated wait; a close refuses what waits and gives no permit; slots; alone, from both sides; reserved slots; the long turn; others between suspects; one release; only alone convicts; acquittal; learnt convictions bounded; only ready endpoints; a refusal is no failure.

Green: hedging a suspect; its test is added here and passes, the mutation was not run against it again.

--- a/traffic/src/test/java/org/oleanderturn/traffic/RequestProgressTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/RequestProgressTest.java
@@ -135,6 +135,15 @@
         assertThat(course.lastAnswer.retryAfter()).isPresent();
     }
 
+    @Test
+    void shouldNotHedgeASuspect() {
+        RetryPolicy policy = RetryPolicy.of(new Random(1));
+        RequestLimits limits = new RequestLimits(RequestKind.LOOKUP, 3, policy, RetryBudget.of(20), RetryBudget.of(20));
+        RequestProgress suspect =
+                RequestProgress.start(limits, RetryAllowance.of(4), true).progress();
+        assertThat(suspect.on(new RequestEvent.HedgeDue()).actions()).isEmpty();
+    }
+
     @Test
     void shouldDeliverTheHedgeAndCancelTheFirstWhenTheHedgeAnswersFirst() {
         Course course = new Course(RequestKind.LOOKUP, RetryBudget.of(20));
