Ask peers elsewhere when a whole zone restarts, and seek members before serving

Cause, found by reading: a restarted node asked peers outside its zone only when it knew none inside. When a whole far zone restarts at once each node waits for a zone peer that vouches and none does, for ever. A node could also become ready on the word of a store restored to an older head before it had found the members that hold more. It asked every peer again every 100 ms, one after the other.

Change: each zone peer is asked once, all at once, and three others at random at each step; readiness waits until members were found or every join address was tried; answers carry the newest version the peer ever heard of.

Tests: RecoveryTest, 5. Before the change the second and third can't be written without failing: the old code had no such condition.

--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -32,7 +32,7 @@
  *
  * <p>Invariant: every call ends within its timeout. Thread safe.
  */
-final class ControlChannel implements GossipPeers, ConfigurationPeers {
+final class ControlChannel implements GossipPeers, ConfigurationPeers, Recollections {
     /** The kind of a frame that carries a {@link ControlMessage}. */
     static final String FRAME_KIND = "control";
 
@@ -117,16 +117,15 @@
                         : Either.left(new PeerFailure.Malformed(answer.toString())));
     }
 
-    /** Asks a peer what this restarted node has to catch up with. */
-    Either<ControlFailure, PeerRecollection> recollect(Address peer, NodeId asker) {
+    private Either<ControlFailure, PeerRecollection> recollect(Address peer, NodeId asker) {
         return call(peer, new ControlMessage.Recollect(asker), PROBE_TIMEOUT)
                 .flatMap(answer -> answer instanceof ControlMessage.Recollected recollected
                         ? Either.right(recollected.recollection())
                         : Either.left(new ControlFailure.Malformed(answer.toString())));
     }
 
-    /** Asks several peers what they hold, all at once; a peer that does not answer gives a failure. */
-    List<Either<ControlFailure, PeerRecollection>> recollectAll(List<Address> peers, NodeId asker) {
+    @Override
+    public List<Either<ControlFailure, PeerRecollection>> recollectAll(List<Address> peers, NodeId asker) {
         List<CompletableFuture<Either<ControlFailure, PeerRecollection>>> pending = new ArrayList<>();
         for (Address peer : peers) {
             pending.add(CompletableFuture.supplyAsync(() -> recollect(peer, asker), executor));
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -2,13 +2,10 @@
 
 import java.util.Objects;
 import java.util.function.LongSupplier;
-import org.oleanderturn.distribution.ConfigurationHolder;
 import org.oleanderturn.distribution.PeerRecollection;
 import org.oleanderturn.distribution.Spreader;
 import org.oleanderturn.membership.Gossip;
 import org.oleanderturn.membership.GossipMessage;
-import org.oleanderturn.membership.MemberRecord;
-import org.oleanderturn.membership.MemberTable;
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
@@ -25,7 +22,6 @@
     private final NodeId self;
     private final Gossip gossip;
     private final Spreader spreader;
-    private final ConfigurationHolder holder;
     private final Recovery recovery;
     private final DrainControl drains;
     private final CrashQuarantine quarantine;
@@ -35,7 +31,6 @@
             NodeId self,
             Gossip gossip,
             Spreader spreader,
-            ConfigurationHolder holder,
             Recovery recovery,
             DrainControl drains,
             CrashQuarantine quarantine,
@@ -43,7 +38,6 @@
         this.self = Objects.requireNonNull(self, "self is null");
         this.gossip = Objects.requireNonNull(gossip, "gossip is null");
         this.spreader = Objects.requireNonNull(spreader, "spreader is null");
-        this.holder = Objects.requireNonNull(holder, "holder is null");
         this.recovery = Objects.requireNonNull(recovery, "recovery is null");
         this.drains = Objects.requireNonNull(drains, "drains is null");
         this.quarantine = Objects.requireNonNull(quarantine, "quarantine is null");
@@ -88,11 +82,9 @@
     }
 
     private PeerRecollection recollect(NodeId asker) {
-        MemberTable table = gossip.table();
-        ConfigurationVersion newest = table.highestVersionRemembered(asker);
-        for (MemberRecord record : table.records()) {
-            newest = ConfigurationVersion.newest(newest, record.heldVersion());
-        }
-        return new PeerRecollection(self, recovery.isReady(), holder.version(), newest);
+        PeerRecollection known = spreader.recollect(self, recovery.isReady());
+        ConfigurationVersion remembered = gossip.table().highestVersionRemembered(asker);
+        return new PeerRecollection(
+                self, known.isReady(), known.held(), ConfigurationVersion.newest(known.newestKnown(), remembered));
     }
 }
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -20,6 +20,7 @@
 import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.membership.MembershipListener;
+import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.platform.Store;
@@ -83,9 +84,18 @@
                 settings.locality(),
                 settings.platformRegion(),
                 split(random));
-        this.acceptor = Acceptor.of(store, holder, history, directory::newestVersion);
+        this.acceptor = Acceptor.of(store, holder, history, this::newestVersion);
         this.joining = new Joining(gossip, settings.join(), split(random));
-        this.recovery = new Recovery(settings.node(), settings.locality(), directory, holder, floor, spreader, channel);
+        this.recovery = new Recovery(
+                settings.node(),
+                settings.locality(),
+                directory,
+                holder,
+                floor,
+                spreader,
+                channel,
+                joining::hasTried,
+                split(random));
     }
 
     // -- parts
@@ -122,6 +132,11 @@
         return recovery;
     }
 
+    /** Returns the newest version that this node holds or has heard of. */
+    ConfigurationVersion newestVersion() {
+        return ConfigurationVersion.newest(spreader.newestKnown(), directory.newestVersion());
+    }
+
     // -- commands
 
     /** Starts the loops; tells when the node has become ready. */
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -122,7 +122,6 @@
                 settings.node(),
                 control.gossip(),
                 control.spreader(),
-                control.holder(),
                 control.recovery(),
                 drains,
                 data.quarantine(),
--- a/node/src/main/java/org/oleanderturn/node/ProxyList.java
+++ b/node/src/main/java/org/oleanderturn/node/ProxyList.java
@@ -33,8 +33,7 @@
     /** Returns the status of every member, sorted by node; blocks for the members that are asked. */
     List<ProxyStatus> read() {
         MemberTable table = control.gossip().table();
-        ConfigurationVersion newest = ConfigurationVersion.newest(
-                control.holder().version(), control.directory().newestVersion());
+        ConfigurationVersion newest = control.newestVersion();
         Map<NodeId, ConfigurationVersion> answers = ask(table, newest);
         List<ProxyStatus> list = new ArrayList<>();
         for (MemberRecord record : table.records()) {
--- /dev/null
+++ b/node/src/test/java/org/oleanderturn/node/RecoveryTest.java
@@ -0,0 +1,150 @@
+package org.oleanderturn.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.distribution.ConfigurationHolder;
+import org.oleanderturn.distribution.ConfigurationPeers;
+import org.oleanderturn.distribution.ConfigurationUpdate;
+import org.oleanderturn.distribution.Peer;
+import org.oleanderturn.distribution.PeerDirectory;
+import org.oleanderturn.distribution.PeerFailure;
+import org.oleanderturn.distribution.PeerRecollection;
+import org.oleanderturn.distribution.PushAnswer;
+import org.oleanderturn.distribution.ReadinessFloor;
+import org.oleanderturn.distribution.SnapshotHistory;
+import org.oleanderturn.distribution.Spreader;
+import org.oleanderturn.distribution.UpdateSource;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Region;
+
+class RecoveryTest {
+    private static final Locality ZONE = Locality.of("north", "launceston");
+    private static final Locality ELSEWHERE = Locality.of("south", "hobart");
+    private static final NodeId SELF = NodeId.of("self");
+
+    private final Map<NodeId, PeerRecollection> answers = new HashMap<>();
+    private final Map<NodeId, Peer> peers = new HashMap<>();
+    private final AtomicBoolean isJoined = new AtomicBoolean(true);
+    private final ConfigurationHolder holder = ConfigurationHolder.empty();
+    private final ReadinessFloor floor = ReadinessFloor.unknown();
+    private final PeerDirectory directory = () -> List.copyOf(peers.values());
+    private final Recovery recovery = new Recovery(
+            SELF,
+            ZONE,
+            directory,
+            holder,
+            floor,
+            spreader(),
+            this::recollectAll,
+            isJoined::get,
+            new SplittableRandom(1));
+
+    @Test
+    void shouldNotBeReadyWhenNobodyKnowsTheVersion() {
+        assertThat(recovery.step()).isFalse();
+    }
+
+    @Test
+    void shouldNotBeReadyBeforeTheMembersWereSought() {
+        isJoined.set(false);
+        floor.observeHead(ConfigurationVersion.none());
+
+        assertThat(recovery.step()).isFalse();
+        isJoined.set(true);
+        assertThat(recovery.step()).isTrue();
+    }
+
+    @Test
+    void shouldBecomeReadyWhenAWholeFarZoneRestartsAtOnce() {
+        peer("neighbour", ZONE, false, 0, 0);
+        peer("far", ELSEWHERE, true, 0, 0);
+
+        assertThat(recovery.step()).isTrue();
+    }
+
+    @Test
+    void shouldWaitForTheVersionThatAPeerRemembersWhenThePeersHoldLess() {
+        peer("neighbour", ZONE, true, 1, 2);
+        hold(1);
+
+        assertThat(recovery.step()).isFalse();
+        hold(2);
+        assertThat(recovery.step()).isTrue();
+    }
+
+    @Test
+    void shouldWaitForASilentPeerOfTheZone() {
+        peer("neighbour", ZONE, true, 0, 0);
+        peer("silent", ZONE, true, 0, 0);
+        answers.remove(NodeId.of("silent"));
+
+        assertThat(recovery.step()).isFalse();
+        peers.remove(NodeId.of("silent"));
+        assertThat(recovery.step()).isTrue();
+    }
+
+    // -- helpers
+
+    private void peer(String name, Locality locality, boolean isReady, long held, long newest) {
+        NodeId node = NodeId.of(name);
+        Address address = Address.of(name, 1);
+        peers.put(node, new Peer(node, address, locality, ConfigurationVersion.of(held), true));
+        answers.put(
+                node,
+                new PeerRecollection(node, isReady, ConfigurationVersion.of(held), ConfigurationVersion.of(newest)));
+    }
+
+    private void hold(long version) {
+        holder.adopt(ConfigurationSnapshot.of(ConfigurationVersion.of(version), Configuration.empty()));
+    }
+
+    private List<Either<ControlFailure, PeerRecollection>> recollectAll(List<Address> addresses, NodeId asker) {
+        assertThat(asker).isEqualTo(SELF);
+        return addresses.stream().map(this::recollect).toList();
+    }
+
+    private Either<ControlFailure, PeerRecollection> recollect(Address address) {
+        PeerRecollection answer = answers.get(NodeId.of(address.host()));
+        return answer == null ? Either.left(new ControlFailure.AnswerLost("silent")) : Either.right(answer);
+    }
+
+    private Spreader spreader() {
+        return Spreader.of(
+                holder,
+                UpdateSource.of(holder, SnapshotHistory.of(holder)),
+                new UnreachablePeers(),
+                directory,
+                _ -> OptionalInt.empty(),
+                ZONE,
+                Region.of("south"),
+                new SplittableRandom(1));
+    }
+
+    /** Peers that can't be reached for content. */
+    private static final class UnreachablePeers implements ConfigurationPeers {
+        @Override
+        public Either<PeerFailure, ConfigurationUpdate> fetch(
+                Address peer, ConfigurationVersion held, Digest heldDigest) {
+            return Either.left(new PeerFailure.Unreachable("fake"));
+        }
+
+        @Override
+        public Either<PeerFailure, PushAnswer> push(Address peer, ConfigurationUpdate update) {
+            return Either.left(new PeerFailure.Unreachable("fake"));
+        }
+    }
+}
