--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -24,7 +24,6 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.traffic.Conviction;
 import org.oleanderturn.wire.Frame;
-import org.oleanderturn.wire.FrameClient;
 import org.oleanderturn.wire.WireFailure;
 
 /**
@@ -41,12 +40,12 @@
     private static final Duration INDIRECT_TIMEOUT = Duration.ofMillis(1_200);
     private static final Duration TRANSFER_TIMEOUT = Duration.ofSeconds(3);
 
-    private final FrameClient client;
+    private final FrameCaller caller;
     private final Executor executor;
     private final Address self;
 
-    private ControlChannel(FrameClient client, Executor executor, Address self) {
-        this.client = client;
+    private ControlChannel(FrameCaller caller, Executor executor, Address self) {
+        this.caller = caller;
         this.executor = executor;
         this.self = self;
     }
@@ -57,11 +56,11 @@
      * @param executor runs messages that go to several nodes at once
      * @param self this node's control address, as other nodes reach it
      */
-    static ControlChannel of(FrameClient client, Executor executor, Address self) {
-        Objects.requireNonNull(client, "client is null");
+    static ControlChannel of(FrameCaller caller, Executor executor, Address self) {
+        Objects.requireNonNull(caller, "caller is null");
         Objects.requireNonNull(executor, "executor is null");
         Objects.requireNonNull(self, "self is null");
-        return new ControlChannel(client, executor, self);
+        return new ControlChannel(caller, executor, self);
     }
 
     // -- membership
@@ -157,7 +156,7 @@
 
     private Either<ControlFailure, ControlMessage> call(Address peer, ControlMessage message, Duration timeout) {
         byte[] payload = Codec.messagePack().encode(message);
-        return client.call(peer, Frame.of(FRAME_KIND, payload), timeout)
+        return caller.call(peer, Frame.of(FRAME_KIND, payload), timeout)
                 .mapLeft(ControlChannel::failure)
                 .flatMap(frame -> Codec.messagePack()
                         .decode(frame.payload(), ControlMessage.class)
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -56,8 +56,8 @@
         this.store = HttpStore.of(storeSettings(settings));
         Store budgeted = store;
         LongSupplier milliseconds = MonotonicClock.start();
-        this.channel =
-                ControlChannel.of(frames, loops.executor(), settings.listen().control());
+        this.channel = ControlChannel.of(
+                frames::call, loops.executor(), settings.listen().control());
         this.data = new DataPlane(settings, budgeted, loops.executor(), milliseconds);
         this.control = new ControlPlane(settings, budgeted, channel, milliseconds, this::membersChanged);
         this.routing = new RoutingState(
--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchCommand.java
@@ -0,0 +1,90 @@
+package org.oleanderturn.testbed;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.oleanderturn.model.Codec;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/**
+ * Runs experiments and writes their tables, JSON and pages.
+ *
+ * <p>Exits with 0 when every bound was kept, 1 when one was broken or an experiment failed, and 2 for an unknown name.
+ * Used by one thread.
+ */
+@Command(name = "bench", mixinStandardHelpOptions = true, description = "Runs benchmark experiments.")
+public final class BenchCommand implements Callable<Integer> {
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+    private static final int EXIT_MET = 0;
+    private static final int EXIT_BROKEN = 1;
+    private static final int EXIT_USAGE = 2;
+
+    @Option(names = "--list", description = "Names the experiments.")
+    private boolean isListing;
+
+    @Option(names = "--output", defaultValue = "target/bench", description = "Where JSON and pages go.")
+    private Path output;
+
+    @Parameters(paramLabel = "NAME", description = "The experiments to run; none for all.")
+    private List<String> names = List.of();
+
+    @Override
+    public Integer call() throws IOException {
+        if (isListing) {
+            System.out.print(BenchTable.list(BenchExperiments.all()));
+            return EXIT_MET;
+        }
+        List<BenchExperiment> chosen = new ArrayList<>();
+        for (String name : names) {
+            Optional<BenchExperiment> found = find(name);
+            if (found.isEmpty()) {
+                System.err.println("bench: no experiment is named " + name + "; --list names them");
+                return EXIT_USAGE;
+            }
+            chosen.add(found.get());
+        }
+        return runAll(names.isEmpty() ? BenchExperiments.all() : chosen);
+    }
+
+    private static Optional<BenchExperiment> find(String name) {
+        return BenchExperiments.all().stream()
+                .filter(experiment -> experiment.name().equals(name))
+                .findFirst();
+    }
+
+    private int runAll(List<BenchExperiment> experiments) throws IOException {
+        int exit = EXIT_MET;
+        for (BenchExperiment experiment : experiments) {
+            try {
+                if (runOne(experiment).isBroken()) {
+                    exit = EXIT_BROKEN;
+                }
+            } catch (RuntimeException failure) {
+                System.out.println(experiment.name() + ": FAILED, no figures: " + failure);
+                exit = EXIT_BROKEN;
+            }
+        }
+        return exit;
+    }
+
+    private BenchReport runOne(BenchExperiment experiment) throws IOException {
+        String startedAt = Instant.now().toString();
+        long start = System.nanoTime();
+        List<BenchRow> rows = experiment.run();
+        double seconds = (System.nanoTime() - start) / NANOSECONDS_PER_SECOND;
+        BenchReport report = new BenchReport(experiment.name(), experiment.shows(), startedAt, seconds, rows);
+        System.out.print(BenchTable.write(report));
+        Files.createDirectories(output);
+        Files.write(output.resolve(experiment.name() + ".json"), Codec.json().encode(report));
+        Files.writeString(output.resolve(experiment.name() + ".html"), BenchPage.write(report), StandardCharsets.UTF_8);
+        return report;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
@@ -0,0 +1,18 @@
+package org.oleanderturn.testbed;
+
+import java.util.List;
+
+/**
+ * The experiments that can be run.
+ *
+ * <p>Immutable and thread safe.
+ */
+final class BenchExperiments {
+    private static final List<BenchExperiment> ALL = List.of(new BenchStoreCalls());
+
+    private BenchExperiments() {}
+
+    static List<BenchExperiment> all() {
+        return ALL;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchStore.java
@@ -0,0 +1,107 @@
+package org.oleanderturn.testbed;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.platform.HttpStore;
+import org.oleanderturn.platform.LeaseId;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoredValue;
+
+/**
+ * The store as a node at some place reaches it over HTTP: delayed by the way there and back, out of reach when the place
+ * is cut off.
+ *
+ * <p>Thread safe.
+ */
+final class BenchStore implements Store, AutoCloseable {
+    private final HttpStore store;
+    private final Locality place;
+    private final BenchNetwork network;
+    private final LongAdder readBytes = new LongAdder();
+
+    BenchStore(HttpStore store, Locality place, BenchNetwork network) {
+        this.store = store;
+        this.place = place;
+        this.network = network;
+    }
+
+    /** Returns the bytes of the values that this node read. */
+    long readBytes() {
+        return readBytes.sum();
+    }
+
+    // -- queries
+
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> get(String key) {
+        return call(() -> store.get(key)).peek(found -> found.ifPresent(this::count));
+    }
+
+    @Override
+    public Either<StoreFailure, List<StoredValue>> list(String prefix) {
+        return call(() -> store.list(prefix)).peek(found -> found.forEach(this::count));
+    }
+
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> watch(String key, long seen, Duration wait) {
+        return call(() -> store.watch(key, seen, wait)).peek(found -> found.ifPresent(this::count));
+    }
+
+    // -- commands
+
+    @Override
+    public Either<StoreFailure, Long> swap(String key, long expected, byte[] value) {
+        return call(() -> store.swap(key, expected, value));
+    }
+
+    @Override
+    public Either<StoreFailure, Long> swapLeased(String key, long expected, byte[] value, LeaseId lease) {
+        return call(() -> store.swapLeased(key, expected, value, lease));
+    }
+
+    @Override
+    public Either<StoreFailure, Long> remove(String key, long expected) {
+        return call(() -> store.remove(key, expected));
+    }
+
+    @Override
+    public Either<StoreFailure, LeaseId> grantLease(Duration timeToLive) {
+        return call(() -> store.grantLease(timeToLive));
+    }
+
+    @Override
+    public Either<StoreFailure, LeaseId> keepAlive(LeaseId lease) {
+        return call(() -> store.keepAlive(lease));
+    }
+
+    @Override
+    public Either<StoreFailure, LeaseId> revokeLease(LeaseId lease) {
+        return call(() -> store.revokeLease(lease));
+    }
+
+    @Override
+    public void close() {
+        store.close();
+    }
+
+    private <T> Either<StoreFailure, T> call(Supplier<Either<StoreFailure, T>> made) {
+        if (network.isCutOff(place)) {
+            return Either.left(new StoreFailure.Unreachable("cut off"));
+        }
+        double oneWay = BenchPlaces.oneWayToStoreMilliseconds(place);
+        BenchClock.pause(oneWay);
+        Either<StoreFailure, T> answer = made.get();
+        BenchClock.pause(oneWay);
+        return answer;
+    }
+
+    private void count(StoredValue value) {
+        readBytes.add(value.value().length);
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchTable.java
@@ -0,0 +1,86 @@
+package org.oleanderturn.testbed;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Writes a report as a text table.
+ *
+ * <p>Pure functions. Thread safe.
+ */
+final class BenchTable {
+    private static final String LAYOUT = "%-62s %12s  %-23s %-14s %12s  %-9s %s%n";
+    private static final double LARGE = 1_000;
+    private static final double SMALL = 1;
+
+    private BenchTable() {}
+
+    static String write(BenchReport report) {
+        StringBuilder text = new StringBuilder();
+        text.append(String.format(
+                Locale.ROOT, "%n%s: %s (%.0f s)%n", report.experiment(), report.shows(), report.seconds()));
+        text.append(String.format(
+                Locale.ROOT,
+                LAYOUT,
+                "measure",
+                "median",
+                "low..high (repeats)",
+                "bound",
+                "baseline",
+                "verdict",
+                "unit"));
+        report.rows().forEach(row -> text.append(line(row)));
+        return text.toString();
+    }
+
+    private static String line(BenchRow row) {
+        BenchSamples samples = row.samples();
+        String spread = figure(samples.low()) + ".." + figure(samples.high()) + " (" + samples.repeats() + ")";
+        String line = String.format(
+                Locale.ROOT,
+                LAYOUT,
+                row.measure(),
+                figure(samples.median()),
+                spread,
+                row.bound().map(BenchTable::bound).orElse("none"),
+                row.baseline().map(BenchTable::figure).orElse("-"),
+                verdict(row.verdict()),
+                row.unit());
+        return row.note()
+                .map(note -> line + "    " + note + System.lineSeparator())
+                .orElse(line);
+    }
+
+    static String bound(BenchBound bound) {
+        return switch (bound.kind()) {
+            case AT_MOST -> "<= " + figure(bound.limit());
+            case AT_LEAST -> ">= " + figure(bound.limit());
+        };
+    }
+
+    static String verdict(BenchVerdict verdict) {
+        return switch (verdict) {
+            case MET -> "met";
+            case BROKEN -> "BROKEN";
+            case NO_BOUND -> "no bound";
+        };
+    }
+
+    static String figure(double value) {
+        double size = Math.abs(value);
+        if (size >= LARGE) {
+            return String.format(Locale.ROOT, "%.0f", value);
+        }
+        return size >= SMALL || size == 0
+                ? String.format(Locale.ROOT, "%.2f", value)
+                : String.format(Locale.ROOT, "%.4f", value);
+    }
+
+    /** Returns the names and purposes of experiments, one a line. */
+    static String list(List<BenchExperiment> experiments) {
+        StringBuilder text = new StringBuilder();
+        experiments.forEach(experiment ->
+                text.append(String.format(Locale.ROOT, "%-22s %s%n", experiment.name(), experiment.shows())));
+        return text.toString();
+    }
+}
--- a/testbed/src/main/java/org/oleanderturn/testbed/TestbedMain.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TestbedMain.java
@@ -8,7 +8,7 @@
         name = "oleanderturn-testbed",
         mixinStandardHelpOptions = true,
         description = "Stand-ins and benchmarks; not part of the product.",
-        subcommands = {StoreStandInCommand.class, TargetCommand.class})
+        subcommands = {StoreStandInCommand.class, TargetCommand.class, BenchCommand.class})
 public final class TestbedMain {
     private TestbedMain() {}
 
