--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -59,8 +59,8 @@
         int callsPerSecond = settings.platform().callsPerSecond();
         this.budgeted = BudgetedStore.of(store, callsPerSecond, callsPerSecond * BURST_SECONDS, System::nanoTime);
         LongSupplier milliseconds = MonotonicClock.start();
-        this.channel =
-                ControlChannel.of(frames, loops.executor(), settings.listen().control());
+        this.channel = ControlChannel.of(
+                frames::call, loops.executor(), settings.listen().control());
         this.data = new DataPlane(settings, budgeted, loops.executor(), milliseconds);
         this.control = new ControlPlane(settings, budgeted, channel, milliseconds, this::membersChanged);
         this.routing = new RoutingState(
