Let relays and lonely nodes find each other through the relays' keys

Cause: join addresses alone can leave two parts of the members that never meet. Each relay's key in the store now carries its control address. A relay reads all relays' keys about every 30 s and joins one that it does not know; a node that is alone reads them at every tenth try. The calls grow with the relays, not with the nodes.

--- a/distribution/src/main/java/org/oleanderturn/distribution/RelayElection.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/RelayElection.java
@@ -1,7 +1,6 @@
 package org.oleanderturn.distribution;
 
 import io.vavr.control.Either;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -11,7 +10,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.oleanderturn.model.AvailabilityZone;
-import org.oleanderturn.model.NodeId;
 import org.oleanderturn.platform.LeaseId;
 import org.oleanderturn.platform.Store;
 import org.oleanderturn.platform.StoreFailure;
@@ -35,7 +33,7 @@
     private static final long BACKOFF_CAP_MILLISECONDS = 30_000;
 
     private final Store store;
-    private final NodeId self;
+    private final RelayEntry self;
     private final String prefix;
     private final RelayCandidacy candidacy;
     private final RandomGenerator random;
@@ -44,10 +42,10 @@
     private long nextCallMilliseconds;
 
     private RelayElection(
-            Store store, NodeId self, AvailabilityZone zone, RelayCandidacy candidacy, RandomGenerator random) {
+            Store store, RelayEntry self, AvailabilityZone zone, RelayCandidacy candidacy, RandomGenerator random) {
         this.store = store;
         this.self = self;
-        this.prefix = "relay/" + zone + "/";
+        this.prefix = RelayEntry.KEY_PREFIX + zone + "/";
         this.candidacy = candidacy;
         this.random = random;
         this.backoff = Backoff.of(random, BACKOFF_BASE_MILLISECONDS, BACKOFF_CAP_MILLISECONDS);
@@ -55,7 +53,7 @@
 
     /** Returns the election of a zone's relays as one node takes part in it. */
     public static RelayElection of(
-            Store store, NodeId self, AvailabilityZone zone, RelayCandidacy candidacy, RandomGenerator random) {
+            Store store, RelayEntry self, AvailabilityZone zone, RelayCandidacy candidacy, RandomGenerator random) {
         Objects.requireNonNull(store, "store is null");
         Objects.requireNonNull(self, "self is null");
         Objects.requireNonNull(zone, "zone is null");
@@ -127,8 +125,7 @@
         }
         int slot = free.get(random.nextInt(free.size()));
         Either<StoreFailure, LeaseId> held = store.grantLease(Duration.ofMillis(LEASE_MILLISECONDS))
-                .flatMap(lease -> store.swapLeased(
-                                prefix + slot, StoredValue.ABSENT, self.value().getBytes(StandardCharsets.UTF_8), lease)
+                .flatMap(lease -> store.swapLeased(prefix + slot, StoredValue.ABSENT, self.encode(), lease)
                         .map(_ -> lease));
         if (held.isLeft()) {
             nextCallMilliseconds = nowMilliseconds + backoff.failed();
@@ -143,7 +140,10 @@
     private List<Integer> freeSlots(List<StoredValue> taken) {
         List<Integer> free = new ArrayList<>(List.of(0, 1));
         for (StoredValue value : taken) {
-            if (self.value().equals(new String(value.value(), StandardCharsets.UTF_8))) {
+            boolean isOwn = RelayEntry.parse(value.value())
+                    .filter(entry -> entry.node().equals(self.node()))
+                    .isPresent();
+            if (isOwn) {
                 return List.of();
             }
             free.removeIf(slot -> value.key().equals(prefix + slot));
--- a/distribution/src/test/java/org/oleanderturn/distribution/RelayFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/RelayFaultMatrixTest.java
@@ -226,7 +226,12 @@
             PeerDirectory directory = () -> zone.others(this);
             RelayCandidacy candidacy = RelayCandidacy.of(nodeId, zone.locality, PLATFORM_REGION, directory);
             Random random = new Random(number);
-            election = RelayElection.of(scripted, nodeId, zone.locality.zone(), candidacy, random);
+            election = RelayElection.of(
+                    scripted,
+                    new RelayEntry(nodeId, Address.of("127.0.0.1", 1)),
+                    zone.locality.zone(),
+                    candidacy,
+                    random);
             watch = RelayWatch.of(
                     scripted,
                     election,
--- a/node/src/main/java/org/oleanderturn/node/ControlNode.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlNode.java
@@ -146,7 +146,6 @@
                 settings.node(),
                 control.gossip(),
                 control.spreader(),
-                control.holder(),
                 control.recovery(),
                 drains,
                 quarantine,
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -12,6 +12,7 @@
 import org.oleanderturn.distribution.ReadinessFloor;
 import org.oleanderturn.distribution.RelayCandidacy;
 import org.oleanderturn.distribution.RelayElection;
+import org.oleanderturn.distribution.RelayEntry;
 import org.oleanderturn.distribution.RelayWatch;
 import org.oleanderturn.distribution.SnapshotHistory;
 import org.oleanderturn.distribution.Spreader;
@@ -62,9 +63,7 @@
         this.gossip =
                 Gossip.of(localRecord(settings), GossipSettings.standard(), channel, milliseconds, random, listener);
         this.directory = new MemberDirectory(gossip::table);
-        RelayCandidacy candidacy =
-                RelayCandidacy.of(settings.node(), settings.locality(), settings.platformRegion(), directory);
-        this.election = RelayElection.of(store, settings.node(), settings.availabilityZone(), candidacy, split(random));
+        this.election = election(settings, store, directory, split(random));
         this.watch = RelayWatch.of(
                 store,
                 election,
@@ -85,7 +84,8 @@
                 settings.platformRegion(),
                 split(random));
         this.acceptor = Acceptor.of(store, holder, history, this::newestVersion);
-        this.joining = new Joining(gossip, settings.join(), split(random));
+        this.joining =
+                new Joining(gossip, settings.join(), new Rendezvous(store, election, milliseconds), split(random));
         this.recovery = new Recovery(
                 settings.node(),
                 settings.locality(),
@@ -164,6 +164,14 @@
         LockSupport.parkNanos(Duration.ofMillis(GOSSIP_PAUSE_MILLISECONDS).toNanos());
     }
 
+    private static RelayElection election(
+            NodeSettings settings, Store store, MemberDirectory directory, RandomGenerator random) {
+        RelayCandidacy candidacy =
+                RelayCandidacy.of(settings.node(), settings.locality(), settings.platformRegion(), directory);
+        RelayEntry entry = new RelayEntry(settings.node(), settings.listen().control());
+        return RelayElection.of(store, entry, settings.availabilityZone(), candidacy, random);
+    }
+
     private static RandomGenerator split(RandomGenerator random) {
         return new SplittableRandom(random.nextLong());
     }
--- a/node/src/main/java/org/oleanderturn/node/Joining.java
+++ b/node/src/main/java/org/oleanderturn/node/Joining.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.node;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
@@ -20,15 +21,20 @@
 final class Joining {
     private static final long ALONE_PAUSE_MILLISECONDS = 500;
     private static final long ROUND_MILLISECONDS = 5_000;
+    private static final int ROUNDS_BETWEEN_RENDEZVOUS = 4;
+    private static final int STEPS_BETWEEN_RENDEZVOUS_ALONE = 10;
 
     private final Gossip gossip;
     private final List<Address> addresses;
+    private final Rendezvous rendezvous;
     private final RandomGenerator random;
     private final AtomicBoolean hasTried = new AtomicBoolean();
+    private int steps;
 
-    Joining(Gossip gossip, List<Address> addresses, RandomGenerator random) {
+    Joining(Gossip gossip, List<Address> addresses, Rendezvous rendezvous, RandomGenerator random) {
         this.gossip = Objects.requireNonNull(gossip, "gossip is null");
         this.addresses = List.copyOf(addresses);
+        this.rendezvous = Objects.requireNonNull(rendezvous, "rendezvous is null");
         this.random = Objects.requireNonNull(random, "random is null");
     }
 
@@ -41,25 +47,42 @@
     long step() {
         MemberTable table = gossip.table();
         if (table.reachablePeers().isEmpty()) {
-            gossip.join(addresses);
-            hasTried.set(true);
-            return ALONE_PAUSE_MILLISECONDS;
+            return joinAlone();
         }
         hasTried.set(true);
-        List<Address> unseen = unseen(table);
+        List<Address> known = new ArrayList<>(addresses);
+        if (isRendezvousDue()) {
+            known.addAll(rendezvous.relays());
+        }
+        List<Address> unseen = unseen(table, known);
         if (!unseen.isEmpty()) {
             gossip.join(List.of(unseen.get(random.nextInt(unseen.size()))));
         }
         return ROUND_MILLISECONDS + random.nextLong(ROUND_MILLISECONDS);
     }
 
-    private List<Address> unseen(MemberTable table) {
+    private long joinAlone() {
+        steps++;
+        List<Address> known = new ArrayList<>(addresses);
+        if (steps % STEPS_BETWEEN_RENDEZVOUS_ALONE == 1) {
+            known.addAll(rendezvous.relays());
+        }
+        gossip.join(known);
+        hasTried.set(true);
+        return ALONE_PAUSE_MILLISECONDS + random.nextLong(ALONE_PAUSE_MILLISECONDS);
+    }
+
+    /** Returns whether a relay is to look for relays that it does not know: two parts of the members may not know each other. */
+    private boolean isRendezvousDue() {
+        steps++;
+        return rendezvous.isRelay() && steps % ROUNDS_BETWEEN_RENDEZVOUS == 0;
+    }
+
+    private static List<Address> unseen(MemberTable table, List<Address> known) {
         Set<Address> reachable = table.reachablePeers().stream()
                 .map(MemberRecord::controlAddress)
                 .collect(Collectors.toSet());
         reachable.add(table.local().controlAddress());
-        return addresses.stream()
-                .filter(address -> !reachable.contains(address))
-                .toList();
+        return known.stream().filter(address -> !reachable.contains(address)).toList();
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/Rendezvous.java
@@ -0,0 +1,53 @@
+package org.oleanderturn.node;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.oleanderturn.distribution.RelayEntry;
+import org.oleanderturn.distribution.RelayRole;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.platform.Store;
+import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.platform.StoredValue;
+
+/**
+ * Finds the relays of all zones by their keys in the platform's store.
+ *
+ * <p>Thread safe.
+ */
+final class Rendezvous {
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    private final Store store;
+    private final RelayRole role;
+    private final LongSupplier milliseconds;
+
+    Rendezvous(Store store, RelayRole role, LongSupplier milliseconds) {
+        this.store = Objects.requireNonNull(store, "store is null");
+        this.role = Objects.requireNonNull(role, "role is null");
+        this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
+    }
+
+    /** Returns whether this node is a relay. */
+    boolean isRelay() {
+        return role.isRelay(milliseconds.getAsLong());
+    }
+
+    /** Reads the control addresses of the relays; none when the store can't be read. */
+    List<Address> relays() {
+        Either<StoreFailure, List<StoredValue>> entries = store.list(RelayEntry.KEY_PREFIX);
+        if (entries.isLeft()) {
+            log.atFine().atMostEvery(1, TimeUnit.SECONDS).log("relays can't be read: %s", entries.getLeft());
+            return List.of();
+        }
+        List<Address> addresses = new ArrayList<>();
+        for (StoredValue value : entries.get()) {
+            RelayEntry.parse(value.value()).map(RelayEntry::controlAddress).ifPresent(addresses::add);
+        }
+        return addresses;
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/oleanderturn/node/RendezvousTest.java
@@ -0,0 +1,34 @@
+package org.oleanderturn.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.distribution.RelayEntry;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.platform.StoredValue;
+
+class RendezvousTest {
+    private final FakeStore store = FakeStore.create();
+    private final Rendezvous rendezvous = new Rendezvous(store, _ -> OptionalInt.empty(), () -> 0);
+
+    @Test
+    void shouldFindRelaysOfEveryZoneAndPassOverMalformedEntries() {
+        Address address = Address.of("127.0.0.1", 23001);
+        store.swap("relay/hobart/0", StoredValue.ABSENT, new RelayEntry(NodeId.of("one"), address).encode());
+        store.swap("relay/hobart/1", StoredValue.ABSENT, "one".getBytes(StandardCharsets.UTF_8));
+        store.swap("relay/huonville/0", StoredValue.ABSENT, "two 127.0.0.1:x".getBytes(StandardCharsets.UTF_8));
+
+        assertThat(rendezvous.relays()).containsExactly(address);
+    }
+
+    @Test
+    void shouldFindNoneWhenTheStoreIsUnreachable() {
+        store.setStanding(FakeStore.Fault.UNREACHABLE);
+
+        assertThat(rendezvous.relays()).isEmpty();
+    }
+}
