--- a/model/src/main/java/org/oleanderturn/model/ConfigurationValidator.java
+++ b/model/src/main/java/org/oleanderturn/model/ConfigurationValidator.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 /**
  * Says whether the parts of a configuration fit together.
@@ -31,8 +32,15 @@
     private final Configuration configuration;
     private final List<ConfigurationFault> faults = new ArrayList<>();
 
+    private final Set<ServiceName> services;
+    private final Set<TrafficPolicyName> policies;
+
     private ConfigurationValidator(Configuration configuration) {
         this.configuration = configuration;
+        this.services = configuration.services().stream().map(Service::name).collect(Collectors.toSet());
+        this.policies = configuration.trafficPolicies().stream()
+                .map(TrafficPolicy::name)
+                .collect(Collectors.toSet());
     }
 
     /** Returns every fault of the configuration; none when it can be accepted. */
@@ -88,10 +96,10 @@
 
     private void checkRoute(Route route) {
         String path = "routes/" + route.name();
-        if (configuration.service(route.service()).isEmpty()) {
+        if (!services.contains(route.service())) {
             faults.add(new ConfigurationFault.UnknownService(path, route.service()));
         }
-        if (configuration.trafficPolicy(route.trafficPolicy()).isEmpty()) {
+        if (!policies.contains(route.trafficPolicy())) {
             faults.add(new ConfigurationFault.UnknownTrafficPolicy(path, route.trafficPolicy()));
         }
         if (!PREFIX.matcher(route.pathPrefix()).matches()) {
--- /dev/null
+++ b/model/src/test/java/org/oleanderturn/model/ConfigurationValidatorTest.java
@@ -0,0 +1,84 @@
+package org.oleanderturn.model;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class ConfigurationValidatorTest {
+    private static final Service DOCS = Service.of("docs", 10, 120);
+    private static final TrafficPolicy USUAL = policy(1_000);
+    private static final Route READING = route("docs", "/docs", List.of("GET"), "docs", "usual");
+
+    @Test
+    void shouldFindNoFaultWhenThePartsFitTogether() {
+        assertThat(validate(DOCS, READING, USUAL)).isEmpty();
+    }
+
+    @ParameterizedTest
+    @MethodSource("faulty")
+    void shouldNameTheFaultAndItsPath(Configuration configuration, ConfigurationFault expected) {
+        assertThat(ConfigurationValidator.validate(configuration)).contains(expected);
+    }
+
+    static Stream<Arguments> faulty() {
+        return Stream.of(
+                Arguments.of(
+                        of(DOCS, route("docs", "/docs", List.of("GET"), "gone", "usual"), USUAL),
+                        new ConfigurationFault.UnknownService("routes/docs", ServiceName.of("gone"))),
+                Arguments.of(
+                        of(DOCS, route("docs", "/docs", List.of("GET"), "docs", "gone"), USUAL),
+                        new ConfigurationFault.UnknownTrafficPolicy("routes/docs", TrafficPolicyName.of("gone"))),
+                Arguments.of(
+                        of(DOCS, route("docs", "docs", List.of("GET"), "docs", "usual"), USUAL),
+                        new ConfigurationFault.MalformedPrefix("routes/docs", "docs")),
+                Arguments.of(
+                        of(DOCS, route("docs", "/docs", List.of("GET", "GET"), "docs", "usual"), USUAL),
+                        new ConfigurationFault.MalformedMethods("routes/docs")),
+                Arguments.of(
+                        of(DOCS, route("docs", "/docs", List.of("POST"), "docs", "usual"), USUAL),
+                        new ConfigurationFault.MethodUnfitForKind("routes/docs", "POST", RequestKind.LOOKUP)),
+                Arguments.of(
+                        of(Service.of("docs", 0, 120), READING, USUAL),
+                        new ConfigurationFault.OutOfRange("services/docs", "slots", 0, 1, 10_000)),
+                Arguments.of(
+                        of(DOCS, READING, policy(0)),
+                        new ConfigurationFault.OutOfRange(
+                                "trafficPolicies/usual", "timeoutMilliseconds", 0, 1, 3_600_000)),
+                Arguments.of(
+                        Configuration.of(
+                                List.of(DOCS),
+                                List.of(READING, route("other", "/docs", List.of("GET"), "docs", "usual")),
+                                List.of(USUAL)),
+                        new ConfigurationFault.ShadowedRoute("routes/other", RouteName.of("docs"))),
+                Arguments.of(
+                        Configuration.of(List.of(DOCS, DOCS), List.of(READING), List.of(USUAL)),
+                        new ConfigurationFault.DuplicateName("services/docs")));
+    }
+
+    private static List<ConfigurationFault> validate(Service service, Route route, TrafficPolicy policy) {
+        return ConfigurationValidator.validate(of(service, route, policy));
+    }
+
+    private static Configuration of(Service service, Route route, TrafficPolicy policy) {
+        return Configuration.of(List.of(service), List.of(route), List.of(policy));
+    }
+
+    private static Route route(String name, String prefix, List<String> methods, String service, String policy) {
+        return new Route(
+                RouteName.of(name),
+                prefix,
+                methods,
+                ServiceName.of(service),
+                RequestKind.LOOKUP,
+                TrafficPolicyName.of(policy));
+    }
+
+    private static TrafficPolicy policy(int timeoutMilliseconds) {
+        return new TrafficPolicy(TrafficPolicyName.of("usual"), timeoutMilliseconds, 3, 20, 95, 5, 20, 20);
+    }
+}
