--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/FaultRelayCommand.java
@@ -0,0 +1,84 @@
+package org.oleanderturn.testbed;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.ListenerLimits;
+import org.oleanderturn.proxy.ProxyFailure;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Runs a relay with an administration port that takes {@code POST /cut}, {@code /freeze}, {@code /heal} and {@code
+ * /delay/MILLISECONDS}.
+ *
+ * <p>Used by one thread; requests to the administration port come on others.
+ */
+@Command(name = "relay", mixinStandardHelpOptions = true, description = "Passes TCP on, with faults on request.")
+public final class FaultRelayCommand implements Callable<Integer> {
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final String DELAY = "/delay/";
+
+    @Option(names = "--port", required = true, description = "The port on 127.0.0.1.")
+    private int port;
+
+    @Option(names = "--upstream", required = true, description = "The address that connections are passed on to.")
+    private String upstream;
+
+    @Option(names = "--admin-port", required = true, description = "The administration port on 127.0.0.1.")
+    private int adminPort;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        try (FaultRelay relay = FaultRelay.start(port, Address.parse(upstream))) {
+            Either<ProxyFailure, HttpListener> admin = HttpListener.start(
+                    "127.0.0.1", adminPort, request -> answer(relay, request), ListenerLimits.standard());
+            if (admin.isLeft()) {
+                System.err.println(admin.getLeft());
+                return CommandLine.ExitCode.SOFTWARE;
+            }
+            System.out.println("relay listens on 127.0.0.1:" + port);
+            new CountDownLatch(1).await();
+        }
+        return CommandLine.ExitCode.OK;
+    }
+
+    private static Answer answer(FaultRelay relay, InboundRequest request) throws IOException {
+        Optional<FaultRelayMode> mode = parse(request.path());
+        if (mode.isEmpty()) {
+            return Answer.text(404, "text/plain", "known are /cut, /freeze, /heal and /delay/MILLISECONDS\n");
+        }
+        relay.setMode(mode.get());
+        log.atInfo().log("relay is now %s", mode.get());
+        return Answer.json(200, Map.of("mode", mode.get().toString()));
+    }
+
+    static Optional<FaultRelayMode> parse(String path) {
+        if (path.startsWith(DELAY)) {
+            return delay(path.substring(DELAY.length()));
+        }
+        return switch (path) {
+            case "/cut" -> Optional.of(new FaultRelayMode.Cut());
+            case "/freeze" -> Optional.of(new FaultRelayMode.Frozen());
+            case "/heal" -> Optional.of(new FaultRelayMode.Healed());
+            default -> Optional.empty();
+        };
+    }
+
+    private static Optional<FaultRelayMode> delay(String text) {
+        try {
+            return Optional.of(new FaultRelayMode.Delayed(Long.parseLong(text)));
+        } catch (IllegalArgumentException cause) {
+            return Optional.empty();
+        }
+    }
+}
--- a/testbed/src/main/java/org/oleanderturn/testbed/TestbedMain.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TestbedMain.java
@@ -8,7 +8,13 @@
         name = "oleanderturn-testbed",
         mixinStandardHelpOptions = true,
         description = "Stand-ins and benchmarks; not part of the product.",
-        subcommands = {StoreStandInCommand.class, TargetCommand.class})
+        subcommands = {
+            StoreStandInCommand.class,
+            TargetCommand.class,
+            LoadCommand.class,
+            LoadCheckCommand.class,
+            FaultRelayCommand.class
+        })
 public final class TestbedMain {
     private TestbedMain() {}
 
--- /dev/null
+++ b/testbed/src/test/java/org/oleanderturn/testbed/FaultRelayTest.java
@@ -0,0 +1,103 @@
+package org.oleanderturn.testbed;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
+
+final class FaultRelayTest {
+    private static final int SHORT_WAIT_MILLISECONDS = 100;
+    private static final int LONG_WAIT_MILLISECONDS = 10_000;
+
+    private ServerSocket upstream;
+    private FaultRelay relay;
+
+    @BeforeEach
+    void start() throws IOException {
+        upstream = new ServerSocket(0, 0, InetAddress.getLoopbackAddress());
+        relay = FaultRelay.start(0, Address.of("127.0.0.1", upstream.getLocalPort()));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        relay.close();
+        upstream.close();
+    }
+
+    @Test
+    void shouldPassBytesBothWaysWhenHealed() throws IOException {
+        assertBytesPassBothWays();
+    }
+
+    @Test
+    void shouldBreakAndRefuseWhenCutAndPassAgainWhenHealed() throws IOException {
+        try (Socket caller = connect();
+                Socket target = upstream.accept()) {
+            target.setSoTimeout(LONG_WAIT_MILLISECONDS);
+            relay.setMode(new FaultRelayMode.Cut());
+            assertThat(hasEnded(caller)).isTrue();
+            assertThat(hasEnded(target)).isTrue();
+            assertThrows(IOException.class, this::connect);
+        }
+        relay.setMode(new FaultRelayMode.Healed());
+        assertBytesPassBothWays();
+    }
+
+    @Test
+    void shouldHoldBytesWhenFrozenAndPassThemWhenHealed() throws IOException {
+        try (Socket caller = connect();
+                Socket target = upstream.accept()) {
+            relay.setMode(new FaultRelayMode.Frozen());
+            caller.getOutputStream().write(7);
+            target.setSoTimeout(SHORT_WAIT_MILLISECONDS);
+            assertThrows(
+                    SocketTimeoutException.class, () -> target.getInputStream().read());
+            target.setSoTimeout(LONG_WAIT_MILLISECONDS);
+            relay.setMode(new FaultRelayMode.Healed());
+            assertThat(target.getInputStream().read()).isEqualTo(7);
+        }
+    }
+
+    @Test
+    void shouldReadModeOfPath() {
+        assertThat(FaultRelayCommand.parse("/cut")).isEqualTo(Optional.of(new FaultRelayMode.Cut()));
+        assertThat(FaultRelayCommand.parse("/delay/30")).isEqualTo(Optional.of(new FaultRelayMode.Delayed(30)));
+        assertThat(FaultRelayCommand.parse("/delay/-1")).isEqualTo(Optional.empty());
+        assertThat(FaultRelayCommand.parse("/other")).isEqualTo(Optional.empty());
+    }
+
+    private void assertBytesPassBothWays() throws IOException {
+        try (Socket caller = connect();
+                Socket target = upstream.accept()) {
+            caller.getOutputStream().write(7);
+            assertThat(target.getInputStream().read()).isEqualTo(7);
+            target.getOutputStream().write(8);
+            assertThat(caller.getInputStream().read()).isEqualTo(8);
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket caller = new Socket(InetAddress.getLoopbackAddress(), relay.port());
+        caller.setSoTimeout(LONG_WAIT_MILLISECONDS);
+        return caller;
+    }
+
+    private static boolean hasEnded(Socket socket) {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException timeout) {
+            return false;
+        } catch (IOException cause) {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/org/oleanderturn/testbed/LoadRunnerTest.java
@@ -0,0 +1,113 @@
+package org.oleanderturn.testbed;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.ListenerLimits;
+import org.oleanderturn.proxy.ProxyHeaders;
+import org.oleanderturn.proxy.RequestHandler;
+
+final class LoadRunnerTest {
+    private final Map<String, Integer> sendings = new ConcurrentHashMap<>();
+    private HttpListener listener;
+
+    @AfterEach
+    void stop() {
+        listener.close();
+    }
+
+    @Test
+    void shouldCountEachRequestOnceWhenAllAreAnswered() {
+        LoadReport report = run(
+                50,
+                request -> Answer.text(200, "text/plain", "here\n")
+                        .withHeader(ProxyHeaders.OUTCOME, "ran")
+                        .withHeader(ProxyHeaders.VERSION, 3));
+
+        assertThat(report.sent()).isEqualTo(40);
+        assertThat(report.answered()).isEqualTo(40);
+        assertThat(report.olderVersions()).isEmpty();
+        assertThat(report.latencies().values().stream()
+                        .mapToLong(LoadLatency::count)
+                        .sum())
+                .isEqualTo(40);
+    }
+
+    @Test
+    void shouldSendBookingAgainUnderItsKeyWhenItsOutcomeIsUnknown() {
+        LoadReport report = run(100, this::answerSecondSending);
+
+        assertThat(report.answered()).isEqualTo(40);
+        assertThat(report.resent()).isEqualTo(40);
+        assertThat(sendings.values()).containsExactlyElementsIn(Collections.nCopies(40, 2));
+    }
+
+    @Test
+    void shouldCountTruncatedAnswerAsLost() {
+        LoadReport report =
+                run(0, request -> Answer.of(200, List.of(), new Answer.Body.Streamed(10, new TruncatedSource())));
+
+        assertThat(report.lost()).isEqualTo(40);
+        assertThat(report.answered()).isEqualTo(0);
+    }
+
+    @Test
+    void shouldReportOlderVersionWhenEntryGoesBack() {
+        LoadReport report = run(
+                0,
+                request -> Answer.text(200, "text/plain", "here\n")
+                        .withHeader(ProxyHeaders.OUTCOME, "ran")
+                        .withHeader(ProxyHeaders.VERSION, 50 - sendings.merge("any", 1, Integer::sum)));
+
+        assertThat(report.olderVersions()).isNotEmpty();
+    }
+
+    private Answer answerSecondSending(InboundRequest request) {
+        String key = request.header(ProxyHeaders.IDEMPOTENCY_KEY).orElseThrow();
+        boolean isFirst = sendings.merge(key, 1, Integer::sum) == 1;
+        return Answer.text(isFirst ? 502 : 200, "text/plain", "\n")
+                .withHeader(ProxyHeaders.OUTCOME, isFirst ? "unknown" : "ran");
+    }
+
+    private LoadReport run(int bookingPercent, RequestHandler handler) {
+        listener = HttpListener.start("127.0.0.1", 0, handler, ListenerLimits.standard())
+                .get();
+        Address entry = Address.of("127.0.0.1", listener.address().port());
+        return LoadRunner.of(new LoadPlan(
+                        List.of(entry),
+                        200,
+                        200,
+                        "/lookup",
+                        "/booking",
+                        "/download",
+                        bookingPercent,
+                        0,
+                        30_000,
+                        "k",
+                        1))
+                .run();
+    }
+
+    /** Ends before its length is reached. */
+    private static final class TruncatedSource implements Answer.Source {
+        @Override
+        public void writeTo(OutputStream output) throws IOException {
+            output.write(new byte[5]);
+            throw new IOException("ended early");
+        }
+
+        @Override
+        public void close() {}
+    }
+}
