--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -293,6 +293,41 @@
   http "$(port_of "$1" caller)" GET "${load_paths[1]}" 2>/dev/null | grep -qi '^oleanderturn-outcome: ran'
 }
 
+# Prints the configuration version by which a node routes a lookup.
+answered_version() {
+  http "$(port_of "$1" caller)" GET "${load_paths[1]}" 2>/dev/null |
+    sed -n 's/^[Oo]leanderturn-[Cc]onfiguration-[Vv]ersion: \([0-9]*\)$/\1/p'
+}
+
+# Succeeds when a node routes by a version or a newer one.
+routes_by() {
+  local version
+  version=$(answered_version "$1")
+  [ "${version:-0}" -ge "$2" ]
+}
+
+# Sends a booking to a node under a key and prints the whole answer.
+book() { http_body='{}' http "$(port_of "$1" caller)" POST "${load_paths[3]}" "Idempotency-Key: $2"; }
+
+# Succeeds when a booking is answered as run.
+books() { book "$1" "$2" 2>/dev/null | grep -qi '^oleanderturn-outcome: ran'; }
+
+# Prints the part of an answer that says what became of the request, and succeeds when it is a refusal as not run that
+# says when to come back.
+is_refused() {
+  grep -iE '^(HTTP|oleanderturn-(outcome|reason)|retry-after)' <<<"$1" | sed 's/^/    /'
+  grep -qi '^oleanderturn-outcome: not-run' <<<"$1" && grep -qi '^retry-after: ' <<<"$1"
+}
+
+# Writes declarations that are those of the deployment, but for the slots of the first service; prints their folder.
+declare_change() {
+  local folder=$processes_directory/$1
+  mkdir -p "$folder"
+  cp "$configuration_folder"/*.json "$folder/"
+  sed -i "0,/\"slots\": [0-9]*/s//\"slots\": $2/" "$folder/services.json"
+  echo "$folder"
+}
+
 # Proposes the deployment's declarations and prints the outcome.
 propose() {
   local node=$1
