Measure the store's calls against nodes, zones and a herd restart

Cause: the store's rates grow more slowly than the fleet, so its calls must not follow the nodes. Ruled out: ports that the system gives out, since outgoing connections of other nodes take them.

--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchCommand.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchCommand.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.oleanderturn.model.Codec;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -22,6 +24,7 @@
  */
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Runs benchmark experiments.")
 public final class BenchCommand implements Callable<Integer> {
+    private static final Logger PROJECT_LOGGER = Logger.getLogger("org.oleanderturn");
     private static final double NANOSECONDS_PER_SECOND = 1e9;
     private static final int EXIT_MET = 0;
     private static final int EXIT_BROKEN = 1;
@@ -38,6 +41,7 @@
 
     @Override
     public Integer call() throws IOException {
+        PROJECT_LOGGER.setLevel(Level.SEVERE);
         if (isListing) {
             System.out.print(BenchTable.list(BenchExperiments.all()));
             return EXIT_MET;
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
@@ -1,13 +1,10 @@
 package org.oleanderturn.testbed;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ChangeOutcome;
 import org.oleanderturn.model.ConfigurationVersion;
@@ -77,8 +74,9 @@
         return zones;
     }
 
+    /** Returns the nodes that were not killed. */
     List<ControlNode> nodes() {
-        return members.stream().map(Member::node).toList();
+        return members.stream().filter(Member::isRunning).map(Member::node).toList();
     }
 
     List<ControlNode> nodesIn(Locality zone) {
@@ -129,7 +127,11 @@
 
     /** Proposes the next change at a node and returns the version under which it was accepted. */
     ConfigurationVersion change(int member) {
-        ControlNode node = members.get(member).node();
+        return change(members.get(member).node());
+    }
+
+    /** Proposes the next change at a node and returns the version under which it was accepted. */
+    ConfigurationVersion change(ControlNode node) {
         ChangeOutcome outcome = node.propose(BenchConfiguration.proposal(changes));
         changes++;
         if (outcome instanceof ChangeOutcome.Accepted accepted) {
@@ -140,9 +142,11 @@
 
     /** Ends nodes without telling anyone. */
     void kill(List<ControlNode> nodes) {
-        for (Member member : members) {
+        for (int number = 0; number < members.size(); number++) {
+            Member member = members.get(number);
             if (nodes.contains(member.node())) {
                 member.close();
+                members.set(number, new Member(member.node(), member.store(), false));
             }
         }
     }
@@ -188,7 +192,7 @@
         BenchStore nodeStore = new BenchStore(HttpStore.of(reached), settings.locality(), network);
         ControlNode node = ControlNode.start(settings, nodeStore, caller -> network.from(settings.locality(), caller))
                 .getOrElseThrow(failure -> new IllegalStateException(failure.toString()));
-        return new Member(node, nodeStore);
+        return new Member(node, nodeStore, true);
     }
 
     private NodeSettings settings(int number) {
@@ -202,7 +206,7 @@
         return new NodeSettings(
                 NodeId.of("node-" + number),
                 place.region(),
-                place.availabilityZone(),
+                place.zone(),
                 BenchPlaces.PLATFORM_REGION,
                 new NodeSettings.Listen(unused, unused, addresses.get(number), unused),
                 new NodeSettings.Platform(store.address(), CALLS_PER_SECOND, STORE_TIMEOUT_MILLISECONDS),
@@ -212,24 +216,13 @@
     }
 
     private static List<Address> freeAddresses(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Address> free = new ArrayList<>();
-        try {
-            for (int number = 0; number < count; number++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                sockets.add(socket);
-                free.add(Address.of("127.0.0.1", socket.getLocalPort()));
-            }
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-            return free;
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+        return Stream.generate(BenchPorts::next)
+                .limit(count)
+                .map(port -> Address.of("127.0.0.1", port))
+                .toList();
     }
 
-    private record Member(ControlNode node, BenchStore store) implements AutoCloseable {
+    private record Member(ControlNode node, BenchStore store, boolean isRunning) implements AutoCloseable {
 
         @Override
         public void close() {
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchNetwork.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchNetwork.java
@@ -74,7 +74,7 @@
             Locality self, FrameCaller caller, Address peer, Frame request, Duration timeout) {
         Locality other = places.get(peer);
         if (isBetween(self, other)) {
-            BenchClock.pause(timeout.toMillis());
+            BenchClock.pause((double) timeout.toMillis());
             return Either.left(new WireFailure.Unreachable(peer, "cut off"));
         }
         double oneWay = BenchPlaces.oneWayMilliseconds(self, other);
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchSamples.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchSamples.java
@@ -31,4 +31,9 @@
     public static BenchSamples of(double value) {
         return of(List.of(value));
     }
+
+    /** Returns the summary of one count. */
+    public static BenchSamples ofCount(long count) {
+        return of((double) count);
+    }
 }
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchStoreCalls.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchStoreCalls.java
@@ -1,18 +1,13 @@
 package org.oleanderturn.testbed;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.Callable;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.node.ControlNode;
-import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.StoreSettings;
-import org.oleanderturn.platform.StoredValue;
 
 /**
  * Calls to the store against the number of nodes and zones, in rest, at a change and when a whole zone restarts.
@@ -28,7 +23,8 @@
     private static final long WINDOW_MILLISECONDS = 12_000;
     private static final long CHANGE_MILLISECONDS = 3_000;
     private static final long HERD_MILLISECONDS = 30_000;
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
+    private static final long BASELINE_MILLISECONDS = 10_000;
+    private static final int BASELINE_VALUE_BYTES = 10_000;
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
     @Override
@@ -43,39 +39,53 @@
 
     @Override
     public List<BenchRow> run() {
+        List<Callable<Part>> parts = new ArrayList<>();
+        for (int nodes : NODES) {
+            parts.add(() -> againstNodes(nodes));
+        }
+        for (int zones : ZONES) {
+            parts.add(() -> againstZones(zones));
+        }
         List<BenchRow> rows = new ArrayList<>();
         Map<Integer, Double> idle = new TreeMap<>();
-        for (int nodes : NODES) {
-            try (BenchFleet fleet = BenchFleet.start(nodes, BenchPlaces.ZONES)) {
-                idle.put(nodes, measure(fleet, rows, nodes));
-                if (nodes == NODES.getLast()) {
-                    herd(fleet, rows);
-                }
-            }
+        for (Part part : BenchParallel.runAll(parts)) {
+            rows.addAll(part.rows());
+            part.idleOfNodes().ifPresent(rate -> idle.put(part.nodes(), rate));
         }
         rows.add(slope(idle));
-        for (int zones : ZONES) {
-            try (BenchFleet fleet = BenchFleet.start(NODES_FOR_ZONES, zones)) {
-                BenchSamples rate = BenchSamples.of(callsPerSecond(fleet));
-                rows.add(BenchRow.of("idle, " + NODES_FOR_ZONES + " nodes, " + zones + " zones", "calls/s", rate));
+        return rows;
+    }
+
+    // -- parts
+
+    private static Part againstNodes(int nodes) {
+        List<BenchRow> rows = new ArrayList<>();
+        try (BenchFleet fleet = BenchFleet.start(nodes, BenchPlaces.ZONES)) {
+            double rate = callsPerSecond(fleet);
+            long before = fleet.store().counts().total();
+            fleet.change(1);
+            BenchClock.pause(CHANGE_MILLISECONDS);
+            long during = fleet.store().counts().total() - before;
+            double perChange = Math.max(0, during - rate * CHANGE_MILLISECONDS / MILLISECONDS_PER_SECOND);
+            WatchingBaseline baseline = baseline(nodes);
+            String size = ", " + nodes + " nodes, " + BenchPlaces.ZONES + " zones";
+            rows.add(
+                    BenchRow.of("idle" + size, "calls/s", BenchSamples.of(rate)).withBaseline(baseline.idle()));
+            rows.add(BenchRow.of("for one change" + size, "calls", BenchSamples.of(perChange))
+                    .withBaseline(baseline.change()));
+            if (nodes == NODES.getLast()) {
+                herd(fleet, rows);
             }
+            return new Part(nodes, rows, Optional.of(rate));
         }
-        return rows;
     }
 
-    private static double measure(BenchFleet fleet, List<BenchRow> rows, int nodes) {
-        double rate = callsPerSecond(fleet);
-        long before = fleet.store().counts().total();
-        fleet.change(1);
-        BenchClock.pause(CHANGE_MILLISECONDS);
-        long after = fleet.store().counts().total();
-        double perChange = Math.max(0, after - before - rate * CHANGE_MILLISECONDS / MILLISECONDS_PER_SECOND);
-        WatchingBaseline baseline = baseline(nodes);
-        String size = ", " + nodes + " nodes, " + BenchPlaces.ZONES + " zones";
-        rows.add(BenchRow.of("idle" + size, "calls/s", BenchSamples.of(rate)).withBaseline(baseline.idle()));
-        rows.add(BenchRow.of("for one change" + size, "calls", BenchSamples.of(perChange))
-                .withBaseline(baseline.change()));
-        return rate;
+    private static Part againstZones(int zones) {
+        try (BenchFleet fleet = BenchFleet.start(NODES_FOR_ZONES, zones)) {
+            BenchSamples rate = BenchSamples.of(callsPerSecond(fleet));
+            String measure = "idle, " + NODES_FOR_ZONES + " nodes, " + zones + " zones";
+            return new Part(NODES_FOR_ZONES, List.of(BenchRow.of(measure, "calls/s", rate)), Optional.empty());
+        }
     }
 
     private static double callsPerSecond(BenchFleet fleet) {
@@ -114,41 +124,18 @@
                 .withNote(areReady ? "all came back" : "NOT all came back in the time watched"));
         rows.add(BenchRow.of(herd + "store calls a second", "calls/s", BenchSamples.of(calls / seconds))
                 .withBound(BenchBound.atMost(CALLS_BOUND_PER_SECOND)));
-        rows.add(BenchRow.of(herd + "store calls", "calls", BenchSamples.of(calls)));
-        rows.add(BenchRow.of(herd + "whole configurations sent", "snapshots", BenchSamples.of(snapshots)));
+        rows.add(BenchRow.of(herd + "store calls", "calls", BenchSamples.ofCount(calls)));
+        rows.add(BenchRow.of(herd + "whole configurations sent", "snapshots", BenchSamples.ofCount(snapshots)));
     }
 
-    // -- baseline: every node watches the store
-
     private static WatchingBaseline baseline(int nodes) {
-        AtomicBoolean isRunning = new AtomicBoolean(true);
-        try (StoreStandIn store = StoreStandIn.start(0, StoreStandInSettings.defaults());
-                HttpStore client = HttpStore.of(StoreSettings.of(store.address()))) {
-            client.swap("head", StoredValue.ABSENT, new byte[] {1});
-            ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-            for (int node = 0; node < nodes; node++) {
-                executor.execute(() -> watch(client, isRunning));
-            }
-            BenchClock.pause(MILLISECONDS_PER_SECOND);
-            long before = store.counts().total();
-            BenchClock.pause(WATCH_WAIT.toMillis());
-            long idle = store.counts().total() - before;
-            client.swap("head", 1, new byte[] {2});
-            BenchClock.pause(MILLISECONDS_PER_SECOND);
-            long change = store.counts().total() - before - idle;
-            isRunning.set(false);
-            executor.shutdownNow();
-            return new WatchingBaseline(idle * MILLISECONDS_PER_SECOND / WATCH_WAIT.toMillis(), change);
-        }
-    }
-
-    private static void watch(HttpStore client, AtomicBoolean isRunning) {
-        long seen = StoredValue.ABSENT;
-        while (isRunning.get()) {
-            long known = seen;
-            seen = client.watch("head", known, WATCH_WAIT)
-                    .map(found -> found.map(StoredValue::revision).orElse(known))
-                    .getOrElse(known);
+        try (BenchWatchers watchers = BenchWatchers.start(nodes, BASELINE_VALUE_BYTES)) {
+            long before = watchers.calls();
+            BenchClock.pause(BASELINE_MILLISECONDS);
+            long idle = watchers.calls() - before;
+            watchers.change();
+            long change = watchers.calls() - before - idle;
+            return new WatchingBaseline(idle * MILLISECONDS_PER_SECOND / BASELINE_MILLISECONDS, change);
         }
     }
 
@@ -159,4 +146,11 @@
      * @param change calls for one change
      */
     private record WatchingBaseline(double idle, double change) {}
+
+    /**
+     * What one fleet showed.
+     *
+     * @param idleOfNodes calls a second in rest, when the fleet counts for the slope in nodes
+     */
+    private record Part(int nodes, List<BenchRow> rows, Optional<Double> idleOfNodes) {}
 }
