--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchControlCost.java
@@ -0,0 +1,138 @@
+package org.oleanderturn.testbed;
+
+import com.sun.management.OperatingSystemMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.Configuration;
+
+/**
+ * Processor time and heap of a node's control plane, against the number of members it knows.
+ *
+ * <p>The whole process is read and divided by its nodes: the stand-in, the network model and garbage collection count
+ * too. Used by one thread.
+ */
+final class BenchControlCost implements BenchExperiment {
+    private static final List<Integer> NODES = List.of(16, 32, 64, 128);
+    private static final int TARGET_NODES = 1_100;
+    private static final double PROCESSOR_BOUND_PERCENT = 4.5;
+    private static final double HEAP_BOUND_MEBIBYTES = 256;
+    private static final int WINDOWS = 3;
+    private static final double WINDOW_SECONDS = 3;
+    private static final double SECONDS_PER_CHANGE = 1.5;
+    private static final int CHANGES = 4;
+    private static final double CHANGES_PER_SECOND = 3_100 / 86_400.0;
+    private static final int COPIES = 40;
+    private static final double PERCENT = 100;
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+    private static final double NANOSECONDS_PER_SECOND = 1e9;
+    private static final double BYTES_PER_KIBIBYTE = 1_024;
+
+    @Override
+    public String name() {
+        return "control-cost";
+    }
+
+    @Override
+    public String shows() {
+        return "processor time and heap of a node's control plane, against members";
+    }
+
+    @Override
+    public List<BenchRow> run() {
+        List<BenchRow> rows = new ArrayList<>();
+        Map<Integer, Double> processor = new TreeMap<>();
+        Map<Integer, Double> change = new TreeMap<>();
+        Map<Integer, Double> heap = new TreeMap<>();
+        for (int nodes : NODES) {
+            double before = usedHeapBytes();
+            try (BenchFleet fleet = BenchFleet.start(nodes, BenchPlaces.ZONES)) {
+                BenchSamples share = idlePercent(nodes);
+                processor.put(nodes, share.median());
+                change.put(nodes, changeMilliseconds(fleet, nodes, share.median()));
+                heap.put(nodes, (usedHeapBytes() - before) / nodes / BYTES_PER_KIBIBYTE);
+                String size = ", " + nodes + " nodes";
+                rows.add(BenchRow.of("processor of one node, idle" + size, "% of a core", share));
+                rows.add(BenchRow.of(
+                        "processor of one node, one change" + size, "ms", BenchSamples.of(change.get(nodes))));
+                rows.add(BenchRow.of("heap of one node" + size, "KiB", BenchSamples.of(heap.get(nodes))));
+            }
+        }
+        rows.add(processorAtTarget(BenchSlope.of(processor), BenchSlope.of(change)));
+        rows.add(heapAtTarget(BenchSlope.of(heap)));
+        rows.add(configurationHeap());
+        return rows;
+    }
+
+    private static BenchRow processorAtTarget(BenchSlope idle, BenchSlope change) {
+        double changesPercent = change.at(TARGET_NODES) * CHANGES_PER_SECOND / MILLISECONDS_PER_SECOND * PERCENT;
+        return BenchRow.of(
+                        "processor of one node, " + TARGET_NODES + " nodes, 3,100 changes a day, by the slope",
+                        "% of a core",
+                        BenchSamples.of(idle.at(TARGET_NODES) + changesPercent))
+                .withBound(BenchBound.atMost(PROCESSOR_BOUND_PERCENT))
+                .withNote("computed: idle " + line(idle) + " %; a change " + line(change) + " ms");
+    }
+
+    private static BenchRow heapAtTarget(BenchSlope heap) {
+        return BenchRow.of(
+                        "heap of one node, " + TARGET_NODES + " nodes, by the slope",
+                        "MiB",
+                        BenchSamples.of(heap.at(TARGET_NODES) / BYTES_PER_KIBIBYTE))
+                .withBound(BenchBound.atMost(HEAP_BOUND_MEBIBYTES))
+                .withNote("computed: " + line(heap) + " KiB; live objects only, not the process");
+    }
+
+    private static String line(BenchSlope slope) {
+        return BenchTable.figure(slope.intercept()) + " + " + BenchTable.figure(slope.slope()) + " a member";
+    }
+
+    private static BenchSamples idlePercent(int nodes) {
+        List<Double> shares = new ArrayList<>();
+        for (int window = 0; window < WINDOWS; window++) {
+            double before = processorSeconds();
+            BenchClock.pause(WINDOW_SECONDS * MILLISECONDS_PER_SECOND);
+            shares.add((processorSeconds() - before) / WINDOW_SECONDS / nodes * PERCENT);
+        }
+        return BenchSamples.of(shares);
+    }
+
+    private static double changeMilliseconds(BenchFleet fleet, int nodes, double idlePercent) {
+        double before = processorSeconds();
+        for (int change = 0; change < CHANGES; change++) {
+            fleet.change(0);
+            BenchClock.pause(SECONDS_PER_CHANGE * MILLISECONDS_PER_SECOND);
+        }
+        double idle = idlePercent / PERCENT * nodes * CHANGES * SECONDS_PER_CHANGE;
+        return Math.max(0, processorSeconds() - before - idle) * MILLISECONDS_PER_SECOND / nodes / CHANGES;
+    }
+
+    private static BenchRow configurationHeap() {
+        byte[] encoded = Codec.messagePack().encode(BenchConfiguration.after(1));
+        double before = usedHeapBytes();
+        List<Configuration> copies = IntStream.range(0, COPIES)
+                .mapToObj(_ -> Codec.messagePack()
+                        .decode(encoded, Configuration.class)
+                        .getOrElseThrow(failure -> new IllegalStateException(failure.toString())))
+                .toList();
+        double used = (usedHeapBytes() - before) / copies.size() / BYTES_PER_KIBIBYTE;
+        return BenchRow.of(
+                "heap of one configuration, " + BenchConfiguration.SERVICES + " services and twice as many routes",
+                "KiB",
+                BenchSamples.of(used));
+    }
+
+    private static double processorSeconds() {
+        OperatingSystemMXBean system = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+        return system.getProcessCpuTime() / NANOSECONDS_PER_SECOND;
+    }
+
+    private static double usedHeapBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+}
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
@@ -8,8 +8,12 @@
  * <p>Immutable and thread safe.
  */
 final class BenchExperiments {
-    private static final List<BenchExperiment> ALL =
-            List.of(new BenchConvergence(), new BenchConvergenceFaults(), new BenchStoreCalls());
+    private static final List<BenchExperiment> ALL = List.of(
+            new BenchConvergence(),
+            new BenchConvergenceFaults(),
+            new BenchStoreCalls(),
+            new BenchPaidLink(),
+            new BenchControlCost());
 
     private BenchExperiments() {}
 
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchStoreCalls.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchStoreCalls.java
@@ -15,12 +15,14 @@
  * <p>Used by one thread.
  */
 final class BenchStoreCalls implements BenchExperiment {
-    private static final List<Integer> NODES = List.of(8, 32, 128);
+    private static final List<Integer> NODES = List.of(8, 32, 64, 128);
+    private static final int LEAST_NODES_FOR_SLOPE = 32;
+    private static final int WINDOWS = 3;
     private static final List<Integer> ZONES = List.of(1, 3);
     private static final int NODES_FOR_ZONES = 32;
     private static final int TARGET_NODES = 1_100;
     private static final double CALLS_BOUND_PER_SECOND = 200;
-    private static final long WINDOW_MILLISECONDS = 12_000;
+    private static final long WINDOW_MILLISECONDS = 8_000;
     private static final long CHANGE_MILLISECONDS = 3_000;
     private static final long HERD_MILLISECONDS = 30_000;
     private static final long BASELINE_MILLISECONDS = 10_000;
@@ -61,7 +63,8 @@
     private static Part againstNodes(int nodes) {
         List<BenchRow> rows = new ArrayList<>();
         try (BenchFleet fleet = BenchFleet.start(nodes, BenchPlaces.ZONES)) {
-            double rate = callsPerSecond(fleet);
+            BenchSamples idle = callsPerSecond(fleet);
+            double rate = idle.median();
             long before = fleet.store().counts().total();
             fleet.change(1);
             BenchClock.pause(CHANGE_MILLISECONDS);
@@ -69,29 +72,33 @@
             double perChange = Math.max(0, during - rate * CHANGE_MILLISECONDS / MILLISECONDS_PER_SECOND);
             WatchingBaseline baseline = baseline(nodes);
             String size = ", " + nodes + " nodes, " + BenchPlaces.ZONES + " zones";
-            rows.add(
-                    BenchRow.of("idle" + size, "calls/s", BenchSamples.of(rate)).withBaseline(baseline.idle()));
+            rows.add(BenchRow.of("idle" + size, "calls/s", idle).withBaseline(baseline.idle()));
             rows.add(BenchRow.of("for one change" + size, "calls", BenchSamples.of(perChange))
                     .withBaseline(baseline.change()));
             if (nodes == NODES.getLast()) {
                 herd(fleet, rows);
             }
-            return new Part(nodes, rows, Optional.of(rate));
+            return new Part(nodes, rows, nodes < LEAST_NODES_FOR_SLOPE ? Optional.empty() : Optional.of(rate));
         }
     }
 
     private static Part againstZones(int zones) {
         try (BenchFleet fleet = BenchFleet.start(NODES_FOR_ZONES, zones)) {
-            BenchSamples rate = BenchSamples.of(callsPerSecond(fleet));
+            BenchSamples rate = callsPerSecond(fleet);
             String measure = "idle, " + NODES_FOR_ZONES + " nodes, " + zones + " zones";
             return new Part(NODES_FOR_ZONES, List.of(BenchRow.of(measure, "calls/s", rate)), Optional.empty());
         }
     }
 
-    private static double callsPerSecond(BenchFleet fleet) {
-        long before = fleet.store().counts().total();
-        BenchClock.pause(WINDOW_MILLISECONDS);
-        return (fleet.store().counts().total() - before) * MILLISECONDS_PER_SECOND / WINDOW_MILLISECONDS;
+    private static BenchSamples callsPerSecond(BenchFleet fleet) {
+        List<Double> rates = new ArrayList<>();
+        for (int window = 0; window < WINDOWS; window++) {
+            long before = fleet.store().counts().total();
+            BenchClock.pause(WINDOW_MILLISECONDS);
+            long calls = fleet.store().counts().total() - before;
+            rates.add(calls * MILLISECONDS_PER_SECOND / WINDOW_MILLISECONDS);
+        }
+        return BenchSamples.of(rates);
     }
 
     private static BenchRow slope(Map<Integer, Double> idle) {
