--- a/proxy/src/main/java/org/oleanderturn/proxy/AttemptTask.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AttemptTask.java
@@ -121,7 +121,8 @@
 
     private static AttemptOutcome outcomeOf(ForwardFailure failure) {
         return switch (failure) {
-            case ForwardFailure.NotSent _ -> new AttemptOutcome.NotRun(NotRunReason.CONNECT_FAILED, Duration.ZERO);
+            case ForwardFailure.Refused _, ForwardFailure.NotSent _ ->
+                new AttemptOutcome.NotRun(NotRunReason.CONNECT_FAILED, Duration.ZERO);
             case ForwardFailure.AnswerLost _ -> new AttemptOutcome.Unknown();
             case ForwardFailure.TimedOut _ -> new AttemptOutcome.Unknown();
             case ForwardFailure.Cancelled _ -> new AttemptOutcome.Cancelled();
--- a/proxy/src/main/java/org/oleanderturn/proxy/Bookings.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Bookings.java
@@ -24,6 +24,7 @@
  */
 public final class Bookings {
     private static final int ANSWER_LIMIT_BYTES = 1_000_000;
+    private static final Duration LOST_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final BookingClaims claims;
 
@@ -64,7 +65,7 @@
     // -- run
 
     private Answer run(CourseRequest course, EntryParts parts, ClaimHandle handle) {
-        if (!claims.start(handle)) {
+        if (course.deadline().isExpired() || !claims.start(handle)) {
             var _ = claims.release(handle);
             return Refusals.notRun(NotRunReason.DEADLINE, Duration.ofMillis(1));
         }
@@ -87,7 +88,7 @@
             return Answer.of(upstream.status(), headers, new Answer.Body.Whole(body.get()))
                     .withHeader(ProxyHeaders.OUTCOME, RequestOutcome.RAN.text());
         } catch (IOException cause) {
-            return Refusals.unknown(UnknownReason.ANSWER_LOST, Optional.empty());
+            return Refusals.unknown(UnknownReason.ANSWER_LOST, Optional.of(LOST_RETRY_AFTER));
         }
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/ConnectionReuse.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ConnectionReuse.java
@@ -3,13 +3,15 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpVersion;
 
 /** Says whether a connection serves another request. */
 final class ConnectionReuse {
     private ConnectionReuse() {}
 
     static boolean isKept(HttpResponse response, boolean isDraining) {
-        if (isDraining) {
+        boolean isOld = response.getVersion() != null && response.getVersion().lessEquals(HttpVersion.HTTP_1_0);
+        if (isDraining || isOld) {
             return false;
         }
         Header connection = response.getFirstHeader(HttpHeaders.CONNECTION);
--- a/proxy/src/main/java/org/oleanderturn/proxy/Entry.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Entry.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -22,13 +23,19 @@
     private final BooleanSupplier isReady;
     private final EntryParts parts;
     private final Optional<Bookings> bookings;
+    private final BodyBudget bodies;
 
     private Entry(
-            Supplier<RoutingTable> tables, BooleanSupplier isReady, EntryParts parts, Optional<Bookings> bookings) {
+            Supplier<RoutingTable> tables,
+            BooleanSupplier isReady,
+            EntryParts parts,
+            Optional<Bookings> bookings,
+            BodyBudget bodies) {
         this.tables = tables;
         this.isReady = isReady;
         this.parts = parts;
         this.bookings = bookings;
+        this.bodies = bodies;
     }
 
     /**
@@ -43,14 +50,14 @@
         Objects.requireNonNull(isReady, "isReady is null");
         Objects.requireNonNull(parts, "parts is null");
         Objects.requireNonNull(bookings, "bookings is null");
-        return new Entry(tables, isReady, parts, Optional.of(bookings));
+        return new Entry(tables, isReady, parts, Optional.of(bookings), BodyBudget.ofHeap());
     }
 
     /** Returns an entry that is always ready and refuses bookings. */
     public static Entry ofLookups(Supplier<RoutingTable> tables, EntryParts parts) {
         Objects.requireNonNull(tables, "tables is null");
         Objects.requireNonNull(parts, "parts is null");
-        return new Entry(tables, () -> true, parts, Optional.empty());
+        return new Entry(tables, () -> true, parts, Optional.empty(), BodyBudget.ofHeap());
     }
 
     @Override
@@ -63,7 +70,24 @@
         if (entry.isEmpty()) {
             return Refusals.notRun(new RequestFault.NoRoute()).withHeader(ProxyHeaders.VERSION, table.version());
         }
-        return serve(request, entry.get()).withHeader(ProxyHeaders.VERSION, table.version());
+        return reserve(request, entry.get()).withHeader(ProxyHeaders.VERSION, table.version());
+    }
+
+    /** Returns this entry with another room for bodies. */
+    Entry withBodies(BodyBudget other) {
+        return new Entry(tables, isReady, parts, bookings, other);
+    }
+
+    private Answer reserve(InboundRequest request, RoutingTable.Entry entry) throws IOException {
+        long bytes = EntryRequest.bodyBytes(request);
+        if (!bodies.tryReserve(bytes)) {
+            return Refusals.notRun(new RequestFault.BodiesTooLarge(bodies.limitBytes()));
+        }
+        try {
+            return serve(request, entry);
+        } finally {
+            bodies.release(bytes);
+        }
     }
 
     private Answer serve(InboundRequest request, RoutingTable.Entry entry) throws IOException {
@@ -75,6 +99,9 @@
         if (parts.quarantine().standing(course.fingerprint()) instanceof Standing.Convicted convicted) {
             return Refusals.notRun(NotRunReason.QUARANTINED, convicted.retryAfter());
         }
+        if (course.deadline().isExpired()) {
+            return Refusals.notRun(NotRunReason.DEADLINE, Duration.ofMillis(1));
+        }
         if (entry.route().kind() == RequestKind.BOOKING) {
             return bookings.map(served -> served.serve(request, course, parts))
                     .orElseGet(() -> Refusals.notRun(new RequestFault.NotReady()));
@@ -86,10 +113,13 @@
         RequestCourse run = new RequestCourse(course, parts);
         request.onPeerGone(run::callerGone);
         return switch (run.run()) {
-            case CourseResult.Delivered delivered -> delivered(delivered.answer());
+            case CourseResult.Delivered delivered -> {
+                request.onPeerGone(delivered.answer().upstream()::abort);
+                yield delivered(delivered.answer());
+            }
             case CourseResult.GivenUp givenUp ->
                 givenUp.failure()
-                        .map(failure -> failure.withHeader(ProxyHeaders.OUTCOME, RequestOutcome.RAN.text()))
+                        .map(failure -> Refusals.failed(failure, givenUp.answer()))
                         .orElseGet(() -> Refusals.finalAnswer(givenUp.answer(), givenUp.lastReason()));
         };
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/EntryRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/EntryRequest.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.function.LongSupplier;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.RoutingTable;
 import org.oleanderturn.traffic.DeadlineBudget;
@@ -20,11 +21,17 @@
     /** The longest body that an entry takes, in bytes. */
     static final int BODY_LIMIT_BYTES = 1_000_000;
 
+    static final int HEADER_LIMIT = 100;
+
     private EntryRequest() {}
 
     /** Reads the whole request; a body that is too long is a fault. */
     static Either<RequestFault, CourseRequest> read(
             InboundRequest request, RoutingTable.Entry entry, LongSupplier nanoseconds) throws IOException {
+        if (request.headers().size() > HEADER_LIMIT) {
+            return Either.left(new RequestFault.TooManyHeaders(HEADER_LIMIT));
+        }
+        DeadlineBudget deadline = deadline(request, entry, nanoseconds);
         Optional<byte[]> body = request.readBody(BODY_LIMIT_BYTES);
         if (body.isEmpty()) {
             return Either.left(new RequestFault.BodyTooLarge(BODY_LIMIT_BYTES));
@@ -37,12 +44,19 @@
                 passedOn(request),
                 body.get(),
                 entry,
-                deadline(request, entry, nanoseconds),
+                deadline,
                 allowance(request, entry),
                 fingerprint,
                 Optional.empty()));
     }
 
+    /** Returns the most bytes that the request's body takes when it is read. */
+    static long bodyBytes(InboundRequest request) {
+        OptionalLong stated = HeaderValues.number(request.headers(), HttpHeaders.CONTENT_LENGTH);
+        boolean isUnknown = request.header(HttpHeaders.TRANSFER_ENCODING).isPresent();
+        return Math.min(BODY_LIMIT_BYTES, isUnknown ? BODY_LIMIT_BYTES : stated.orElse(0));
+    }
+
     private static List<HeaderField> passedOn(InboundRequest request) {
         List<HeaderField> headers = new ArrayList<>(HeaderValues.forwarded(request.headers()));
         if (HeaderField.find(headers, ProxyHeaders.REQUEST_ID).isEmpty()) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/ForwardFailure.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ForwardFailure.java
@@ -6,6 +6,8 @@
  * <p>Immutable and thread safe.
  */
 public sealed interface ForwardFailure {
+    /** The peer refused the connection; nothing was sent. */
+    record Refused() implements ForwardFailure {}
 
     /** The request was not sent so far that it could run. */
     record NotSent(String reason) implements ForwardFailure {}
--- a/proxy/src/main/java/org/oleanderturn/proxy/Guard.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Guard.java
@@ -170,29 +170,33 @@
     private Answer send(GuardedRequest guarded, byte[] body, GuardedRun run, Cancellation cancellation) {
         OutboundRequest outbound = guarded.toTarget(body, CONNECT_TIMEOUT);
         Either<ForwardFailure, UpstreamAnswer> answer = client.send(target, outbound, cancellation);
-        return answer.fold(failure -> failed(failure, guarded, run), received -> answered(received, run));
+        return answer.fold(
+                failure -> failed(failure, guarded, run), received -> answered(received, guarded, run, cancellation));
     }
 
-    private Answer answered(UpstreamAnswer received, GuardedRun run) {
+    private Answer answered(
+            UpstreamAnswer received, GuardedRequest guarded, GuardedRun run, Cancellation cancellation) {
         boolean isShed = received.header(ProxyHeaders.OUTCOME)
                 .flatMap(RequestOutcome::parse)
                 .filter(outcome -> outcome == RequestOutcome.NOT_RUN)
                 .isPresent();
         if (isShed) {
             received.close();
+            guarded.claim().ifPresent(claimsSent::invalidate);
             run.end(Completion.SHED);
             return Refusals.notRun(NotRunReason.TARGET_SHED, HeaderValues.retryAfter(received.headers()));
         }
         return Answer.of(
                         received.status(),
                         HeaderValues.forwarded(received.headers()),
-                        new Answer.Body.Streamed(received.length(), new GuardedAnswer(received, run, monitor)))
+                        new Answer.Body.Streamed(
+                                received.length(), new GuardedAnswer(received, run, monitor, cancellation)))
                 .withHeader(ProxyHeaders.OUTCOME, RequestOutcome.RAN.text());
     }
 
     private Answer failed(ForwardFailure failure, GuardedRequest guarded, GuardedRun run) {
         return switch (failure) {
-            case ForwardFailure.NotSent _ -> {
+            case ForwardFailure.Refused _, ForwardFailure.NotSent _ -> {
                 guarded.claim().ifPresent(claimsSent::invalidate);
                 boolean isDead = monitor.checkBroken();
                 run.end(isDead ? Completion.TARGET_DIED : Completion.SHED);
--- a/proxy/src/main/java/org/oleanderturn/proxy/GuardedAnswer.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/GuardedAnswer.java
@@ -16,8 +16,10 @@
     private final UpstreamAnswer answer;
     private final GuardedRun run;
     private final TargetMonitor monitor;
+    private final Cancellation cancellation;
 
-    GuardedAnswer(UpstreamAnswer answer, GuardedRun run, TargetMonitor monitor) {
+    GuardedAnswer(UpstreamAnswer answer, GuardedRun run, TargetMonitor monitor, Cancellation cancellation) {
+        this.cancellation = Objects.requireNonNull(cancellation, "cancellation is null");
         this.answer = Objects.requireNonNull(answer, "answer is null");
         this.run = Objects.requireNonNull(run, "run is null");
         this.monitor = Objects.requireNonNull(monitor, "monitor is null");
@@ -29,7 +31,8 @@
             answer.writeTo(output);
             run.end(answer.status() >= SERVER_ERROR ? Completion.FAILED : Completion.COMPLETED);
         } catch (IOException cause) {
-            run.end(monitor.checkBroken() ? Completion.TARGET_DIED : Completion.CANCELLED);
+            boolean isDead = answer.isBroken() && !cancellation.isCancelled() && monitor.checkBroken();
+            run.end(isDead ? Completion.TARGET_DIED : Completion.CANCELLED);
             throw cause;
         }
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HandlerBridge.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HandlerBridge.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -49,11 +50,37 @@
         served.begin();
         Inbound inbound = new Inbound(request, trigger, served);
         Answer answer = answer(inbound);
-        served.unwatch();
+        try {
+            submit(answer, inbound, trigger, served);
+        } finally {
+            close(answer);
+            served.unwatch();
+        }
+    }
+
+    private void submit(Answer answer, Inbound inbound, ResponseTrigger trigger, ServedConnection served)
+            throws HttpException, IOException {
+        if (!AnswerFraming.hasBody(inbound.method(), answer.status())) {
+            passOver(answer);
+        }
+        ClassicHttpResponse response = response(answer, served);
         if (inbound.isBodyLeft()) {
-            answer = answer.withHeader(HttpHeaders.CONNECTION, "close");
+            response.setHeader(HttpHeaders.CONNECTION, "close");
+        }
+        trigger.submitResponse(response);
+    }
+
+    /** Takes the end of an answer without a body, which is never written. */
+    private static void passOver(Answer answer) throws IOException {
+        if (answer.body() instanceof Answer.Body.Streamed streamed) {
+            streamed.source().writeTo(OutputStream.nullOutputStream());
+        }
+    }
+
+    private static void close(Answer answer) {
+        if (answer.body() instanceof Answer.Body.Streamed streamed) {
+            streamed.source().close();
         }
-        trigger.submitResponse(response(answer, served));
     }
 
     private Answer answer(Inbound inbound) throws IOException {
@@ -74,7 +101,10 @@
         if (isDraining.getAsBoolean()) {
             response.setHeader(HttpHeaders.CONNECTION, "close");
         }
-        response.setEntity(AnswerEntity.of(answer.body(), served));
+        boolean isBodyAllowed = answer.status() != HttpStatus.SC_NO_CONTENT;
+        if (isBodyAllowed) {
+            response.setEntity(AnswerEntity.of(answer.body(), served));
+        }
         return response;
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -123,6 +123,9 @@
             }
         }
         boolean isFinished = inFlight() == 0;
+        if (isFinished) {
+            connections.forEach(ServedConnection::retire);
+        }
         close();
         return isFinished;
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/LeasedConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LeasedConnection.java
@@ -1,8 +1,6 @@
 package org.oleanderturn.proxy;
 
 import java.util.Objects;
-import java.util.concurrent.atomic.AtomicBoolean;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.ManagedConnPool;
 import org.apache.hc.core5.pool.PoolEntry;
@@ -15,28 +13,26 @@
  * thread safe; the rest is used by one thread.
  */
 final class LeasedConnection implements AutoCloseable {
-    private final ManagedConnPool<Address, DefaultBHttpClientConnection> pool;
-    private final PoolEntry<Address, DefaultBHttpClientConnection> entry;
-    private final AtomicBoolean isOpen = new AtomicBoolean(true);
+    private final ManagedConnPool<Address, UpstreamConnection> pool;
+    private final PoolEntry<Address, UpstreamConnection> entry;
+    private boolean isOpen = true;
     private boolean isKept = true;
     private boolean isFinished;
 
     private LeasedConnection(
-            ManagedConnPool<Address, DefaultBHttpClientConnection> pool,
-            PoolEntry<Address, DefaultBHttpClientConnection> entry) {
+            ManagedConnPool<Address, UpstreamConnection> pool, PoolEntry<Address, UpstreamConnection> entry) {
         this.pool = pool;
         this.entry = entry;
     }
 
     static LeasedConnection of(
-            ManagedConnPool<Address, DefaultBHttpClientConnection> pool,
-            PoolEntry<Address, DefaultBHttpClientConnection> entry) {
+            ManagedConnPool<Address, UpstreamConnection> pool, PoolEntry<Address, UpstreamConnection> entry) {
         Objects.requireNonNull(pool, "pool is null");
         Objects.requireNonNull(entry, "entry is null");
         return new LeasedConnection(pool, entry);
     }
 
-    DefaultBHttpClientConnection connection() {
+    UpstreamConnection connection() {
         return entry.getConnection();
     }
 
@@ -51,19 +47,22 @@
     }
 
     /** Cuts the connection, which ends a read or write that another thread waits in. */
-    void abort() {
-        entry.discardConnection(CloseMode.IMMEDIATE);
+    synchronized void abort() {
+        if (isOpen) {
+            entry.discardConnection(CloseMode.IMMEDIATE);
+        }
     }
 
     @Override
-    public void close() {
-        if (!isOpen.compareAndSet(true, false)) {
+    public synchronized void close() {
+        if (!isOpen) {
             return;
         }
         boolean isReusable = isKept && isFinished && entry.hasConnection();
         if (!isReusable) {
             abort();
         }
+        isOpen = false;
         pool.release(entry, isReusable);
     }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/ListenerLimits.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ListenerLimits.java
@@ -11,7 +11,7 @@
  * @param headers the most headers of a request
  */
 public record ListenerLimits(int connections, Duration idle, int lineBytes, int headers) {
-    private static final ListenerLimits STANDARD = new ListenerLimits(4_096, Duration.ofSeconds(60), 8_192, 100);
+    private static final ListenerLimits STANDARD = new ListenerLimits(4_096, Duration.ofSeconds(60), 8_192, 128);
 
     /** Returns the limits of a listener that has no settings of its own. */
     public static ListenerLimits standard() {
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.SocketTimeoutException;
 import java.util.Objects;
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.Condition;
@@ -23,13 +24,15 @@
         ENDED
     }
 
+    private static final Runnable NOTHING = () -> {};
+
     private final InputStream source;
     private final Executor executor;
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition settled = lock.newCondition();
     private Ahead ahead = Ahead.NONE;
     private byte held;
-    private Runnable onEnd = () -> {};
+    private Runnable onEnd = NOTHING;
 
     private LookaheadInputStream(InputStream source, Executor executor) {
         this.source = source;
@@ -68,20 +71,36 @@
     void unwatch() {
         lock.lock();
         try {
-            onEnd = () -> {};
+            onEnd = NOTHING;
         } finally {
             lock.unlock();
         }
     }
 
     private void readAhead() {
-        int found;
+        while (true) {
+            try {
+                settle(source.read());
+                return;
+            } catch (SocketTimeoutException cause) {
+                if (!isWatched()) {
+                    settle(-1);
+                    return;
+                }
+            } catch (IOException cause) {
+                settle(-1);
+                return;
+            }
+        }
+    }
+
+    private boolean isWatched() {
+        lock.lock();
         try {
-            found = source.read();
-        } catch (IOException cause) {
-            found = -1;
+            return onEnd != NOTHING;
+        } finally {
+            lock.unlock();
         }
-        settle(found);
     }
 
     private void settle(int found) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/OutboundMessage.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/OutboundMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Set;
+import org.apache.hc.core5.http.HeaderElements;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -36,11 +37,19 @@
         if (request.isGoAheadAwaited()) {
             message.setHeader(HttpHeaders.EXPECT, "100-continue");
         }
-        if (request.body().length > 0 || request.isGoAheadAwaited()) {
+        setBody(message, request);
+        return message;
+    }
+
+    /** Sets the body; one that awaits the go-ahead is never complete before the sender writes something after it. */
+    private static void setBody(BasicClassicHttpRequest message, OutboundRequest request) {
+        if (request.body().length > 0) {
             message.setEntity(new ByteArrayEntity(request.body(), null));
             message.setHeader(HttpHeaders.CONTENT_LENGTH, request.body().length);
+        } else if (request.isGoAheadAwaited()) {
+            message.setEntity(new ByteArrayEntity(request.body(), null, true));
+            message.setHeader(HttpHeaders.TRANSFER_ENCODING, HeaderElements.CHUNKED_ENCODING);
         }
-        return message;
     }
 
     /** Returns whether a header speaks of one connection only and is not passed on. */
--- a/proxy/src/main/java/org/oleanderturn/proxy/Refusals.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Refusals.java
@@ -19,6 +19,7 @@
     private static final int CONFLICT = 409;
     private static final int TOO_LARGE = 413;
     private static final int UNPROCESSABLE = 422;
+    private static final int HEADERS_TOO_LARGE = 431;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -41,6 +42,8 @@
             case RequestFault.NotReady _ -> UNAVAILABLE;
             case RequestFault.WrongService _ -> UNAVAILABLE;
             case RequestFault.BodyTooLarge _ -> TOO_LARGE;
+            case RequestFault.BodiesTooLarge _ -> UNAVAILABLE;
+            case RequestFault.TooManyHeaders _ -> HEADERS_TOO_LARGE;
             case RequestFault.MissingIdempotencyKey _ -> BAD_REQUEST;
             case RequestFault.MalformedIdempotencyKey _ -> BAD_REQUEST;
             case RequestFault.IdempotencyKeyReused _ -> UNPROCESSABLE;
@@ -67,6 +70,16 @@
         };
     }
 
+    /** Returns the target's own failure, with the time to come back if the target gave none. */
+    static Answer failed(Answer failure, FinalAnswer answer) {
+        Answer ran = failure.withHeader(ProxyHeaders.OUTCOME, RequestOutcome.RAN.text());
+        boolean isStated =
+                HeaderField.find(failure.headers(), ProxyHeaders.RETRY_AFTER).isPresent();
+        return isStated
+                ? ran
+                : answer.retryAfter().map(span -> withRetryAfter(ran, span)).orElse(ran);
+    }
+
     private static Answer answer(int status, RequestOutcome outcome, String reason, Optional<Duration> retryAfter) {
         Body body = new Body(outcome.text(), reason, retryAfter.map(Duration::toMillis));
         Answer answer = Answer.json(status, body)
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestFault.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestFault.java
@@ -19,9 +19,11 @@
     default Optional<Duration> retryAfter() {
         return switch (this) {
             case NotReady _ -> Optional.of(Duration.ofSeconds(1));
+            case BodiesTooLarge _ -> Optional.of(Duration.ofSeconds(1));
             case WrongService _ -> Optional.of(Duration.ofMillis(100));
             case NoRoute _,
                     BodyTooLarge _,
+                    TooManyHeaders _,
                     MissingIdempotencyKey _,
                     MalformedIdempotencyKey _,
                     IdempotencyKeyReused _,
@@ -41,6 +43,12 @@
     /** The body is longer than a node takes; the limit is in bytes. */
     record BodyTooLarge(int limitBytes) implements RequestFault {}
 
+    /** The bodies that the entry holds leave no room for another. */
+    record BodiesTooLarge(long limitBytes) implements RequestFault {}
+
+    /** The request has more headers than are passed on. */
+    record TooManyHeaders(int limit) implements RequestFault {}
+
     /** A booking came without an idempotency key. */
     record MissingIdempotencyKey() implements RequestFault {}
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServedConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServedConnection.java
@@ -58,6 +58,11 @@
         socket.unwatch();
     }
 
+    /** Closes the connection after what was sent on it. */
+    void retire() {
+        Quietly.close(socket);
+    }
+
     /** Cuts the connection, so that an answer begun on it can't pass for a whole one. */
     void abort() {
         connection.close(CloseMode.IMMEDIATE);
--- a/proxy/src/main/java/org/oleanderturn/proxy/TargetMonitor.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/TargetMonitor.java
@@ -23,6 +23,8 @@
  */
 public final class TargetMonitor {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
+    private static final Duration BROKEN_TIMEOUT = Duration.ofMillis(200);
+    private static final int BROKEN_ROUNDS = 3;
     private static final Duration HEALTH_TIMEOUT = Duration.ofSeconds(2);
     private static final int OK = 200;
     private static final int BODY_LIMIT_BYTES = 65_536;
@@ -78,7 +80,7 @@
 
     /** Asks the target for its health; to be called every second or so. */
     public void check() {
-        Probe probe = probe();
+        Probe probe = probe(HEALTH_TIMEOUT);
         if (probe == Probe.REFUSED) {
             noteDeath();
         }
@@ -87,7 +89,11 @@
 
     /** Looks after the target whose connection broke; returns whether it died. */
     public boolean checkBroken() {
-        if (probe() != Probe.REFUSED) {
+        Probe probe = probe(BROKEN_TIMEOUT);
+        for (int round = 1; probe == Probe.LOST && round < BROKEN_ROUNDS; round++) {
+            probe = probe(BROKEN_TIMEOUT);
+        }
+        if (probe != Probe.REFUSED) {
             return false;
         }
         noteDeath();
@@ -134,12 +140,16 @@
         });
     }
 
-    private Probe probe() {
+    private Probe probe(Duration timeout) {
         OutboundRequest request = new OutboundRequest(
-                "GET", healthPath, List.of(), new byte[0], Delivery.NEW_CONNECTION, HEALTH_TIMEOUT, HEALTH_TIMEOUT);
+                "GET", healthPath, List.of(), new byte[0], Delivery.NEW_CONNECTION, timeout, timeout);
         Either<ForwardFailure, UpstreamAnswer> answer = client.send(target, request, Cancellation.create());
         if (answer.isLeft()) {
-            return answer.getLeft() instanceof ForwardFailure.NotSent ? Probe.REFUSED : Probe.UNHEALTHY;
+            return switch (answer.getLeft()) {
+                case ForwardFailure.Refused _ -> Probe.REFUSED;
+                case ForwardFailure.AnswerLost _ -> Probe.LOST;
+                case ForwardFailure.NotSent _, ForwardFailure.TimedOut _, ForwardFailure.Cancelled _ -> Probe.UNHEALTHY;
+            };
         }
         try (UpstreamAnswer open = answer.get()) {
             boolean isWhole = open.readBody(BODY_LIMIT_BYTES).isPresent();
@@ -152,6 +162,7 @@
     private enum Probe {
         HEALTHY,
         UNHEALTHY,
+        LOST,
         REFUSED
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamAnswer.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamAnswer.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpHeaders;
 
 /**
  * An answer from another node or from a target, whose body is still to come.
@@ -23,6 +24,7 @@
     private final ClassicHttpResponse response;
     private final LeasedConnection connection;
     private final List<HeaderField> headers;
+    private boolean isBroken;
 
     private UpstreamAnswer(ClassicHttpResponse response, LeasedConnection connection, List<HeaderField> headers) {
         this.response = response;
@@ -61,11 +63,16 @@
     public long length() {
         HttpEntity entity = response.getEntity();
         if (entity == null) {
-            return 0;
+            return HeaderValues.number(headers, HttpHeaders.CONTENT_LENGTH).orElse(0);
         }
         return entity.getContentLength() < 0 ? Answer.UNKNOWN_LENGTH : entity.getContentLength();
     }
 
+    /** Returns whether the body ended early, rather than its reader. */
+    boolean isBroken() {
+        return isBroken;
+    }
+
     // -- commands
 
     /**
@@ -97,20 +104,32 @@
         connection.setFinished();
     }
 
+    /** Cuts the connection unless the answer is closed; thread safe. */
+    void abort() {
+        connection.abort();
+    }
+
     @Override
     public void close() {
         connection.close();
     }
 
-    private static void copy(InputStream input, OutputStream output) throws IOException {
+    private void copy(InputStream input, OutputStream output) throws IOException {
         byte[] chunk = new byte[COPY_BYTES];
-        int count = input.read(chunk);
+        int count = read(input, chunk);
         while (count >= 0) {
             output.write(chunk, 0, count);
             if (input.available() == 0) {
                 output.flush();
             }
-            count = input.read(chunk);
+            count = read(input, chunk);
         }
     }
+
+    private int read(InputStream input, byte[] chunk) throws IOException {
+        isBroken = true;
+        int count = input.read(chunk);
+        isBroken = false;
+        return count;
+    }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -3,8 +3,7 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.InterruptedIOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
+import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.Objects;
@@ -16,7 +15,6 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.LaxConnPool;
@@ -41,9 +39,9 @@
             .setMaxHeaderCount(200)
             .build();
 
-    private final LaxConnPool<Address, DefaultBHttpClientConnection> pool;
+    private final LaxConnPool<Address, UpstreamConnection> pool;
 
-    private UpstreamClient(LaxConnPool<Address, DefaultBHttpClientConnection> pool) {
+    private UpstreamClient(LaxConnPool<Address, UpstreamConnection> pool) {
         this.pool = pool;
     }
 
@@ -65,8 +63,8 @@
         Objects.requireNonNull(peer, "peer is null");
         Objects.requireNonNull(request, "request is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
-        return connect(peer, request)
-                .flatMap(connection -> exchange(connection, OutboundMessage.of(peer, request), request, cancellation));
+        BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
+        return connect(peer, request).flatMap(connection -> exchange(connection, message, request, cancellation));
     }
 
     /** Closes the idle connections to a peer that is leaving. */
@@ -93,10 +91,9 @@
 
     private Either<ForwardFailure, LeasedConnection> connect(Address peer, OutboundRequest request) {
         Timeout timeout = Timeout.of(request.connectTimeout());
-        Future<PoolEntry<Address, DefaultBHttpClientConnection>> lease = pool.lease(peer, null, timeout, null);
+        Future<PoolEntry<Address, UpstreamConnection>> lease = pool.lease(peer, null, timeout, null);
         try {
-            PoolEntry<Address, DefaultBHttpClientConnection> entry =
-                    lease.get(timeout.toMilliseconds(), TimeUnit.MILLISECONDS);
+            PoolEntry<Address, UpstreamConnection> entry = lease.get(timeout.toMilliseconds(), TimeUnit.MILLISECONDS);
             return open(peer, entry, request);
         } catch (TimeoutException cause) {
             lease.cancel(true);
@@ -111,7 +108,7 @@
     }
 
     private Either<ForwardFailure, LeasedConnection> open(
-            Address peer, PoolEntry<Address, DefaultBHttpClientConnection> entry, OutboundRequest request) {
+            Address peer, PoolEntry<Address, UpstreamConnection> entry, OutboundRequest request) {
         LeasedConnection leased = LeasedConnection.of(pool, entry);
         try {
             boolean isUnfit = request.delivery() == Delivery.NEW_CONNECTION;
@@ -119,38 +116,27 @@
                 entry.discardConnection(CloseMode.IMMEDIATE);
             }
             if (!entry.hasConnection()) {
-                entry.assignConnection(dial(peer, request.connectTimeout()));
+                entry.assignConnection(UpstreamConnection.dial(peer, request.connectTimeout(), HTTP));
             }
             return Either.right(leased);
+        } catch (ConnectException cause) {
+            leased.close();
+            return Either.left(new ForwardFailure.Refused());
         } catch (IOException cause) {
             leased.close();
             return Either.left(new ForwardFailure.NotSent(String.valueOf(cause.getMessage())));
         }
     }
 
-    private static boolean isDead(PoolEntry<Address, DefaultBHttpClientConnection> entry) throws IOException {
-        DefaultBHttpClientConnection connection = entry.getConnection();
+    private static boolean isDead(PoolEntry<Address, UpstreamConnection> entry) throws IOException {
+        UpstreamConnection connection = entry.getConnection();
         long idleMilliseconds = System.currentTimeMillis() - entry.getUpdated();
-        if (!connection.isOpen()) {
+        if (!connection.isOpen() || connection.hasUnreadInput()) {
             return true;
         }
         return idleMilliseconds > TRUSTED_IDLE.toMillis() && connection.isStale();
     }
 
-    private static DefaultBHttpClientConnection dial(Address peer, Duration timeout) throws IOException {
-        Socket socket = new Socket();
-        try {
-            socket.setTcpNoDelay(true);
-            socket.connect(new InetSocketAddress(peer.host(), peer.port()), Math.toIntExact(timeout.toMillis()));
-            DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(HTTP);
-            connection.bind(socket);
-            return connection;
-        } catch (IOException cause) {
-            Quietly.close(socket);
-            throw cause;
-        }
-    }
-
     // -- exchange
 
     private static Either<ForwardFailure, UpstreamAnswer> exchange(
@@ -162,8 +148,7 @@
         Progress progress = new Progress();
         try {
             ClassicHttpResponse response = transfer(leased.connection(), message, request, progress);
-            if (response.containsHeader("Connection")
-                    && response.getFirstHeader("Connection").getValue().equalsIgnoreCase("close")) {
+            if (!ConnectionReuse.isKept(response, false)) {
                 leased.setUnkept();
             }
             return Either.right(UpstreamAnswer.of(response, leased));
@@ -174,10 +159,7 @@
     }
 
     private static ClassicHttpResponse transfer(
-            DefaultBHttpClientConnection connection,
-            BasicClassicHttpRequest message,
-            OutboundRequest request,
-            Progress progress)
+            UpstreamConnection connection, BasicClassicHttpRequest message, OutboundRequest request, Progress progress)
             throws IOException, HttpException {
         connection.setSocketTimeout(Timeout.of(request.answerTimeout()));
         progress.hasBegun = !request.isGoAheadAwaited();
@@ -195,8 +177,7 @@
         return receiveFinal(connection, message);
     }
 
-    private static ClassicHttpResponse receiveFinal(
-            DefaultBHttpClientConnection connection, BasicClassicHttpRequest message)
+    private static ClassicHttpResponse receiveFinal(UpstreamConnection connection, BasicClassicHttpRequest message)
             throws IOException, HttpException {
         ClassicHttpResponse response = receive(connection, message);
         while (response.getCode() < HttpStatus.SC_OK) {
@@ -205,7 +186,7 @@
         return response;
     }
 
-    private static ClassicHttpResponse receive(DefaultBHttpClientConnection connection, BasicClassicHttpRequest message)
+    private static ClassicHttpResponse receive(UpstreamConnection connection, BasicClassicHttpRequest message)
             throws IOException, HttpException {
         ClassicHttpResponse response = connection.receiveResponseHeader();
         if (response.getCode() < HttpStatus.SC_OK || !AnswerFraming.hasBody(message.getMethod(), response.getCode())) {
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderturn/proxy/FakeTarget.java
@@ -0,0 +1,62 @@
+package org.oleanderturn.proxy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.oleanderturn.model.Address;
+
+/**
+ * A target that logs the id of every request that it runs and answers with that id.
+ *
+ * <p>Thread safe.
+ */
+final class FakeTarget implements AutoCloseable {
+    private static final int LIMIT_BYTES = 1_000_000;
+
+    private final List<String> runs = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean isShedding = new AtomicBoolean();
+    private final HttpListener listener;
+
+    FakeTarget() {
+        this.listener = HttpListener.start("127.0.0.1", 0, this::handle, ListenerLimits.standard())
+                .get();
+    }
+
+    static byte[] answerTo(String requestId) {
+        return ("the whole answer to " + requestId).getBytes(StandardCharsets.UTF_8);
+    }
+
+    Address address() {
+        return listener.address();
+    }
+
+    /** Returns the ids of the requests that ran, in order. */
+    List<String> runs() {
+        return List.copyOf(runs);
+    }
+
+    void shed() {
+        isShedding.set(true);
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+    }
+
+    private Answer handle(InboundRequest request) throws IOException {
+        if (request.path().equals("/health")) {
+            return Answer.text(200, "text/plain", "");
+        }
+        if (isShedding.get()) {
+            return Answer.text(503, "text/plain", "").withHeader(ProxyHeaders.OUTCOME, "not-run");
+        }
+        var _ = request.readBody(LIMIT_BYTES).orElseThrow();
+        String requestId = request.header(ProxyHeaders.REQUEST_ID).orElseThrow();
+        runs.add(requestId);
+        return Answer.of(200, List.of(), new Answer.Body.Whole(answerTo(requestId)))
+                .withHeader("Connection", "close");
+    }
+}
