--- a/proxy/src/test/java/org/oleanderturn/proxy/FakeHost.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/FakeHost.java
@@ -20,8 +20,8 @@
  * <p>Thread safe.
  */
 final class FakeHost implements AutoCloseable {
+    static final ServiceName SERVICE = ServiceName.of("bookings");
     private static final int SLOTS = 4;
-    private static final ServiceName SERVICE = ServiceName.of("bookings");
 
     private final NodeId node;
     private final Locality locality;
--- a/proxy/src/test/java/org/oleanderturn/proxy/FakeMesh.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/FakeMesh.java
@@ -44,7 +44,6 @@
 final class FakeMesh implements AutoCloseable {
     private static final int LIMIT_BYTES = 1_000_000;
     private static final int TIMEOUT_MILLISECONDS = 60_000;
-    private static final ServiceName SERVICE = ServiceName.of("bookings");
     private static final TrafficPolicy POLICY =
             new TrafficPolicy(TrafficPolicyName.of("policy"), TIMEOUT_MILLISECONDS, 2, 100, 95, 0, 4, 0);
 
@@ -171,7 +170,7 @@
     // -- parts
 
     private RoutingTable table() {
-        Service service = Service.of(SERVICE.value(), 4, 8);
+        Service service = Service.of(FakeHost.SERVICE.value(), 4, 8);
         Configuration configuration = Configuration.of(
                 List.of(service),
                 List.of(route("/booking", RequestKind.BOOKING), route("/lookup", RequestKind.LOOKUP)),
@@ -183,7 +182,7 @@
 
     private static Route route(String path, RequestKind kind) {
         RouteName name = RouteName.of(path.substring(1));
-        return new Route(name, path, List.of("POST"), SERVICE, kind, POLICY.name());
+        return new Route(name, path, List.of("POST"), FakeHost.SERVICE, kind, POLICY.name());
     }
 
     private HttpListener entry(RoutingTable table, BodyBudget bodies) {
--- a/proxy/src/test/java/org/oleanderturn/proxy/FakeTarget.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/FakeTarget.java
@@ -37,8 +37,8 @@
         return List.copyOf(runs);
     }
 
-    void shed() {
-        isShedding.set(true);
+    void setShedding(boolean isWanted) {
+        isShedding.set(isWanted);
     }
 
     @Override
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderturn/proxy/GuardTest.java
@@ -0,0 +1,110 @@
+package org.oleanderturn.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.model.RouteName;
+import org.oleanderturn.traffic.DeadlineBudget;
+import org.oleanderturn.traffic.Fingerprint;
+
+/** What a guard lets through to its target. */
+@Timeout(60)
+class GuardTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(30);
+    private static final Fingerprint FINGERPRINT =
+            Fingerprint.of(RouteName.of("route"), "POST", "/booking", Digest.hash(new byte[0]));
+
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final UpstreamClient client = UpstreamClient.of(4);
+    private FakeHost host;
+
+    @BeforeEach
+    void start() throws IOException {
+        host = new FakeHost(
+                "near", FakeHost.SERVICE, executor, _ -> FaultRelay.Verdict.PASS, _ -> FaultRelay.Verdict.PASS);
+    }
+
+    @AfterEach
+    void stop() {
+        host.close();
+        client.close();
+        executor.shutdownNow();
+    }
+
+    @Test
+    void shouldRunAClaimOnceWhenItIsSentTwice() throws IOException {
+        assertThat(outcomeOf(Optional.of("claim"))).isEqualTo(RequestOutcome.RAN);
+        assertThat(outcomeOf(Optional.of("claim"))).isEqualTo(RequestOutcome.UNKNOWN);
+        assertThat(outcomeOf(Optional.of("other"))).isEqualTo(RequestOutcome.RAN);
+        assertThat(host.target().runs()).hasSize(2);
+    }
+
+    @Test
+    void shouldTakeAClaimAgainWhenTheTargetShedIt() throws IOException {
+        host.target().setShedding(true);
+        assertThat(outcomeOf(Optional.of("claim"))).isEqualTo(RequestOutcome.NOT_RUN);
+        host.target().setShedding(false);
+
+        assertThat(outcomeOf(Optional.of("claim"))).isEqualTo(RequestOutcome.RAN);
+        assertThat(host.target().runs()).hasSize(1);
+    }
+
+    @Test
+    void shouldTakeNoNewWorkWhenDraining() throws IOException {
+        host.drain();
+
+        assertThat(outcomeOf(Optional.of("claim"))).isEqualTo(RequestOutcome.NOT_RUN);
+        assertThat(host.target().runs()).isEmpty();
+    }
+
+    @Test
+    void shouldNeverSendABookingOnAUsedConnection() {
+        assertThat(deliveryOf(RequestKind.BOOKING)).isEqualTo(Delivery.NEW_CONNECTION);
+        assertThat(deliveryOf(RequestKind.LOOKUP)).isEqualTo(Delivery.POOLED);
+    }
+
+    private static Delivery deliveryOf(RequestKind kind) {
+        DeadlineBudget deadline = DeadlineBudget.of(() -> 0, PATIENCE);
+        GuardedRequest request = new GuardedRequest(
+                "POST",
+                "/booking",
+                List.of(),
+                FakeHost.SERVICE,
+                kind,
+                FINGERPRINT,
+                deadline,
+                Optional.empty(),
+                false);
+        return request.toTarget(new byte[0], PATIENCE).delivery();
+    }
+
+    private RequestOutcome outcomeOf(Optional<String> claim) throws IOException {
+        List<HeaderField> headers = new ArrayList<>();
+        headers.add(HeaderField.of(ProxyHeaders.SERVICE, FakeHost.SERVICE));
+        headers.add(HeaderField.of(ProxyHeaders.KIND, RequestKind.BOOKING));
+        headers.add(HeaderField.of(ProxyHeaders.FINGERPRINT, FINGERPRINT));
+        headers.add(HeaderField.of(ProxyHeaders.DEADLINE, PATIENCE.toMillis()));
+        headers.add(HeaderField.of(ProxyHeaders.REQUEST_ID, "request"));
+        claim.ifPresent(token -> headers.add(HeaderField.of(ProxyHeaders.CLAIM, token)));
+        OutboundRequest request = new OutboundRequest(
+                "POST", "/booking", headers, new byte[] {1}, Delivery.GO_AHEAD, PATIENCE, PATIENCE);
+        try (UpstreamAnswer answer = client.send(host.endpoint().address(), request, Cancellation.create())
+                .get()) {
+            var _ = answer.readBody(1_000).orElseThrow();
+            return RequestOutcome.parse(answer.header(ProxyHeaders.OUTCOME).orElseThrow())
+                    .orElseThrow();
+        }
+    }
+}
--- a/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
@@ -128,7 +128,7 @@
             }
             case TARGET_SHEDS -> {
                 isReached.set(true);
-                mesh.near().target().shed();
+                mesh.near().target().setShedding(true);
             }
             case STORE_UNREACHABLE, STORE_ANSWER_LOST, STORE_REQUEST_LOST, STORE_EFFECT_LATE -> {
                 if (cell.step() == Step.CONNECT) {
