--- a/wire/src/main/java/org/oleanderturn/wire/FrameChannel.java
+++ b/wire/src/main/java/org/oleanderturn/wire/FrameChannel.java
@@ -11,6 +11,7 @@
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.oleanderturn.model.Address;
@@ -69,7 +70,7 @@
 
     /** Writes an encoded frame; an exception says that the frame was not written whole. */
     void write(byte[] encoded, Duration timeout) throws IOException {
-        Future<?> deadline = deadlines.schedule(this::close, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        Future<?> deadline = closeAfter(timeout);
         try {
             ByteBuffer buffer = ByteBuffer.wrap(encoded);
             while (buffer.hasRemaining()) {
@@ -80,6 +81,14 @@
         }
     }
 
+    private Future<?> closeAfter(Duration timeout) throws IOException {
+        try {
+            return deadlines.schedule(this::close, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException cause) {
+            throw new IOException("the process is stopping", cause);
+        }
+    }
+
     /**
      * Reads one frame.
      *
