--- a/proxy/src/test/java/org/oleanderturn/proxy/GuardTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/GuardTest.java
@@ -78,15 +78,7 @@
     private static Delivery deliveryOf(RequestKind kind) {
         DeadlineBudget deadline = DeadlineBudget.of(() -> 0, PATIENCE);
         GuardedRequest request = new GuardedRequest(
-                "POST",
-                "/booking",
-                List.of(),
-                FakeHost.SERVICE,
-                kind,
-                FINGERPRINT,
-                deadline,
-                Optional.empty(),
-                false);
+                "POST", "/booking", List.of(), FakeHost.SERVICE, kind, FINGERPRINT, deadline, Optional.empty(), false);
         return request.toTarget(new byte[0], PATIENCE).delivery();
     }
 
@@ -98,8 +90,8 @@
         headers.add(HeaderField.of(ProxyHeaders.DEADLINE, PATIENCE.toMillis()));
         headers.add(HeaderField.of(ProxyHeaders.REQUEST_ID, "request"));
         claim.ifPresent(token -> headers.add(HeaderField.of(ProxyHeaders.CLAIM, token)));
-        OutboundRequest request = new OutboundRequest(
-                "POST", "/booking", headers, new byte[] {1}, Delivery.GO_AHEAD, PATIENCE, PATIENCE);
+        OutboundRequest request =
+                new OutboundRequest("POST", "/booking", headers, new byte[] {1}, Delivery.GO_AHEAD, PATIENCE, PATIENCE);
         try (UpstreamAnswer answer = client.send(host.endpoint().address(), request, Cancellation.create())
                 .get()) {
             var _ = answer.readBody(1_000).orElseThrow();
