--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
@@ -24,15 +25,13 @@
         ENDED
     }
 
-    private static final Runnable NOTHING = () -> {};
-
     private final InputStream source;
     private final Executor executor;
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition settled = lock.newCondition();
     private Ahead ahead = Ahead.NONE;
     private byte held;
-    private Runnable onEnd = NOTHING;
+    private Optional<Runnable> onEnd = Optional.empty();
 
     private LookaheadInputStream(InputStream source, Executor executor) {
         this.source = source;
@@ -50,7 +49,7 @@
         boolean hasEnded = false;
         lock.lock();
         try {
-            onEnd = action;
+            onEnd = Optional.of(action);
             switch (ahead) {
                 case NONE -> {
                     ahead = Ahead.READING;
@@ -71,7 +70,7 @@
     void unwatch() {
         lock.lock();
         try {
-            onEnd = NOTHING;
+            onEnd = Optional.empty();
         } finally {
             lock.unlock();
         }
@@ -97,14 +96,14 @@
     private boolean isWatched() {
         lock.lock();
         try {
-            return onEnd != NOTHING;
+            return onEnd.isPresent();
         } finally {
             lock.unlock();
         }
     }
 
     private void settle(int found) {
-        Runnable action = () -> {};
+        Optional<Runnable> action = Optional.empty();
         lock.lock();
         try {
             ahead = found < 0 ? Ahead.ENDED : Ahead.HELD;
@@ -116,7 +115,7 @@
         } finally {
             lock.unlock();
         }
-        action.run();
+        action.ifPresent(Runnable::run);
     }
 
     @Override
--- a/proxy/src/test/java/org/oleanderturn/proxy/FakeMesh.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/FakeMesh.java
@@ -72,10 +72,10 @@
     }
 
     /** What a caller got: a whole answer, or none when the connection was cut. */
-    record Reply(int status, Optional<RequestOutcome> outcome, boolean isTimeStated, byte[] body) {
+    record Reply(int status, Optional<RequestOutcome> outcome, boolean isTimeStated, String body) {
         static Optional<Reply> of(UpstreamAnswer answer) {
             try (answer) {
-                byte[] body = answer.readBody(LIMIT_BYTES).orElseThrow();
+                String body = new String(answer.readBody(LIMIT_BYTES).orElseThrow(), StandardCharsets.UTF_8);
                 Optional<RequestOutcome> outcome =
                         answer.header(ProxyHeaders.OUTCOME).flatMap(RequestOutcome::parse);
                 boolean isTimeStated =
--- a/proxy/src/test/java/org/oleanderturn/proxy/FakeTarget.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/FakeTarget.java
@@ -24,8 +24,8 @@
                 .get();
     }
 
-    static byte[] answerTo(String requestId) {
-        return ("the whole answer to " + requestId).getBytes(StandardCharsets.UTF_8);
+    static String answerTo(String requestId) {
+        return "the whole answer to " + requestId;
     }
 
     Address address() {
@@ -56,7 +56,10 @@
         var _ = request.readBody(LIMIT_BYTES).orElseThrow();
         String requestId = request.header(ProxyHeaders.REQUEST_ID).orElseThrow();
         runs.add(requestId);
-        return Answer.of(200, List.of(), new Answer.Body.Whole(answerTo(requestId)))
+        return Answer.of(
+                        200,
+                        List.of(),
+                        new Answer.Body.Whole(answerTo(requestId).getBytes(StandardCharsets.UTF_8)))
                 .withHeader("Connection", "close");
     }
 }
--- a/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
@@ -211,11 +210,11 @@
         }
     }
 
-    private boolean isOwn(String requestId, byte[] body) {
+    private boolean isOwn(String requestId, String body) {
         if (cell.protocol() == Protocol.FORWARD) {
-            return Arrays.equals(body, FakeTarget.answerTo(requestId));
+            return body.equals(FakeTarget.answerTo(requestId));
         }
-        return mesh.runs().stream().anyMatch(run -> Arrays.equals(body, FakeTarget.answerTo(run)));
+        return mesh.runs().stream().anyMatch(run -> body.equals(FakeTarget.answerTo(run)));
     }
 
     // -- invariants
