--- a/node/src/main/java/org/oleanderturn/node/Loops.java
+++ b/node/src/main/java/org/oleanderturn/node/Loops.java
@@ -49,10 +49,13 @@
         executor.shutdownNow();
     }
 
-    private static long runOnce(LongSupplier work) {
+    private long runOnce(LongSupplier work) {
         try {
             return work.getAsLong();
         } catch (RuntimeException defect) {
+            if (!isRunning.get()) {
+                return 0;
+            }
             log.atSevere().atMostEvery(1, TimeUnit.SECONDS).withCause(defect).log("repeated work failed");
             return FAILURE_PAUSE_MILLISECONDS;
         }
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
@@ -10,6 +10,7 @@
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Proposal;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.node.ControlNode;
 import org.oleanderturn.node.NodeSettings;
@@ -27,6 +28,8 @@
     private static final int CALLS_PER_SECOND = 20;
     private static final int STORE_TIMEOUT_MILLISECONDS = 1_000;
     private static final long SETTLE_MILLISECONDS = 45_000;
+    private static final int PROPOSALS = 10;
+    private static final long PROPOSAL_PAUSE_MILLISECONDS = 1_000;
     private static final long REST_MILLISECONDS = 3_000;
 
     private final StoreStandIn store = StoreStandIn.start(0, StoreStandInSettings.defaults());
@@ -130,10 +133,15 @@
         return change(members.get(member).node());
     }
 
-    /** Proposes the next change at a node and returns the version under which it was accepted. */
+    /** Proposes the next change at a node, again when it was not run, and returns the version that was accepted. */
     ConfigurationVersion change(ControlNode node) {
-        ChangeOutcome outcome = node.propose(BenchConfiguration.proposal(changes));
+        Proposal proposal = BenchConfiguration.proposal(changes);
         changes++;
+        ChangeOutcome outcome = node.propose(proposal);
+        for (int attempt = 1; attempt < PROPOSALS && outcome instanceof ChangeOutcome.Refused; attempt++) {
+            BenchClock.pause(PROPOSAL_PAUSE_MILLISECONDS);
+            outcome = node.propose(proposal);
+        }
         if (outcome instanceof ChangeOutcome.Accepted accepted) {
             return accepted.version();
         }
@@ -226,8 +234,8 @@
 
         @Override
         public void close() {
-            node.close();
             store.close();
+            node.close();
         }
     }
 }
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchStore.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchStore.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import org.oleanderturn.model.Locality;
@@ -24,6 +25,7 @@
     private final Locality place;
     private final BenchNetwork network;
     private final LongAdder readBytes = new LongAdder();
+    private final AtomicBoolean isClosed = new AtomicBoolean();
 
     BenchStore(HttpStore store, Locality place, BenchNetwork network) {
         this.store = store;
@@ -87,6 +89,7 @@
 
     @Override
     public void close() {
+        isClosed.set(true);
         store.close();
     }
 
@@ -98,6 +101,9 @@
         BenchClock.pause(oneWay);
         Either<StoreFailure, T> answer = made.get();
         BenchClock.pause(oneWay);
+        if (isClosed.get()) {
+            return Either.left(new StoreFailure.Unreachable("closed"));
+        }
         return answer;
     }
 
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchStoreCalls.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchStoreCalls.java
@@ -25,7 +25,7 @@
     private static final long WINDOW_MILLISECONDS = 8_000;
     private static final long CHANGE_MILLISECONDS = 3_000;
     private static final long HERD_MILLISECONDS = 30_000;
-    private static final long BASELINE_MILLISECONDS = 10_000;
+    private static final long BASELINE_MILLISECONDS = 20_000;
     private static final int BASELINE_VALUE_BYTES = 10_000;
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
