--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.testbed;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.oleanderturn.model.Proposal;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.node.ControlNode;
+import org.oleanderturn.node.NodeFailure;
 import org.oleanderturn.node.NodeSettings;
 import org.oleanderturn.platform.HttpStore;
 import org.oleanderturn.platform.StoreSettings;
@@ -28,6 +30,7 @@
     private static final int CALLS_PER_SECOND = 20;
     private static final int STORE_TIMEOUT_MILLISECONDS = 1_000;
     private static final long SETTLE_MILLISECONDS = 45_000;
+    private static final int STARTS = 3;
     private static final int PROPOSALS = 10;
     private static final long PROPOSAL_PAUSE_MILLISECONDS = 1_000;
     private static final long REST_MILLISECONDS = 3_000;
@@ -49,18 +52,33 @@
 
     /** Starts a fleet and waits until every node is ready, holds the first configuration and sees all others. */
     static BenchFleet start(int nodes, int zones) {
-        BenchFleet fleet = new BenchFleet(nodes, zones);
-        try {
-            for (int number = 0; number < nodes; number++) {
-                fleet.members.add(fleet.startMember(number));
+        for (int attempt = 0; attempt < STARTS; attempt++) {
+            BenchFleet fleet = new BenchFleet(nodes, zones);
+            try {
+                if (fleet.isStarted()) {
+                    fleet.change(0);
+                    fleet.awaitSettled();
+                    return fleet;
+                }
+            } catch (RuntimeException failure) {
+                fleet.close();
+                throw failure;
             }
-            fleet.change(0);
-            fleet.awaitSettled();
-            return fleet;
-        } catch (RuntimeException failure) {
             fleet.close();
-            throw failure;
         }
+        throw new IllegalStateException("other processes took the ports of every try");
+    }
+
+    /** Starts every node; stops at the first whose port another process took meanwhile. */
+    private boolean isStarted() {
+        for (int number = 0; number < addresses.size(); number++) {
+            Either<NodeFailure, Member> started = startMember(number);
+            if (started.isLeft()) {
+                return false;
+            }
+            members.add(started.get());
+        }
+        return true;
     }
 
     // -- queries
@@ -163,7 +181,9 @@
     void restart(Locality zone) {
         for (int number = 0; number < members.size(); number++) {
             if (network.placeOf(addresses.get(number)).equals(zone)) {
-                members.set(number, startMember(number));
+                members.set(
+                        number,
+                        startMember(number).getOrElseThrow(failure -> new IllegalStateException(failure.toString())));
             }
         }
     }
@@ -193,14 +213,14 @@
                                 node.isReady() && node.version().number() > 0 && node.reachablePeers() >= others);
     }
 
-    private Member startMember(int number) {
+    private Either<NodeFailure, Member> startMember(int number) {
         NodeSettings settings = settings(number);
         StoreSettings reached = StoreSettings.of(store.address())
                 .withTimeouts(Duration.ofMillis(500), Duration.ofMillis(STORE_TIMEOUT_MILLISECONDS));
         BenchStore nodeStore = new BenchStore(HttpStore.of(reached), settings.locality(), network);
-        ControlNode node = ControlNode.start(settings, nodeStore, caller -> network.from(settings.locality(), caller))
-                .getOrElseThrow(failure -> new IllegalStateException(failure.toString()));
-        return new Member(node, nodeStore, true);
+        return ControlNode.start(settings, nodeStore, caller -> network.from(settings.locality(), caller))
+                .map(node -> new Member(node, nodeStore, true))
+                .peekLeft(_ -> nodeStore.close());
     }
 
     private NodeSettings settings(int number) {
