Let fleets settle before bytes are read, warm up before processor time is

Cause: the first runs showed idle bytes that grew with the fleet 3 s after its start, and processor time and heap that fell with its size: compilation and the garbage of the fleet before were counted. Two processes with near ids also searched the same ports. Change: 15 s of rest before bytes are read, a warm-up fleet and rests before processor time and heap, ports from a random start; a falling line is taken as level, so that an extrapolation can't promise less than was seen.

--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchControlCost.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchControlCost.java
@@ -17,13 +17,15 @@
  * too. Used by one thread.
  */
 final class BenchControlCost implements BenchExperiment {
-    private static final List<Integer> NODES = List.of(16, 32, 64, 128);
+    private static final List<Integer> NODES = List.of(16, 64, 128);
+    private static final int WARMUP_NODES = 32;
+    private static final double REST_SECONDS = 4;
     private static final int TARGET_NODES = 1_100;
     private static final double PROCESSOR_BOUND_PERCENT = 4.5;
     private static final double HEAP_BOUND_MEBIBYTES = 256;
-    private static final int WINDOWS = 3;
+    private static final int WINDOWS = 2;
     private static final double WINDOW_SECONDS = 3;
-    private static final double SECONDS_PER_CHANGE = 1.5;
+    private static final double SECONDS_PER_CHANGE = 1;
     private static final int CHANGES = 4;
     private static final double CHANGES_PER_SECOND = 3_100 / 86_400.0;
     private static final int COPIES = 40;
@@ -45,10 +47,13 @@
     @Override
     public List<BenchRow> run() {
         List<BenchRow> rows = new ArrayList<>();
+        rows.add(configurationHeap());
+        warmUp();
         Map<Integer, Double> processor = new TreeMap<>();
         Map<Integer, Double> change = new TreeMap<>();
         Map<Integer, Double> heap = new TreeMap<>();
         for (int nodes : NODES) {
+            BenchClock.pause(REST_SECONDS * MILLISECONDS_PER_SECOND);
             double before = usedHeapBytes();
             try (BenchFleet fleet = BenchFleet.start(nodes, BenchPlaces.ZONES)) {
                 BenchSamples share = idlePercent(nodes);
@@ -64,10 +69,18 @@
         }
         rows.add(processorAtTarget(BenchSlope.of(processor), BenchSlope.of(change)));
         rows.add(heapAtTarget(BenchSlope.of(heap)));
-        rows.add(configurationHeap());
         return rows;
     }
 
+    private static void warmUp() {
+        try (BenchFleet fleet = BenchFleet.start(WARMUP_NODES, BenchPlaces.ZONES)) {
+            for (int change = 0; change < CHANGES; change++) {
+                fleet.change(0);
+                BenchClock.pause(SECONDS_PER_CHANGE * MILLISECONDS_PER_SECOND);
+            }
+        }
+    }
+
     private static BenchRow processorAtTarget(BenchSlope idle, BenchSlope change) {
         double changesPercent = change.at(TARGET_NODES) * CHANGES_PER_SECOND / MILLISECONDS_PER_SECOND * PERCENT;
         return BenchRow.of(
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchPaidLink.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchPaidLink.java
@@ -19,6 +19,7 @@
     private static final double NODE_BOUND_BYTES_PER_SECOND = 21_000;
     private static final double CHANGES_PER_DAY = 3_100;
     private static final double SECONDS_PER_DAY = 86_400;
+    private static final int SETTLE_SECONDS = 15;
     private static final int IDLE_SECONDS = 30;
     private static final int CHANGES = 5;
     private static final double SECONDS_PER_CHANGE = 3;
@@ -69,6 +70,7 @@
 
     private static Size measure(int nodes) {
         try (BenchFleet fleet = BenchFleet.start(nodes, BenchPlaces.ZONES)) {
+            BenchClock.pause(SETTLE_SECONDS * MILLISECONDS_PER_SECOND);
             Reading start = Reading.of(fleet);
             BenchClock.pause(IDLE_SECONDS * MILLISECONDS_PER_SECOND);
             Reading rest = Reading.of(fleet);
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchPorts.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchPorts.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -14,7 +15,7 @@
     private static final int FIRST = 10_000;
     private static final int COUNT = 9_000;
     private static final AtomicInteger TAKEN =
-            new AtomicInteger((int) (ProcessHandle.current().pid() % COUNT));
+            new AtomicInteger(ThreadLocalRandom.current().nextInt(COUNT));
 
     private BenchPorts() {}
 
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchSlope.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchSlope.java
@@ -28,7 +28,8 @@
         return new BenchSlope(meanY - slope * meanX, slope);
     }
 
+    /** Returns the value at a size; a falling line is taken as level, so that it promises nothing. */
     double at(int size) {
-        return intercept + slope * size;
+        return intercept + Math.max(0, slope) * size;
     }
 }
