Let a stopped load finish what is under way

One run of the test that kills a node counted '1 never ended' of 280 requests. The stop interrupted the scheduling thread, which could already be waiting for the last requests and then cancelled them; the nodes were ruled out, since nothing had ended in an error. The stop now only sets a flag that the schedule looks at every 100 ms. Test: shouldAccountForEveryRequestWhenStoppedWhileRequestsAreUnderWay.

--- a/testbed/src/main/java/org/oleanderturn/testbed/LoadRunner.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/LoadRunner.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
 import org.oleanderturn.model.Address;
@@ -22,12 +21,12 @@
     private static final long NANOSECONDS_PER_SECOND = 1_000_000_000;
     private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
     private static final long NANOSECONDS_PER_MICROSECOND = 1_000;
+    private static final long LONGEST_PAUSE_MILLISECONDS = 100;
     private static final long END_WAIT_SECONDS = 60;
 
     private final LoadPlan plan;
     private final LoadRecorder recorder = new LoadRecorder();
     private final AtomicBoolean isStopped = new AtomicBoolean();
-    private final AtomicReference<Thread> scheduler = new AtomicReference<>();
 
     private LoadRunner(LoadPlan plan) {
         this.plan = plan;
@@ -47,7 +46,6 @@
         long start = System.nanoTime();
         long gap = NANOSECONDS_PER_SECOND / plan.requestsPerSecond();
         long count = plan.durationMilliseconds() * NANOSECONDS_PER_MILLISECOND / gap;
-        scheduler.set(Thread.currentThread());
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
         for (long sequence = 0; sequence < count; sequence++) {
             long due = start + sequence * gap;
@@ -67,10 +65,6 @@
     /** Ends the schedule early; requests that are under way go on to their end. */
     public void stop() {
         isStopped.set(true);
-        Thread waiting = scheduler.get();
-        if (waiting != null) {
-            waiting.interrupt();
-        }
     }
 
     // -- one request
@@ -102,7 +96,7 @@
             if (left <= 0) {
                 return true;
             }
-            pause(Math.ceilDiv(left, NANOSECONDS_PER_MILLISECOND));
+            pause(Math.min(LONGEST_PAUSE_MILLISECONDS, Math.ceilDiv(left, NANOSECONDS_PER_MILLISECOND)));
         }
         return false;
     }
--- a/testbed/src/test/java/org/oleanderturn/testbed/LoadRunnerTest.java
+++ b/testbed/src/test/java/org/oleanderturn/testbed/LoadRunnerTest.java
@@ -7,7 +7,9 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Address;
@@ -62,6 +64,24 @@
         assertThat(report.answered()).isEqualTo(0);
     }
 
+    @Test
+    void shouldAccountForEveryRequestWhenStoppedWhileRequestsAreUnderWay() throws InterruptedException {
+        CountDownLatch isUnderWay = new CountDownLatch(1);
+        CountDownLatch isStopped = new CountDownLatch(1);
+        LoadRunner runner = runner(0, 60_000, _ -> {
+            isUnderWay.countDown();
+            awaitQuietly(isStopped);
+            return Answer.text(200, "text/plain", "here\n").withHeader(ProxyHeaders.OUTCOME, "ran");
+        });
+        CompletableFuture<LoadReport> report = CompletableFuture.supplyAsync(runner::run);
+        isUnderWay.await();
+        runner.stop();
+        isStopped.countDown();
+
+        assertThat(report.join().sent()).isAtLeast(1);
+        assertThat(report.join().answered()).isEqualTo(report.join().sent());
+    }
+
     @Test
     void shouldReportOlderVersionWhenEntryGoesBack() {
         LoadReport report = run(
@@ -81,22 +101,33 @@
     }
 
     private LoadReport run(int bookingPercent, RequestHandler handler) {
+        return runner(bookingPercent, 200, handler).run();
+    }
+
+    private LoadRunner runner(int bookingPercent, long durationMilliseconds, RequestHandler handler) {
         listener = HttpListener.start("127.0.0.1", 0, handler, ListenerLimits.standard())
                 .get();
         Address entry = Address.of("127.0.0.1", listener.address().port());
         return LoadRunner.of(new LoadPlan(
-                        List.of(entry),
-                        200,
-                        200,
-                        "/lookup",
-                        "/booking",
-                        "/download",
-                        bookingPercent,
-                        0,
-                        30_000,
-                        "k",
-                        1))
-                .run();
+                List.of(entry),
+                200,
+                durationMilliseconds,
+                "/lookup",
+                "/booking",
+                "/download",
+                bookingPercent,
+                0,
+                30_000,
+                "k",
+                1));
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException interrupt) {
+            throw new IOException(interrupt);
+        }
     }
 
     /** Ends before its length is reached. */
