--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -6,7 +6,8 @@
 processes_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 declare -A processes_pids=()
 processes_directory=
-port_shift=${OLEANDERTURN_PORT_SHIFT:-0}
+readonly HTTP_TIMEOUT_SECONDS=15
+port_shift=0
 
 # -- building
 
@@ -28,6 +29,7 @@
 # Sets the names of a deployment: its nodes, its zones and the paths of each kind of request.
 choose_deployment() {
   deployment=$1
+  port_shift=${OLEANDERTURN_PORT_SHIFT:-0}
   case $deployment in
     huon-valley)
       nodes=(hobart-availability-1 launceston-availability-1 huonville-bookings-1
@@ -43,6 +45,8 @@
       nodes=(arima-status-desk-1 san-fernando-status-desk-1 chaguanas-visit-booker-1
         point-fortin-visit-booker-1 arima-guide-library-1 point-fortin-guide-library-1)
       zones=(arima san-fernando chaguanas point-fortin)
+      # Linux hands out ports from 32768 up to outgoing connections, so this deployment's are moved below.
+      port_shift=$((port_shift - 18000))
       store_port=$((30000 + port_shift))
       killed_node=san-fernando-status-desk-1 drained_node=arima-guide-library-1 cut_zone=point-fortin
       frozen_zone=arima crashed_service=status-desk crash_path=/status/crash
@@ -258,7 +262,7 @@
     [ "$method" = GET ] || printf 'Content-Type: application/json\r\nContent-Length: %d\r\n' "${#body}"
     printf '\r\n%s' "$body"
   } >&3
-  tr -d '\r' <&3
+  timeout $HTTP_TIMEOUT_SECONDS tr -d '\r' <&3
   exec 3>&-
 }
 
