--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -12,6 +12,7 @@
 import org.oleanderturn.distribution.ReadinessFloor;
 import org.oleanderturn.distribution.RelayCandidacy;
 import org.oleanderturn.distribution.RelayElection;
+import org.oleanderturn.distribution.RelayEntry;
 import org.oleanderturn.distribution.RelayWatch;
 import org.oleanderturn.distribution.SnapshotHistory;
 import org.oleanderturn.distribution.Spreader;
@@ -20,6 +21,7 @@
 import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.membership.MembershipListener;
+import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.platform.Store;
@@ -61,9 +63,7 @@
         this.gossip =
                 Gossip.of(localRecord(settings), GossipSettings.standard(), channel, milliseconds, random, listener);
         this.directory = new MemberDirectory(gossip::table);
-        RelayCandidacy candidacy =
-                RelayCandidacy.of(settings.node(), settings.locality(), settings.platformRegion(), directory);
-        this.election = RelayElection.of(store, settings.node(), settings.availabilityZone(), candidacy, split(random));
+        this.election = election(settings, store, directory, split(random));
         this.watch = RelayWatch.of(
                 store,
                 election,
@@ -83,9 +83,19 @@
                 settings.locality(),
                 settings.platformRegion(),
                 split(random));
-        this.acceptor = Acceptor.of(store, holder, history, directory::newestVersion);
-        this.joining = new Joining(gossip, settings.join(), split(random));
-        this.recovery = new Recovery(settings.node(), settings.locality(), directory, holder, floor, spreader, channel);
+        this.acceptor = Acceptor.of(store, holder, history, this::newestVersion);
+        this.joining =
+                new Joining(gossip, settings.join(), new Rendezvous(store, election, milliseconds), split(random));
+        this.recovery = new Recovery(
+                settings.node(),
+                settings.locality(),
+                directory,
+                holder,
+                floor,
+                spreader,
+                channel,
+                joining::hasTried,
+                split(random));
     }
 
     // -- parts
@@ -122,6 +132,11 @@
         return recovery;
     }
 
+    /** Returns the newest version that this node holds or has heard of. */
+    ConfigurationVersion newestVersion() {
+        return ConfigurationVersion.newest(spreader.newestKnown(), directory.newestVersion());
+    }
+
     // -- commands
 
     /** Starts the loops; tells when the node has become ready. */
@@ -149,6 +164,14 @@
         LockSupport.parkNanos(Duration.ofMillis(GOSSIP_PAUSE_MILLISECONDS).toNanos());
     }
 
+    private static RelayElection election(
+            NodeSettings settings, Store store, MemberDirectory directory, RandomGenerator random) {
+        RelayCandidacy candidacy =
+                RelayCandidacy.of(settings.node(), settings.locality(), settings.platformRegion(), directory);
+        RelayEntry entry = new RelayEntry(settings.node(), settings.listen().control());
+        return RelayElection.of(store, entry, settings.availabilityZone(), candidacy, random);
+    }
+
     private static RandomGenerator split(RandomGenerator random) {
         return new SplittableRandom(random.nextLong());
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -123,6 +123,9 @@
             }
         }
         boolean isFinished = inFlight() == 0;
+        if (isFinished) {
+            connections.forEach(ServedConnection::retire);
+        }
         close();
         return isFinished;
     }
@@ -167,7 +170,7 @@
                 .setMaxHeaderCount(limits.headers())
                 .build();
         DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection("http", settings);
-        ServedConnection served = ServedConnection.of((WatchedSocket) socket, connection);
+        ServedConnection served = ServedConnection.of((WatchedSocket) socket, connection, limits.idle());
         connections.add(served);
         try {
             socket.setTcpNoDelay(true);
