--- a/node/src/test/java/org/oleanderturn/node/SettingsReaderTest.java
+++ b/node/src/test/java/org/oleanderturn/node/SettingsReaderTest.java
@@ -46,20 +46,31 @@
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
+            quoteCharacter = '`',
             value = {
-                "\"callsPerSecond\": 20 | \"callsPerSecond\": \"20\" | platform.callsPerSecond: found \"20\"; expected a whole number of calls per second from 1 to 1000",
-                "\"callsPerSecond\": 20 | \"callsPerSecond\": 20.5 | platform.callsPerSecond: found 20.5; expected a whole number of calls per second from 1 to 1000",
-                "\"callsPerSecond\": 20 | \"callsPerSecond\": 1001 | platform.callsPerSecond: found 1001; expected a whole number of calls per second from 1 to 1000",
-                "\"callsPerSecond\": 20 | \"callsPerSecond\": null | platform.callsPerSecond: found null; expected a whole number of calls per second from 1 to 1000",
-                "\"timeoutMilliseconds\": 1000 | \"timeoutMilliseconds\": 9 | platform.timeoutMilliseconds: found 9; expected a whole number of milliseconds from 10 to 60000",
-                "\"timeoutMilliseconds\": 1000 | \"timeout\": 1000 | platform.timeout: unknown field",
-                "\"timeoutMilliseconds\": 1000 | \"timeout\": 1000 | platform.timeoutMilliseconds: missing; expected a whole number of milliseconds from 10 to 60000",
-                "\"region\": \"south\" | \"region\": \"The South\" | region: found \"The South\"; expected a name of",
-                "\"caller\": \"127.0.0.1:21009\" | \"caller\": \"21009\" | listen.caller: found \"21009\"; expected an IP number and port",
-                "\"healthPath\": \"/health\" | \"healthPath\": \"health\" | target.healthPath: found \"health\"; expected a path that starts with a slash",
+                "\"callsPerSecond\": 20 | \"callsPerSecond\": \"20\" | "
+                        + "platform.callsPerSecond: found \"20\"; expected a whole number of calls per second from 1 to 1000",
+                "\"callsPerSecond\": 20 | \"callsPerSecond\": 20.5 | "
+                        + "platform.callsPerSecond: found 20.5; expected a whole number of calls per second from 1 to 1000",
+                "\"callsPerSecond\": 20 | \"callsPerSecond\": 1001 | "
+                        + "platform.callsPerSecond: found 1001; expected a whole number of calls per second from 1 to 1000",
+                "\"callsPerSecond\": 20 | \"callsPerSecond\": null | "
+                        + "platform.callsPerSecond: found null; expected a whole number of calls per second from 1 to 1000",
+                "\"timeoutMilliseconds\": 1000 | \"timeoutMilliseconds\": 9 | "
+                        + "platform.timeoutMilliseconds: found 9; expected a whole number of milliseconds from 10 to 60000",
+                "\"timeoutMilliseconds\": 1000 | \"timeout\": 1000 | " + "platform.timeout: unknown field",
+                "\"timeoutMilliseconds\": 1000 | \"timeout\": 1000 | "
+                        + "platform.timeoutMilliseconds: missing; expected a whole number of milliseconds from 10 to 60000",
+                "\"region\": \"south\" | \"region\": \"The South\" | "
+                        + "region: found \"The South\"; expected a name of",
+                "\"caller\": \"127.0.0.1:21009\" | \"caller\": \"21009\" | "
+                        + "listen.caller: found \"21009\"; expected an IP number and port",
+                "\"healthPath\": \"/health\" | \"healthPath\": \"health\" | "
+                        + "target.healthPath: found \"health\"; expected a path that starts with a slash",
                 "\"127.0.0.1:23010\" | 23010 | join: found [23010",
-                "\"node\": | \"drainMilliseconds\": -1, \"node\": | drainMilliseconds: found -1; expected a whole number of milliseconds from 0 to 3600000",
-                "\"target\": { | \"target\": 5, \"other\": { | target: found 5; expected an object"
+                "\"node\": | \"drainMilliseconds\": -1, \"node\": | "
+                        + "drainMilliseconds: found -1; expected a whole number of milliseconds from 0 to 3600000",
+                "\"target\": { | \"target\": 5, \"other\": { | " + "target: found 5; expected an object"
             })
     void shouldNameTheFaultWhenAFieldIsWrong(String before, String after, String expected) {
         assertThat(wellFormed).contains(before);
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -10,8 +10,10 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -37,6 +39,7 @@
     private static final String SERVER_NAME = "oleanderturn";
     private static final int BACKLOG = 1_024;
     private static final int BUFFER_BYTES = 8_192;
+    private static final long LONGEST_ACCEPT_SECONDS = 1;
     private static final long DRAIN_POLL_MILLISECONDS = 10;
 
     private final ServerSocket server;
@@ -44,6 +47,7 @@
     private final ListenerLimits limits;
     private final ExecutorService executor;
     private final Set<ServedConnection> connections = ConcurrentHashMap.newKeySet();
+    private final CountDownLatch accepting = new CountDownLatch(1);
     private final AtomicInteger open = new AtomicInteger();
     private final AtomicBoolean isDraining = new AtomicBoolean();
 
@@ -115,17 +119,16 @@
      */
     public boolean drain(Duration longest) {
         isDraining.set(true);
-        Quietly.close(server);
+        stopAccepting();
         long end = System.nanoTime() + longest.toNanos();
-        while (inFlight() > 0 && System.nanoTime() < end) {
+        connections.forEach(ServedConnection::retire);
+        while (open.get() > 0 && System.nanoTime() < end) {
             if (!Quietly.pause(DRAIN_POLL_MILLISECONDS)) {
                 break;
             }
-        }
-        boolean isFinished = inFlight() == 0;
-        if (isFinished) {
             connections.forEach(ServedConnection::retire);
         }
+        boolean isFinished = open.get() == 0;
         close();
         return isFinished;
     }
@@ -133,14 +136,28 @@
     @Override
     public void close() {
         isDraining.set(true);
-        Quietly.close(server);
+        stopAccepting();
         connections.forEach(ServedConnection::abort);
         executor.shutdown();
     }
 
     // -- connections
 
+    /** Closes the listening socket and waits until it is closed: an acceptor that is under way keeps it open. */
+    private void stopAccepting() {
+        Quietly.close(server);
+        Quietly.await(accepting, LONGEST_ACCEPT_SECONDS);
+    }
+
     private void acceptAll() {
+        try {
+            acceptEach();
+        } finally {
+            accepting.countDown();
+        }
+    }
+
+    private void acceptEach() {
         while (!server.isClosed()) {
             try {
                 admit(server.accept());
@@ -160,7 +177,12 @@
             Quietly.close(socket);
             return;
         }
-        executor.execute(() -> serve(socket));
+        try {
+            executor.execute(() -> serve(socket));
+        } catch (RejectedExecutionException closed) {
+            open.decrementAndGet();
+            Quietly.close(socket);
+        }
     }
 
     private void serve(Socket socket) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
@@ -51,10 +52,7 @@
         try {
             onEnd = Optional.of(action);
             switch (ahead) {
-                case NONE -> {
-                    ahead = Ahead.READING;
-                    executor.execute(this::readAhead);
-                }
+                case NONE -> startReading();
                 case ENDED -> hasEnded = true;
                 case READING, HELD -> {}
             }
@@ -76,6 +74,16 @@
         }
     }
 
+    /** Reads ahead unless the executor takes nothing more; the peer's departure then goes unseen. */
+    private void startReading() {
+        try {
+            executor.execute(this::readAhead);
+            ahead = Ahead.READING;
+        } catch (RejectedExecutionException closed) {
+            onEnd = Optional.empty();
+        }
+    }
+
     private void readAhead() {
         while (true) {
             try {
--- a/proxy/src/main/java/org/oleanderturn/proxy/Quietly.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Quietly.java
@@ -2,6 +2,8 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** Closes and pauses where a failure changes nothing. */
 final class Quietly {
@@ -28,4 +30,14 @@
             return false;
         }
     }
+
+    /** Waits for a latch; returns false when it stays up or the thread was interrupted. */
+    static boolean await(CountDownLatch latch, long seconds) {
+        try {
+            return latch.await(seconds, TimeUnit.SECONDS);
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServedConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServedConnection.java
@@ -3,7 +3,8 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Objects;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
@@ -11,16 +12,24 @@
 /**
  * A connection that a listener serves.
  *
- * <p>Invariant: it is busy from the moment its request's headers are read until the answer is written. Thread safe.
+ * <p>Invariant: it is busy from the moment its request's headers are read until the answer is written, and it is
+ * retired only when it is not busy; a request that comes after that does not run. Thread safe.
  */
 final class ServedConnection {
+    /** What the connection is used for. */
+    private enum Phase {
+        IDLE,
+        BUSY,
+        RETIRED
+    }
+
     private static final Duration SHORTEST = Duration.ofMillis(1);
     static final String ATTRIBUTE = "oleanderturn.served-connection";
 
     private final WatchedSocket socket;
     private final DefaultBHttpServerConnection connection;
     private final Duration idle;
-    private final AtomicBoolean busy = new AtomicBoolean();
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.IDLE);
 
     private ServedConnection(WatchedSocket socket, DefaultBHttpServerConnection connection, Duration idle) {
         this.socket = socket;
@@ -35,7 +44,7 @@
     }
 
     boolean isBusy() {
-        return busy.get();
+        return phase.get() == Phase.BUSY;
     }
 
     /** Returns whether a request has come that is not yet served. */
@@ -47,12 +56,19 @@
         }
     }
 
-    void begin() {
-        busy.set(true);
+    /**
+     * Begins a request.
+     *
+     * @throws ConnectionClosedException when the connection was retired before; the request does not run
+     */
+    void begin() throws ConnectionClosedException {
+        if (!phase.compareAndSet(Phase.IDLE, Phase.BUSY)) {
+            throw new ConnectionClosedException("the connection is retired");
+        }
     }
 
     void finish() {
-        busy.set(false);
+        phase.compareAndSet(Phase.BUSY, Phase.IDLE);
     }
 
     void watch(Runnable onPeerGone) throws IOException {
@@ -73,9 +89,12 @@
         connection.setSocketTimeout(Timeout.of(idle));
     }
 
-    /** Closes the connection after what was sent on it. */
+    /** Closes the connection after what was sent on it, unless a request has come or is served. */
     void retire() {
-        Quietly.close(socket);
+        boolean isUnused = !hasInput() && phase.compareAndSet(Phase.IDLE, Phase.RETIRED);
+        if (isUnused) {
+            Quietly.close(socket);
+        }
     }
 
     /** Cuts the connection, so that an answer begun on it can't pass for a whole one. */
--- a/proxy/src/test/java/org/oleanderturn/proxy/HttpExchangeTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/HttpExchangeTest.java
@@ -87,24 +87,26 @@
     }
 
     @Test
-    void shouldNotRunAnEmptyBookingWhenItsSenderLeavesBeforeTheGoAhead() throws Exception {
-        CountDownLatch isGone = new CountDownLatch(1);
+    void shouldNotRunAnEmptyBookingWhenTheGoAheadIsLost() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
         AtomicInteger ran = new AtomicInteger();
         Address server = listen(request -> {
-            await(isGone);
             try {
-                var _ = request.readBody(LIMIT_BYTES).orElseThrow();
+                var _ = request.readBody(LIMIT_BYTES, SHORT).orElseThrow();
                 ran.incrementAndGet();
             } finally {
                 ended.countDown();
             }
             return Answer.text(200, "text/plain", "");
         });
+        FaultRelay relay = new FaultRelay(
+                server,
+                executor,
+                step -> step == FaultRelay.Step.GO_AHEAD ? FaultRelay.Verdict.HOLD : FaultRelay.Verdict.PASS);
+        open.add(relay);
         OutboundRequest booking =
                 new OutboundRequest("POST", "/", List.of(), new byte[0], Delivery.GO_AHEAD, SHORT, SHORT);
-        Either<ForwardFailure, UpstreamAnswer> answer = client.send(server, booking, Cancellation.create());
-        isGone.countDown();
+        Either<ForwardFailure, UpstreamAnswer> answer = client.send(relay.address(), booking, Cancellation.create());
         await(ended);
 
         assertThat(answer.getLeft()).isInstanceOf(ForwardFailure.NotSent.class);
