--- a/node/src/main/java/org/oleanderturn/node/LogFormat.java
+++ b/node/src/main/java/org/oleanderturn/node/LogFormat.java
@@ -9,7 +9,6 @@
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
-import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.oleanderturn.model.Codec;
@@ -23,10 +22,13 @@
 
     /** Makes every logger write this format. */
     void install() {
-        LogManager.getLogManager().reset();
+        Logger root = Logger.getLogger("");
+        for (Handler standard : root.getHandlers()) {
+            root.removeHandler(standard);
+        }
         Handler handler = new ConsoleHandler();
         handler.setFormatter(new LineFormatter(this));
-        Logger.getLogger("").addHandler(handler);
+        root.addHandler(handler);
     }
 
     /** Writes a record as one line. */
--- a/node/src/main/java/org/oleanderturn/node/OperatorHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorHandler.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
@@ -13,11 +14,13 @@
 import org.oleanderturn.model.ConfigurationCheck;
 import org.oleanderturn.model.DecodeFailure;
 import org.oleanderturn.model.DrainOutcome;
+import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.Names;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.OperatorPaths;
 import org.oleanderturn.model.Proposal;
 import org.oleanderturn.model.ProposalId;
+import org.oleanderturn.model.RoutingTable;
 import org.oleanderturn.proxy.Answer;
 import org.oleanderturn.proxy.InboundRequest;
 import org.oleanderturn.proxy.RequestHandler;
@@ -79,13 +82,24 @@
             case OperatorPaths.CONFIGURATION -> Answer.json(OK, control.holder().held());
             case OperatorPaths.PROXIES -> Answer.json(OK, proxies.read());
             case OperatorPaths.ROUTES -> Answer.json(OK, routing.table().entries());
-            case OperatorPaths.ENDPOINTS ->
-                Answer.json(OK, routing.table().view().all());
+            case OperatorPaths.ENDPOINTS -> Answer.json(OK, endpoints());
             case OperatorPaths.METRICS -> Answer.text(OK, TEXT, metrics.text());
             default -> queryChange(path);
         };
     }
 
+    /** Returns every endpoint; where its service is declared, with the slots that the declaration gives. */
+    private List<Endpoint> endpoints() {
+        RoutingTable table = routing.table();
+        return table.view().all().stream()
+                .map(endpoint -> table.snapshot()
+                        .configuration()
+                        .service(endpoint.service())
+                        .map(service -> endpoint.withSlots(service.slots()))
+                        .orElse(endpoint))
+                .toList();
+    }
+
     private Answer queryChange(String path) {
         Optional<String> name = nameAfter(OperatorPaths.CHANGES, path);
         return name.map(text -> Answer.json(OK, control.acceptor().outcome(ProposalId.of(text))))
--- a/wire/src/main/java/org/oleanderturn/wire/FrameServer.java
+++ b/wire/src/main/java/org/oleanderturn/wire/FrameServer.java
@@ -27,6 +27,7 @@
 public final class FrameServer implements AutoCloseable {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int MAXIMUM_LINGERING_REFUSALS = 64;
+    private static final long CLOSE_MILLISECONDS = 2_000;
     private static final int LOG_INTERVAL_SECONDS = 10;
     private static final int ACCEPT_PAUSE_MILLISECONDS = 20;
 
@@ -202,5 +203,17 @@
         connections.forEach(FrameChannel::close);
         executor.shutdownNow();
         deadlines.shutdownNow();
+        awaitThreads();
+    }
+
+    /** Waits until no thread holds a socket of this server, so that its port is free; a handler that hangs is left. */
+    private void awaitThreads() {
+        try {
+            if (!executor.awaitTermination(CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS)) {
+                log.atWarning().log("a handler still runs after close");
+            }
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
