--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -146,7 +146,7 @@
     /** Closes the listening socket and waits until it is closed: an acceptor that is under way keeps it open. */
     private void stopAccepting() {
         Quietly.close(server);
-        Quietly.await(accepting, LONGEST_ACCEPT_SECONDS);
+        var _ = Quietly.await(accepting, LONGEST_ACCEPT_SECONDS);
     }
 
     private void acceptAll() {
--- a/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -74,6 +75,7 @@
 
     private final Cell cell;
     private final AtomicBoolean isReached = new AtomicBoolean();
+    private final CountDownLatch acted = new CountDownLatch(1);
     private final Cancellation leaving = Cancellation.create();
     private final List<String> report = Collections.synchronizedList(new ArrayList<>());
     private final List<String> notRun = Collections.synchronizedList(new ArrayList<>());
@@ -98,6 +100,7 @@
             prepare();
             Duration deadline = cell.fault() == Fault.FROZEN ? SHORT : PATIENCE;
             Optional<Reply> reply = mesh.sendToFirst(call("first", deadline, leaving));
+            check("the fault was reached", acted.await(PATIENCE.toSeconds(), TimeUnit.SECONDS));
             judge("first", reply);
             if (cell.isRecoverable()) {
                 check("served", reply.filter(found -> found.status() == 200).isPresent());
@@ -137,12 +140,27 @@
             }
             default -> {}
         }
+        if (isReached.get()) {
+            acted.countDown();
+        }
     }
 
     private Verdict gate(Step step) {
         if (step != cell.step() || !isReached.compareAndSet(false, true)) {
             return Verdict.PASS;
         }
+        act();
+        acted.countDown();
+        return switch (cell.fault()) {
+            case RESET -> Verdict.RESET;
+            case CLOSED -> Verdict.CLOSE;
+            case FROZEN -> Verdict.HOLD;
+            case CALLER_GONE -> cell.protocol() == Protocol.FORWARD ? Verdict.HOLD_FOR_CLIENT : Verdict.PASS;
+            default -> Verdict.PASS;
+        };
+    }
+
+    private void act() {
         switch (cell.fault()) {
             case CALLER_GONE -> leaving.cancel();
             case TARGET_DIED -> mesh.near().killTarget();
@@ -157,13 +175,6 @@
                 mesh.store().setStanding(storeFault());
             default -> {}
         }
-        return switch (cell.fault()) {
-            case RESET -> Verdict.RESET;
-            case CLOSED -> Verdict.CLOSE;
-            case FROZEN -> Verdict.HOLD;
-            case CALLER_GONE -> cell.protocol() == Protocol.FORWARD ? Verdict.HOLD_FOR_CLIENT : Verdict.PASS;
-            default -> Verdict.PASS;
-        };
     }
 
     private FakeStore.Fault storeFault() {
@@ -239,7 +250,6 @@
                     .count();
             check("no new work at a draining target", later == 0);
         }
-        check("the fault was reached", isReached.get());
     }
 
     private void check(String invariant, boolean holds) {
