Let a cut reach calls that wait; take heap from one clean reading; see reachability at rest

Change: answers that return during a cut are lost; heap is taken against the reading before all fleets.

--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchControlCost.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchControlCost.java
@@ -48,13 +48,13 @@
     public List<BenchRow> run() {
         List<BenchRow> rows = new ArrayList<>();
         rows.add(configurationHeap());
+        double before = usedHeapBytes();
         warmUp();
         Map<Integer, Double> processor = new TreeMap<>();
         Map<Integer, Double> change = new TreeMap<>();
         Map<Integer, Double> heap = new TreeMap<>();
         for (int nodes : NODES) {
             BenchClock.pause(REST_SECONDS * MILLISECONDS_PER_SECOND);
-            double before = usedHeapBytes();
             try (BenchFleet fleet = BenchFleet.start(nodes, BenchPlaces.ZONES)) {
                 BenchSamples share = idlePercent(nodes);
                 processor.put(nodes, share.median());
@@ -97,7 +97,8 @@
                         "MiB",
                         BenchSamples.of(heap.at(TARGET_NODES) / BYTES_PER_KIBIBYTE))
                 .withBound(BenchBound.atMost(HEAP_BOUND_MEBIBYTES))
-                .withNote("computed: " + line(heap) + " KiB; live objects only, not the process");
+                .withNote("computed: " + line(heap)
+                        + " KiB; live objects only, not the process; what earlier fleets left counts too");
     }
 
     private static String line(BenchSlope slope) {
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchNetwork.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchNetwork.java
@@ -83,6 +83,9 @@
         Either<WireFailure, Frame> answer = caller.call(peer, request, timeout);
         answer.peek(frame -> count(self, other, frame));
         BenchClock.pause(oneWay);
+        if (isBetween(self, other)) {
+            return Either.left(new WireFailure.AnswerLost(peer, "cut off"));
+        }
         return answer;
     }
 
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchPaidLink.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchPaidLink.java
@@ -72,18 +72,30 @@
         try (BenchFleet fleet = BenchFleet.start(nodes, BenchPlaces.ZONES)) {
             BenchClock.pause(SETTLE_SECONDS * MILLISECONDS_PER_SECOND);
             Reading start = Reading.of(fleet);
-            BenchClock.pause(IDLE_SECONDS * MILLISECONDS_PER_SECOND);
+            int reachable = leastReachable(fleet);
             Reading rest = Reading.of(fleet);
             for (int change = 0; change < CHANGES; change++) {
                 fleet.change(0);
                 BenchClock.pause(SECONDS_PER_CHANGE * MILLISECONDS_PER_SECOND);
             }
             Reading end = Reading.of(fleet);
-            return size(nodes, start, rest, end);
+            return size(nodes, reachable, start, rest, end);
         }
     }
 
-    private static Size size(int nodes, Reading start, Reading rest, Reading end) {
+    /** Waits for the time of rest and returns the fewest other nodes that any node saw as reachable, once a second. */
+    private static int leastReachable(BenchFleet fleet) {
+        int least = Integer.MAX_VALUE;
+        for (int second = 0; second < IDLE_SECONDS; second++) {
+            BenchClock.pause(MILLISECONDS_PER_SECOND);
+            for (ControlNode node : fleet.nodes()) {
+                least = Math.min(least, node.reachablePeers());
+            }
+        }
+        return least;
+    }
+
+    private static Size size(int nodes, int reachable, Reading start, Reading rest, Reading end) {
         double linkIdle = (rest.across() - start.across()) / (double) IDLE_SECONDS;
         double window = CHANGES * SECONDS_PER_CHANGE;
         double linkChange = Math.max(0, (end.across() - rest.across() - linkIdle * window) / CHANGES);
@@ -118,6 +130,10 @@
                         "store values read across the link, all changes" + size,
                         "B",
                         BenchSamples.ofCount(end.storeAcross() - rest.storeAcross())),
+                BenchRow.of(
+                        "fewest nodes that any node could reach, idle" + size,
+                        "nodes",
+                        BenchSamples.ofCount(reachable)),
                 BenchRow.of("a node, idle (over nodes)" + size, "B/s", BenchSamples.of(idle)),
                 BenchRow.of("a node, one change (over nodes)" + size, "B", BenchSamples.of(perChange)),
                 BenchRow.of("a node, 3,100 changes a day (over nodes)" + size, "B/s", BenchSamples.of(sum))
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchStore.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchStore.java
@@ -101,8 +101,8 @@
         BenchClock.pause(oneWay);
         Either<StoreFailure, T> answer = made.get();
         BenchClock.pause(oneWay);
-        if (isClosed.get()) {
-            return Either.left(new StoreFailure.Unreachable("closed"));
+        if (isClosed.get() || network.isCutOff(place)) {
+            return Either.left(new StoreFailure.Unreachable("closed or cut off while waiting"));
         }
         return answer;
     }
