Wait until the start's records are passed on before bytes of rest are read

Cause: at 128 nodes the bytes of rest read 6759 B/s a node where 64 nodes read 2592, with no node unreachable. After a start each node passes on the record of every other one several times, by at most 1,200 B of records a message; that takes longer the more nodes there are and was still under way when reading began after 15 s. Change: 60 s before the reading, 20 s of rest, 4 changes.

--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchPaidLink.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchPaidLink.java
@@ -19,9 +19,9 @@
     private static final double NODE_BOUND_BYTES_PER_SECOND = 21_000;
     private static final double CHANGES_PER_DAY = 3_100;
     private static final double SECONDS_PER_DAY = 86_400;
-    private static final int SETTLE_SECONDS = 15;
-    private static final int IDLE_SECONDS = 30;
-    private static final int CHANGES = 5;
+    private static final int SETTLE_SECONDS = 60;
+    private static final int IDLE_SECONDS = 20;
+    private static final int CHANGES = 4;
     private static final double SECONDS_PER_CHANGE = 3;
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
