--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -6,6 +6,8 @@
 processes_root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 declare -A processes_pids=()
 processes_directory=
+export JAVA_HOME
+JAVA_HOME=$("$processes_root/scripts/find-jdk") || exit 2
 readonly HTTP_TIMEOUT_SECONDS=15
 port_shift=0
 
@@ -17,8 +19,6 @@
     [ -f "$processes_root/$jar" ] || missing=yes
   done
   [ -n "$missing" ] || return 0
-  JAVA_HOME=$("$processes_root/scripts/find-jdk") || return 1
-  export JAVA_HOME
   export MAVEN_OPTS="${MAVEN_OPTS:-} --sun-misc-unsafe-memory-access=allow"
   echo 'building what is missing'
   (cd "$processes_root" && mvn -ntp -B -q -pl node,testbed,command -am package -DskipTests)
