--- a/distribution/src/test/java/org/oleanderturn/distribution/SpreadFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/SpreadFaultMatrixTest.java
@@ -2,8 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.vavr.control.Either;
 import java.util.Arrays;
+import java.util.List;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -14,7 +17,11 @@
 import org.oleanderturn.distribution.FakeNetwork.Node;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationDelta;
+import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Digest;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
 
 /** Every fault at every message of the spread of three versions over two regions. */
 class SpreadFaultMatrixTest {
@@ -165,12 +172,90 @@
         network.checkAllHold(1);
     }
 
+    /** A version that this node rejects is mentioned by every message that it gets. */
     @Test
-    void shouldTellApartWhatItKnowsWhenPeersAreUnknown() {
-        Places places = new Places(5, "unknown peer");
-        places.far.spreader.heard(Address.of("127.0.0.1", 9_999), ConfigurationVersion.none());
+    void shouldNotFetchAgainAtOnceWhenAVersionWasRejected() {
+        ConfigurationSnapshot forged = new ConfigurationSnapshot(
+                ConfigurationVersion.of(2),
+                Samples.services(1, 1),
+                Samples.snapshot(9).digest());
+        ForgingPeer forger = new ForgingPeer(forged);
+        ConfigurationHolder holder = ConfigurationHolder.empty();
+        UpdateSource source = UpdateSource.of(holder, SnapshotHistory.of(holder));
+        Locality locality = Locality.of("south", "south-1");
+        Spreader spreader = Spreader.of(
+                holder,
+                source,
+                forger,
+                forger,
+                _ -> OptionalInt.of(0),
+                locality,
+                FakeNetwork.PLATFORM_REGION,
+                new Random(6));
+        for (long nowMilliseconds = 0; nowMilliseconds < 10_000; nowMilliseconds += 100) {
+            spreader.heard(ForgingPeer.ADDRESS, forged.version());
+            spreader.pull(nowMilliseconds);
+        }
+
+        assertThat(forger.fetches).isEqualTo(1);
+        assertThat(holder.version()).isEqualTo(ConfigurationVersion.none());
+    }
+
+    /** Answers each fetch with a snapshot that is not intact. */
+    private static final class ForgingPeer implements ConfigurationPeers, PeerDirectory {
+        private static final Address ADDRESS = Address.of("127.0.0.1", 1);
+        private final ConfigurationSnapshot forged;
+        private int fetches;
+
+        private ForgingPeer(ConfigurationSnapshot forged) {
+            this.forged = forged;
+        }
+
+        @Override
+        public List<Peer> peers() {
+            return List.of();
+        }
+
+        @Override
+        public Either<PeerFailure, ConfigurationUpdate> fetch(
+                Address peer, ConfigurationVersion held, Digest heldDigest) {
+            fetches++;
+            return Either.right(new ConfigurationUpdate.Snapshot(forged));
+        }
+
+        @Override
+        public Either<PeerFailure, PushAnswer> push(Address peer, ConfigurationUpdate update) {
+            return Either.left(new PeerFailure.TimedOut());
+        }
+    }
+
+    @Test
+    void shouldRememberForOthersWhenItHeardOfANewerVersionThanItHolds() {
+        FakeNetwork network = new FakeNetwork(7, "memory");
+        Node node = network.add("south", "south-1");
+        node.holder.adopt(Samples.snapshot(6));
+        node.spreader.heard(Address.of("127.0.0.1", 9_999), ConfigurationVersion.of(7));
+
+        assertThat(node.spreader.recollect(NodeId.of("first"), true))
+                .isEqualTo(new PeerRecollection(
+                        NodeId.of("first"), true, ConfigurationVersion.of(6), ConfigurationVersion.of(7)));
+    }
+
+    @Test
+    void shouldFetchAcrossRegionsFewTimesWhenAWholeRegionHearsOfAVersion() {
+        FakeNetwork network = new FakeNetwork(5, "hearsay across regions");
+        Node source = network.add("south", "south-1");
+        source.holder.adopt(Samples.snapshot(1));
+        source.holder.adopt(Samples.snapshot(2));
+        for (int number = 0; number < 200; number++) {
+            Node node = network.add("north", "north-" + number % 3);
+            node.holder.adopt(Samples.snapshot(1));
+            node.spreader.heard(source.address, ConfigurationVersion.of(2));
+        }
+        network.pass(BOUND_MILLISECONDS);
 
-        assertThat(places.far.spreader.isPullDue()).isFalse();
+        network.checkAllHold(2);
+        assertThat(network.contentAcross()).isAtMost(8);
     }
 
     /** Two zones of the platform's region, with a relay each, and two zones of the far region. */
@@ -178,7 +263,6 @@
         private final FakeNetwork network;
         private final Node relay;
         private final Node other;
-        private final Node far;
 
         private Places(long seed, String label) {
             network = new FakeNetwork(seed, label);
@@ -189,7 +273,7 @@
             other = network.add("south", "south-2");
             other.slot = OptionalInt.of(1);
             network.add("south", "south-2");
-            far = network.add("north", "north-1");
+            network.add("north", "north-1");
             network.add("north", "north-1");
             network.add("north", "north-2");
         }
--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -24,7 +24,6 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.traffic.Conviction;
 import org.oleanderturn.wire.Frame;
-import org.oleanderturn.wire.FrameClient;
 import org.oleanderturn.wire.WireFailure;
 
 /**
@@ -32,7 +31,7 @@
  *
  * <p>Invariant: every call ends within its timeout. Thread safe.
  */
-final class ControlChannel implements GossipPeers, ConfigurationPeers {
+final class ControlChannel implements GossipPeers, ConfigurationPeers, Recollections {
     /** The kind of a frame that carries a {@link ControlMessage}. */
     static final String FRAME_KIND = "control";
 
@@ -41,12 +40,12 @@
     private static final Duration INDIRECT_TIMEOUT = Duration.ofMillis(1_200);
     private static final Duration TRANSFER_TIMEOUT = Duration.ofSeconds(3);
 
-    private final FrameClient client;
+    private final FrameCaller caller;
     private final Executor executor;
     private final Address self;
 
-    private ControlChannel(FrameClient client, Executor executor, Address self) {
-        this.client = client;
+    private ControlChannel(FrameCaller caller, Executor executor, Address self) {
+        this.caller = caller;
         this.executor = executor;
         this.self = self;
     }
@@ -57,11 +56,11 @@
      * @param executor runs messages that go to several nodes at once
      * @param self this node's control address, as other nodes reach it
      */
-    static ControlChannel of(FrameClient client, Executor executor, Address self) {
-        Objects.requireNonNull(client, "client is null");
+    static ControlChannel of(FrameCaller caller, Executor executor, Address self) {
+        Objects.requireNonNull(caller, "caller is null");
         Objects.requireNonNull(executor, "executor is null");
         Objects.requireNonNull(self, "self is null");
-        return new ControlChannel(client, executor, self);
+        return new ControlChannel(caller, executor, self);
     }
 
     // -- membership
@@ -117,16 +116,15 @@
                         : Either.left(new PeerFailure.Malformed(answer.toString())));
     }
 
-    /** Asks a peer what this restarted node has to catch up with. */
-    Either<ControlFailure, PeerRecollection> recollect(Address peer, NodeId asker) {
+    private Either<ControlFailure, PeerRecollection> recollect(Address peer, NodeId asker) {
         return call(peer, new ControlMessage.Recollect(asker), PROBE_TIMEOUT)
                 .flatMap(answer -> answer instanceof ControlMessage.Recollected recollected
                         ? Either.right(recollected.recollection())
                         : Either.left(new ControlFailure.Malformed(answer.toString())));
     }
 
-    /** Asks several peers what they hold, all at once; a peer that does not answer gives a failure. */
-    List<Either<ControlFailure, PeerRecollection>> recollectAll(List<Address> peers, NodeId asker) {
+    @Override
+    public List<Either<ControlFailure, PeerRecollection>> recollectAll(List<Address> peers, NodeId asker) {
         List<CompletableFuture<Either<ControlFailure, PeerRecollection>>> pending = new ArrayList<>();
         for (Address peer : peers) {
             pending.add(CompletableFuture.supplyAsync(() -> recollect(peer, asker), executor));
@@ -157,7 +155,7 @@
 
     private Either<ControlFailure, ControlMessage> call(Address peer, ControlMessage message, Duration timeout) {
         byte[] payload = Codec.messagePack().encode(message);
-        return client.call(peer, Frame.of(FRAME_KIND, payload), timeout)
+        return caller.call(peer, Frame.of(FRAME_KIND, payload), timeout)
                 .mapLeft(ControlChannel::failure)
                 .flatMap(frame -> Codec.messagePack()
                         .decode(frame.payload(), ControlMessage.class)
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -11,8 +11,8 @@
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.platform.BudgetedStore;
 import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.Store;
 import org.oleanderturn.platform.StoreSettings;
 import org.oleanderturn.proxy.HttpListener;
 import org.oleanderturn.proxy.ListenerLimits;
@@ -33,12 +33,16 @@
 public final class Node {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final Duration ANNOUNCE_TIME = Duration.ofSeconds(1);
+    private static final int BURST_SECONDS = 2;
+    private static final Duration WARMUP_TIME = Duration.ofSeconds(3);
+    private static final int WARMUP_REQUESTS = 4_000;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
     private final NodeSettings settings;
     private final Loops loops = new Loops();
     private final FrameClient frames = FrameClient.of(WireLimits.standard());
     private final HttpStore store;
+    private final BudgetedStore budgeted;
     private final ControlChannel channel;
     private final ControlPlane control;
     private final DataPlane data;
@@ -52,10 +56,11 @@
     private Node(NodeSettings settings) {
         this.settings = settings;
         this.store = HttpStore.of(storeSettings(settings));
-        Store budgeted = store;
+        int callsPerSecond = settings.platform().callsPerSecond();
+        this.budgeted = BudgetedStore.of(store, callsPerSecond, callsPerSecond * BURST_SECONDS, System::nanoTime);
         LongSupplier milliseconds = MonotonicClock.start();
-        this.channel =
-                ControlChannel.of(frames, loops.executor(), settings.listen().control());
+        this.channel = ControlChannel.of(
+                frames::call, loops.executor(), settings.listen().control());
         this.data = new DataPlane(settings, budgeted, loops.executor(), milliseconds);
         this.control = new ControlPlane(settings, budgeted, channel, milliseconds, this::membersChanged);
         this.routing = new RoutingState(
@@ -78,7 +83,13 @@
 
     /** Returns everything that the node knows of itself. */
     public StateDump state() {
-        return StateReader.read(settings, control, data, routing, frames, controlServer);
+        return StateReader.read(settings, control, data, routing, budgeted.counters(), traffic());
+    }
+
+    private StateDump.Traffic traffic() {
+        return new StateDump.Traffic(
+                frames.counters().sentBytes() + controlServer.counters().sentBytes(),
+                frames.counters().receivedBytes() + controlServer.counters().receivedBytes());
     }
 
     // -- commands
@@ -93,9 +104,11 @@
             return true;
         }
         log.atInfo().log("stopping");
+        data.shed();
         drains.apply(true);
         LockSupport.parkNanos(ANNOUNCE_TIME.toNanos());
         boolean isFinished = data.drain(settings.drainTime());
+        data.claims().settleWaiting();
         control.leave();
         closeAll();
         log.atInfo().log("stopped, everything in flight finished: %s", isFinished);
@@ -109,7 +122,6 @@
                 settings.node(),
                 control.gossip(),
                 control.spreader(),
-                control.holder(),
                 control.recovery(),
                 drains,
                 data.quarantine(),
@@ -142,6 +154,7 @@
         data.monitor().onConviction(this::spread);
         control.holder().addListener(_ -> routing.refresh());
         data.start(loops);
+        Warmup.run(WARMUP_TIME, WARMUP_REQUESTS);
         control.start(loops, this::ready);
         log.atInfo().log("node %s started in %s", settings.node(), settings.locality());
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HandlerBridge.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HandlerBridge.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -49,11 +51,37 @@
         served.begin();
         Inbound inbound = new Inbound(request, trigger, served);
         Answer answer = answer(inbound);
-        served.unwatch();
+        try {
+            submit(answer, inbound, trigger, served);
+        } finally {
+            close(answer);
+            served.unwatch();
+        }
+    }
+
+    private void submit(Answer answer, Inbound inbound, ResponseTrigger trigger, ServedConnection served)
+            throws HttpException, IOException {
+        if (!AnswerFraming.hasBody(inbound.method(), answer.status())) {
+            passOver(answer);
+        }
+        ClassicHttpResponse response = response(answer, served);
         if (inbound.isBodyLeft()) {
-            answer = answer.withHeader(HttpHeaders.CONNECTION, "close");
+            response.setHeader(HttpHeaders.CONNECTION, "close");
+        }
+        trigger.submitResponse(response);
+    }
+
+    /** Takes the end of an answer without a body, which is never written. */
+    private static void passOver(Answer answer) throws IOException {
+        if (answer.body() instanceof Answer.Body.Streamed streamed) {
+            streamed.source().writeTo(OutputStream.nullOutputStream());
+        }
+    }
+
+    private static void close(Answer answer) {
+        if (answer.body() instanceof Answer.Body.Streamed streamed) {
+            streamed.source().close();
         }
-        trigger.submitResponse(response(answer, served));
     }
 
     private Answer answer(Inbound inbound) throws IOException {
@@ -74,7 +102,11 @@
         if (isDraining.getAsBoolean()) {
             response.setHeader(HttpHeaders.CONNECTION, "close");
         }
-        response.setEntity(AnswerEntity.of(answer.body(), served));
+        boolean isBodyAllowed =
+                answer.status() != HttpStatus.SC_NO_CONTENT && answer.status() != HttpStatus.SC_NOT_MODIFIED;
+        if (isBodyAllowed) {
+            response.setEntity(AnswerEntity.of(answer.body(), served));
+        }
         return response;
     }
 
@@ -127,6 +159,14 @@
             return isRead ? Optional.of(bytes) : Optional.empty();
         }
 
+        @Override
+        public Optional<byte[]> readBody(int limitBytes, Duration longest) throws IOException {
+            served.limitReads(longest);
+            Optional<byte[]> body = readBody(limitBytes);
+            served.unlimitReads();
+            return body;
+        }
+
         @Override
         public void onPeerGone(Runnable action) throws IOException {
             if (!isBodyLeft()) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.SocketTimeoutException;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
@@ -29,7 +31,7 @@
     private final Condition settled = lock.newCondition();
     private Ahead ahead = Ahead.NONE;
     private byte held;
-    private Runnable onEnd = () -> {};
+    private Optional<Runnable> onEnd = Optional.empty();
 
     private LookaheadInputStream(InputStream source, Executor executor) {
         this.source = source;
@@ -47,7 +49,7 @@
         boolean hasEnded = false;
         lock.lock();
         try {
-            onEnd = action;
+            onEnd = Optional.of(action);
             switch (ahead) {
                 case NONE -> {
                     ahead = Ahead.READING;
@@ -68,24 +70,40 @@
     void unwatch() {
         lock.lock();
         try {
-            onEnd = () -> {};
+            onEnd = Optional.empty();
         } finally {
             lock.unlock();
         }
     }
 
     private void readAhead() {
-        int found;
+        while (true) {
+            try {
+                settle(source.read());
+                return;
+            } catch (SocketTimeoutException cause) {
+                if (!isWatched()) {
+                    settle(-1);
+                    return;
+                }
+            } catch (IOException cause) {
+                settle(-1);
+                return;
+            }
+        }
+    }
+
+    private boolean isWatched() {
+        lock.lock();
         try {
-            found = source.read();
-        } catch (IOException cause) {
-            found = -1;
+            return onEnd.isPresent();
+        } finally {
+            lock.unlock();
         }
-        settle(found);
     }
 
     private void settle(int found) {
-        Runnable action = () -> {};
+        Optional<Runnable> action = Optional.empty();
         lock.lock();
         try {
             ahead = found < 0 ? Ahead.ENDED : Ahead.HELD;
@@ -97,7 +115,7 @@
         } finally {
             lock.unlock();
         }
-        action.run();
+        action.ifPresent(Runnable::run);
     }
 
     @Override
@@ -135,7 +153,7 @@
     public int available() throws IOException {
         lock.lock();
         try {
-            return ahead == Ahead.HELD ? 1 : 0;
+            return ahead == Ahead.HELD ? 1 : source.available();
         } finally {
             lock.unlock();
         }
--- a/testbed/src/main/java/org/oleanderturn/testbed/TestbedMain.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TestbedMain.java
@@ -13,7 +13,8 @@
             TargetCommand.class,
             LoadCommand.class,
             LoadCheckCommand.class,
-            FaultRelayCommand.class
+            FaultRelayCommand.class,
+            BenchCommand.class
         })
 public final class TestbedMain {
     private TestbedMain() {}
