--- a/proxy/src/test/java/org/oleanderturn/proxy/FaultRelay.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/FaultRelay.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -54,7 +55,7 @@
 
     FaultRelay(Address target, Executor executor, Gate gate) throws IOException {
         this.server = new ServerSocket();
-        this.server.bind(new InetSocketAddress("127.0.0.1", 0));
+        this.server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         this.target = target;
         this.executor = executor;
         this.gate = gate;
