Answer a caller whose request was convicted only after the other nodes know

The first answer (502 ANSWER_LOST) went out while the conviction was still on its way; the caller sent again at once through another node, which did not know it and lost a third target. One conviction was logged, so a second suspect run was ruled out. Tests: ControlChannelTest (2).

--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -142,13 +142,22 @@
                         : Either.left(new ControlFailure.Malformed(answer.toString())));
     }
 
-    /** Spreads a conviction to the given nodes; returns before they answer. */
+    /**
+     * Spreads a conviction to the given nodes; returns once each has answered or its time is over.
+     *
+     * <p>A caller that is answered afterwards and sends its request again at once finds nodes that know.
+     */
     void convict(List<Address> peers, Conviction conviction) {
-        for (Address peer : peers) {
-            executor.execute(() -> call(peer, new ControlMessage.Convict(conviction), PROBE_TIMEOUT)
-                    .peekLeft(failure -> log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-                            "conviction was not spread to %s: %s", peer, failure)));
-        }
+        CompletableFuture<?>[] calls = peers.stream()
+                .map(peer -> CompletableFuture.runAsync(() -> convict(peer, conviction), executor))
+                .toArray(CompletableFuture<?>[]::new);
+        CompletableFuture.allOf(calls).join();
+    }
+
+    private void convict(Address peer, Conviction conviction) {
+        call(peer, new ControlMessage.Convict(conviction), PROBE_TIMEOUT)
+                .peekLeft(failure -> log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                        "conviction was not spread to %s: %s", peer, failure));
     }
 
     // -- frames
--- /dev/null
+++ b/node/src/test/java/org/oleanderturn/node/ControlChannelTest.java
@@ -0,0 +1,65 @@
+package org.oleanderturn.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Codec;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.traffic.Conviction;
+import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.wire.Frame;
+import org.oleanderturn.wire.WireFailure;
+
+final class ControlChannelTest {
+    private static final Address SELF = Address.of("127.0.0.1", 23_001);
+    private static final Address NEAR = Address.of("127.0.0.1", 23_002);
+    private static final Address FAR = Address.of("127.0.0.1", 23_003);
+    private static final Conviction CONVICTION =
+            new Conviction(Fingerprint.of("023b08ffe2250f29e278ce49e5119639"), NodeId.of("near"), 1_000, 1);
+
+    private final Set<Address> told = ConcurrentHashMap.newKeySet();
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+
+    @AfterEach
+    void stop() {
+        executor.shutdownNow();
+    }
+
+    @Test
+    void shouldReturnFromConvictingWhenEveryPeerKnows() {
+        channel(Set.of()).convict(List.of(NEAR, FAR), CONVICTION);
+
+        assertThat(told).containsExactly(NEAR, FAR);
+    }
+
+    @Test
+    void shouldTellTheOthersWhenOnePeerDoesNotAnswer() {
+        channel(Set.of(FAR)).convict(List.of(FAR, NEAR), CONVICTION);
+
+        assertThat(told).containsExactly(NEAR);
+    }
+
+    private ControlChannel channel(Set<Address> silent) {
+        FrameCaller caller = (peer, _, timeout) -> {
+            if (silent.contains(peer)) {
+                return Either.left(new WireFailure.TimedOut(peer, timeout));
+            }
+            told.add(peer);
+            return answer();
+        };
+        return ControlChannel.of(caller, executor, SELF);
+    }
+
+    private static Either<WireFailure, Frame> answer() {
+        return Either.right(
+                Frame.of(ControlChannel.FRAME_KIND, Codec.messagePack().encode(new ControlMessage.Noted())));
+    }
+}
