--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -34,7 +34,6 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final Duration ANNOUNCE_TIME = Duration.ofSeconds(1);
     private static final int BURST_SECONDS = 2;
-    private static final Duration WARMUP_TIME = Duration.ofSeconds(3);
     private static final int WARMUP_REQUESTS = 4_000;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
@@ -155,11 +154,18 @@
         data.monitor().onConviction(this::spread);
         control.holder().addListener(_ -> routing.refresh());
         data.start(loops);
-        Warmup.run(WARMUP_TIME, WARMUP_REQUESTS);
+        warmUp();
         control.start(loops, this::ready);
         log.atInfo().log("node %s started in %s", settings.node(), settings.locality());
     }
 
+    private void warmUp() {
+        Duration longest = settings.warmupTime();
+        if (longest.isPositive()) {
+            Warmup.run(longest, WARMUP_REQUESTS);
+        }
+    }
+
     private void ready() {
         data.monitor().setNodeReady(true);
     }
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -24,6 +24,7 @@
  * @param target the target on this host
  * @param join control addresses of other nodes
  * @param drainMilliseconds the longest that a graceful stop waits for requests in flight
+ * @param warmupMilliseconds the longest that a start spends on compiling the path of a request; 0 for no warm-up
  */
 public record NodeSettings(
         NodeId node,
@@ -34,8 +35,10 @@
         Platform platform,
         Target target,
         List<Address> join,
-        Optional<Integer> drainMilliseconds) {
+        Optional<Integer> drainMilliseconds,
+        Optional<Integer> warmupMilliseconds) {
     private static final Duration STANDARD_DRAIN = Duration.ofSeconds(30);
+    private static final Duration STANDARD_WARMUP = Duration.ofSeconds(3);
 
     /** Returns where the node stands. */
     public Locality locality() {
@@ -47,6 +50,11 @@
         return drainMilliseconds.map(Duration::ofMillis).orElse(STANDARD_DRAIN);
     }
 
+    /** Returns the longest that a start spends on compiling the path of a request. */
+    public Duration warmupTime() {
+        return warmupMilliseconds.map(Duration::ofMillis).orElse(STANDARD_WARMUP);
+    }
+
     /**
      * The addresses that a node listens on.
      *
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -36,7 +36,8 @@
             SettingsField.required("target.healthPath", PATH),
             SettingsField.required("target.loadPath", PATH),
             SettingsField.required("join", new SettingsField.Form.Addresses()),
-            SettingsField.optional("drainMilliseconds", whole("milliseconds", 0, 3_600_000)));
+            SettingsField.optional("drainMilliseconds", whole("milliseconds", 0, 3_600_000)),
+            SettingsField.optional("warmupMilliseconds", whole("milliseconds", 0, 60_000)));
 
     private SettingsSchema() {}
 
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
@@ -9,7 +9,7 @@
  */
 final class BenchExperiments {
     private static final List<BenchExperiment> ALL =
-            List.of(new BenchConvergence(), new BenchConvergenceFaults(), new BenchStoreCalls());
+            List.of(new BenchConvergence(), new BenchConvergenceFaults(), new BenchStoreCalls(), new TwoHopBenchmark());
 
     private BenchExperiments() {}
 
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
@@ -212,6 +212,7 @@
                 new NodeSettings.Platform(store.address(), CALLS_PER_SECOND, STORE_TIMEOUT_MILLISECONDS),
                 new NodeSettings.Target(unused, service, "/health", "/load"),
                 join,
+                Optional.empty(),
                 Optional.empty());
     }
 
--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TrafficSamples.java
@@ -0,0 +1,54 @@
+package org.oleanderturn.testbed;
+
+import java.util.List;
+import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What became of the requests of a load.
+ *
+ * <p>Immutable and thread safe.
+ */
+record TrafficSamples(List<TrafficSample> all) {
+    private static final int DIGITS = 3;
+    private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+
+    TrafficSamples {
+        all = List.copyOf(all);
+    }
+
+    TrafficSamples only(Predicate<TrafficSample> wanted) {
+        return new TrafficSamples(all.stream().filter(wanted).toList());
+    }
+
+    TrafficSamples only(TrafficSample.Kind kind) {
+        return only(sample -> sample.kind() == kind);
+    }
+
+    TrafficSamples answeredWithin(double milliseconds) {
+        return only(sample -> sample.kind() == TrafficSample.Kind.ANSWERED
+                && sample.tookNanoseconds() <= milliseconds * NANOSECONDS_PER_MILLISECOND);
+    }
+
+    /** Returns those that were due in a span of the load, in milliseconds from its start. */
+    TrafficSamples dueBetween(double from, double until) {
+        return only(sample -> sample.dueNanoseconds() >= from * NANOSECONDS_PER_MILLISECOND
+                && sample.dueNanoseconds() < until * NANOSECONDS_PER_MILLISECOND);
+    }
+
+    int count() {
+        return all.size();
+    }
+
+    /** Returns these as a share of others, in percent. */
+    double percentOf(TrafficSamples others) {
+        return others.count() == 0 ? 0 : 100.0 * count() / others.count();
+    }
+
+    /** Returns a percentile of the times, in milliseconds; 0 when there is no request. */
+    double percentile(double percent) {
+        Histogram histogram = new Histogram(DIGITS);
+        all.forEach(sample -> histogram.recordValue(sample.tookNanoseconds()));
+        return histogram.getValueAtPercentile(percent) / NANOSECONDS_PER_MILLISECOND;
+    }
+}
