--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
@@ -8,8 +8,15 @@
  * <p>Immutable and thread safe.
  */
 final class BenchExperiments {
-    private static final List<BenchExperiment> ALL =
-            List.of(new BenchConvergence(), new BenchConvergenceFaults(), new BenchStoreCalls(), new TwoHopBenchmark());
+    private static final List<BenchExperiment> ALL = List.of(
+            new BenchConvergence(),
+            new BenchConvergenceFaults(),
+            new BenchStoreCalls(),
+            new TwoHopBenchmark(),
+            new TrafficCrestBenchmark(),
+            new TrafficDownloadBenchmark(),
+            TrafficSlowThirdBenchmark.slow(),
+            TrafficSlowThirdBenchmark.failing());
 
     private BenchExperiments() {}
 
--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TrafficQueueingTarget.java
@@ -0,0 +1,45 @@
+package org.oleanderturn.testbed;
+
+import java.io.IOException;
+import java.util.Objects;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicLong;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.RequestHandler;
+
+/**
+ * A target that sheds nothing: requests above its slots wait in the order in which they came, also when their callers
+ * are gone.
+ *
+ * <p>Thread safe.
+ */
+final class TrafficQueueingTarget implements RequestHandler {
+    private final Semaphore slots;
+    private final long serviceMilliseconds;
+    private final AtomicLong served = new AtomicLong();
+
+    TrafficQueueingTarget(TargetBehaviour behaviour) {
+        Objects.requireNonNull(behaviour, "behaviour is null");
+        this.slots = new Semaphore(behaviour.slots(), true);
+        this.serviceMilliseconds = behaviour.serviceMilliseconds();
+    }
+
+    @Override
+    public Answer handle(InboundRequest request) throws IOException {
+        if (request.path().equals("/health")) {
+            return Answer.text(200, "text/plain", "\n");
+        }
+        if (request.path().equals("/admin/counts")) {
+            return Answer.text(200, "application/json", "{\"served\":" + served.get() + "}");
+        }
+        slots.acquireUninterruptibly();
+        try {
+            BenchClock.pause((double) serviceMilliseconds);
+        } finally {
+            slots.release();
+        }
+        served.incrementAndGet();
+        return Answer.text(200, "text/plain", "done\n");
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TrafficRig.java
@@ -0,0 +1,236 @@
+package org.oleanderturn.testbed;
+
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.EndpointView;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.model.Route;
+import org.oleanderturn.model.RouteName;
+import org.oleanderturn.model.RoutingTable;
+import org.oleanderturn.model.Service;
+import org.oleanderturn.proxy.Entry;
+import org.oleanderturn.proxy.EntryParts;
+import org.oleanderturn.proxy.Guard;
+import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.ListenerLimits;
+import org.oleanderturn.proxy.ProxyFailure;
+import org.oleanderturn.proxy.RequestHandler;
+import org.oleanderturn.proxy.TargetMonitor;
+import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.traffic.Admission;
+import org.oleanderturn.traffic.AdmissionLimits;
+import org.oleanderturn.traffic.Balancer;
+import org.oleanderturn.traffic.CrashQuarantine;
+import org.oleanderturn.traffic.HedgePolicy;
+import org.oleanderturn.traffic.OutlierEjection;
+import org.oleanderturn.traffic.RetryPolicy;
+import org.oleanderturn.traffic.RouteBudgets;
+import org.oleanderturn.traffic.UpstreamStatistics;
+
+/**
+ * Targets, each behind a guard, and one entry, in one process over loopback; beside it the simplest form of an entry,
+ * which reaches the same targets without guards.
+ *
+ * <p>Used by one thread.
+ */
+final class TrafficRig implements AutoCloseable {
+    private static final String HOST = "127.0.0.1";
+    private static final long SEED = 1;
+    private static final int CONNECTIONS = 4_000;
+    private static final int SERVICE_CONNECTIONS = 120;
+    private static final long EXPIRY_PAUSE_MILLISECONDS = 20;
+    private static final Pattern SERVED = Pattern.compile("\"served\":(\\d+)");
+    private static final Locality PLACE = Locality.of("south", "hobart");
+    private static final LongSupplier NANOSECONDS = System::nanoTime;
+
+    private final TrafficPlan plan;
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final UpstreamClient client = UpstreamClient.of(CONNECTIONS);
+    private final RandomGenerator random = new Random(SEED);
+    private final List<TargetStandIn> standIns = new ArrayList<>();
+    private final List<HttpListener> listeners = new ArrayList<>();
+    private final List<Address> targets = new ArrayList<>();
+    private final List<Endpoint> endpoints = new ArrayList<>();
+    private Address entry;
+    private Address randomEntry;
+    private TrafficRandomEntry simplest;
+
+    private TrafficRig(TrafficPlan plan) {
+        this.plan = plan;
+    }
+
+    static TrafficRig start(TrafficPlan plan) {
+        Objects.requireNonNull(plan, "plan is null");
+        TrafficRig rig = new TrafficRig(plan);
+        try {
+            rig.startAll();
+            return rig;
+        } catch (RuntimeException failure) {
+            rig.close();
+            throw failure;
+        }
+    }
+
+    // -- queries
+
+    TrafficLoad.Aim entry(String path) {
+        return new TrafficLoad.Aim(entry, path, patience());
+    }
+
+    TrafficLoad.Aim randomEntry(String path) {
+        return new TrafficLoad.Aim(randomEntry, path, patience());
+    }
+
+    Duration patience() {
+        return Duration.ofMillis(plan.policy().timeoutMilliseconds());
+    }
+
+    /** Returns how many requests the targets have run. */
+    long served(TrafficLoad load) {
+        long sum = 0;
+        for (Address target : targets) {
+            String counts = load.fetch(target, "/admin/counts")
+                    .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
+                    .orElse("");
+            Matcher matcher = SERVED.matcher(counts);
+            sum += matcher.find() ? Long.parseLong(matcher.group(1)) : 0;
+        }
+        return sum;
+    }
+
+    // -- commands
+
+    /** Lets the first targets behave otherwise. */
+    void setBehaviour(int count, TargetBehaviour behaviour) {
+        standIns.stream().limit(count).forEach(target -> target.setBehaviour(behaviour));
+    }
+
+    @Override
+    public void close() {
+        if (simplest != null) {
+            simplest.stop();
+        }
+        executor.shutdownNow();
+        listeners.forEach(HttpListener::close);
+        standIns.forEach(TargetStandIn::close);
+        client.close();
+    }
+
+    // -- start
+
+    private void startAll() {
+        for (int number = 0; number < plan.targets(); number++) {
+            Address target = startTarget("target-" + number);
+            targets.add(target);
+            startGuard(number, target);
+        }
+        RoutingTable table = table();
+        entry = listen(Entry.ofLookups(() -> table, parts()));
+        int attempts = plan.policy().maximumAttempts();
+        simplest = new TrafficRandomEntry(targets, client, attempts, patience());
+        randomEntry = listen(simplest);
+    }
+
+    private Address startTarget(String name) {
+        return switch (plan.kind()) {
+            case QUEUEING -> listen(new TrafficQueueingTarget(plan.behaviour()));
+            case SHEDDING -> {
+                TargetStandIn target = require(TargetStandIn.start(name, 0, plan.behaviour()));
+                standIns.add(target);
+                yield Address.of(HOST, target.port());
+            }
+        };
+    }
+
+    private void startGuard(int number, Address target) {
+        NodeId node = NodeId.of("node-" + number);
+        int slots = plan.behaviour().slots();
+        CrashQuarantine quarantine = quarantine(node);
+        AdmissionLimits limits = AdmissionLimits.of(
+                slots, plan.policy().queueLimit(), plan.policy().reservedShortPercent());
+        Admission admission = Admission.of(limits, NANOSECONDS, random);
+        TargetMonitor monitor = TargetMonitor.of(target, "/health", client, admission, quarantine);
+        monitor.setNodeReady(true);
+        monitor.check();
+        executor.execute(() -> expire(admission));
+        Address guard = listen(Guard.of(target, service().name(), admission, quarantine, client, monitor, NANOSECONDS));
+        endpoints.add(new Endpoint(node, guard, PLACE, service().name(), slots, EndpointState.READY, 1));
+    }
+
+    private static void expire(Admission admission) {
+        while (!Thread.currentThread().isInterrupted()) {
+            admission.expire();
+            BenchClock.pause((double) EXPIRY_PAUSE_MILLISECONDS);
+        }
+    }
+
+    private EntryParts parts() {
+        OutlierEjection ejection = OutlierEjection.of(plan.ejection());
+        UpstreamStatistics statistics = UpstreamStatistics.of(ejection, NANOSECONDS);
+        return new EntryParts(
+                PLACE,
+                Balancer.of(statistics, ejection, NANOSECONDS, random),
+                statistics,
+                RetryPolicy.of(random),
+                RouteBudgets.empty(),
+                HedgePolicy.of(NANOSECONDS),
+                quarantine(NodeId.of("entry")),
+                client,
+                executor,
+                NANOSECONDS);
+    }
+
+    private CrashQuarantine quarantine(NodeId node) {
+        return CrashQuarantine.of(node, System::currentTimeMillis, random);
+    }
+
+    private Service service() {
+        return Service.of("bench", plan.behaviour().slots(), SERVICE_CONNECTIONS);
+    }
+
+    private RoutingTable table() {
+        List<Route> routes = List.of(route("lookup", RequestKind.LOOKUP), route("download", RequestKind.DOWNLOAD));
+        Configuration configuration = Configuration.of(List.of(service()), routes, List.of(plan.policy()));
+        return RoutingTable.of(
+                ConfigurationSnapshot.of(ConfigurationVersion.of(1), configuration), EndpointView.of(endpoints));
+    }
+
+    private Route route(String name, RequestKind kind) {
+        return new Route(
+                RouteName.of(name),
+                "/" + name,
+                List.of("GET"),
+                service().name(),
+                kind,
+                plan.policy().name());
+    }
+
+    private Address listen(RequestHandler handler) {
+        HttpListener listener = require(HttpListener.start(HOST, 0, handler, ListenerLimits.standard()));
+        listeners.add(listener);
+        return listener.address();
+    }
+
+    private static <T> T require(Either<ProxyFailure, T> started) {
+        return started.getOrElseThrow(failure -> new IllegalStateException(failure.toString()));
+    }
+}
