--- a/testbed/src/main/java/org/oleanderturn/testbed/TrafficRig.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TrafficRig.java
@@ -58,7 +58,7 @@
     private static final int CONNECTIONS = 4_000;
     private static final int SERVICE_CONNECTIONS = 120;
     private static final long EXPIRY_PAUSE_MILLISECONDS = 20;
-    private static final Pattern SERVED = Pattern.compile("\"served\":(\\d+)");
+    private static final Pattern BEGUN = Pattern.compile("\"(?:served|cancelled)\":(\\d+)");
     private static final Locality PLACE = Locality.of("south", "hobart");
     private static final LongSupplier NANOSECONDS = System::nanoTime;
 
@@ -104,15 +104,17 @@
         return Duration.ofMillis(plan.policy().timeoutMilliseconds());
     }
 
-    /** Returns how many requests the targets have run. */
-    long served(TrafficLoad load) {
+    /** Returns how many requests the targets have begun, those given up by their callers too. */
+    long begun(TrafficLoad load) {
         long sum = 0;
         for (Address target : targets) {
             String counts = load.fetch(target, "/admin/counts")
                     .map(bytes -> new String(bytes, StandardCharsets.UTF_8))
                     .orElse("");
-            Matcher matcher = SERVED.matcher(counts);
-            sum += matcher.find() ? Long.parseLong(matcher.group(1)) : 0;
+            Matcher matcher = BEGUN.matcher(counts);
+            while (matcher.find()) {
+                sum += Long.parseLong(matcher.group(1));
+            }
         }
         return sum;
     }
--- a/testbed/src/main/java/org/oleanderturn/testbed/TrafficSlowThirdBenchmark.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TrafficSlowThirdBenchmark.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.function.ToDoubleFunction;
 import org.oleanderturn.traffic.EjectionStrategy;
 
 /**
@@ -84,7 +85,7 @@
             }
         }
         for (int number = 0; number < arms.size(); number++) {
-            rows.addAll(rows(arms.get(number), runs.get(number)));
+            rows.addAll(rows(arms.get(number), runs.get(number), runs.getLast()));
         }
         return rows;
     }
@@ -125,44 +126,36 @@
                 TrafficLoad load = new TrafficLoad()) {
             TrafficLoad.Aim aim = arm.isGuarded() ? rig.entry("/lookup") : rig.randomEntry("/lookup");
             load.send(aim, REQUESTS_PER_SECOND, CALM_MILLISECONDS);
-            long before = rig.served(load);
+            long before = rig.begun(load);
             rig.setBehaviour(FAULTY, faulty());
             TrafficSamples samples = load.send(aim, REQUESTS_PER_SECOND, FAULT_MILLISECONDS);
-            double served = rig.served(load) - (double) before;
-            return new Run(samples, PERCENT * (served / samples.count() - 1));
+            double begun = rig.begun(load) - (double) before;
+            return new Run(samples, PERCENT * (begun / samples.count() - 1));
         }
     }
 
     // -- rows
 
-    private static List<BenchRow> rows(Arm arm, List<Run> runs) {
+    private static List<BenchRow> rows(Arm arm, List<Run> runs, List<Run> simplest) {
         return List.of(
-                percentile(arm, runs, HALF),
-                percentile(arm, runs, MOST),
-                percentile(arm, runs, NEARLY_ALL),
-                row(
-                        arm,
-                        "lookups not answered",
-                        "%",
-                        runs.stream().map(run -> unanswered(run.samples())).toList()),
-                row(
-                        arm,
-                        "extra requests run",
-                        "%",
-                        runs.stream().map(Run::extraPercent).toList()));
+                row(arm, "time, 50 in 100", "ms", run -> run.samples().percentile(HALF), runs, simplest),
+                row(arm, "time, 99 in 100", "ms", run -> run.samples().percentile(MOST), runs, simplest),
+                row(arm, "time, 99.9 in 100", "ms", run -> run.samples().percentile(NEARLY_ALL), runs, simplest),
+                row(arm, "lookups not answered", "%", TrafficSlowThirdBenchmark::unanswered, runs, simplest),
+                row(arm, "extra requests begun", "%", Run::extraPercent, runs, simplest));
     }
 
-    private static BenchRow percentile(Arm arm, List<Run> runs, double percent) {
-        List<Double> times =
-                runs.stream().map(run -> run.samples().percentile(percent)).toList();
-        return row(arm, "time, " + percent + " in 100", "ms", times);
+    private static double unanswered(Run run) {
+        return PERCENT - run.samples().only(TrafficSample.Kind.ANSWERED).percentOf(run.samples());
     }
 
-    private static double unanswered(TrafficSamples samples) {
-        return PERCENT - samples.only(TrafficSample.Kind.ANSWERED).percentOf(samples);
+    private static BenchRow row(
+            Arm arm, String measure, String unit, ToDoubleFunction<Run> figure, List<Run> runs, List<Run> simplest) {
+        return BenchRow.of(arm.name() + ": " + measure, unit, samples(figure, runs))
+                .withBaseline(samples(figure, simplest).median());
     }
 
-    private static BenchRow row(Arm arm, String measure, String unit, List<Double> values) {
-        return BenchRow.of(arm.name() + ": " + measure, unit, BenchSamples.of(values));
+    private static BenchSamples samples(ToDoubleFunction<Run> figure, List<Run> runs) {
+        return BenchSamples.of(runs.stream().mapToDouble(figure).boxed().toList());
     }
 }
--- a/testbed/src/test/java/org/oleanderturn/testbed/TrafficSamplesTest.java
+++ b/testbed/src/test/java/org/oleanderturn/testbed/TrafficSamplesTest.java
@@ -36,8 +36,8 @@
     @Test
     void shouldAddWhatWasAllocatedBetweenCollectionsWhenUsesAreCompared() {
         TwoHopProcess.Use before = new TwoHopProcess.Use(Duration.ZERO, List.of(new int[] {20, 8}));
-        TwoHopProcess.Use after = new TwoHopProcess.Use(
-                Duration.ZERO, List.of(new int[] {20, 8}, new int[] {21, 9}, new int[] {22, 9}));
+        TwoHopProcess.Use after =
+                new TwoHopProcess.Use(Duration.ZERO, List.of(new int[] {20, 8}, new int[] {21, 9}, new int[] {22, 9}));
         assertThat(after.allocatedMegabytesSince(before)).isEqualTo(26.0);
         assertThat(after.heapMegabytes()).isEqualTo(9.0);
     }
