--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
@@ -13,7 +13,14 @@
             new BenchConvergenceFaults(),
             new BenchStoreCalls(),
             new BenchPaidLink(),
-            new BenchControlCost());
+            new BenchControlCost(),
+            new TwoHopBenchmark(),
+            new TrafficCrestBenchmark(),
+            new TrafficDownloadBenchmark(),
+            TrafficSlowThirdBenchmark.slow(),
+            TrafficSlowThirdBenchmark.failing(),
+            new BookingStoreBenchmark(),
+            new DecisionBenchmark());
 
     private BenchExperiments() {}
 
