--- a/testbed/src/main/java/org/oleanderturn/testbed/TrafficSamples.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TrafficSamples.java
@@ -30,6 +30,17 @@
                 && sample.tookNanoseconds() <= milliseconds * NANOSECONDS_PER_MILLISECOND);
     }
 
+    /** Returns these with at least a given time for each request that was not answered. */
+    TrafficSamples withUnansweredAtLeast(double milliseconds) {
+        long least = (long) (milliseconds * NANOSECONDS_PER_MILLISECOND);
+        return new TrafficSamples(all.stream()
+                .map(sample -> sample.kind() == TrafficSample.Kind.ANSWERED
+                        ? sample
+                        : new TrafficSample(
+                                sample.dueNanoseconds(), Math.max(least, sample.tookNanoseconds()), sample.kind()))
+                .toList());
+    }
+
     /** Returns those that were due in a span of the load, in milliseconds from its start. */
     TrafficSamples dueBetween(double from, double until) {
         return only(sample -> sample.dueNanoseconds() >= from * NANOSECONDS_PER_MILLISECOND
--- a/testbed/src/main/java/org/oleanderturn/testbed/TwoHopBenchmark.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TwoHopBenchmark.java
@@ -55,14 +55,26 @@
         List<BenchRow> rows = new ArrayList<>();
         awaitReady();
         TrafficLoad.Aim direct = new TrafficLoad.Aim(Address.of(HOST, TARGET_PORT), "/pair-0", PATIENCE);
-        load.send(direct, REQUESTS_PER_SECOND, STRETCH_MILLISECONDS);
-        TrafficSamples before = load.send(direct, REQUESTS_PER_SECOND, STRETCH_MILLISECONDS);
+        checkAnswered(send(direct));
+        TrafficSamples before = send(direct);
         rows.addAll(cold("first 5 s of a node with warm-up", 1, before));
         rows.addAll(cold("first 5 s of a node without warm-up", FIRST_WITHOUT_WARMUP, before));
         rows.addAll(warm(direct));
         return rows;
     }
 
+    /** Sends one stretch; a request that is not answered counts as one that took all of its caller's patience. */
+    private TrafficSamples send(TrafficLoad.Aim aim) {
+        return load.send(aim, REQUESTS_PER_SECOND, STRETCH_MILLISECONDS)
+                .withUnansweredAtLeast((double) PATIENCE.toMillis());
+    }
+
+    private static void checkAnswered(TrafficSamples direct) {
+        if (direct.only(TrafficSample.Kind.ANSWERED).count() == 0) {
+            throw new IllegalStateException("the target does not answer when it is called directly");
+        }
+    }
+
     private void awaitReady() {
         boolean isReady = BenchClock.await(READY_MILLISECONDS, () -> {
             for (int pair = 1; pair <= PAIRS; pair++) {
@@ -99,7 +111,7 @@
         List<Double> added = new ArrayList<>();
         List<TrafficSamples> runs = new ArrayList<>();
         for (int pair = firstPair; pair < firstPair + REPEATS; pair++) {
-            TrafficSamples through = load.send(entry(pair), REQUESTS_PER_SECOND, STRETCH_MILLISECONDS);
+            TrafficSamples through = send(entry(pair));
             runs.add(through);
             added.add(through.percentile(MOST) - direct.percentile(MOST));
         }
@@ -132,8 +144,8 @@
         List<TrafficSamples> directly = new ArrayList<>();
         List<TrafficSamples> through = new ArrayList<>();
         for (int repeat = 0; repeat < REPEATS; repeat++) {
-            directly.add(load.send(direct, REQUESTS_PER_SECOND, STRETCH_MILLISECONDS));
-            through.add(load.send(entry(1), REQUESTS_PER_SECOND, STRETCH_MILLISECONDS));
+            directly.add(send(direct));
+            through.add(send(entry(1)));
         }
         List<BenchRow> rows = new ArrayList<>();
         rows.add(added("added at 99 in 100, warm", MOST, directly, through)
--- a/testbed/src/test/java/org/oleanderturn/testbed/TrafficSamplesTest.java
+++ b/testbed/src/test/java/org/oleanderturn/testbed/TrafficSamplesTest.java
@@ -33,6 +33,15 @@
         assertThat(new TrafficSamples(List.of()).percentile(99)).isEqualTo(0.0);
     }
 
+    @Test
+    void shouldCountTheWholePatienceWhenARequestIsNotAnswered() {
+        TrafficSamples counted = samples.withUnansweredAtLeast(2_000);
+        assertThat(counted.percentile(99)).isWithin(2).of(2_000);
+        assertThat(counted.only(TrafficSample.Kind.ANSWERED).percentile(99))
+                .isWithin(0.1)
+                .of(50);
+    }
+
     @Test
     void shouldAddWhatWasAllocatedBetweenCollectionsWhenUsesAreCompared() {
         TwoHopProcess.Use before = new TwoHopProcess.Use(Duration.ZERO, List.of(new int[] {20, 8}));
