Look for a closed connection without waiting before it is used again

Cause: the check whether the peer had closed a pooled connection was a blocking read of 1 ms. It ran on every use once a connection was 250 ms old, since its time of last use was never renewed, and so added 1 ms a hop.

Ruled out: renewing the time of last use alone; at some 65 calls a second a node most connections are idle for longer than 250 ms in any case. Sending a lookup again when its connection proves closed: a request that crashes its target would run once more.

Change: connections are socket channels and are asked by one read that does not wait.

--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -32,7 +32,6 @@
 public final class UpstreamClient implements AutoCloseable {
     private static final int BUFFER_BYTES = 8_192;
     private static final TimeValue CONNECTION_LIFE = TimeValue.ofMinutes(5);
-    private static final Duration TRUSTED_IDLE = Duration.ofMillis(250);
     private static final Http1Config HTTP = Http1Config.custom()
             .setBufferSize(BUFFER_BYTES)
             .setMaxLineLength(BUFFER_BYTES)
@@ -130,11 +129,7 @@
 
     private static boolean isDead(PoolEntry<Address, UpstreamConnection> entry) throws IOException {
         UpstreamConnection connection = entry.getConnection();
-        long idleMilliseconds = System.currentTimeMillis() - entry.getUpdated();
-        if (!connection.isOpen() || connection.hasUnreadInput()) {
-            return true;
-        }
-        return idleMilliseconds > TRUSTED_IDLE.toMillis() && connection.isStale();
+        return !connection.isOpen() || connection.isUnfit();
     }
 
     // -- exchange
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -6,74 +6,109 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.SocketHolder;
 import org.apache.hc.core5.util.Timeout;
 import org.oleanderturn.model.Address;
 
 /**
- * A connection to another node or to a target that can be asked, without waiting, whether its peer sent more than the
- * answers that were read.
+ * A connection to another node or to a target that can be asked, without waiting, whether its peer has closed it or sent
+ * more than the answers that were read.
  *
  * <p>Used by one thread at a time.
  */
 final class UpstreamConnection extends DefaultBHttpClientConnection {
     private static final Timeout SHORTEST = Timeout.ofMilliseconds(1);
 
-    private final ProbedSocket socket;
+    private final SocketChannel channel;
+    private volatile boolean isProbing;
 
-    private UpstreamConnection(Http1Config settings, ProbedSocket socket) {
+    private UpstreamConnection(Http1Config settings, SocketChannel channel) {
         super(settings);
-        this.socket = socket;
+        this.channel = channel;
     }
 
     /** Connects to a peer. */
     static UpstreamConnection dial(Address peer, Duration timeout, Http1Config settings) throws IOException {
-        ProbedSocket socket = new ProbedSocket();
+        SocketChannel channel = SocketChannel.open();
         try {
+            Socket socket = channel.socket();
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress(peer.host(), peer.port()), Math.toIntExact(timeout.toMillis()));
-            UpstreamConnection connection = new UpstreamConnection(settings, socket);
-            connection.bind(socket);
+            UpstreamConnection connection = new UpstreamConnection(settings, channel);
+            connection.bind(connection.new ProbedHolder(socket));
             return connection;
-        } catch (IOException cause) {
-            Quietly.close(socket);
+        } catch (IOException | RuntimeException cause) {
+            Quietly.close(channel);
             throw cause;
         }
     }
 
-    /** Returns whether bytes have come that belong to no answer that was asked for. */
-    boolean hasUnreadInput() throws IOException {
-        socket.isProbing = true;
+    /** Returns whether the peer has closed the connection, or sent bytes that belong to no answer that was asked for. */
+    boolean isUnfit() throws IOException {
+        return hasBufferedInput() || hasChannelInput();
+    }
+
+    private boolean hasBufferedInput() throws IOException {
+        isProbing = true;
         try {
             return isDataAvailable(SHORTEST);
         } finally {
-            socket.isProbing = false;
+            isProbing = false;
         }
     }
 
-    /** A socket whose reads, while it is probed, time out at once when nothing has come. */
-    private static final class ProbedSocket extends Socket {
-        private volatile boolean isProbing;
+    /** Returns whether the channel has bytes or its end; a byte that is taken is lost with the connection. */
+    private boolean hasChannelInput() throws IOException {
+        channel.configureBlocking(false);
+        int count = channel.read(ByteBuffer.allocate(1));
+        if (count == 0) {
+            channel.configureBlocking(true);
+        }
+        return count != 0;
+    }
+
+    /** Makes the socket's reads time out at once while the connection is probed. */
+    private final class ProbedHolder extends SocketHolder {
+        ProbedHolder(Socket socket) {
+            super(socket);
+        }
 
         @Override
-        public InputStream getInputStream() throws IOException {
-            return new ProbedInputStream(super.getInputStream());
+        protected InputStream getInputStream(Socket socket) throws IOException {
+            return new ProbedInputStream(super.getInputStream(socket));
         }
+    }
 
-        private final class ProbedInputStream extends FilterInputStream {
-            ProbedInputStream(InputStream source) {
-                super(source);
-            }
+    private final class ProbedInputStream extends FilterInputStream {
+        ProbedInputStream(InputStream source) {
+            super(source);
+        }
 
-            @Override
-            public int read(byte[] bytes, int offset, int length) throws IOException {
-                if (isProbing && in.available() == 0) {
-                    throw new SocketTimeoutException("nothing has come");
-                }
-                return in.read(bytes, offset, length);
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            if (isProbing) {
+                throw new NothingBuffered();
             }
+            return in.read(bytes, offset, length);
+        }
+    }
+
+    /** Says that the connection's buffer holds nothing; thrown often, so without a stack trace. */
+    private static final class NothingBuffered extends SocketTimeoutException {
+        private static final long serialVersionUID = 1;
+
+        NothingBuffered() {
+            super("nothing is buffered");
+        }
+
+        @Override
+        public synchronized Throwable fillInStackTrace() {
+            return this;
         }
     }
 }
