Leave a lookup time for another attempt, log a graceful stop, wake up less often

Cause 1: a lookup sent to a frozen node waited there until its deadline, so the entry had no time left to ask another one. Ruled out: a fixed timeout an attempt, which no operator could set well for every service. Bookings and downloads keep all of their time.

Cause 2: 'stopping' and 'stopped' still did not reach the log. The JVM chooses its log manager before main runs, so the property that main set came too late. No test holds this.

Cause 3: an idle node woke up some 90 times a second. Gossip, spread, election and expiry run at the pace that their modules ask for.

--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -32,9 +32,9 @@
  * <p>Invariant: the parts are wired once and never replaced. Thread safe.
  */
 final class ControlPlane {
-    private static final long GOSSIP_PAUSE_MILLISECONDS = 100;
-    private static final long SPREAD_PAUSE_MILLISECONDS = 20;
-    private static final long ELECTION_PAUSE_MILLISECONDS = 250;
+    private static final long GOSSIP_PAUSE_MILLISECONDS = 200;
+    private static final long SPREAD_PAUSE_MILLISECONDS = 100;
+    private static final long ELECTION_PAUSE_MILLISECONDS = 1_000;
     private static final long RECOVERY_PAUSE_MILLISECONDS = 100;
     private static final int UNKNOWN_SLOTS = 1;
 
--- a/node/src/main/java/org/oleanderturn/node/DataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/DataPlane.java
@@ -44,7 +44,7 @@
     private static final int SLOTS_BEFORE_CONFIGURATION = 10_000;
     private static final int QUEUE_BEFORE_CONFIGURATION = 0;
     private static final long HEALTH_PAUSE_MILLISECONDS = 500;
-    private static final long EXPIRY_PAUSE_MILLISECONDS = 50;
+    private static final long EXPIRY_PAUSE_MILLISECONDS = 250;
     private static final long SETTLE_PAUSE_MILLISECONDS = 1_000;
     private static final long IDLE_PAUSE_MILLISECONDS = 5_000;
     private static final Duration IDLE_CONNECTION = Duration.ofSeconds(30);
--- a/node/src/main/java/org/oleanderturn/node/NodeMain.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeMain.java
@@ -39,7 +39,6 @@
 
     /** Runs until the process is stopped. */
     public static void main(String[] arguments) {
-        LastingLogManager.install();
         System.exit(new CommandLine(new NodeMain()).execute(arguments));
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/CourseRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/CourseRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.RoutingTable;
 import org.oleanderturn.traffic.DeadlineBudget;
 import org.oleanderturn.traffic.Fingerprint;
@@ -54,7 +55,7 @@
     /** Returns the request of one attempt. */
     OutboundRequest toGuard(RequestAction.Send send) {
         List<HeaderField> sent = new ArrayList<>(headers);
-        Duration left = deadline.remaining();
+        Duration left = timeFor(send);
         sent.add(HeaderField.of(ProxyHeaders.SERVICE, entry.service().name()));
         sent.add(HeaderField.of(ProxyHeaders.KIND, entry.route().kind()));
         sent.add(HeaderField.of(ProxyHeaders.ROUTE, entry.route().name()));
@@ -71,4 +72,12 @@
         Delivery delivery = claim.isPresent() ? Delivery.GO_AHEAD : Delivery.POOLED;
         return new OutboundRequest(method, path, sent, body, delivery, connect, patience);
     }
+
+    /** Returns the time of one attempt: half of what is left while a lookup may be tried again, else all of it. */
+    private Duration timeFor(RequestAction.Send send) {
+        boolean mayTryAgain = entry.route().kind() == RequestKind.LOOKUP
+                && send.attempt() < entry.trafficPolicy().maximumAttempts();
+        Duration left = deadline.remaining();
+        return mayTryAgain ? left.dividedBy(2) : left;
+    }
 }
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderturn/proxy/CourseRequestTest.java
@@ -0,0 +1,60 @@
+package org.oleanderturn.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.model.Route;
+import org.oleanderturn.model.RouteName;
+import org.oleanderturn.model.RoutingTable;
+import org.oleanderturn.model.Service;
+import org.oleanderturn.model.TrafficPolicy;
+import org.oleanderturn.model.TrafficPolicyName;
+import org.oleanderturn.traffic.DeadlineBudget;
+import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.traffic.RequestAction;
+import org.oleanderturn.traffic.RetryAllowance;
+
+class CourseRequestTest {
+    private static final Duration LEFT = Duration.ofSeconds(2);
+    private static final Duration HALF = Duration.ofSeconds(1);
+
+    @Test
+    void shouldLeaveTimeForAnotherAttemptWhenALookupMayBeTriedAgain() {
+        assertThat(timeOf(RequestKind.LOOKUP, 1)).isEqualTo(HALF);
+        assertThat(timeOf(RequestKind.LOOKUP, 2)).isEqualTo(LEFT);
+    }
+
+    @Test
+    void shouldGiveAllTheTimeWhenTheRequestIsNoLookup() {
+        assertThat(timeOf(RequestKind.BOOKING, 1)).isEqualTo(LEFT);
+        assertThat(timeOf(RequestKind.DOWNLOAD, 1)).isEqualTo(LEFT);
+    }
+
+    private static Duration timeOf(RequestKind kind, int attempt) {
+        CourseRequest request = new CourseRequest(
+                "GET",
+                "/path",
+                List.of(),
+                new byte[0],
+                entry(kind),
+                DeadlineBudget.of(() -> 0, LEFT),
+                RetryAllowance.of(1),
+                Fingerprint.of("0".repeat(32)),
+                Optional.empty());
+        OutboundRequest sent = request.toGuard(new RequestAction.Send(attempt, false, RetryAllowance.of(0)));
+        assertThat(HeaderField.find(sent.headers(), ProxyHeaders.DEADLINE))
+                .isEqualTo(Optional.of(Long.toString(sent.answerTimeout().toMillis())));
+        return sent.answerTimeout();
+    }
+
+    private static RoutingTable.Entry entry(RequestKind kind) {
+        Service service = Service.of("service", 1, 1);
+        TrafficPolicy policy = new TrafficPolicy(TrafficPolicyName.of("policy"), 2_000, 2, 20, 0, 0, 0, 0);
+        Route route = new Route(RouteName.of("route"), "/", List.of("GET"), service.name(), kind, policy.name());
+        return new RoutingTable.Entry(route, service, policy, List.of());
+    }
+}
