Read a node's state once for all its metrics; drop a method that nobody calls

Found on reading the whole change: each metric read the whole state dump for itself, so one scrape walked the members and every upstream thirteen times. It is now read once a scrape. UpstreamClient.forget had no caller.

Ruled out: one Backoff for distribution and platform. They draw differently from the same generator, so the seeded tests of the relays would change.

./check green; /metrics of a running node read by hand.

--- a/node/src/main/java/org/oleanderturn/node/NodeMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeMetrics.java
@@ -10,6 +10,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.DoubleSupplier;
 import org.oleanderturn.proxy.Answer;
 import org.oleanderturn.proxy.HeaderField;
@@ -25,6 +27,7 @@
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final AtomicReference<Runnable> beforeRead = new AtomicReference<>(() -> {});
     private final Counter requests = Counter.builder()
             .name("oleanderturn_requests_total")
             .help("Callers' requests by outcome and reason.")
@@ -52,6 +55,11 @@
         };
     }
 
+    /** Sets what is done before the metrics are read, once for all of them. */
+    void beforeEachRead(Runnable action) {
+        beforeRead.set(Objects.requireNonNull(action, "action is null"));
+    }
+
     /** Adds a gauge that is read when the metrics are. */
     void gauge(String name, String help, DoubleSupplier value) {
         GaugeWithCallback.builder()
@@ -72,6 +80,7 @@
 
     /** Returns every metric as Prometheus text. */
     String text() {
+        beforeRead.get().run();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try {
             PrometheusTextFormatWriter.create().write(bytes, registry.scrape());
--- a/node/src/main/java/org/oleanderturn/node/StateMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/StateMetrics.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.node;
 
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 /** Makes metrics of a node's state. */
@@ -7,9 +8,11 @@
     private StateMetrics() {}
 
     static void register(NodeMetrics metrics, Supplier<StateDump> state) {
-        registerConfiguration(metrics, state);
-        registerMembers(metrics, state);
-        registerWork(metrics, state);
+        AtomicReference<StateDump> latest = new AtomicReference<>();
+        metrics.beforeEachRead(() -> latest.set(state.get()));
+        registerConfiguration(metrics, latest::get);
+        registerMembers(metrics, latest::get);
+        registerWork(metrics, latest::get);
     }
 
     private static void registerConfiguration(NodeMetrics metrics, Supplier<StateDump> state) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -66,15 +66,6 @@
         return connect(peer, request).flatMap(connection -> exchange(connection, message, request, cancellation));
     }
 
-    /** Closes the idle connections to a peer that is leaving. */
-    public void forget(Address peer) {
-        pool.enumAvailable(entry -> {
-            if (entry.getRoute().equals(peer)) {
-                entry.discardConnection(CloseMode.GRACEFUL);
-            }
-        });
-    }
-
     /** Closes connections that have stood idle for long. */
     public void expire(Duration idle) {
         pool.closeIdle(TimeValue.of(idle));
