--- a/claims/src/main/java/org/oleanderturn/claims/BookingClaims.java
+++ b/claims/src/main/java/org/oleanderturn/claims/BookingClaims.java
@@ -6,8 +6,8 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.oleanderturn.model.Digest;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
 
 /**
  * Decides which attempt at a booking may run it.
--- a/claims/src/main/java/org/oleanderturn/claims/ClaimDecision.java
+++ b/claims/src/main/java/org/oleanderturn/claims/ClaimDecision.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.store.StoreFailure;
 
 /**
  * Whether a booking may run now.
--- a/claims/src/main/java/org/oleanderturn/claims/ClaimJournal.java
+++ b/claims/src/main/java/org/oleanderturn/claims/ClaimJournal.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.oleanderturn.model.Codec;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * The claims of one partition, held in one value of the store.
--- a/claims/src/main/java/org/oleanderturn/claims/ClaimSettler.java
+++ b/claims/src/main/java/org/oleanderturn/claims/ClaimSettler.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.store.StoreFailure;
 
 /**
  * Writes the results of claims, and goes on trying in the background when the store gives no answer.
--- a/claims/src/main/java/org/oleanderturn/claims/ClaimStore.java
+++ b/claims/src/main/java/org/oleanderturn/claims/ClaimStore.java
@@ -2,7 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
-import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.store.StoreFailure;
 
 /**
  * Compare-and-swap of one claim record a key, durable in the platform's store.
@@ -20,7 +20,7 @@
     /**
      * Writes a key's record when its revision is the one expected.
      *
-     * @param expected the expected revision; {@link org.oleanderturn.platform.StoredValue#ABSENT} to create
+     * @param expected the expected revision; {@link org.oleanderturn.store.StoredValue#ABSENT} to create
      * @return the new revision; {@link StoreFailure.Conflict} when the revision was another, and a failure that
      *     {@link StoreFailure#isUndetermined()} when the write may have taken effect or may yet do so, but only while
      *     the revision is still the one expected
--- a/claims/src/main/java/org/oleanderturn/claims/JournalClaimStore.java
+++ b/claims/src/main/java/org/oleanderturn/claims/JournalClaimStore.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.stream.IntStream;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
 
 /**
  * Holds the claims in a journal per partition of the keys, with many claims to one swap.
--- a/claims/src/main/java/org/oleanderturn/claims/JournalPartition.java
+++ b/claims/src/main/java/org/oleanderturn/claims/JournalPartition.java
@@ -9,9 +9,9 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * Writes one partition's journal by group commit: what arrives while a swap is out joins the next one.
--- a/claims/src/main/java/org/oleanderturn/claims/KeyedClaimStore.java
+++ b/claims/src/main/java/org/oleanderturn/claims/KeyedClaimStore.java
@@ -6,10 +6,10 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.oleanderturn.model.Codec;
-import org.oleanderturn.platform.LeaseId;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.LeaseId;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * Holds each claim under a key of its own, on a lease that ends after the retention.
--- a/claims/src/main/java/org/oleanderturn/claims/RetentionLease.java
+++ b/claims/src/main/java/org/oleanderturn/claims/RetentionLease.java
@@ -5,9 +5,9 @@
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
-import org.oleanderturn.platform.LeaseId;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.store.LeaseId;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
 
 /**
  * The lease that claims hang on, so that the store removes them after the retention without a call.
--- a/claims/src/main/java/org/oleanderturn/claims/SettleOutcome.java
+++ b/claims/src/main/java/org/oleanderturn/claims/SettleOutcome.java
@@ -1,6 +1,6 @@
 package org.oleanderturn.claims;
 
-import org.oleanderturn.platform.StoreFailure;
+import org.oleanderturn.store.StoreFailure;
 
 /**
  * What became of the result of a claim.
--- a/claims/src/test/java/org/oleanderturn/claims/BookingClaimsTest.java
+++ b/claims/src/test/java/org/oleanderturn/claims/BookingClaimsTest.java
@@ -10,9 +10,9 @@
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.ServiceName;
-import org.oleanderturn.platform.BudgetedStore;
-import org.oleanderturn.platform.FakeStore;
-import org.oleanderturn.platform.LeaseId;
+import org.oleanderturn.store.BudgetedStore;
+import org.oleanderturn.store.FakeStore;
+import org.oleanderturn.store.LeaseId;
 
 final class BookingClaimsTest {
     private static final IdempotencyKey KEY = new IdempotencyKey(ServiceName.of("bookings"), "order-1");
--- a/claims/src/test/java/org/oleanderturn/claims/ClaimFaultMatrixTest.java
+++ b/claims/src/test/java/org/oleanderturn/claims/ClaimFaultMatrixTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.store.FakeStore;
 
 final class ClaimFaultMatrixTest {
     private static final long SEED = 42;
--- a/claims/src/test/java/org/oleanderturn/claims/ClaimScenario.java
+++ b/claims/src/test/java/org/oleanderturn/claims/ClaimScenario.java
@@ -11,7 +11,7 @@
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.ServiceName;
-import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.store.FakeStore;
 
 /** Runs one booking through claims whose store calls fail as scripted, and checks the invariants after each step. */
 final class ClaimScenario {
--- a/claims/src/test/java/org/oleanderturn/claims/JournalPartitionTest.java
+++ b/claims/src/test/java/org/oleanderturn/claims/JournalPartitionTest.java
@@ -12,10 +12,10 @@
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.ServiceName;
-import org.oleanderturn.platform.FakeStore;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoreLimits;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.FakeStore;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoreLimits;
+import org.oleanderturn.store.StoredValue;
 
 final class JournalPartitionTest {
     private static final Duration RETENTION = Duration.ofHours(1);
--- a/distribution/src/main/java/org/oleanderturn/distribution/Acceptor.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Acceptor.java
@@ -12,9 +12,9 @@
 import org.oleanderturn.model.Proposal;
 import org.oleanderturn.model.ProposalId;
 import org.oleanderturn.model.Refusal;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoreLimits;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoreLimits;
 
 /**
  * Decides proposals by a compare-and-swap of the {@link Head}.
--- a/distribution/src/main/java/org/oleanderturn/distribution/HeadReading.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/HeadReading.java
@@ -3,9 +3,9 @@
 import io.vavr.control.Either;
 import java.util.Objects;
 import java.util.Optional;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * The {@link Head} as read from the store, with its revision.
--- a/distribution/src/main/java/org/oleanderturn/distribution/RelayElection.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/RelayElection.java
@@ -10,10 +10,10 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.oleanderturn.model.AvailabilityZone;
-import org.oleanderturn.platform.LeaseId;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.LeaseId;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * Elects the relays of a zone: each holds one of two keys under a lease of the platform's store.
--- a/distribution/src/main/java/org/oleanderturn/distribution/RelayWatch.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/RelayWatch.java
@@ -8,9 +8,9 @@
 import java.util.random.RandomGenerator;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.Region;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * Learns new heads from the platform's store: a relay waits on a watch; a node of another region that reaches no node of
--- a/distribution/src/test/java/org/oleanderturn/distribution/AcceptorRecoveryTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/AcceptorRecoveryTest.java
@@ -12,8 +12,8 @@
 import org.oleanderturn.model.Proposal;
 import org.oleanderturn.model.ProposalId;
 import org.oleanderturn.model.Refusal;
-import org.oleanderturn.platform.FakeStore;
-import org.oleanderturn.platform.FakeStore.Fault;
+import org.oleanderturn.store.FakeStore;
+import org.oleanderturn.store.FakeStore.Fault;
 
 class AcceptorRecoveryTest {
     private static final ProposalId ID = ProposalId.of("change");
--- a/distribution/src/test/java/org/oleanderturn/distribution/AcceptorTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/AcceptorTest.java
@@ -14,8 +14,8 @@
 import org.oleanderturn.model.ProposalId;
 import org.oleanderturn.model.Refusal;
 import org.oleanderturn.model.Service;
-import org.oleanderturn.platform.FakeStore;
-import org.oleanderturn.platform.StoreLimits;
+import org.oleanderturn.store.FakeStore;
+import org.oleanderturn.store.StoreLimits;
 
 class AcceptorTest {
     private final FakeStore store = FakeStore.create();
--- a/distribution/src/test/java/org/oleanderturn/distribution/HeadTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/HeadTest.java
@@ -7,7 +7,7 @@
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.ProposalId;
-import org.oleanderturn.platform.StoreLimits;
+import org.oleanderturn.store.StoreLimits;
 
 class HeadTest {
 
--- a/distribution/src/test/java/org/oleanderturn/distribution/ProposeFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/ProposeFaultMatrixTest.java
@@ -15,9 +15,9 @@
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Proposal;
 import org.oleanderturn.model.ProposalId;
-import org.oleanderturn.platform.FakeStore;
-import org.oleanderturn.platform.FakeStore.Fault;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.FakeStore;
+import org.oleanderturn.store.FakeStore.Fault;
+import org.oleanderturn.store.StoredValue;
 
 /** Every fault at every store call of a proposal, with a second fault, a race and a late write beside it. */
 class ProposeFaultMatrixTest {
--- a/distribution/src/test/java/org/oleanderturn/distribution/RelayFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/RelayFaultMatrixTest.java
@@ -20,8 +20,8 @@
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.Region;
-import org.oleanderturn.platform.FakeStore;
-import org.oleanderturn.platform.FakeStore.Fault;
+import org.oleanderturn.store.FakeStore;
+import org.oleanderturn.store.FakeStore.Fault;
 
 /** Every fault at every store call of the election and of the watch. */
 class RelayFaultMatrixTest {
--- a/distribution/src/test/java/org/oleanderturn/distribution/Samples.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/Samples.java
@@ -61,7 +61,7 @@
     }
 
     static Route route(String service) {
-        return new Route(
+        return Route.of(
                 RouteName.of(service),
                 "/" + service,
                 List.of("GET"),
--- a/distribution/src/test/java/org/oleanderturn/distribution/ScriptedStore.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/ScriptedStore.java
@@ -7,11 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
-import org.oleanderturn.platform.FakeStore;
-import org.oleanderturn.platform.LeaseId;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.FakeStore;
+import org.oleanderturn.store.LeaseId;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /** One node's way to a {@link FakeStore}: numbers its calls, scripts the fault of each and checks after each. */
 final class ScriptedStore implements Store {
--- a/membership/src/main/java/org/oleanderturn/membership/GossipSettings.java
+++ b/membership/src/main/java/org/oleanderturn/membership/GossipSettings.java
@@ -46,6 +46,21 @@
                 16_000);
     }
 
+    /** Returns settings that find a lost member within two seconds, for up to a hundred or so members. */
+    public static GossipSettings brisk() {
+        return new GossipSettings(
+                new Intervals(300, 400, 600),
+                new Intervals(1_000, 1_500, 2_000),
+                1_000,
+                3,
+                3,
+                200_000,
+                100_000,
+                4_000,
+                4_000,
+                64_000);
+    }
+
     /** Returns how long a suspect may take to refute, in milliseconds; grows with the logarithm of the members. */
     public long suspicionMilliseconds(int members) {
         double tenfolds = Math.max(1, Math.log10(members + 1.0));
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ClientRequest.java
@@ -0,0 +1,24 @@
+package org.oleanderturn.mesh;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What a client says of its request beside method, path and body.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param attemptId identifies this attempt of the client; each has its own
+ * @param patience how long the client waits for the answer
+ * @param host the virtual host that the request is for, without a port
+ */
+public record ClientRequest(String attemptId, Optional<Duration> patience, String host) {
+
+    /** Checks that every part is there. */
+    public ClientRequest {
+        Objects.requireNonNull(attemptId, "attemptId is null");
+        Objects.requireNonNull(patience, "patience is null");
+        Objects.requireNonNull(host, "host is null");
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardAnswers.java
@@ -0,0 +1,76 @@
+package org.oleanderturn.mesh;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.HeaderField;
+import org.oleanderturn.proxy.HeaderValues;
+import org.oleanderturn.proxy.ProxyHeaders;
+import org.oleanderturn.proxy.WholeAnswer;
+import org.oleanderturn.traffic.LoadReport;
+
+/** Writes a guard's replies as HTTP answers, and reads them. */
+final class GuardAnswers {
+    private static final String RAN = "ran";
+    private static final String NOT_RUN = "not-run";
+    private static final String TURNED_AWAY = "turned-away";
+    private static final String UNKNOWN = "unknown";
+
+    private GuardAnswers() {}
+
+    // -- core operations
+
+    static Answer of(GuardReply reply, LoadReport load) {
+        Answer answer =
+                switch (reply) {
+                    case GuardReply.Ran ran ->
+                        Answer.of(
+                                        ran.answer().status(),
+                                        ran.answer().headers(),
+                                        new Answer.Body.Whole(ran.answer().body()))
+                                .withHeader(ProxyHeaders.OUTCOME, RAN);
+                    case GuardReply.NotRun notRun ->
+                        empty(HttpStatuses.UNAVAILABLE)
+                                .withHeader(ProxyHeaders.OUTCOME, notRun.isOffered() ? TURNED_AWAY : NOT_RUN)
+                                .withHeader(ProxyHeaders.REASON, notRun.reason())
+                                .withHeader(
+                                        ProxyHeaders.RETRY_AFTER_MILLISECONDS,
+                                        notRun.retryAfter().toMillis());
+                    case GuardReply.Unknown unknown ->
+                        empty(HttpStatuses.BAD_GATEWAY)
+                                .withHeader(ProxyHeaders.OUTCOME, UNKNOWN)
+                                .withHeader(ProxyHeaders.REASON, oneLine(unknown.reason()));
+                    case GuardReply.Abandoned _ ->
+                        empty(HttpStatuses.GATEWAY_TIMEOUT).withHeader(ProxyHeaders.OUTCOME, UNKNOWN);
+                };
+        return answer.withHeader(ProxyHeaders.LOAD, load.text());
+    }
+
+    static GuardReply read(WholeAnswer answer) {
+        String outcome = answer.header(ProxyHeaders.OUTCOME).orElse("");
+        String reason = answer.header(ProxyHeaders.REASON).orElse("");
+        Duration retryAfter = HeaderValues.milliseconds(answer.headers(), ProxyHeaders.RETRY_AFTER_MILLISECONDS)
+                .orElse(Duration.ZERO);
+        return switch (outcome) {
+            case RAN ->
+                new GuardReply.Ran(new WholeAnswer(
+                        answer.status(), HeaderValues.forwarded(answer.headers()), answer.body()));
+            case NOT_RUN -> new GuardReply.NotRun(reason, false, retryAfter);
+            case TURNED_AWAY -> new GuardReply.NotRun(reason, true, retryAfter);
+            default -> new GuardReply.Unknown(reason);
+        };
+    }
+
+    static Optional<LoadReport> load(WholeAnswer answer) {
+        return answer.header(ProxyHeaders.LOAD).flatMap(LoadReport::parse);
+    }
+
+    private static Answer empty(int status) {
+        return Answer.of(status, List.<HeaderField>of(), new Answer.Body.Whole(new byte[0]));
+    }
+
+    private static String oneLine(String text) {
+        return text.replaceAll("[^ -~]", " ");
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardOrder.java
@@ -0,0 +1,106 @@
+package org.oleanderturn.mesh;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.proxy.HeaderField;
+import org.oleanderturn.proxy.HeaderValues;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.ProxyHeaders;
+
+/**
+ * What an entry tells a guard about a request beside the request itself.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param service the service that the request is for
+ * @param caller the service on whose host the request began
+ * @param kind what may be repeated
+ * @param rank where it stands when work has to wait, 0 first
+ * @param left how long its client still waits
+ * @param targetLatency within which its answer is worth most
+ * @param attempt the attempt's number, from 1
+ */
+record GuardOrder(
+        ServiceName service,
+        ServiceName caller,
+        RequestKind kind,
+        int rank,
+        Duration left,
+        Duration targetLatency,
+        int attempt) {
+
+    GuardOrder {
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(caller, "caller is null");
+        Objects.requireNonNull(kind, "kind is null");
+        Objects.requireNonNull(left, "left is null");
+        Objects.requireNonNull(targetLatency, "targetLatency is null");
+    }
+
+    /** Reads an order from a request; the left side names the header that is missing or malformed. */
+    static Either<String, GuardOrder> read(InboundRequest request) {
+        List<HeaderField> headers = request.headers();
+        Optional<ServiceName> service = name(headers, ProxyHeaders.SERVICE);
+        Optional<ServiceName> caller = name(headers, ProxyHeaders.CALLER_SERVICE);
+        Optional<RequestKind> kind = kind(headers);
+        OptionalLong rank = HeaderValues.number(headers, ProxyHeaders.RANK);
+        OptionalLong attempt = HeaderValues.number(headers, ProxyHeaders.ATTEMPT);
+        Optional<Duration> left = HeaderValues.milliseconds(headers, ProxyHeaders.DEADLINE);
+        Optional<Duration> latency = HeaderValues.milliseconds(headers, ProxyHeaders.TARGET_LATENCY);
+        if (service.isEmpty() || caller.isEmpty()) {
+            return Either.left(ProxyHeaders.SERVICE);
+        }
+        if (kind.isEmpty() || rank.isEmpty() || attempt.isEmpty()) {
+            return Either.left(ProxyHeaders.KIND);
+        }
+        if (left.isEmpty() || latency.isEmpty()) {
+            return Either.left(ProxyHeaders.DEADLINE);
+        }
+        return Either.right(new GuardOrder(
+                service.get(),
+                caller.get(),
+                kind.get(),
+                Math.toIntExact(rank.getAsLong()),
+                left.get(),
+                latency.get(),
+                Math.toIntExact(attempt.getAsLong())));
+    }
+
+    /** Returns the headers that carry the order. */
+    List<HeaderField> headers() {
+        List<HeaderField> headers = new ArrayList<>();
+        headers.add(HeaderField.of(ProxyHeaders.SERVICE, service));
+        headers.add(HeaderField.of(ProxyHeaders.CALLER_SERVICE, caller));
+        headers.add(HeaderField.of(ProxyHeaders.KIND, kind.name()));
+        headers.add(HeaderField.of(ProxyHeaders.RANK, rank));
+        headers.add(HeaderField.of(ProxyHeaders.DEADLINE, left.toMillis()));
+        headers.add(HeaderField.of(ProxyHeaders.TARGET_LATENCY, targetLatency.toMillis()));
+        headers.add(HeaderField.of(ProxyHeaders.ATTEMPT, attempt));
+        return headers;
+    }
+
+    private static Optional<ServiceName> name(List<HeaderField> headers, String header) {
+        try {
+            return HeaderField.find(headers, header).map(ServiceName::of);
+        } catch (IllegalArgumentException malformed) {
+            return Optional.empty();
+        }
+    }
+
+    private static Optional<RequestKind> kind(List<HeaderField> headers) {
+        String text = HeaderField.find(headers, ProxyHeaders.KIND).orElse("");
+        for (RequestKind kind : RequestKind.values()) {
+            if (kind.name().equals(text)) {
+                return Optional.of(kind);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/HttpStatuses.java
@@ -0,0 +1,36 @@
+package org.oleanderturn.mesh;
+
+/** The HTTP statuses that the mesh tells apart. */
+final class HttpStatuses {
+    static final int BAD_REQUEST = 400;
+    static final int NOT_FOUND = 404;
+    static final int TOO_LARGE = 413;
+    static final int REQUEST_TIMEOUT = 408;
+    static final int MISDIRECTED = 421;
+    static final int TOO_MANY_REQUESTS = 429;
+    static final int INTERNAL_SERVER_ERROR = 500;
+    static final int BAD_GATEWAY = 502;
+    static final int UNAVAILABLE = 503;
+    static final int GATEWAY_TIMEOUT = 504;
+    private static final int LOWEST_SUCCESS = 200;
+    private static final int LOWEST_REDIRECTION = 300;
+    private static final int LOWEST_SERVER_ERROR = 500;
+
+    private HttpStatuses() {}
+
+    static boolean isSuccess(int status) {
+        return status >= LOWEST_SUCCESS && status < LOWEST_REDIRECTION;
+    }
+
+    static boolean isServerError(int status) {
+        return status >= LOWEST_SERVER_ERROR;
+    }
+
+    /** Returns whether a client takes the status for the word that its request has not run and never will. */
+    static boolean isPromise(int status) {
+        return status == REQUEST_TIMEOUT
+                || status == MISDIRECTED
+                || status == TOO_MANY_REQUESTS
+                || status == UNAVAILABLE;
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/LocalTarget.java
@@ -0,0 +1,147 @@
+package org.oleanderturn.mesh;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.traffic.SlotQueue;
+
+/**
+ * The life of the target on this host, as its own calls tell it.
+ *
+ * <p>Only the processes of this host reach the target, so this node alone decides when it takes work, and the slots are
+ * closed before a call that says it leaves is answered.
+ *
+ * <p>Invariants: a start that said it leaves never takes work again; a report that is older than one already taken, by
+ * start and sequence, changes nothing; clocks and the order of arrival don't count. Thread safe.
+ */
+public final class LocalTarget {
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    private final ServiceName service;
+    private final SlotQueue slots;
+    private final Duration longestSilence;
+    private final LongSupplier nanoseconds;
+    private final AtomicReference<TargetBelief> belief = new AtomicReference<>(TargetBelief.unknown());
+    private final AtomicReference<Consumer<EndpointState>> listener = new AtomicReference<>(_ -> {});
+
+    private LocalTarget(ServiceName service, SlotQueue slots, Duration longestSilence, LongSupplier nanoseconds) {
+        this.service = service;
+        this.slots = slots;
+        this.longestSilence = longestSilence;
+        this.nanoseconds = nanoseconds;
+    }
+
+    /**
+     * Returns a target that has not been heard of.
+     *
+     * @param service the service that it has to answer for
+     * @param slots opened while it takes work
+     * @param longestSilence how long after a report the target is still taken to live
+     */
+    public static LocalTarget of(
+            ServiceName service, SlotQueue slots, Duration longestSilence, LongSupplier nanoseconds) {
+        Objects.requireNonNull(service, "service is null");
+        Objects.requireNonNull(slots, "slots is null");
+        Objects.requireNonNull(longestSilence, "longestSilence is null");
+        Objects.requireNonNull(nanoseconds, "nanoseconds is null");
+        return new LocalTarget(service, slots, longestSilence, nanoseconds);
+    }
+
+    // -- queries
+
+    /** Returns what is believed of the target. */
+    public TargetBelief belief() {
+        return belief.get();
+    }
+
+    /** Returns the start that takes work now. */
+    public Optional<TargetStart> open() {
+        TargetBelief current = belief.get();
+        return current.isOpen() ? current.report().map(TargetReport::start) : Optional.empty();
+    }
+
+    /** Returns the service that the target answers for. */
+    public ServiceName service() {
+        return service;
+    }
+
+    /** Returns the state that other nodes are told. */
+    public EndpointState state() {
+        return belief.get().state();
+    }
+
+    // -- commands
+
+    /** Sets who hears of each new state; called on the thread that found it. */
+    public void onState(Consumer<EndpointState> consumer) {
+        listener.set(Objects.requireNonNull(consumer, "consumer is null"));
+    }
+
+    /** Takes a report. */
+    public void report(TargetReport report) {
+        if (!report.service().equals(service)) {
+            log.atWarning().log("target %s reports for %s, not for %s", report.start(), report.service(), service);
+            return;
+        }
+        apply(belief.get().reported(report, nanoseconds.getAsLong()));
+    }
+
+    /** Takes note that a start takes no new work. */
+    public void leave(TargetStart start) {
+        apply(belief.get().left(start));
+    }
+
+    /** Takes note that nobody listens at the target's address; the next report opens it again. */
+    public void down() {
+        apply(belief.get().down());
+    }
+
+    /** Takes no new work from now on: the node stops, or an operator says so. */
+    public void drain() {
+        apply(belief.get().drained(true));
+    }
+
+    /** Takes new work again. */
+    public void undrain() {
+        apply(belief.get().drained(false));
+    }
+
+    /** Closes the target when it was silent for too long; to be called every second or so. */
+    public void review() {
+        TargetBelief current = belief.get();
+        boolean isSilent = nanoseconds.getAsLong() - current.reportedNanoseconds() > longestSilence.toNanos();
+        if (current.isOpen() && isSilent) {
+            log.atWarning().log("target %s is silent", current.report().map(TargetReport::start));
+            apply(current.down());
+        }
+    }
+
+    private void apply(TargetBelief next) {
+        EndpointState state;
+        synchronized (this) {
+            TargetBelief before = belief.getAndSet(next);
+            if (next.isOpen()) {
+                slots.open(next.report().map(TargetReport::slots).orElse(0));
+            } else {
+                slots.close();
+            }
+            state = next.state();
+            if (before.state() == state) {
+                return;
+            }
+            log.atInfo().log(
+                    "target %s is %s, was %s, sequence %s",
+                    next.report().map(TargetReport::start),
+                    state,
+                    before.state(),
+                    next.report().map(TargetReport::sequence));
+        }
+        listener.get().accept(state);
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -0,0 +1,241 @@
+package org.oleanderturn.mesh;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.AnswerExpectation;
+import org.oleanderturn.proxy.Cancellation;
+import org.oleanderturn.proxy.Delivery;
+import org.oleanderturn.proxy.ForwardFailure;
+import org.oleanderturn.proxy.HeaderField;
+import org.oleanderturn.proxy.HeaderValues;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.OutboundRequest;
+import org.oleanderturn.proxy.RequestHandler;
+import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.proxy.WholeAnswer;
+import org.oleanderturn.traffic.LoadReport;
+import org.oleanderturn.traffic.SlotDecision;
+import org.oleanderturn.traffic.SlotQueue;
+import org.oleanderturn.traffic.SlotState;
+import org.oleanderturn.traffic.SlotTicket;
+
+/**
+ * Runs other nodes' requests on the local target, no more at once than it has slots.
+ *
+ * <p>Invariants: a request is sent to the target at most once; "not run" is said only of a request that was not sent, or
+ * that the target says it did not run; nothing is sent to a target that leaves. Thread safe.
+ */
+public final class MeshGuard implements RequestHandler {
+    /** The longest body that is taken from a target or a node; the users' configurations allow no longer one. */
+    static final int BODY_LIMIT_BYTES = 64 * 1024 * 1024;
+
+    /** The share of its time that a request may wait for a slot; the rest is for the run. */
+    private static final double WAITING_SHARE = 0.6;
+
+    /** The longest wait for a connection to the target, which stands on the same host. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    private final Address address;
+    private final LocalTarget target;
+    private final SlotQueue slots;
+    private final Slowness slowness;
+    private final UpstreamClient client;
+    private final Dialect dialect;
+    private final DecisionLog decisions;
+    private final LongSupplier nanoseconds;
+
+    private MeshGuard(
+            Address address,
+            LocalTarget target,
+            SlotQueue slots,
+            UpstreamClient client,
+            Dialect dialect,
+            DecisionLog decisions,
+            LongSupplier nanoseconds) {
+        this.address = address;
+        this.target = target;
+        this.slots = slots;
+        this.slowness = Slowness.unknown();
+        this.client = client;
+        this.dialect = dialect;
+        this.decisions = decisions;
+        this.nanoseconds = nanoseconds;
+    }
+
+    /** Returns the guard of the target at an address. */
+    public static MeshGuard of(
+            Address address,
+            LocalTarget target,
+            SlotQueue slots,
+            UpstreamClient client,
+            Dialect dialect,
+            DecisionLog decisions,
+            LongSupplier nanoseconds) {
+        Objects.requireNonNull(address, "address is null");
+        Objects.requireNonNull(target, "target is null");
+        Objects.requireNonNull(slots, "slots is null");
+        Objects.requireNonNull(client, "client is null");
+        Objects.requireNonNull(dialect, "dialect is null");
+        Objects.requireNonNull(decisions, "decisions is null");
+        Objects.requireNonNull(nanoseconds, "nanoseconds is null");
+        return new MeshGuard(address, target, slots, client, dialect, decisions, nanoseconds);
+    }
+
+    // -- queries
+
+    /** Returns the load of the target. */
+    public LoadReport load() {
+        SlotState state = slots.state();
+        int open = state.isOpen() ? state.slots() : 0;
+        return new LoadReport(open, state.running(), state.waiting(), slowness.percent());
+    }
+
+    // -- commands
+
+    @Override
+    public Answer handle(InboundRequest request) throws IOException {
+        Either<String, GuardOrder> order = GuardOrder.read(request);
+        Optional<byte[]> body = request.readBody(BODY_LIMIT_BYTES);
+        if (order.isLeft() || body.isEmpty()) {
+            return GuardAnswers.of(new GuardReply.NotRun("MALFORMED", false, Duration.ZERO), load());
+        }
+        ClientRequest identity = dialect.client(request);
+        GuardRun run = new GuardRun(request, identity, order.get(), body.get(), Cancellation.create());
+        request.onPeerGone(run.cancellation()::cancel);
+        return GuardAnswers.of(admit(run), load());
+    }
+
+    /** A request on its way to the target. */
+    @SuppressWarnings("ArrayRecordComponent")
+    private record GuardRun(
+            InboundRequest request,
+            ClientRequest identity,
+            GuardOrder order,
+            byte[] body,
+            Cancellation cancellation) {}
+
+    private GuardReply admit(GuardRun run) {
+        if (!run.order().service().equals(target.service())) {
+            return new GuardReply.NotRun("WRONG_SERVICE", false, Duration.ZERO);
+        }
+        long begun = nanoseconds.getAsLong();
+        Duration left = run.order().left();
+        Duration longestWait = Duration.ofNanos((long) (left.toNanos() * WAITING_SHARE));
+        SlotTicket ticket = slots.request(run.order().rank(), longestWait);
+        try {
+            SlotDecision decision = await(run, ticket, longestWait);
+            GuardReply reply = decide(run, ticket, decision, begun);
+            decisions.record(new Decision.Guarded(run.identity().attemptId(), run.order().attempt(), reply, ticket.waited(), load(), target.belief()));
+            return reply;
+        } finally {
+            slots.release(ticket);
+        }
+    }
+
+    private SlotDecision await(GuardRun run, SlotTicket ticket, Duration longest) {
+        run.cancellation().onCancel(() -> slots.withdraw(ticket));
+        try {
+            Optional<SlotDecision> decision = ticket.await(longest);
+            if (decision.isEmpty()) {
+                slots.withdraw(ticket);
+            }
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+            slots.withdraw(ticket);
+        }
+        return ticket.decision()
+                .orElseGet(() -> new SlotDecision.Refused(SlotDecision.Reason.WITHDRAWN, Duration.ZERO));
+    }
+
+    private GuardReply decide(GuardRun run, SlotTicket ticket, SlotDecision decision, long begun) {
+        return switch (decision) {
+            case SlotDecision.Refused refused ->
+                new GuardReply.NotRun(refused.reason().name(), false, refused.expectedWait());
+            case SlotDecision.Granted _ -> {
+                Optional<TargetStart> start = target.open();
+                if (start.isEmpty() || run.cancellation().isCancelled()) {
+                    yield new GuardReply.NotRun(SlotDecision.Reason.CLOSED.name(), false, Duration.ZERO);
+                }
+                yield send(run, start.get(), begun);
+            }
+        };
+    }
+
+    // -- exchange
+
+    private GuardReply send(GuardRun run, TargetStart start, long begun) {
+        long sentNanoseconds = nanoseconds.getAsLong();
+        Duration left = run.order().left().minusNanos(sentNanoseconds - begun);
+        if (!left.isPositive()) {
+            return new GuardReply.NotRun("DEADLINE", false, Duration.ZERO);
+        }
+        List<HeaderField> received = HeaderValues.forwarded(run.request().headers());
+        List<HeaderField> headers =
+                dialect.toTarget(received, run.identity(), run.order().caller(), left, start.instance());
+        Delivery delivery =
+                run.order().kind() == RequestKind.SINGLE ? Delivery.RECENT_CONNECTION : Delivery.POOLED;
+        OutboundRequest outbound = new OutboundRequest(
+                run.request().method(),
+                run.request().path(),
+                headers,
+                run.body(),
+                delivery,
+                CONNECT_TIMEOUT,
+                left);
+        AnswerExpectation expectation = AnswerExpectation.matching(fields -> isOwn(fields, run.identity()));
+        Either<ForwardFailure, WholeAnswer> answer =
+                client.exchange(address, outbound, expectation, BODY_LIMIT_BYTES, run.cancellation());
+        Duration taken = Duration.ofNanos(nanoseconds.getAsLong() - sentNanoseconds);
+        return answer.fold(this::failed, whole -> answered(whole, run.order(), taken));
+    }
+
+    private boolean isOwn(List<HeaderField> headers, ClientRequest identity) {
+        Optional<String> echoed = dialect.signals(headers).attemptId();
+        return echoed.isEmpty() || echoed.get().equals(identity.attemptId());
+    }
+
+    private GuardReply failed(ForwardFailure failure) {
+        return switch (failure) {
+            case ForwardFailure.NotSent notSent -> {
+                if (notSent.cause() == ForwardFailure.Cause.REFUSED) {
+                    target.down();
+                }
+                yield new GuardReply.NotRun("TARGET_" + notSent.cause(), false, Duration.ZERO);
+            }
+            case ForwardFailure.AnswerLost lost -> new GuardReply.Unknown("ANSWER_LOST: " + lost.reason());
+            case ForwardFailure.TimedOut _ -> new GuardReply.Unknown("TIMED_OUT");
+            case ForwardFailure.Cancelled _ -> new GuardReply.Abandoned();
+        };
+    }
+
+    private GuardReply answered(WholeAnswer answer, GuardOrder order, Duration taken) {
+        TargetSignals signals = dialect.signals(answer.headers());
+        if (signals.isNotExecuted() || answer.status() == HttpStatuses.MISDIRECTED) {
+            return new GuardReply.NotRun("TARGET_REJECTED_" + answer.status(), true, Duration.ZERO);
+        }
+        if (!signals.isSigned() && HttpStatuses.isSuccess(answer.status())) {
+            return new GuardReply.Unknown("UNSIGNED");
+        }
+        if (HttpStatuses.isPromise(answer.status())) {
+            return new GuardReply.Unknown("PROMISE_WITHOUT_PROOF_" + answer.status());
+        }
+        if (HttpStatuses.isSuccess(answer.status())) {
+            slowness.note(taken, order.targetLatency());
+        }
+        return new GuardReply.Ran(withoutHop(answer));
+    }
+
+    private static WholeAnswer withoutHop(WholeAnswer answer) {
+        return new WholeAnswer(
+                answer.status(), new ArrayList<>(HeaderValues.forwarded(answer.headers())), answer.body());
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/Slowness.java
@@ -0,0 +1,50 @@
+package org.oleanderturn.mesh;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * How long a target's requests take, as a share of their target latency.
+ *
+ * <p>Target latencies are in proportion to the work that requests are, so targets compare whatever mix of requests they
+ * run. Thread safe.
+ */
+final class Slowness {
+    /** Weight of the newest run in the average; the last five or so count, as neighbours slow a target for moments. */
+    private static final double NEWEST_WEIGHT = 0.2;
+
+    /** The least that is reported once there was a run, so that it can be told from none. */
+    private static final int LEAST_PERCENT = 1;
+
+    private static final int PERCENT = 100;
+
+    /** Bounds one outlier's pull on the average. */
+    private static final double HIGHEST_RATIO = 4;
+
+    private final AtomicLong ratio = new AtomicLong(Double.doubleToLongBits(0));
+
+    private Slowness() {}
+
+    static Slowness unknown() {
+        return new Slowness();
+    }
+
+    /** Returns the average in percent; 0 before the first run. */
+    int percent() {
+        double current = Double.longBitsToDouble(ratio.get());
+        return current == 0 ? 0 : Math.max(LEAST_PERCENT, (int) Math.round(current * PERCENT));
+    }
+
+    /** Notes a run. */
+    void note(Duration taken, Duration targetLatency) {
+        if (targetLatency.isZero()) {
+            return;
+        }
+        double newest = Math.min(HIGHEST_RATIO, (double) taken.toNanos() / targetLatency.toNanos());
+        ratio.updateAndGet(bits -> {
+            double known = Double.longBitsToDouble(bits);
+            double next = known == 0 ? newest : known * (1 - NEWEST_WEIGHT) + newest * NEWEST_WEIGHT;
+            return Double.doubleToLongBits(next);
+        });
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetBelief.java
@@ -0,0 +1,87 @@
+package org.oleanderturn.mesh;
+
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.oleanderturn.model.EndpointState;
+
+/**
+ * What a node believes of its local target.
+ *
+ * <p>Invariant: a start among those that left is never open. Immutable and thread safe.
+ *
+ * @param report the newest report
+ * @param reportedNanoseconds when it came
+ * @param left the starts that said they leave
+ * @param isDown whether nobody listened at the target's address since the report
+ * @param isDrained whether the node was told to keep work from the target
+ */
+public record TargetBelief(
+        Optional<TargetReport> report,
+        long reportedNanoseconds,
+        Set<TargetStart> left,
+        boolean isDown,
+        boolean isDrained) {
+    private static final TargetBelief UNKNOWN = new TargetBelief(Optional.empty(), 0, Set.of(), false, false);
+
+    /** Checks that every part is there and copies the starts. */
+    public TargetBelief {
+        Objects.requireNonNull(report, "report is null");
+        left = Set.copyOf(left);
+    }
+
+    static TargetBelief unknown() {
+        return UNKNOWN;
+    }
+
+    // -- queries
+
+    /** Returns whether the target takes work. */
+    public boolean isOpen() {
+        return !isDrained && !isDown && report.isPresent() && !isLeaving(report.get());
+    }
+
+    /** Returns the state that other nodes are told. */
+    public EndpointState state() {
+        if (isDrained || report.filter(this::isLeaving).isPresent()) {
+            return EndpointState.DRAINING;
+        }
+        return isOpen() ? EndpointState.READY : EndpointState.STARTING;
+    }
+
+    private boolean isLeaving(TargetReport known) {
+        return known.isLeaving() || left.contains(known.start());
+    }
+
+    // -- core operations
+
+    TargetBelief reported(TargetReport next, long nowNanoseconds) {
+        if (report.isPresent() && !isNewer(next, report.get())) {
+            return this;
+        }
+        TargetBelief noted = next.isLeaving() ? left(next.start()) : this;
+        return new TargetBelief(Optional.of(next), nowNanoseconds, noted.left, false, isDrained);
+    }
+
+    TargetBelief left(TargetStart start) {
+        Set<TargetStart> more = new HashSet<>(left);
+        more.add(start);
+        return new TargetBelief(report, reportedNanoseconds, more, isDown, isDrained);
+    }
+
+    TargetBelief down() {
+        return new TargetBelief(report, reportedNanoseconds, left, true, isDrained);
+    }
+
+    TargetBelief drained(boolean next) {
+        return new TargetBelief(report, reportedNanoseconds, left, isDown, next);
+    }
+
+    private static boolean isNewer(TargetReport next, TargetReport known) {
+        if (next.start().equals(known.start())) {
+            return next.sequence() > known.sequence();
+        }
+        return !known.start().isAfter(next.start());
+    }
+}
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetCall.java
@@ -0,0 +1,37 @@
+package org.oleanderturn.mesh;
+
+import java.util.Objects;
+
+/**
+ * What a target calls its node for.
+ *
+ * <p>Immutable and thread safe.
+ */
+public sealed interface TargetCall {
+    /** A heartbeat. */
+    record Heartbeat(TargetReport report) implements TargetCall {
+
+        /** Checks that the report is there. */
+        public Heartbeat {
+            Objects.requireNonNull(report, "report is null");
+        }
+    }
+
+    /** The target takes no new work from now on and ends soon. */
+    record Leave(TargetStart start) implements TargetCall {
+
+        /** Checks that the start is there. */
+        public Leave {
+            Objects.requireNonNull(start, "start is null");
+        }
+    }
+
+    /** A call that can't be read, which changes nothing. */
+    record Malformed(String reason) implements TargetCall {
+
+        /** Checks that the reason is there. */
+        public Malformed {
+            Objects.requireNonNull(reason, "reason is null");
+        }
+    }
+}
--- a/model/src/main/java/org/oleanderturn/model/ConfigurationValidator.java
+++ b/model/src/main/java/org/oleanderturn/model/ConfigurationValidator.java
@@ -25,6 +25,7 @@
     private static final int HIGHEST_PERCENT = 100;
     private static final int HIGHEST_HEDGE_PERCENTILE = 99;
     private static final int HIGHEST_QUEUE = 10_000;
+    private static final int HIGHEST_WEIGHT = 1_000_000;
     private static final Pattern PREFIX = Pattern.compile("/[^\\s?#]*");
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
     private static final Set<String> READING_METHODS = Set.of("GET", "HEAD", "OPTIONS");
@@ -105,7 +106,17 @@
         if (!PREFIX.matcher(route.pathPrefix()).matches()) {
             faults.add(new ConfigurationFault.MalformedPrefix(path, route.pathPrefix()));
         }
-        checkMethods(path, route);
+        route.parts().forEach(part -> checkPart(path, route, part));
+        if (route.host().isEmpty() || !route.methods().isEmpty()) {
+            checkMethods(path, route);
+        }
+    }
+
+    private void checkPart(String path, Route route, WeightedService part) {
+        checkRange(path, "split.weight", part.weight(), 0, HIGHEST_WEIGHT);
+        if (!part.service().equals(route.service()) && !services.contains(part.service())) {
+            faults.add(new ConfigurationFault.UnknownService(path, part.service()));
+        }
     }
 
     private void checkMethods(String path, Route route) {
@@ -128,8 +139,10 @@
     private void checkShadows() {
         Map<String, RouteName> taken = new HashMap<>();
         for (Route route : configuration.routes()) {
-            for (String method : route.methods()) {
-                RouteName other = taken.putIfAbsent(method + " " + route.pathPrefix(), route.name());
+            List<String> methods = route.methods().isEmpty() ? List.of("*") : route.methods();
+            for (String method : methods) {
+                String key = method + " " + route.host().orElse("") + route.pathPrefix();
+                RouteName other = taken.putIfAbsent(key, route.name());
                 if (other != null && !other.equals(route.name())) {
                     faults.add(new ConfigurationFault.ShadowedRoute("routes/" + route.name(), other));
                 }
--- a/model/src/main/java/org/oleanderturn/model/DecodeFailure.java
+++ b/model/src/main/java/org/oleanderturn/model/DecodeFailure.java
@@ -30,7 +30,7 @@
         return new DecodeFailure(path, reason);
     }
 
-    static DecodeFailure of(IOException cause) {
+    public static DecodeFailure of(IOException cause) {
         return switch (cause) {
             case UnrecognizedPropertyException unknown ->
                 new DecodeFailure(pathOf(unknown), "unknown field; known are " + known(unknown));
--- a/model/src/main/java/org/oleanderturn/model/RequestKind.java
+++ b/model/src/main/java/org/oleanderturn/model/RequestKind.java
@@ -6,11 +6,13 @@
     LOOKUP,
     /** Not idempotent: runs at most once under its idempotency key. */
     BOOKING,
+    /** Not idempotent and without a key: each client attempt runs at most once. */
+    SINGLE,
     /** Long and idempotent: may be retried before its first answer byte, never hedged. */
     DOWNLOAD;
 
     /** Returns whether a request of this kind may run more than once. */
     public boolean isIdempotent() {
-        return this != BOOKING;
+        return this != BOOKING && this != SINGLE;
     }
 }
--- a/model/src/main/java/org/oleanderturn/model/RoutingTable.java
+++ b/model/src/main/java/org/oleanderturn/model/RoutingTable.java
@@ -27,7 +27,7 @@
         this.entries = entries;
     }
 
-    /** Joins a valid snapshot with a view; a route whose parts are not declared is left out. */
+    /** Joins a valid snapshot with a view; a route of a virtual host, or whose parts are not declared, is left out. */
     public static RoutingTable of(ConfigurationSnapshot snapshot, EndpointView view) {
         Objects.requireNonNull(snapshot, "snapshot is null");
         Objects.requireNonNull(view, "view is null");
@@ -36,6 +36,7 @@
         Map<TrafficPolicyName, TrafficPolicy> policies = new HashMap<>();
         snapshot.configuration().trafficPolicies().forEach(policy -> policies.put(policy.name(), policy));
         List<Entry> entries = snapshot.configuration().routes().stream()
+                .filter(route -> route.host().isEmpty())
                 .filter(route -> services.containsKey(route.service()) && policies.containsKey(route.trafficPolicy()))
                 .map(route -> new Entry(
                         route,
--- a/model/src/test/java/org/oleanderturn/model/ConfigurationValidatorTest.java
+++ b/model/src/test/java/org/oleanderturn/model/ConfigurationValidatorTest.java
@@ -69,7 +69,7 @@
     }
 
     private static Route route(String name, String prefix, List<String> methods, String service, String policy) {
-        return new Route(
+        return Route.of(
                 RouteName.of(name),
                 prefix,
                 methods,
--- a/node/src/main/java/org/oleanderturn/node/ControlNode.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlNode.java
@@ -5,11 +5,12 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
+import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ChangeOutcome;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Proposal;
-import org.oleanderturn.platform.Store;
+import org.oleanderturn.store.Store;
 import org.oleanderturn.proxy.TargetMonitor;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.traffic.Admission;
@@ -42,7 +43,7 @@
         this.settings = settings;
         Address self = settings.listen().control();
         ControlChannel channel = ControlChannel.of(link.apply(frames::call), loops.executor(), self);
-        this.control = new ControlPlane(settings, store, channel, milliseconds, () -> {});
+        this.control = new ControlPlane(settings, store, channel, milliseconds, GossipSettings.standard(), () -> {});
     }
 
     /**
@@ -141,7 +142,8 @@
         Admission admission = Admission.of(AdmissionLimits.of(1, 0, 0), System::nanoTime, SharedRandom.create());
         TargetMonitor monitor = TargetMonitor.of(
                 settings.target().address(), settings.target().healthPath(), upstreams, admission, quarantine);
-        DrainControl drains = new DrainControl(settings.node(), monitor, control.gossip());
+        DrainControl drains = new DrainControl(
+                settings.node(), monitor::drain, monitor::undrain, monitor::state, control.gossip());
         return new ControlHandler(
                 settings.node(),
                 control.gossip(),
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -24,7 +24,7 @@
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
-import org.oleanderturn.platform.Store;
+import org.oleanderturn.store.Store;
 
 /**
  * A node's part in membership and in the distribution of configurations.
@@ -55,13 +55,14 @@
             Store store,
             ControlChannel channel,
             LongSupplier milliseconds,
+            GossipSettings gossipSettings,
             MembershipListener listener) {
         Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(channel, "channel is null");
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
         RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
         this.gossip =
-                Gossip.of(localRecord(settings), GossipSettings.standard(), channel, milliseconds, random, listener);
+                Gossip.of(localRecord(settings), gossipSettings, channel, milliseconds, random, listener);
         this.directory = new MemberDirectory(gossip::table);
         this.election = election(settings, store, directory, split(random));
         this.watch = RelayWatch.of(
@@ -100,6 +101,10 @@
 
     // -- parts
 
+    ReadinessFloor floor() {
+        return floor;
+    }
+
     ConfigurationHolder holder() {
         return holder;
     }
@@ -141,6 +146,11 @@
 
     /** Starts the loops; tells when the node has become ready. */
     void start(Loops loops, Runnable onReady) {
+        start(loops, () -> watch.runOnce(milliseconds.getAsLong()), onReady);
+    }
+
+    /** Starts the loops with another source of configurations than the product's own head. */
+    void start(Loops loops, LongSupplier source, Runnable onReady) {
         holder.addListener(snapshot -> {
             gossip.holdVersion(snapshot.version());
             loops.executor().execute(() -> spreader.spread(milliseconds.getAsLong()));
@@ -148,7 +158,7 @@
         loops.every(GOSSIP_PAUSE_MILLISECONDS, gossip::tick);
         loops.every(SPREAD_PAUSE_MILLISECONDS, () -> spreader.tick(milliseconds.getAsLong()));
         loops.every(ELECTION_PAUSE_MILLISECONDS, () -> election.tick(milliseconds.getAsLong()));
-        loops.repeat(() -> watch.runOnce(milliseconds.getAsLong()));
+        loops.repeat(source);
         loops.repeat(joining::step);
         loops.every(RECOVERY_PAUSE_MILLISECONDS, () -> {
             if (recovery.step()) {
--- a/node/src/main/java/org/oleanderturn/node/DataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/DataPlane.java
@@ -12,7 +12,7 @@
 import org.oleanderturn.claims.ClaimSettings;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.RoutingTable;
-import org.oleanderturn.platform.Store;
+import org.oleanderturn.store.Store;
 import org.oleanderturn.proxy.Bookings;
 import org.oleanderturn.proxy.Entry;
 import org.oleanderturn.proxy.EntryParts;
--- a/node/src/main/java/org/oleanderturn/node/DrainControl.java
+++ b/node/src/main/java/org/oleanderturn/node/DrainControl.java
@@ -1,10 +1,11 @@
 package org.oleanderturn.node;
 
 import java.util.Objects;
+import java.util.function.Supplier;
 import org.oleanderturn.membership.Gossip;
 import org.oleanderturn.model.DrainOutcome;
+import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.NodeId;
-import org.oleanderturn.proxy.TargetMonitor;
 
 /**
  * Drains the local target and ends its drain.
@@ -13,23 +14,28 @@
  */
 final class DrainControl {
     private final NodeId self;
-    private final TargetMonitor monitor;
+    private final Runnable drain;
+    private final Runnable undrain;
+    private final Supplier<EndpointState> state;
     private final Gossip gossip;
 
-    DrainControl(NodeId self, TargetMonitor monitor, Gossip gossip) {
+    DrainControl(
+            NodeId self, Runnable drain, Runnable undrain, Supplier<EndpointState> state, Gossip gossip) {
         this.self = Objects.requireNonNull(self, "self is null");
-        this.monitor = Objects.requireNonNull(monitor, "monitor is null");
+        this.drain = Objects.requireNonNull(drain, "drain is null");
+        this.undrain = Objects.requireNonNull(undrain, "undrain is null");
+        this.state = Objects.requireNonNull(state, "state is null");
         this.gossip = Objects.requireNonNull(gossip, "gossip is null");
     }
 
     /** Drains the target or ends its drain, and tells the other nodes. */
     DrainOutcome apply(boolean isDraining) {
         if (isDraining) {
-            monitor.drain();
+            drain.run();
         } else {
-            monitor.undrain();
+            undrain.run();
         }
-        gossip.announceState(monitor.state());
-        return new DrainOutcome.Applied(self, monitor.state());
+        gossip.announceState(state.get());
+        return new DrainOutcome.Applied(self, state.get());
     }
 }
--- a/node/src/main/java/org/oleanderturn/node/LogFormat.java
+++ b/node/src/main/java/org/oleanderturn/node/LogFormat.java
@@ -31,6 +31,41 @@
         root.addHandler(handler);
     }
 
+    /** Makes every logger write this format to a writer that never blocks. */
+    void install(LogWriter writer) {
+        Logger root = Logger.getLogger("");
+        for (Handler standard : root.getHandlers()) {
+            root.removeHandler(standard);
+        }
+        root.addHandler(new WriterHandler(writer, new LineFormatter(this)));
+    }
+
+    /** Hands each record to a writer. */
+    private static final class WriterHandler extends Handler {
+        private final LogWriter writer;
+        private final Formatter formatter;
+
+        WriterHandler(LogWriter writer, Formatter formatter) {
+            this.writer = writer;
+            this.formatter = formatter;
+        }
+
+        @Override
+        public void publish(LogRecord line) {
+            writer.offer(formatter.format(line).stripTrailing());
+        }
+
+        @Override
+        public void flush() {
+            // Lines are written as they come.
+        }
+
+        @Override
+        public void close() {
+            // The writer is closed by its owner.
+        }
+    }
+
     /** Writes a record as one line. */
     private static final class LineFormatter extends Formatter {
         private final LogFormat format;
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -0,0 +1,250 @@
+package org.oleanderturn.node;
+
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.oleanderturn.membership.GossipSettings;
+import org.oleanderturn.membership.MemberRecord;
+import org.oleanderturn.mesh.RouteIndex;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.platform.PlatformDialect;
+import org.oleanderturn.platform.PlatformStore;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.ListenerLimits;
+import org.oleanderturn.proxy.ProxyFailure;
+import org.oleanderturn.store.BudgetedStore;
+import org.oleanderturn.store.StoreSettings;
+import org.oleanderturn.traffic.CrashQuarantine;
+import org.oleanderturn.wire.FrameClient;
+import org.oleanderturn.wire.FrameServer;
+import org.oleanderturn.wire.ListenAddress;
+import org.oleanderturn.wire.WireLimits;
+
+/**
+ * A running node on the users' platform.
+ *
+ * <p>Invariants: it is ready only with a configuration and once it has tried to find the other nodes; it stops once; a
+ * graceful stop finishes what is in flight. Thread safe.
+ */
+public final class MeshNode {
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
+    /** The longest waits for a connection to the store and for its answer; its usual answer takes milliseconds. */
+    private static final Duration STORE_CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+    private static final Duration STORE_ANSWER_TIMEOUT = Duration.ofMillis(1_000);
+
+    /** Seconds' worth of store calls that a node may make at once. */
+    private static final int BURST_SECONDS = 2;
+
+    /** How long a stopping node goes on taking requests: clients turn away after two checks of its readiness. */
+    private static final Duration TURNING_AWAY = Duration.ofMillis(2_600);
+
+    /** Kept of the time before the kill, to end in order. */
+    private static final Duration LAST_STEPS = Duration.ofMillis(500);
+
+    private static final long LOG_CLOSE_MILLISECONDS = 300;
+    private static final long MEMBERS_PAUSE_MILLISECONDS = 100;
+
+    private final NodeSettings settings;
+    private final NodeSettings.Mesh mesh;
+    private final LogWriter writer;
+    private final Loops loops = new Loops();
+    private final FrameClient frames = FrameClient.of(WireLimits.standard());
+    private final PlatformStore store;
+    private final BudgetedStore budgeted;
+    private final ControlPlane control;
+    private final OperatorWatch operators;
+    private final MeshDataPlane data;
+    private final AtomicReference<RouteIndex> routes = new AtomicReference<>(RouteIndex.empty());
+    private final AtomicBoolean isStopping = new AtomicBoolean();
+    private final NodeMetrics metrics = new NodeMetrics();
+    private Set<NodeId> reachable = Set.of();
+    private FrameServer controlServer;
+    private HttpListener readiness;
+    private HttpListener targetCalls;
+
+    private MeshNode(NodeSettings settings, NodeSettings.Mesh mesh, LogWriter writer) {
+        this.settings = settings;
+        this.mesh = mesh;
+        this.writer = writer;
+        this.store = PlatformStore.of(StoreSettings.of(settings.platform().address())
+                .withTimeouts(STORE_CONNECT_TIMEOUT, STORE_ANSWER_TIMEOUT));
+        int callsPerSecond = settings.platform().callsPerSecond();
+        this.budgeted = BudgetedStore.of(store, callsPerSecond, callsPerSecond * BURST_SECONDS, System::nanoTime);
+        LongSupplier milliseconds = MonotonicClock.start();
+        ControlChannel channel = ControlChannel.of(
+                frames::call, loops.executor(), settings.listen().control());
+        this.control = new ControlPlane(
+                settings, budgeted, channel, milliseconds, GossipSettings.brisk(), this::membersChanged);
+        this.operators = new OperatorWatch(budgeted, control.holder(), control.floor(), SharedRandom.create());
+        this.data = new MeshDataPlane(
+                settings,
+                mesh,
+                () -> control.gossip().table().endpointView(),
+                () -> control.gossip().table().reachablePeers().size() + 1,
+                new JsonDecisionLog(settings.node(), writer, System::currentTimeMillis));
+    }
+
+    /** Starts a node; when an address can't be listened on, nothing is left running. */
+    public static Either<NodeFailure, MeshNode> start(NodeSettings settings, LogWriter writer) {
+        Objects.requireNonNull(settings, "settings is null");
+        Objects.requireNonNull(writer, "writer is null");
+        NodeSettings.Mesh mesh =
+                settings.mesh().orElseThrow(() -> new IllegalArgumentException("the settings have no section mesh"));
+        MeshNode node = new MeshNode(settings.withPlatformRegion(settings.region()), mesh, writer);
+        Either<NodeFailure, MeshNode> started = node.listen();
+        started.peek(MeshNode::run);
+        started.peekLeft(_ -> node.closeAll());
+        return started;
+    }
+
+    // -- queries
+
+    private boolean isServing() {
+        return control.recovery().isReady() && !control.holder().version().equals(ConfigurationVersion.none());
+    }
+
+    private Answer answer(InboundRequest request) {
+        if (PlatformDialect.instance().isReadinessCheck(request)) {
+            boolean isReady = isServing() && !isStopping.get();
+            return Answer.text(isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n");
+        }
+        return Answer.text(404, "text/plain", "not found\n");
+    }
+
+    // -- commands
+
+    /**
+     * Stops gracefully: says that it is not ready, goes on serving until clients have turned away, finishes what is in
+     * flight, and leaves.
+     *
+     * @return whether everything in flight was finished
+     */
+    public boolean stop() {
+        if (!isStopping.compareAndSet(false, true)) {
+            return true;
+        }
+        long end = System.nanoTime() + mesh.stopTime().duration().minus(LAST_STEPS).toNanos();
+        log.atInfo().log("stopping");
+        data.shed();
+        control.gossip().announceState(EndpointState.DRAINING);
+        LockSupport.parkNanos(TURNING_AWAY.toNanos());
+        boolean isFinished = data.drain(end);
+        control.leave();
+        log.atInfo().log("stopped, everything in flight finished: %s", isFinished);
+        closeAll();
+        writer.close(LOG_CLOSE_MILLISECONDS);
+        return isFinished;
+    }
+
+    // -- start
+
+    private Either<NodeFailure, MeshNode> listen() {
+        Address address = settings.listen().control();
+        return FrameServer.start(ListenAddress.of(address), controlHandler(), WireLimits.standard())
+                .peek(server -> controlServer = server)
+                .mapLeft(failure -> (NodeFailure) new NodeFailure.ListenFailed(address.toString(), failure.toString()))
+                .flatMap(_ -> listenHttp());
+    }
+
+    private Either<NodeFailure, MeshNode> listenHttp() {
+        Address ready = settings.listen().operator();
+        Address calls = mesh.targetCalls();
+        ListenerLimits limits = ListenerLimits.standard();
+        return HttpListener.start(ready.host(), ready.port(), this::answer, limits)
+                .peek(listener -> readiness = listener)
+                .flatMap(_ -> HttpListener.start(calls.host(), calls.port(), data.targetCalls(), limits))
+                .peek(listener -> targetCalls = listener)
+                .flatMap(_ -> data.listen(routes::get, this::isServing, metrics))
+                .mapLeft(MeshNode::listenFailed)
+                .map(_ -> this);
+    }
+
+    private ControlHandler controlHandler() {
+        CrashQuarantine quarantine = CrashQuarantine.of(settings.node(), MonotonicClock.start(), SharedRandom.create());
+        DrainControl drains = new DrainControl(
+                settings.node(),
+                data.target()::drain,
+                data.target()::undrain,
+                data.target()::state,
+                control.gossip());
+        return new ControlHandler(
+                settings.node(),
+                control.gossip(),
+                control.spreader(),
+                control.recovery(),
+                drains,
+                quarantine,
+                System::currentTimeMillis);
+    }
+
+    private void run() {
+        data.target().onState(control.gossip()::announceState);
+        control.holder().addListener(snapshot -> routes.set(RouteIndex.of(snapshot)));
+        data.start(loops);
+        control.start(loops, operators::runOnce, () -> {});
+        loops.every(MEMBERS_PAUSE_MILLISECONDS, this::reviewMembers);
+        log.atInfo().log("node %s started in %s", settings.node(), settings.locality());
+    }
+
+    // -- events
+
+    private void membersChanged() {
+        // Reviewed by a loop, so that nothing is called under the protocol's feet.
+    }
+
+    /** Gives up what waits for nodes that can't be reached any more. */
+    private void reviewMembers() {
+        Set<NodeId> now = control.gossip().table().reachablePeers().stream()
+                .map(MemberRecord::node)
+                .collect(Collectors.toSet());
+        Set<NodeId> lost = new HashSet<>(reachable);
+        lost.removeAll(now);
+        for (NodeId node : lost) {
+            log.atWarning().log("node %s can't be reached", node);
+            data.peerLost(node);
+        }
+        Set<NodeId> found = new HashSet<>(now);
+        found.removeAll(reachable);
+        found.forEach(node -> log.atInfo().log("node %s is reached", node));
+        reachable = now;
+    }
+
+    // -- end
+
+    private void closeAll() {
+        loops.close();
+        data.close();
+        if (readiness != null) {
+            readiness.close();
+        }
+        if (targetCalls != null) {
+            targetCalls.close();
+        }
+        if (controlServer != null) {
+            controlServer.close();
+        }
+        frames.close();
+        store.close();
+    }
+
+    private static NodeFailure listenFailed(ProxyFailure failure) {
+        return switch (failure) {
+            case ProxyFailure.ListenFailed listen -> new NodeFailure.ListenFailed(listen.address(), listen.reason());
+        };
+    }
+}
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -8,12 +8,13 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
+import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.EndpointState;
-import org.oleanderturn.platform.BudgetedStore;
-import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.StoreSettings;
+import org.oleanderturn.store.BudgetedStore;
+import org.oleanderturn.store.HttpStore;
+import org.oleanderturn.store.StoreSettings;
 import org.oleanderturn.proxy.HttpListener;
 import org.oleanderturn.proxy.ListenerLimits;
 import org.oleanderturn.proxy.ProxyFailure;
@@ -61,10 +62,15 @@
         this.channel = ControlChannel.of(
                 frames::call, loops.executor(), settings.listen().control());
         this.data = new DataPlane(settings, budgeted, loops.executor(), milliseconds);
-        this.control = new ControlPlane(settings, budgeted, channel, milliseconds, this::membersChanged);
+        this.control = new ControlPlane(settings, budgeted, channel, milliseconds, GossipSettings.standard(), this::membersChanged);
         this.routing = new RoutingState(
                 () -> control.holder().held(), () -> control.gossip().table().endpointView(), data::configure);
-        this.drains = new DrainControl(settings.node(), data.monitor(), control.gossip());
+        this.drains = new DrainControl(
+                settings.node(),
+                data.monitor()::drain,
+                data.monitor()::undrain,
+                data.monitor()::state,
+                control.gossip());
     }
 
     /** Starts a node; when an address can't be listened on, nothing is left running. */
--- a/node/src/main/java/org/oleanderturn/node/NodeMain.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeMain.java
@@ -53,16 +53,30 @@
             System.out.println("settings are in order");
             return CommandLine.ExitCode.OK;
         }
+        if (settings.get().mesh().isPresent()) {
+            return runMesh(settings.get());
+        }
         logFormat.install();
         return run(settings.get());
     }
 
+    private int runMesh(NodeSettings settings) {
+        LogWriter writer = LogWriter.start(System.out);
+        logFormat.install(writer);
+        Either<NodeFailure, MeshNode> started = MeshNode.start(settings, writer);
+        if (started.isLeft()) {
+            System.err.println("oleanderturn-node: " + started.getLeft().describe());
+            return START_FAILED;
+        }
+        return ShutdownSignal.awaitAndStop(started.get()::stop);
+    }
+
     private static int run(NodeSettings settings) {
         Either<NodeFailure, Node> started = Node.start(settings);
         if (started.isLeft()) {
             System.err.println("oleanderturn-node: " + started.getLeft().describe());
             return START_FAILED;
         }
-        return ShutdownSignal.awaitAndStop(started.get());
+        return ShutdownSignal.awaitAndStop(started.get()::stop);
     }
 }
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -25,6 +25,7 @@
  * @param join control addresses of other nodes
  * @param drainMilliseconds the longest that a graceful stop waits for requests in flight
  * @param warmupMilliseconds the longest that a start spends on compiling the path of a request; 0 for no warm-up
+ * @param mesh how the node serves on the users' platform; absent for a deployment with the product's own interface
  */
 public record NodeSettings(
         NodeId node,
@@ -36,7 +37,8 @@
         Target target,
         List<Address> join,
         Optional<Integer> drainMilliseconds,
-        Optional<Integer> warmupMilliseconds) {
+        Optional<Integer> warmupMilliseconds,
+        Optional<Mesh> mesh) {
     private static final Duration STANDARD_DRAIN = Duration.ofSeconds(30);
     private static final Duration STANDARD_WARMUP = Duration.ofSeconds(3);
 
@@ -45,6 +47,22 @@
         return new Locality(region, availabilityZone);
     }
 
+    /** Returns these settings with another region of the platform's store. */
+    NodeSettings withPlatformRegion(Region other) {
+        return new NodeSettings(
+                node,
+                region,
+                availabilityZone,
+                other,
+                listen,
+                platform,
+                target,
+                join,
+                drainMilliseconds,
+                warmupMilliseconds,
+                mesh);
+    }
+
     /** Returns the longest that a graceful stop waits for requests in flight. */
     public Duration drainTime() {
         return drainMilliseconds.map(Duration::ofMillis).orElse(STANDARD_DRAIN);
@@ -74,6 +92,26 @@
      */
     public record Platform(Address address, int callsPerSecond, int timeoutMilliseconds) {}
 
+    /**
+     * How the node serves on the users' platform.
+     *
+     * @param targetCalls where the local target sends its heartbeats
+     * @param metrics where metrics and the state dump are served
+     * @param heartbeat how often the target sends one
+     * @param stopTime how long after SIGTERM the platform kills the process
+     * @param repeats the bound on requests that are sent again
+     */
+    public record Mesh(Address targetCalls, Address metrics, Span heartbeat, Span stopTime, Repeats repeats) {}
+
+    /**
+     * The bound on requests that are sent to a service again, over all nodes.
+     *
+     * @param ratio repeats for each request in a window
+     * @param allowance repeats in a window beside the ratio, for all nodes together
+     * @param window the window's length
+     */
+    public record Repeats(double ratio, double allowance, Span window) {}
+
     /**
      * The target on this host.
      *
--- a/node/src/main/java/org/oleanderturn/node/Rendezvous.java
+++ b/node/src/main/java/org/oleanderturn/node/Rendezvous.java
@@ -10,9 +10,9 @@
 import org.oleanderturn.distribution.RelayEntry;
 import org.oleanderturn.distribution.RelayRole;
 import org.oleanderturn.model.Address;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * Finds the relays of all zones by their keys in the platform's store.
--- a/node/src/main/java/org/oleanderturn/node/SettingsField.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsField.java
@@ -29,6 +29,21 @@
         return new SettingsField(path, form, false);
     }
 
+    /** Returns a field that must be there when the section that holds it is. */
+    static SettingsField requiredIn(String section, String name, Form form) {
+        return new SettingsField(section + "." + name, form, true);
+    }
+
+    /** Returns whether the field must be there: it is required, and so is its section or the section is there. */
+    boolean isRequiredIn(JsonNode root) {
+        int end = path.lastIndexOf('.');
+        if (end < 0) {
+            return isRequired;
+        }
+        String section = "/" + path.substring(0, end).replace('.', '/');
+        return isRequired && !root.at(section).isMissingNode();
+    }
+
     /** What a value must look like. */
     sealed interface Form {
 
@@ -40,6 +55,11 @@
                 case HostAndPort _ -> value.isTextual() && isAddress(value.textValue());
                 case Path _ -> value.isTextual() && value.textValue().startsWith("/");
                 case Whole whole -> isWithin(value, whole);
+                case Decimal decimal ->
+                    value.isNumber()
+                            && value.doubleValue() >= decimal.lowest()
+                            && value.doubleValue() <= decimal.highest();
+                case TimeSpan _ -> value.isTextual() && Span.parse(value.textValue()).isPresent();
                 case Addresses _ -> isAddresses(value);
             };
         }
@@ -53,6 +73,9 @@
                 case Path _ -> "a path that starts with a slash";
                 case Whole whole ->
                     "a whole number of " + whole.unit() + " from " + whole.lowest() + " to " + whole.highest();
+                case Decimal decimal ->
+                    "a number of " + decimal.unit() + " from " + decimal.lowest() + " to " + decimal.highest();
+                case TimeSpan _ -> "a number and its unit, as \"1500ms\" or \"2.5s\"";
                 case Addresses _ -> "a list of IP numbers and ports, as [\"127.0.0.1:23001\"]";
             };
         }
@@ -100,6 +123,12 @@
         /** A whole number with a unit; both bounds are inclusive. */
         record Whole(String unit, long lowest, long highest) implements Form {}
 
+        /** A number with a unit; both bounds are inclusive. */
+        record Decimal(String unit, long lowest, long highest) implements Form {}
+
+        /** A time with its unit. */
+        record TimeSpan() implements Form {}
+
         /** A list of IP numbers and ports. */
         record Addresses() implements Form {}
     }
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -15,6 +15,7 @@
     private static final SettingsField.Form SECTION = new SettingsField.Form.Section();
     private static final SettingsField.Form NAME = new SettingsField.Form.Name();
     private static final SettingsField.Form ADDRESS = new SettingsField.Form.HostAndPort();
+    private static final SettingsField.Form SPAN = new SettingsField.Form.TimeSpan();
     private static final SettingsField.Form PATH = new SettingsField.Form.Path();
     private static final List<SettingsField> FIELDS = List.of(
             SettingsField.required("node", NAME),
@@ -37,7 +38,16 @@
             SettingsField.required("target.loadPath", PATH),
             SettingsField.required("join", new SettingsField.Form.Addresses()),
             SettingsField.optional("drainMilliseconds", whole("milliseconds", 0, 3_600_000)),
-            SettingsField.optional("warmupMilliseconds", whole("milliseconds", 0, 60_000)));
+            SettingsField.optional("warmupMilliseconds", whole("milliseconds", 0, 60_000)),
+            SettingsField.optional("mesh", SECTION),
+            SettingsField.requiredIn("mesh", "targetCalls", ADDRESS),
+            SettingsField.requiredIn("mesh", "metrics", ADDRESS),
+            SettingsField.requiredIn("mesh", "heartbeat", SPAN),
+            SettingsField.requiredIn("mesh", "stopTime", SPAN),
+            SettingsField.requiredIn("mesh", "repeats", SECTION),
+            SettingsField.requiredIn("mesh.repeats", "ratio", decimal("repeats for each request", 0, 1)),
+            SettingsField.requiredIn("mesh.repeats", "allowance", decimal("repeats in a window", 0, 100_000)),
+            SettingsField.requiredIn("mesh.repeats", "window", SPAN));
 
     private SettingsSchema() {}
 
@@ -61,7 +71,7 @@
         }
         String expected = field.form().describe();
         if (value.isMissingNode()) {
-            return field.isRequired()
+            return field.isRequiredIn(root)
                     ? Optional.of(new SettingsFault.Missing(field.path(), expected))
                     : Optional.empty();
         }
@@ -81,6 +91,10 @@
         }
     }
 
+    private static SettingsField.Form decimal(String unit, long lowest, long highest) {
+        return new SettingsField.Form.Decimal(unit, lowest, highest);
+    }
+
     private static SettingsField.Form whole(String unit, long lowest, long highest) {
         return new SettingsField.Form.Whole(unit, lowest, highest);
     }
--- a/node/src/main/java/org/oleanderturn/node/ShutdownSignal.java
+++ b/node/src/main/java/org/oleanderturn/node/ShutdownSignal.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 /** Waits for the signal to stop and stops the node gracefully. */
 final class ShutdownSignal {
@@ -9,13 +10,17 @@
 
     private ShutdownSignal() {}
 
-    /** Blocks until the process is told to stop; returns the exit code. */
-    static int awaitAndStop(Node node) {
+    /**
+     * Blocks until the process is told to stop; returns the exit code.
+     *
+     * @param stop stops the node and returns whether everything in flight was finished
+     */
+    static int awaitAndStop(BooleanSupplier stop) {
         CountDownLatch signal = new CountDownLatch(1);
         AtomicInteger exitCode = new AtomicInteger();
         Thread hook = new Thread(() -> {
             signal.countDown();
-            boolean isFinished = node.stop();
+            boolean isFinished = stop.getAsBoolean();
             if (!isFinished) {
                 exitCode.set(CUT_OFF);
                 Runtime.getRuntime().halt(CUT_OFF);
--- a/node/src/main/java/org/oleanderturn/node/StateDump.java
+++ b/node/src/main/java/org/oleanderturn/node/StateDump.java
@@ -11,7 +11,7 @@
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
-import org.oleanderturn.platform.StoreCounters;
+import org.oleanderturn.store.StoreCounters;
 import org.oleanderturn.traffic.Conviction;
 import org.oleanderturn.traffic.UpstreamReport;
 
--- a/node/src/main/java/org/oleanderturn/node/StateReader.java
+++ b/node/src/main/java/org/oleanderturn/node/StateReader.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import org.oleanderturn.membership.MemberTable;
 import org.oleanderturn.model.Service;
-import org.oleanderturn.platform.StoreCounters;
+import org.oleanderturn.store.StoreCounters;
 import org.oleanderturn.traffic.Admission;
 import org.oleanderturn.traffic.UpstreamReport;
 
--- a/node/src/main/java/org/oleanderturn/node/Warmup.java
+++ b/node/src/main/java/org/oleanderturn/node/Warmup.java
@@ -75,7 +75,7 @@
     private static final TrafficPolicy POLICY =
             new TrafficPolicy(TrafficPolicyName.of("warmup"), POLICY_TIMEOUT_MILLISECONDS, 2, 20, 95, 5, SLOTS, 0);
     private static final Route ROUTE =
-            new Route(RouteName.of("warmup"), "/", List.of("GET"), SERVICE.name(), RequestKind.LOOKUP, POLICY.name());
+            Route.of(RouteName.of("warmup"), "/", List.of("GET"), SERVICE.name(), RequestKind.LOOKUP, POLICY.name());
 
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final UpstreamClient client = UpstreamClient.of(CONNECTIONS);
--- a/node/src/test/java/org/oleanderturn/node/RendezvousTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RendezvousTest.java
@@ -8,8 +8,8 @@
 import org.oleanderturn.distribution.RelayEntry;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.NodeId;
-import org.oleanderturn.platform.FakeStore;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.FakeStore;
+import org.oleanderturn.store.StoredValue;
 
 class RendezvousTest {
     private final FakeStore store = FakeStore.create();
--- a/proxy/src/main/java/org/oleanderturn/proxy/AnswerFraming.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AnswerFraming.java
@@ -15,14 +15,19 @@
         return !method.equals("HEAD") && status != HttpStatus.SC_NO_CONTENT && status != HttpStatus.SC_NOT_MODIFIED;
     }
 
+    /** Returns whether the answer says itself where its body ends. */
+    static boolean isFramed(HttpResponse response) {
+        return response.containsHeader(HttpHeaders.CONTENT_LENGTH)
+                || response.containsHeader(HttpHeaders.TRANSFER_ENCODING);
+    }
+
     /**
      * Checks that the end of the body can be told from a broken connection.
      *
      * @throws HttpException when the body ends only with its connection
      */
     static void check(HttpResponse response) throws HttpException {
-        if (!response.containsHeader(HttpHeaders.CONTENT_LENGTH)
-                && !response.containsHeader(HttpHeaders.TRANSFER_ENCODING)) {
+        if (!isFramed(response)) {
             throw new ProtocolException("the answer's body has no length");
         }
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/Delivery.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Delivery.java
@@ -7,5 +7,7 @@
     /** For bookings to a node: the body is sent only when the peer asks for it, and nothing runs before. */
     GO_AHEAD,
     /** For bookings to a target: a new connection, which the target can't have been closing as idle. */
-    NEW_CONNECTION
+    NEW_CONNECTION,
+    /** For single requests to a target: a connection that was used moments ago, which the target keeps open, or a new one. */
+    RECENT_CONNECTION
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
@@ -2,14 +2,19 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
-/** Reads and filters the headers that nodes exchange. */
-final class HeaderValues {
+/**
+ * Reads and filters the headers that nodes exchange.
+ *
+ * <p>Stateless and thread safe.
+ */
+public final class HeaderValues {
     private static final long LONGEST_MILLISECONDS = 24L * 60 * 60 * 1_000;
     private static final Set<String> BETWEEN_NODES = Set.of(
             lower(ProxyHeaders.SERVICE),
@@ -22,15 +27,23 @@
             lower(ProxyHeaders.OUTCOME),
             lower(ProxyHeaders.REASON),
             lower(ProxyHeaders.DEADLINE),
-            lower(ProxyHeaders.RETRIES_LEFT));
+            lower(ProxyHeaders.RETRIES_LEFT),
+            lower(ProxyHeaders.RANK),
+            lower(ProxyHeaders.TARGET_LATENCY),
+            lower(ProxyHeaders.CALLER_SERVICE),
+            lower(ProxyHeaders.LOAD),
+            lower(ProxyHeaders.RETRY_AFTER_MILLISECONDS));
 
     private HeaderValues() {}
 
     /** Returns the headers that are passed on: neither of one connection nor of one hop between nodes. */
-    static List<HeaderField> forwarded(List<HeaderField> headers) {
+    public static List<HeaderField> forwarded(List<HeaderField> headers) {
+        Set<String> ofConnection = ofConnection(headers);
         List<HeaderField> kept = new ArrayList<>();
         for (HeaderField header : headers) {
-            boolean isOfHop = OutboundMessage.isHopByHop(header.name()) || BETWEEN_NODES.contains(lower(header.name()));
+            String name = lower(header.name());
+            boolean isOfHop =
+                    OutboundMessage.isHopByHop(name) || BETWEEN_NODES.contains(name) || ofConnection.contains(name);
             if (!isOfHop) {
                 kept.add(header);
             }
@@ -38,8 +51,21 @@
         return kept;
     }
 
+    /** Returns the names of the headers that a message declares to concern its connection only. */
+    private static Set<String> ofConnection(List<HeaderField> headers) {
+        Set<String> names = new HashSet<>();
+        for (HeaderField header : headers) {
+            if (header.isNamed("Connection")) {
+                for (String name : header.value().split(",", -1)) {
+                    names.add(lower(name.trim()));
+                }
+            }
+        }
+        return names;
+    }
+
     /** Returns a header's value as a whole number of zero or more. */
-    static OptionalLong number(List<HeaderField> headers, String name) {
+    public static OptionalLong number(List<HeaderField> headers, String name) {
         Optional<String> text = HeaderField.find(headers, name);
         if (text.isEmpty() || !text.get().matches("[0-9]{1,15}")) {
             return OptionalLong.empty();
@@ -48,7 +74,7 @@
     }
 
     /** Returns a header's value as a span of milliseconds. */
-    static Optional<Duration> milliseconds(List<HeaderField> headers, String name) {
+    public static Optional<Duration> milliseconds(List<HeaderField> headers, String name) {
         OptionalLong found = number(headers, name);
         return found.isEmpty()
                 ? Optional.empty()
--- a/proxy/src/main/java/org/oleanderturn/proxy/OutboundMessage.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/OutboundMessage.java
@@ -13,6 +13,7 @@
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
             "keep-alive",
+            "proxy-connection",
             "proxy-authenticate",
             "proxy-authorization",
             "te",
--- a/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
@@ -37,5 +37,14 @@
     /** Between nodes: when to come back, in milliseconds. */
     public static final String RETRY_AFTER_MILLISECONDS = "Oleanderturn-Retry-After-Milliseconds";
 
+    /** Between nodes: the rank of the request where work has to wait, 0 first. */
+    public static final String RANK = "Oleanderturn-Rank";
+    /** Between nodes: milliseconds within which an answer is worth most. */
+    public static final String TARGET_LATENCY = "Oleanderturn-Target-Latency-Milliseconds";
+    /** Between nodes: the service on whose host the request began. */
+    public static final String CALLER_SERVICE = "Oleanderturn-Caller-Service";
+    /** Between nodes: the load of the answering node's target. */
+    public static final String LOAD = "Oleanderturn-Load";
+
     private ProxyHeaders() {}
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -7,6 +7,7 @@
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -14,9 +15,11 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.pool.LaxConnPool;
 import org.apache.hc.core5.pool.PoolEntry;
 import org.apache.hc.core5.pool.PoolReusePolicy;
@@ -32,12 +35,18 @@
 public final class UpstreamClient implements AutoCloseable {
     private static final int BUFFER_BYTES = 8_192;
     private static final TimeValue CONNECTION_LIFE = TimeValue.ofMinutes(5);
+    /** How long after its last use a target surely keeps a connection open; targets state ten seconds and more. */
+    private static final Duration RECENT = Duration.ofSeconds(3);
+
     private static final Http1Config HTTP = Http1Config.custom()
             .setBufferSize(BUFFER_BYTES)
             .setMaxLineLength(BUFFER_BYTES)
             .setMaxHeaderCount(200)
             .build();
 
+    /** How many answers to earlier requests are read over before a connection is given up. */
+    private static final int MOST_OTHER_ANSWERS = 3;
+
     private final LaxConnPool<Address, UpstreamConnection> pool;
 
     private UpstreamClient(LaxConnPool<Address, UpstreamConnection> pool) {
@@ -63,7 +72,47 @@
         Objects.requireNonNull(request, "request is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
-        return connect(peer, request).flatMap(connection -> exchange(connection, message, request, cancellation));
+        return connect(peer, request)
+                .flatMap(connection ->
+                        exchange(connection, message, request, AnswerExpectation.framed(), cancellation));
+    }
+
+    /**
+     * Sends a request and reads its whole answer.
+     *
+     * @param expectation tells the answer from others that come late on the same connection
+     * @param limitBytes the longest body that is taken; a longer one counts as lost
+     */
+    public Either<ForwardFailure, WholeAnswer> exchange(
+            Address peer,
+            OutboundRequest request,
+            AnswerExpectation expectation,
+            int limitBytes,
+            Cancellation cancellation) {
+        Objects.requireNonNull(peer, "peer is null");
+        Objects.requireNonNull(request, "request is null");
+        Objects.requireNonNull(expectation, "expectation is null");
+        Objects.requireNonNull(cancellation, "cancellation is null");
+        BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
+        return connect(peer, request)
+                .flatMap(connection -> exchange(connection, message, request, expectation, cancellation))
+                .flatMap(answer -> readWhole(answer, limitBytes, cancellation));
+    }
+
+    private static Either<ForwardFailure, WholeAnswer> readWhole(
+            UpstreamAnswer answer, int limitBytes, Cancellation cancellation) {
+        try (answer) {
+            Optional<byte[]> body = answer.readBody(limitBytes);
+            return body.isPresent()
+                    ? Either.right(new WholeAnswer(answer.status(), answer.headers(), body.get()))
+                    : Either.left(new ForwardFailure.AnswerLost("the answer is longer than " + limitBytes + " bytes"));
+        } catch (SocketTimeoutException late) {
+            return Either.left(new ForwardFailure.TimedOut());
+        } catch (IOException cause) {
+            return cancellation.isCancelled()
+                    ? Either.left(new ForwardFailure.Cancelled())
+                    : Either.left(new ForwardFailure.AnswerLost(String.valueOf(cause.getMessage())));
+        }
     }
 
     /** Closes connections that have stood idle for long. */
@@ -101,13 +150,13 @@
             Address peer, PoolEntry<Address, UpstreamConnection> entry, OutboundRequest request) {
         LeasedConnection leased = LeasedConnection.of(pool, entry);
         try {
-            boolean isUnfit = request.delivery() == Delivery.NEW_CONNECTION;
-            if (entry.hasConnection() && (isUnfit || isDead(entry))) {
+            if (entry.hasConnection() && (isUnfit(entry, request.delivery()) || isDead(entry))) {
                 entry.discardConnection(CloseMode.IMMEDIATE);
             }
             if (!entry.hasConnection()) {
                 entry.assignConnection(UpstreamConnection.dial(peer, request.connectTimeout(), HTTP));
             }
+            entry.getConnection().use();
             return Either.right(leased);
         } catch (ConnectException cause) {
             leased.close();
@@ -118,6 +167,14 @@
         }
     }
 
+    private static boolean isUnfit(PoolEntry<Address, UpstreamConnection> entry, Delivery delivery) {
+        return switch (delivery) {
+            case POOLED, GO_AHEAD -> false;
+            case NEW_CONNECTION -> true;
+            case RECENT_CONNECTION -> entry.getConnection().isIdleFor(RECENT);
+        };
+    }
+
     private static boolean isDead(PoolEntry<Address, UpstreamConnection> entry) throws IOException {
         UpstreamConnection connection = entry.getConnection();
         return !connection.isOpen() || connection.isUnfit();
@@ -129,12 +186,13 @@
             LeasedConnection leased,
             BasicClassicHttpRequest message,
             OutboundRequest request,
+            AnswerExpectation expectation,
             Cancellation cancellation) {
         cancellation.onCancel(leased::abort);
         Progress progress = new Progress();
         try {
-            ClassicHttpResponse response = transfer(leased.connection(), message, request, progress);
-            if (!ConnectionReuse.isKept(response, false)) {
+            ClassicHttpResponse response = transfer(leased.connection(), message, request, expectation, progress);
+            if (!ConnectionReuse.isKept(response, false) || !AnswerFraming.isFramed(response)) {
                 leased.setUnkept();
             }
             return Either.right(UpstreamAnswer.of(response, leased));
@@ -145,14 +203,18 @@
     }
 
     private static ClassicHttpResponse transfer(
-            UpstreamConnection connection, BasicClassicHttpRequest message, OutboundRequest request, Progress progress)
+            UpstreamConnection connection,
+            BasicClassicHttpRequest message,
+            OutboundRequest request,
+            AnswerExpectation expectation,
+            Progress progress)
             throws IOException, HttpException {
         connection.setSocketTimeout(Timeout.of(request.answerTimeout()));
         progress.hasBegun = !request.isGoAheadAwaited();
         connection.sendRequestHeader(message);
         if (request.isGoAheadAwaited()) {
             connection.flush();
-            ClassicHttpResponse first = receive(connection, message);
+            ClassicHttpResponse first = receive(connection, message, expectation);
             if (first.getCode() != HttpStatus.SC_CONTINUE) {
                 return first;
             }
@@ -160,25 +222,37 @@
         }
         connection.sendRequestEntity(message);
         connection.flush();
-        return receiveFinal(connection, message);
+        return receiveFinal(connection, message, expectation);
     }
 
-    private static ClassicHttpResponse receiveFinal(UpstreamConnection connection, BasicClassicHttpRequest message)
+    private static ClassicHttpResponse receiveFinal(
+            UpstreamConnection connection, BasicClassicHttpRequest message, AnswerExpectation expectation)
             throws IOException, HttpException {
-        ClassicHttpResponse response = receive(connection, message);
-        while (response.getCode() < HttpStatus.SC_OK) {
-            response = receive(connection, message);
+        int others = 0;
+        while (others <= MOST_OTHER_ANSWERS) {
+            ClassicHttpResponse response = receive(connection, message, expectation);
+            if (response.getCode() < HttpStatus.SC_OK) {
+                continue;
+            }
+            if (expectation.isMatch(response)) {
+                return response;
+            }
+            EntityUtils.consume(response.getEntity());
+            others++;
         }
-        return response;
+        throw new ProtocolException("only answers to other requests came");
     }
 
-    private static ClassicHttpResponse receive(UpstreamConnection connection, BasicClassicHttpRequest message)
+    private static ClassicHttpResponse receive(
+            UpstreamConnection connection, BasicClassicHttpRequest message, AnswerExpectation expectation)
             throws IOException, HttpException {
         ClassicHttpResponse response = connection.receiveResponseHeader();
         if (response.getCode() < HttpStatus.SC_OK || !AnswerFraming.hasBody(message.getMethod(), response.getCode())) {
             return response;
         }
-        AnswerFraming.check(response);
+        if (!expectation.mayEndWithConnection()) {
+            AnswerFraming.check(response);
+        }
         connection.receiveResponseEntity(response);
         return response;
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -26,6 +26,7 @@
 
     private final SocketChannel channel;
     private volatile boolean isProbing;
+    private volatile long usedNanoseconds = System.nanoTime();
 
     private UpstreamConnection(Http1Config settings, SocketChannel channel) {
         super(settings);
@@ -48,6 +49,16 @@
         }
     }
 
+    /** Notes that the connection is used now. */
+    void use() {
+        usedNanoseconds = System.nanoTime();
+    }
+
+    /** Returns whether the connection was not used for the given time. */
+    boolean isIdleFor(Duration span) {
+        return System.nanoTime() - usedNanoseconds > span.toNanos();
+    }
+
     /** Returns whether the peer has closed the connection, or sent bytes that belong to no answer that was asked for. */
     boolean isUnfit() throws IOException {
         return hasBufferedInput() || hasChannelInput();
--- a/proxy/src/test/java/org/oleanderturn/proxy/CourseRequestTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/CourseRequestTest.java
@@ -54,7 +54,7 @@
     private static RoutingTable.Entry entry(RequestKind kind) {
         Service service = Service.of("service", 1, 1);
         TrafficPolicy policy = new TrafficPolicy(TrafficPolicyName.of("policy"), 2_000, 2, 20, 0, 0, 0, 0);
-        Route route = new Route(RouteName.of("route"), "/", List.of("GET"), service.name(), kind, policy.name());
+        Route route = Route.of(RouteName.of("route"), "/", List.of("GET"), service.name(), kind, policy.name());
         return new RoutingTable.Entry(route, service, policy, List.of());
     }
 }
--- a/proxy/src/test/java/org/oleanderturn/proxy/FakeMesh.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/FakeMesh.java
@@ -26,7 +26,7 @@
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.model.TrafficPolicy;
 import org.oleanderturn.model.TrafficPolicyName;
-import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.store.FakeStore;
 import org.oleanderturn.traffic.Balancer;
 import org.oleanderturn.traffic.CrashQuarantine;
 import org.oleanderturn.traffic.EjectionSettings;
@@ -182,7 +182,7 @@
 
     private static Route route(String path, RequestKind kind) {
         RouteName name = RouteName.of(path.substring(1));
-        return new Route(name, path, List.of("POST"), FakeHost.SERVICE, kind, POLICY.name());
+        return Route.of(name, path, List.of("POST"), FakeHost.SERVICE, kind, POLICY.name());
     }
 
     private HttpListener entry(RoutingTable table, BodyBudget bodies) {
--- a/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.oleanderturn.platform.FakeStore;
+import org.oleanderturn.store.FakeStore;
 import org.oleanderturn.proxy.FakeMesh.Call;
 import org.oleanderturn.proxy.FakeMesh.Reply;
 import org.oleanderturn.proxy.FaultRelay.Step;
--- a/platform/src/main/java/org/oleanderturn/platform/CallBudget.java
+++ b/store/src/main/java/org/oleanderturn/store/CallBudget.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.platform;
+package org.oleanderturn.store;
 
 import java.time.Duration;
 import java.util.Optional;
--- a/platform/src/main/java/org/oleanderturn/platform/HttpStore.java
+++ b/store/src/main/java/org/oleanderturn/store/HttpStore.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.platform;
+package org.oleanderturn.store;
 
 import io.vavr.control.Either;
 import java.time.Duration;
--- a/platform/src/main/java/org/oleanderturn/platform/LeaseId.java
+++ b/store/src/main/java/org/oleanderturn/store/LeaseId.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.platform;
+package org.oleanderturn.store;
 
 /**
  * Identifies a lease of the platform's store.
--- a/platform/src/main/java/org/oleanderturn/platform/StoreAnswer.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreAnswer.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.platform;
+package org.oleanderturn.store;
 
 import java.time.Duration;
 
@@ -8,4 +8,4 @@
  * <p>Immutable and thread safe; the body's bytes are not to be changed.
  */
 @SuppressWarnings("ArrayRecordComponent")
-record StoreAnswer(int status, Duration retryAfter, byte[] body) {}
+public record StoreAnswer(int status, Duration retryAfter, byte[] body) {}
--- a/platform/src/main/java/org/oleanderturn/platform/StoreConnections.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreConnections.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.platform;
+package org.oleanderturn.store;
 
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -29,7 +29,7 @@
  * that the store saw nothing. After any failure every idle connection is closed, for the others likely broke too.
  * Thread safe.
  */
-final class StoreConnections implements AutoCloseable {
+public final class StoreConnections implements AutoCloseable {
     private static final String WRITTEN = "oleanderturn.written";
     private static final String USER_AGENT = "oleanderturn";
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
@@ -57,7 +57,8 @@
                 .create();
     }
 
-    static StoreConnections of(StoreSettings settings, Duration silence) {
+    /** Returns connections that are given up after the given silence; none is open yet. */
+    public static StoreConnections of(StoreSettings settings, Duration silence) {
         return new StoreConnections(settings, silence);
     }
 
@@ -67,7 +68,7 @@
      * @param isRepeatable whether the request is sent once more, on a new connection, when the store closed the first
      *     one without a word, as it does with an idle one
      */
-    Either<StoreFailure, StoreAnswer> exchange(ClassicHttpRequest request, boolean isRepeatable) {
+    public Either<StoreFailure, StoreAnswer> exchange(ClassicHttpRequest request, boolean isRepeatable) {
         HttpCoreContext context = HttpCoreContext.create();
         try {
             StoreAnswer answer = requester.execute(host, request, connectTimeout, context, StoreConnections::readWhole);
--- a/platform/src/main/java/org/oleanderturn/platform/StoreLimits.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreLimits.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.platform;
+package org.oleanderturn.store;
 
 /** What the platform's store takes. */
 public final class StoreLimits {
--- a/platform/src/main/java/org/oleanderturn/platform/StoreOperation.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreOperation.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.platform;
+package org.oleanderturn.store;
 
 /** The operations of the store, as they are counted. */
 public enum StoreOperation {
--- a/platform/src/test/java/org/oleanderturn/platform/BackoffTest.java
+++ b/store/src/test/java/org/oleanderturn/store/BackoffTest.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.platform;
+package org.oleanderturn.store;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchConfiguration.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchConfiguration.java
@@ -52,7 +52,7 @@
     }
 
     private static Route route(String service, String policy, String method, RequestKind kind) {
-        return new Route(
+        return Route.of(
                 RouteName.of(service + "-" + policy),
                 "/" + service,
                 List.of(method),
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
@@ -16,8 +16,8 @@
 import org.oleanderturn.node.ControlNode;
 import org.oleanderturn.node.NodeFailure;
 import org.oleanderturn.node.NodeSettings;
-import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.StoreSettings;
+import org.oleanderturn.store.HttpStore;
+import org.oleanderturn.store.StoreSettings;
 
 /**
  * Many control planes in one process, over real frames on loopback, with a store stand-in over HTTP.
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchStore.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchStore.java
@@ -8,11 +8,11 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Supplier;
 import org.oleanderturn.model.Locality;
-import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.LeaseId;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.HttpStore;
+import org.oleanderturn.store.LeaseId;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * The store as a node at some place reaches it over HTTP: delayed by the way there and back, out of reach when the place
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchWatchers.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchWatchers.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.oleanderturn.model.Locality;
-import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.StoreSettings;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.HttpStore;
+import org.oleanderturn.store.StoreSettings;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * The simplest form of distribution, as a baseline: every node watches the store.
--- a/testbed/src/main/java/org/oleanderturn/testbed/BookingStoreBenchmark.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BookingStoreBenchmark.java
@@ -21,9 +21,9 @@
 import org.oleanderturn.claims.RecordedAnswer;
 import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.ServiceName;
-import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreSettings;
+import org.oleanderturn.store.HttpStore;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreSettings;
 
 /**
  * Store writes and time that claims add to a booking: one value a key against journals with group commit.
--- a/testbed/src/main/java/org/oleanderturn/testbed/StoreStandInHandler.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/StoreStandInHandler.java
@@ -14,10 +14,10 @@
 import org.apache.hc.core5.http.Method;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.oleanderturn.model.Codec;
-import org.oleanderturn.platform.LeaseId;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoreProtocol;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.LeaseId;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoreProtocol;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * Turns HTTP requests into calls on the content of a stand-in of the store.
--- a/testbed/src/main/java/org/oleanderturn/testbed/StoreStandInMemory.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/StoreStandInMemory.java
@@ -12,11 +12,11 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import org.oleanderturn.platform.LeaseId;
-import org.oleanderturn.platform.Store;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoreLimits;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.LeaseId;
+import org.oleanderturn.store.Store;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoreLimits;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * The content of a stand-in of the store: keys, leases that lapse and watches that wait.
--- a/testbed/src/main/java/org/oleanderturn/testbed/TrafficRig.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/TrafficRig.java
@@ -217,7 +217,7 @@
     }
 
     private Route route(String name, RequestKind kind) {
-        return new Route(
+        return Route.of(
                 RouteName.of(name),
                 "/" + name,
                 List.of("GET"),
--- a/testbed/src/test/java/org/oleanderturn/testbed/StoreReadTest.java
+++ b/testbed/src/test/java/org/oleanderturn/testbed/StoreReadTest.java
@@ -15,9 +15,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.oleanderturn.model.Address;
-import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoreSettings;
+import org.oleanderturn.store.HttpStore;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoreSettings;
 
 /** The store's client against a server that closes each connection on which a second request comes. */
 @Timeout(60)
--- a/testbed/src/test/java/org/oleanderturn/testbed/StoreStandInTest.java
+++ b/testbed/src/test/java/org/oleanderturn/testbed/StoreStandInTest.java
@@ -17,12 +17,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.oleanderturn.platform.HttpStore;
-import org.oleanderturn.platform.LeaseId;
-import org.oleanderturn.platform.StoreFailure;
-import org.oleanderturn.platform.StoreLimits;
-import org.oleanderturn.platform.StoreSettings;
-import org.oleanderturn.platform.StoredValue;
+import org.oleanderturn.store.HttpStore;
+import org.oleanderturn.store.LeaseId;
+import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.store.StoreLimits;
+import org.oleanderturn.store.StoreSettings;
+import org.oleanderturn.store.StoredValue;
 
 final class StoreStandInTest {
     private static final byte[] VALUE = "value".getBytes(StandardCharsets.UTF_8);
--- /dev/null
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Placement.java
@@ -0,0 +1,112 @@
+package org.oleanderturn.traffic;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+
+/**
+ * Chooses the target that is expected to answer first.
+ *
+ * <p>It answers uneven load and uneven targets: the expected time is that of the target's recent requests, stretched by
+ * how full it is, and the distance is small beside it. A little randomness keeps entries with the same reports from
+ * choosing the same target. Thread safe.
+ */
+public final class Placement {
+    /** Expected time of a target that has not reported, in percent of the target latency; the usual share. */
+    private static final double USUAL_SLOWNESS = 35;
+
+    /** Added for another zone of the region, in percent of the target latency; a millisecond or two each way. */
+    private static final double ZONE_COST = 1;
+
+    /** Added for another region, in percent of the target latency; the link is narrow and paid for. */
+    private static final double REGION_COST = 8;
+
+    /** The share by which an expected time is varied at random. */
+    private static final double SPREAD = 0.15;
+
+    /** The share of a target's slots beyond which work is expected to take longer. */
+    private static final double CROWDED_SHARE = 0.7;
+
+    /** Added to the expected time of a target whose slots are all taken, as a share of it. */
+    private static final double CROWDED_COST = 0.6;
+
+    /** Added for the share of slots that are taken, so that equal targets fill evenly. */
+    private static final double LOADED_COST = 0.1;
+
+    /** Added for each target that should be avoided; more than any load costs. */
+    private static final double AVOIDED_COST = 10_000;
+
+    private final LoadBoard board;
+    private final Locality locality;
+    private final LongSupplier nanoseconds;
+    private final RandomGenerator random;
+
+    private Placement(LoadBoard board, Locality locality, LongSupplier nanoseconds, RandomGenerator random) {
+        this.board = board;
+        this.locality = locality;
+        this.nanoseconds = nanoseconds;
+        this.random = random;
+    }
+
+    /** Returns the placement of an entry that stands at the given locality. */
+    public static Placement of(
+            LoadBoard board, Locality locality, LongSupplier nanoseconds, RandomGenerator random) {
+        Objects.requireNonNull(board, "board is null");
+        Objects.requireNonNull(locality, "locality is null");
+        Objects.requireNonNull(nanoseconds, "nanoseconds is null");
+        Objects.requireNonNull(random, "random is null");
+        return new Placement(board, locality, nanoseconds, random);
+    }
+
+    /** Returns the endpoint that is expected to answer first; empty when each is excluded. */
+    public Optional<Endpoint> choose(List<Endpoint> endpoints, Set<NodeId> excluded) {
+        Optional<Endpoint> best = Optional.empty();
+        double lowest = Double.MAX_VALUE;
+        for (Endpoint endpoint : endpoints) {
+            if (excluded.contains(endpoint.node())) {
+                continue;
+            }
+            double cost = cost(endpoint) * (1 + SPREAD * random.nextDouble());
+            if (cost < lowest) {
+                lowest = cost;
+                best = Optional.of(endpoint);
+            }
+        }
+        return best;
+    }
+
+    private double cost(Endpoint endpoint) {
+        LoadBoard.Standing standing = board.standing(endpoint.node());
+        boolean isAvoided = standing.avoidedUntilNanoseconds() - nanoseconds.getAsLong() > 0;
+        return expected(standing) + distance(endpoint) + (isAvoided ? AVOIDED_COST : 0);
+    }
+
+    private static double expected(LoadBoard.Standing standing) {
+        if (standing.report().isEmpty()) {
+            return USUAL_SLOWNESS * (1 + standing.outstanding());
+        }
+        LoadReport report = standing.report().get();
+        if (report.slots() == 0) {
+            return AVOIDED_COST;
+        }
+        double slowness = report.slownessPercent() == 0 ? USUAL_SLOWNESS : report.slownessPercent();
+        double load = report.running() + report.waiting() + standing.sentSince();
+        double share = load / report.slots();
+        double queue = Math.max(0, load + 1 - report.slots()) / report.slots();
+        double crowd = CROWDED_COST * Math.max(0, Math.min(share, 1) - CROWDED_SHARE) / (1 - CROWDED_SHARE);
+        return slowness * (1 + queue + crowd + LOADED_COST * share);
+    }
+
+    private double distance(Endpoint endpoint) {
+        if (endpoint.locality().equals(locality)) {
+            return 0;
+        }
+        return endpoint.locality().region().equals(locality.region()) ? ZONE_COST : REGION_COST;
+    }
+}
--- a/traffic/src/test/java/org/oleanderturn/traffic/Fixtures.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/Fixtures.java
@@ -51,7 +51,7 @@
     }
 
     static RoutingTable.Entry entry(RequestKind kind, List<Endpoint> endpoints) {
-        Route route = new Route(
+        Route route = Route.of(
                 RouteName.of("lookups"),
                 "/",
                 List.of("GET"),
