--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
@@ -135,8 +135,8 @@
     private Optional<Endpoint> choose() {
         List<Endpoint> known = parts.endpoints().get().endpoints(request.service());
         List<Endpoint> ready = known.stream().filter(Endpoint::isReady).toList();
-        Optional<Endpoint> chosen = parts.placement().choose(ready, excluded);
-        return chosen.isPresent() ? chosen : parts.placement().choose(known, excluded);
+        Optional<Endpoint> chosen = parts.placement().choose(ready, excluded, kind());
+        return chosen.isPresent() ? chosen : parts.placement().choose(known, excluded, kind());
     }
 
     private GuardReply attempt(Endpoint endpoint) {
@@ -222,15 +222,19 @@
         return isClientGone || isTimeUp || !left().isPositive();
     }
 
+    private RequestKind kind() {
+        return request.match().route().kind();
+    }
+
     private boolean isIdempotent() {
-        return request.match().route().kind().isIdempotent();
+        return kind().isIdempotent();
     }
 
     /** Returns whether a target's failure is one that another target may not share. */
     private boolean isWorthRepeating(GuardReply.Ran ran) {
         return isIdempotent()
                 && ran.answer().status() == HttpStatuses.INTERNAL_SERVER_ERROR
-                && request.match().route().kind() != RequestKind.DOWNLOAD
+                && kind() != RequestKind.DOWNLOAD
                 && arrivals + 1 < request.match().policy().maximumAttempts()
                 && hasOther();
     }
--- a/node/src/main/java/org/oleanderturn/node/Joining.java
+++ b/node/src/main/java/org/oleanderturn/node/Joining.java
@@ -19,10 +19,10 @@
  * are down. Commands are for one thread at a time; queries are thread safe.
  */
 final class Joining {
-    private static final long ALONE_PAUSE_MILLISECONDS = 500;
+    private static final long ALONE_PAUSE_MILLISECONDS = 300;
     private static final long ROUND_MILLISECONDS = 5_000;
     private static final int ROUNDS_BETWEEN_RENDEZVOUS = 4;
-    private static final int STEPS_BETWEEN_RENDEZVOUS_ALONE = 10;
+    private static final int STEPS_BETWEEN_RENDEZVOUS_ALONE = 3;
 
     private final Gossip gossip;
     private final List<Address> addresses;
--- a/node/src/main/java/org/oleanderturn/node/NodeMain.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeMain.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
+import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -20,14 +21,16 @@
             "1:a graceful stop had to cut off requests",
             "2:usage error",
             "3:the settings have faults",
-            "4:an address can't be listened on"
+            "4:an address can't be listened on",
+            "5:the rehearsal failed"
         })
 public final class NodeMain implements Callable<Integer> {
     private static final int SETTINGS_FAULTY = 3;
     private static final int START_FAILED = 4;
+    private static final int REHEARSAL_FAILED = 5;
 
-    @Option(names = "--settings", required = true, paramLabel = "FILE", description = "The settings, a JSON file.")
-    private Path settingsFile;
+    @ArgGroup(multiplicity = "1")
+    private Task task;
 
     @Option(names = "--check-settings", description = "Check the settings and stop.")
     private boolean isCheck;
@@ -37,6 +40,18 @@
 
     private NodeMain() {}
 
+    /** What the program is to do. */
+    private static final class Task {
+        @Option(names = "--settings", required = true, paramLabel = "FILE", description = "The settings, a JSON file.")
+        private Path settingsFile;
+
+        @Option(
+                names = "--rehearse",
+                required = true,
+                description = "Run alone on loopback with a store and a target of its own, send requests through and stop.")
+        private boolean isRehearsal;
+    }
+
     /** Runs until the process is stopped. */
     public static void main(String[] arguments) {
         System.exit(new CommandLine(new NodeMain()).execute(arguments));
@@ -44,7 +59,12 @@
 
     @Override
     public Integer call() {
-        Either<List<SettingsFault>, NodeSettings> settings = SettingsReader.read(settingsFile);
+        if (task.isRehearsal) {
+            LogWriter writer = LogWriter.start(System.out);
+            logFormat.install(writer);
+            return Rehearsal.run(writer) ? CommandLine.ExitCode.OK : REHEARSAL_FAILED;
+        }
+        Either<List<SettingsFault>, NodeSettings> settings = SettingsReader.read(task.settingsFile);
         if (settings.isLeft()) {
             settings.getLeft().forEach(fault -> System.err.println(fault.describe()));
             return SETTINGS_FAULTY;
--- a/node/src/main/java/org/oleanderturn/node/OperatorWatch.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorWatch.java
@@ -30,7 +30,10 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
     /** The longest wait of one watch; short enough that a watch whose connection went silent is found soon. */
-    private static final Duration WATCH_WAIT = Duration.ofMillis(2_500);
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(3);
+
+    /** Kept between two calls, so that versions in quick succession cost one call and not one each. */
+    private static final long PACE_MILLISECONDS = 150;
 
     /** The first and the longest pause after a failed call: a change has to be in force within two seconds. */
     private static final Duration SHORTEST_PAUSE = Duration.ofMillis(100);
@@ -80,7 +83,7 @@
         } else if (holder.version().equals(ConfigurationVersion.none())) {
             floor.observeHead(ConfigurationVersion.none());
         }
-        return 0;
+        return PACE_MILLISECONDS;
     }
 
     private void observe(StoredValue stored) {
--- a/traffic/src/main/java/org/oleanderturn/traffic/Placement.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Placement.java
@@ -9,6 +9,7 @@
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.RequestKind;
 
 /**
  * Chooses the target that is expected to answer first.
@@ -21,11 +22,14 @@
     /** Expected time of a target that has not reported, in percent of the target latency; the usual share. */
     private static final double USUAL_SLOWNESS = 35;
 
-    /** Added for another zone of the region, in percent of the target latency; a millisecond or two each way. */
-    private static final double ZONE_COST = 1;
+    /** Added for another zone of the region, in percent of the target latency; bytes between zones are paid for. */
+    private static final double ZONE_COST = 4;
 
-    /** Added for another region, in percent of the target latency; the link is narrow and paid for. */
-    private static final double REGION_COST = 8;
+    /** Added for another region, in percent of the target latency; the link is narrow and dear. */
+    private static final double REGION_COST = 14;
+
+    /** How much dearer the distance is for a download, whose answer is fifty times as long. */
+    private static final double DOWNLOAD_FACTOR = 15;
 
     /** The share by which an expected time is varied at random. */
     private static final double SPREAD = 0.15;
@@ -65,14 +69,14 @@
     }
 
     /** Returns the endpoint that is expected to answer first; empty when each is excluded. */
-    public Optional<Endpoint> choose(List<Endpoint> endpoints, Set<NodeId> excluded) {
+    public Optional<Endpoint> choose(List<Endpoint> endpoints, Set<NodeId> excluded, RequestKind kind) {
         Optional<Endpoint> best = Optional.empty();
         double lowest = Double.MAX_VALUE;
         for (Endpoint endpoint : endpoints) {
             if (excluded.contains(endpoint.node())) {
                 continue;
             }
-            double cost = cost(endpoint) * (1 + SPREAD * random.nextDouble());
+            double cost = cost(endpoint, kind) * (1 + SPREAD * random.nextDouble());
             if (cost < lowest) {
                 lowest = cost;
                 best = Optional.of(endpoint);
@@ -81,10 +85,11 @@
         return best;
     }
 
-    private double cost(Endpoint endpoint) {
+    private double cost(Endpoint endpoint, RequestKind kind) {
         LoadBoard.Standing standing = board.standing(endpoint.node());
         boolean isAvoided = standing.avoidedUntilNanoseconds() - nanoseconds.getAsLong() > 0;
-        return expected(standing) + distance(endpoint) + (isAvoided ? AVOIDED_COST : 0);
+        double far = distance(endpoint) * (kind == RequestKind.DOWNLOAD ? DOWNLOAD_FACTOR : 1);
+        return expected(standing) + far + (isAvoided ? AVOIDED_COST : 0);
     }
 
     private static double expected(LoadBoard.Standing standing) {
