--- a/mesh/src/main/java/org/oleanderturn/mesh/Decision.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/Decision.java
@@ -72,7 +72,8 @@
 
         @Override
         public boolean isFailure() {
-            return !(reply instanceof GuardReply.Ran ran && HttpStatuses.isSuccess(ran.answer().status()));
+            return !(reply instanceof GuardReply.Ran ran
+                    && HttpStatuses.isSuccess(ran.answer().status()));
         }
     }
 
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryAnswers.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryAnswers.java
@@ -65,7 +65,6 @@
 
     private static Answer text(int status, String reason) {
         byte[] body = (reason + "\n").getBytes(StandardCharsets.UTF_8);
-        return Answer.of(
-                status, List.of(HeaderField.of("Content-Type", "text/plain")), new Answer.Body.Whole(body));
+        return Answer.of(status, List.of(HeaderField.of("Content-Type", "text/plain")), new Answer.Body.Whole(body));
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
@@ -91,8 +91,7 @@
 
     /** Runs the request to its answer; blocks. */
     Answer run() {
-        ScheduledFuture<?> deadline =
-                parts.timers().schedule(this::timeUp, left().toNanos(), TimeUnit.NANOSECONDS);
+        ScheduledFuture<?> deadline = parts.timers().schedule(this::timeUp, left().toNanos(), TimeUnit.NANOSECONDS);
         try {
             repeats().note();
             return attemptAll();
@@ -201,8 +200,7 @@
                 route.kind(),
                 route.rank(),
                 given,
-                Duration.ofMillis(
-                        route.targetLatencyMilliseconds().orElse(USUAL_TARGET_LATENCY_MILLISECONDS)),
+                Duration.ofMillis(route.targetLatencyMilliseconds().orElse(USUAL_TARGET_LATENCY_MILLISECONDS)),
                 attempts);
         List<HeaderField> headers = new ArrayList<>(request.headers());
         headers.addAll(order.headers());
@@ -270,14 +268,12 @@
     private Answer giveUp(GuardReply last) {
         return switch (last) {
             case GuardReply.Ran ran -> answers.delivered(ran.answer(), attempts);
-            case GuardReply.NotRun notRun when !mayHaveRun ->
-                answers.notRun(notRun.reason(), attempts, returnAfter(notRun.retryAfter()));
+            case GuardReply.NotRun notRun
+            when !mayHaveRun -> answers.notRun(notRun.reason(), attempts, returnAfter(notRun.retryAfter()));
             case GuardReply.NotRun notRun -> answers.unknown(HttpStatuses.BAD_GATEWAY, notRun.reason(), attempts);
             case GuardReply.Unknown unknown ->
                 answers.unknown(
-                        isTimeUp ? HttpStatuses.GATEWAY_TIMEOUT : HttpStatuses.BAD_GATEWAY,
-                        unknown.reason(),
-                        attempts);
+                        isTimeUp ? HttpStatuses.GATEWAY_TIMEOUT : HttpStatuses.BAD_GATEWAY, unknown.reason(), attempts);
             case GuardReply.Abandoned _ ->
                 answers.unknown(HttpStatuses.GATEWAY_TIMEOUT, isClientGone ? "CLIENT_GONE" : "TIMED_OUT", attempts);
         };
@@ -287,7 +283,8 @@
     private Duration returnAfter(Duration expected) {
         Duration longest = shorter(LONGEST_RETURN, left().dividedBy(3));
         Duration base = expected.compareTo(SHORTEST_RETURN) < 0 ? SHORTEST_RETURN : shorter(expected, longest);
-        return Duration.ofNanos((long) (base.toNanos() * (SHORTEST_SPREAD + parts.random().nextDouble())));
+        return Duration.ofNanos(
+                (long) (base.toNanos() * (SHORTEST_SPREAD + parts.random().nextDouble())));
     }
 
     // -- helpers
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardAnswers.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardAnswers.java
@@ -22,28 +22,27 @@
     // -- core operations
 
     static Answer of(GuardReply reply, LoadReport load) {
-        Answer answer =
-                switch (reply) {
-                    case GuardReply.Ran ran ->
-                        Answer.of(
-                                        ran.answer().status(),
-                                        ran.answer().headers(),
-                                        new Answer.Body.Whole(ran.answer().body()))
-                                .withHeader(ProxyHeaders.OUTCOME, RAN);
-                    case GuardReply.NotRun notRun ->
-                        empty(HttpStatuses.UNAVAILABLE)
-                                .withHeader(ProxyHeaders.OUTCOME, notRun.isOffered() ? TURNED_AWAY : NOT_RUN)
-                                .withHeader(ProxyHeaders.REASON, notRun.reason())
-                                .withHeader(
-                                        ProxyHeaders.RETRY_AFTER_MILLISECONDS,
-                                        notRun.retryAfter().toMillis());
-                    case GuardReply.Unknown unknown ->
-                        empty(HttpStatuses.BAD_GATEWAY)
-                                .withHeader(ProxyHeaders.OUTCOME, UNKNOWN)
-                                .withHeader(ProxyHeaders.REASON, oneLine(unknown.reason()));
-                    case GuardReply.Abandoned _ ->
-                        empty(HttpStatuses.GATEWAY_TIMEOUT).withHeader(ProxyHeaders.OUTCOME, UNKNOWN);
-                };
+        Answer answer = switch (reply) {
+            case GuardReply.Ran ran ->
+                Answer.of(
+                                ran.answer().status(),
+                                ran.answer().headers(),
+                                new Answer.Body.Whole(ran.answer().body()))
+                        .withHeader(ProxyHeaders.OUTCOME, RAN);
+            case GuardReply.NotRun notRun ->
+                empty(HttpStatuses.UNAVAILABLE)
+                        .withHeader(ProxyHeaders.OUTCOME, notRun.isOffered() ? TURNED_AWAY : NOT_RUN)
+                        .withHeader(ProxyHeaders.REASON, notRun.reason())
+                        .withHeader(
+                                ProxyHeaders.RETRY_AFTER_MILLISECONDS,
+                                notRun.retryAfter().toMillis());
+            case GuardReply.Unknown unknown ->
+                empty(HttpStatuses.BAD_GATEWAY)
+                        .withHeader(ProxyHeaders.OUTCOME, UNKNOWN)
+                        .withHeader(ProxyHeaders.REASON, oneLine(unknown.reason()));
+            case GuardReply.Abandoned _ ->
+                empty(HttpStatuses.GATEWAY_TIMEOUT).withHeader(ProxyHeaders.OUTCOME, UNKNOWN);
+        };
         return answer.withHeader(ProxyHeaders.LOAD, load.text());
     }
 
@@ -54,8 +53,8 @@
                 .orElse(Duration.ZERO);
         return switch (outcome) {
             case RAN ->
-                new GuardReply.Ran(new WholeAnswer(
-                        answer.status(), HeaderValues.forwarded(answer.headers()), answer.body()));
+                new GuardReply.Ran(
+                        new WholeAnswer(answer.status(), HeaderValues.forwarded(answer.headers()), answer.body()));
             case NOT_RUN -> new GuardReply.NotRun(reason, false, retryAfter);
             case TURNED_AWAY -> new GuardReply.NotRun(reason, true, retryAfter);
             default -> new GuardReply.Unknown(reason);
--- a/mesh/src/main/java/org/oleanderturn/mesh/LocalTarget.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/LocalTarget.java
@@ -92,9 +92,9 @@
         apply(belief.get().reported(report, nanoseconds.getAsLong()));
     }
 
-    /** Takes note that a start takes no new work. */
-    public void leave(TargetStart start) {
-        apply(belief.get().left(start));
+    /** Takes note that the target takes no new work. */
+    public void leave(TargetCall.Leave leave) {
+        apply(belief.get().left(leave));
     }
 
     /** Takes note that nobody listens at the target's address; the next report opens it again. */
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -62,7 +62,8 @@
         ClientRequest client = dialect.client(request);
         Optional<byte[]> body = request.readBody(MeshGuard.BODY_LIMIT_BYTES);
         RouteIndex index = routes.get();
-        EntryAnswers answers = new EntryAnswers(client.attemptId(), begun, index.snapshot().version(), parts);
+        EntryAnswers answers =
+                new EntryAnswers(client.attemptId(), begun, index.snapshot().version(), parts);
         if (!isReady.getAsBoolean()) {
             return answers.notRun("NOT_READY", 0, NOT_READY_RETRY_AFTER);
         }
@@ -95,7 +96,8 @@
             RouteIndex index,
             long begun) {
         Duration timeout = Duration.ofMillis(match.policy().timeoutMilliseconds());
-        Duration patience = client.patience().filter(span -> span.compareTo(timeout) < 0).orElse(timeout);
+        Duration patience =
+                client.patience().filter(span -> span.compareTo(timeout) < 0).orElse(timeout);
         ServiceName service = splits.next(match.route());
         return new EntryRequest(
                 request.method(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -117,11 +117,7 @@
     /** A request on its way to the target. */
     @SuppressWarnings("ArrayRecordComponent")
     private record GuardRun(
-            InboundRequest request,
-            ClientRequest identity,
-            GuardOrder order,
-            byte[] body,
-            Cancellation cancellation) {}
+            InboundRequest request, ClientRequest identity, GuardOrder order, byte[] body, Cancellation cancellation) {}
 
     private GuardReply admit(GuardRun run) {
         if (!run.order().service().equals(target.service())) {
@@ -134,7 +130,13 @@
         try {
             SlotDecision decision = await(run, ticket, longestWait);
             GuardReply reply = decide(run, ticket, decision, begun);
-            decisions.record(new Decision.Guarded(run.identity().attemptId(), run.order().attempt(), reply, ticket.waited(), load(), target.belief()));
+            decisions.record(new Decision.Guarded(
+                    run.identity().attemptId(),
+                    run.order().attempt(),
+                    reply,
+                    ticket.waited(),
+                    load(),
+                    target.belief()));
             return reply;
         } finally {
             slots.release(ticket);
@@ -181,16 +183,9 @@
         List<HeaderField> received = HeaderValues.forwarded(run.request().headers());
         List<HeaderField> headers =
                 dialect.toTarget(received, run.identity(), run.order().caller(), left, start.instance());
-        Delivery delivery =
-                run.order().kind() == RequestKind.SINGLE ? Delivery.RECENT_CONNECTION : Delivery.POOLED;
+        Delivery delivery = run.order().kind() == RequestKind.SINGLE ? Delivery.RECENT_CONNECTION : Delivery.POOLED;
         OutboundRequest outbound = new OutboundRequest(
-                run.request().method(),
-                run.request().path(),
-                headers,
-                run.body(),
-                delivery,
-                CONNECT_TIMEOUT,
-                left);
+                run.request().method(), run.request().path(), headers, run.body(), delivery, CONNECT_TIMEOUT, left);
         AnswerExpectation expectation = AnswerExpectation.matching(fields -> isOwn(fields, run.identity()));
         Either<ForwardFailure, WholeAnswer> answer =
                 client.exchange(address, outbound, expectation, BODY_LIMIT_BYTES, run.cancellation());
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetBelief.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetBelief.java
@@ -64,6 +64,18 @@
         return new TargetBelief(Optional.of(next), nowNanoseconds, noted.left, false, isDrained);
     }
 
+    /** Notes a start as left; without the moment of its start, the one that reported last under the instance. */
+    TargetBelief left(TargetCall.Leave leave) {
+        if (leave.bornMilliseconds().isPresent()) {
+            return left(
+                    new TargetStart(leave.instance(), leave.bornMilliseconds().getAsLong()));
+        }
+        return report.map(TargetReport::start)
+                .filter(start -> start.instance().equals(leave.instance()))
+                .map(this::left)
+                .orElseGet(() -> left(new TargetStart(leave.instance(), TargetStart.UNSTATED)));
+    }
+
     TargetBelief left(TargetStart start) {
         Set<TargetStart> more = new HashSet<>(left);
         more.add(start);
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetCall.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetCall.java
@@ -1,6 +1,7 @@
 package org.oleanderturn.mesh;
 
 import java.util.Objects;
+import java.util.OptionalLong;
 
 /**
  * What a target calls its node for.
@@ -17,12 +18,17 @@
         }
     }
 
-    /** The target takes no new work from now on and ends soon. */
-    record Leave(TargetStart start) implements TargetCall {
+    /**
+     * The target takes no new work from now on and ends soon.
+     *
+     * @param bornMilliseconds the moment of its start; absent when it means whichever start is known
+     */
+    record Leave(String instance, OptionalLong bornMilliseconds) implements TargetCall {
 
-        /** Checks that the start is there. */
+        /** Checks that every part is there. */
         public Leave {
-            Objects.requireNonNull(start, "start is null");
+            Objects.requireNonNull(instance, "instance is null");
+            Objects.requireNonNull(bornMilliseconds, "bornMilliseconds is null");
         }
     }
 
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetCallHandler.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetCallHandler.java
@@ -42,7 +42,7 @@
                 yield answer(OK);
             }
             case TargetCall.Leave leave -> {
-                target.leave(leave.start());
+                target.leave(leave);
                 yield answer(OK);
             }
             case TargetCall.Malformed malformed -> {
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetStart.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetStart.java
@@ -8,10 +8,13 @@
  * <p>Immutable and thread safe.
  *
  * @param instance the target's instance id
- * @param bornMilliseconds the moment of its start by its own clock, in Unix milliseconds; 0 when it did not say
+ * @param bornMilliseconds the moment of its start by its own clock, in Unix milliseconds; {@link #UNSTATED} when it did not say
  */
 public record TargetStart(String instance, long bornMilliseconds) {
 
+    /** Stands for the moment of a start that did not say it. */
+    public static final long UNSTATED = 0;
+
     /** Checks that the instance is there. */
     public TargetStart {
         Objects.requireNonNull(instance, "instance is null");
--- /dev/null
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeFleet.java
@@ -0,0 +1,130 @@
+package org.oleanderturn.mesh;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.EndpointView;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.model.Route;
+import org.oleanderturn.model.RouteName;
+import org.oleanderturn.model.Service;
+import org.oleanderturn.model.TrafficPolicy;
+import org.oleanderturn.model.TrafficPolicyName;
+import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.ListenerLimits;
+import org.oleanderturn.proxy.RequestHandler;
+import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.proxy.WholeAnswer;
+import org.oleanderturn.traffic.LoadBoard;
+import org.oleanderturn.traffic.LoadReport;
+import org.oleanderturn.traffic.Placement;
+import org.oleanderturn.traffic.RepeatBudget;
+
+/** An entry before scripted guards on loopback: the first is near and chosen first, the others follow in order. */
+final class FakeFleet implements AutoCloseable {
+    static final LoadReport IDLE = new LoadReport(9, 0, 0, 30);
+    private static final Service SERVICE = Service.of("service", 9, 100);
+    private static final int TIMEOUT_MILLISECONDS = 2_000;
+
+    private final List<HttpListener> guards = new ArrayList<>();
+    private final List<AtomicInteger> counts = new ArrayList<>();
+    private final List<Endpoint> endpoints = new ArrayList<>();
+    private final UpstreamClient client = UpstreamClient.of(8);
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
+    private final LoadBoard board = LoadBoard.of(System::nanoTime);
+    final List<Decision> decisions = new CopyOnWriteArrayList<>();
+    boolean isReady = true;
+
+    /** Adds a guard that answers by the script; a reply of none never comes. */
+    FakeFleet guard(GuardReply reply) {
+        return guard(_ -> GuardAnswers.of(reply, IDLE));
+    }
+
+    FakeFleet guard(RequestHandler handler) {
+        AtomicInteger count = new AtomicInteger();
+        RequestHandler counted = request -> {
+            count.incrementAndGet();
+            return handler.handle(request);
+        };
+        HttpListener listener = HttpListener.start("127.0.0.1", 0, counted, ListenerLimits.standard())
+                .get();
+        NodeId node = NodeId.of("node-" + guards.size());
+        Locality locality = Locality.of(guards.isEmpty() ? "south" : "north", "zone-" + guards.size());
+        endpoints.add(new Endpoint(node, listener.address(), locality, SERVICE.name(), 9, EndpointState.READY, 1));
+        board.report(node, guards.isEmpty() ? IDLE : new LoadReport(9, 9, 9 * guards.size(), 30));
+        guards.add(listener);
+        counts.add(count);
+        return this;
+    }
+
+    MeshEntry entry(RequestKind kind, int attempts, Dialect dialect) {
+        TrafficPolicy policy =
+                new TrafficPolicy(TrafficPolicyName.of("policy"), TIMEOUT_MILLISECONDS, attempts, 0, 0, 0, 0, 0);
+        Route route = new Route(
+                RouteName.of("route"),
+                "/a/",
+                List.of(),
+                SERVICE.name(),
+                kind,
+                policy.name(),
+                Optional.of("host.example"),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty());
+        RouteIndex index = RouteIndex.of(ConfigurationSnapshot.of(
+                ConfigurationVersion.of(1), Configuration.of(List.of(SERVICE), List.of(route), List.of(policy))));
+        Placement placement =
+                Placement.of(board, Locality.of("south", "zone-0"), System::nanoTime, new SplittableRandom(1));
+        RepeatBudget budget = RepeatBudget.of(1, 10, Duration.ofSeconds(10).toNanos(), System::nanoTime);
+        EntryParts parts = new EntryParts(
+                SERVICE.name(),
+                () -> EndpointView.of(endpoints),
+                placement,
+                board,
+                _ -> budget,
+                client,
+                timers,
+                decisions::add,
+                System::nanoTime,
+                new SplittableRandom(2));
+        return MeshEntry.of(() -> index, () -> isReady, dialect, parts);
+    }
+
+    /** Returns how often a guard was asked. */
+    int asked(int guard) {
+        return counts.get(guard).get();
+    }
+
+    static GuardReply ran(int status, String body) {
+        return new GuardReply.Ran(
+                new WholeAnswer(status, List.of(), body.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+    }
+
+    static GuardReply notRun() {
+        return new GuardReply.NotRun("FULL", false, Duration.ofMillis(300));
+    }
+
+    static GuardReply unknown() {
+        return new GuardReply.Unknown("ANSWER_LOST");
+    }
+
+    @Override
+    public void close() {
+        guards.forEach(HttpListener::close);
+        client.close();
+        timers.shutdownNow();
+    }
+}
--- /dev/null
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeRequest.java
@@ -0,0 +1,57 @@
+package org.oleanderturn.mesh;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.oleanderturn.proxy.HeaderField;
+import org.oleanderturn.proxy.InboundRequest;
+
+/** A request that has come whole, whose client can be made to go. */
+final class FakeRequest implements InboundRequest {
+    private final String path;
+    private final List<HeaderField> headers;
+    private volatile Runnable onGone = () -> {};
+
+    FakeRequest(String path, List<HeaderField> headers) {
+        this.path = path;
+        this.headers = headers;
+    }
+
+    static FakeRequest of(String path) {
+        return new FakeRequest(path, List.of(HeaderField.of("Id", "a1")));
+    }
+
+    void leave() {
+        onGone.run();
+    }
+
+    @Override
+    public String method() {
+        return "GET";
+    }
+
+    @Override
+    public String path() {
+        return path;
+    }
+
+    @Override
+    public List<HeaderField> headers() {
+        return headers;
+    }
+
+    @Override
+    public Optional<byte[]> readBody(int limitBytes) {
+        return Optional.of(new byte[0]);
+    }
+
+    @Override
+    public Optional<byte[]> readBody(int limitBytes, Duration longest) {
+        return readBody(limitBytes);
+    }
+
+    @Override
+    public void onPeerGone(Runnable action) {
+        onGone = action;
+    }
+}
--- a/model/src/main/java/org/oleanderturn/model/DecodeFailure.java
+++ b/model/src/main/java/org/oleanderturn/model/DecodeFailure.java
@@ -30,6 +30,7 @@
         return new DecodeFailure(path, reason);
     }
 
+    /** Returns the failure that a decoder threw. */
     public static DecodeFailure of(IOException cause) {
         return switch (cause) {
             case UnrecognizedPropertyException unknown ->
--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -23,6 +23,7 @@
 import org.oleanderturn.model.DrainOutcome;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.traffic.Conviction;
+import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.wire.Frame;
 import org.oleanderturn.wire.WireFailure;
 
@@ -154,6 +155,15 @@
         CompletableFuture.allOf(calls).join();
     }
 
+    /** Tells the given nodes a target's load; what is lost is told anew soon. */
+    void tellLoad(List<Address> peers, NodeId node, LoadReport report) {
+        ControlMessage message = new ControlMessage.Load(node, report);
+        for (Address peer : peers) {
+            executor.execute(() -> call(peer, message, PROBE_TIMEOUT)
+                    .peekLeft(failure -> log.atFine().log("load was not told to %s: %s", peer, failure)));
+        }
+    }
+
     private void convict(Address peer, Conviction conviction) {
         call(peer, new ControlMessage.Convict(conviction), PROBE_TIMEOUT)
                 .peekLeft(failure -> log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -1,6 +1,7 @@
 package org.oleanderturn.node;
 
 import java.util.Objects;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.oleanderturn.distribution.PeerRecollection;
 import org.oleanderturn.distribution.Spreader;
@@ -10,6 +11,7 @@
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.traffic.CrashQuarantine;
+import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.wire.Frame;
 import org.oleanderturn.wire.FrameHandler;
 
@@ -25,6 +27,7 @@
     private final Recovery recovery;
     private final DrainControl drains;
     private final CrashQuarantine quarantine;
+    private final BiConsumer<NodeId, LoadReport> loads;
     private final LongSupplier milliseconds;
 
     ControlHandler(
@@ -34,6 +37,7 @@
             Recovery recovery,
             DrainControl drains,
             CrashQuarantine quarantine,
+            BiConsumer<NodeId, LoadReport> loads,
             LongSupplier milliseconds) {
         this.self = Objects.requireNonNull(self, "self is null");
         this.gossip = Objects.requireNonNull(gossip, "gossip is null");
@@ -41,6 +45,7 @@
         this.recovery = Objects.requireNonNull(recovery, "recovery is null");
         this.drains = Objects.requireNonNull(drains, "drains is null");
         this.quarantine = Objects.requireNonNull(quarantine, "quarantine is null");
+        this.loads = Objects.requireNonNull(loads, "loads is null");
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
     }
 
@@ -64,6 +69,10 @@
                 quarantine.learn(convict.conviction());
                 yield new ControlMessage.Noted();
             }
+            case ControlMessage.Load load -> {
+                loads.accept(load.node(), load.report());
+                yield new ControlMessage.Noted();
+            }
             case ControlMessage.Update _,
                     ControlMessage.Pushed _,
                     ControlMessage.Recollected _,
--- a/node/src/main/java/org/oleanderturn/node/ControlMessage.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlMessage.java
@@ -12,6 +12,7 @@
 import org.oleanderturn.model.DrainOutcome;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.traffic.Conviction;
+import org.oleanderturn.traffic.LoadReport;
 
 /**
  * What nodes say to each other over the control channel.
@@ -51,6 +52,9 @@
     /** Spreads a conviction; answered by {@link Noted}. */
     record Convict(Conviction conviction) implements ControlMessage {}
 
+    /** Tells the load of a node's target; answered by {@link Noted}. */
+    record Load(NodeId node, LoadReport report) implements ControlMessage {}
+
     /** Answers a message that asks for nothing. */
     record Noted() implements ControlMessage {}
 
--- a/node/src/main/java/org/oleanderturn/node/ControlNode.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlNode.java
@@ -10,9 +10,9 @@
 import org.oleanderturn.model.ChangeOutcome;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Proposal;
-import org.oleanderturn.store.Store;
 import org.oleanderturn.proxy.TargetMonitor;
 import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.store.Store;
 import org.oleanderturn.traffic.Admission;
 import org.oleanderturn.traffic.AdmissionLimits;
 import org.oleanderturn.traffic.CrashQuarantine;
@@ -142,8 +142,8 @@
         Admission admission = Admission.of(AdmissionLimits.of(1, 0, 0), System::nanoTime, SharedRandom.create());
         TargetMonitor monitor = TargetMonitor.of(
                 settings.target().address(), settings.target().healthPath(), upstreams, admission, quarantine);
-        DrainControl drains = new DrainControl(
-                settings.node(), monitor::drain, monitor::undrain, monitor::state, control.gossip());
+        DrainControl drains =
+                new DrainControl(settings.node(), monitor::drain, monitor::undrain, monitor::state, control.gossip());
         return new ControlHandler(
                 settings.node(),
                 control.gossip(),
@@ -151,6 +151,7 @@
                 control.recovery(),
                 drains,
                 quarantine,
+                (_, _) -> {},
                 System::currentTimeMillis);
     }
 }
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -61,8 +61,7 @@
         Objects.requireNonNull(channel, "channel is null");
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
         RandomGenerator random = new SplittableRandom(new SecureRandom().nextLong());
-        this.gossip =
-                Gossip.of(localRecord(settings), gossipSettings, channel, milliseconds, random, listener);
+        this.gossip = Gossip.of(localRecord(settings), gossipSettings, channel, milliseconds, random, listener);
         this.directory = new MemberDirectory(gossip::table);
         this.election = election(settings, store, directory, split(random));
         this.watch = RelayWatch.of(
--- a/node/src/main/java/org/oleanderturn/node/DrainControl.java
+++ b/node/src/main/java/org/oleanderturn/node/DrainControl.java
@@ -19,8 +19,7 @@
     private final Supplier<EndpointState> state;
     private final Gossip gossip;
 
-    DrainControl(
-            NodeId self, Runnable drain, Runnable undrain, Supplier<EndpointState> state, Gossip gossip) {
+    DrainControl(NodeId self, Runnable drain, Runnable undrain, Supplier<EndpointState> state, Gossip gossip) {
         this.self = Objects.requireNonNull(self, "self is null");
         this.drain = Objects.requireNonNull(drain, "drain is null");
         this.undrain = Objects.requireNonNull(undrain, "undrain is null");
--- a/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
+++ b/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
@@ -61,7 +61,8 @@
         if (isSampled(decision.attemptId())) {
             writer.offer(line(decision));
         } else if (pending.size() < MOST_PENDING) {
-            pending.computeIfAbsent(decision.attemptId(), _ -> new ArrayList<>()).add(line(decision));
+            pending.computeIfAbsent(decision.attemptId(), _ -> new ArrayList<>())
+                    .add(line(decision));
         }
     }
 
@@ -110,10 +111,7 @@
         fields.put("waitedMilliseconds", guarded.waited().toMillis());
         fields.put("load", guarded.load().text());
         fields.put("target", guarded.target().state().name());
-        guarded.target()
-                .report()
-                .map(TargetReport::start)
-                .ifPresent(start -> fields.put("instance", start.instance()));
+        guarded.target().report().map(TargetReport::start).ifPresent(start -> fields.put("instance", start.instance()));
     }
 
     private static void add(Map<String, Object> fields, Decision.AttemptFailed failed) {
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -59,18 +59,18 @@
     private static final int CLIENT_CONNECTIONS = 2_500;
 
     private final NodeSettings settings;
-    private final NodeSettings.Mesh mesh;
     private final IntSupplier fleetSize;
     private final LongSupplier nanoseconds = System::nanoTime;
     private final UpstreamClient client = UpstreamClient.of(CONNECTIONS_PER_PEER);
     private final UpstreamClient targetClient = UpstreamClient.of(CONNECTIONS_PER_PEER);
-    private final ScheduledExecutorService timers =
-            Executors.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().name("timers").factory());
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(
+            Thread.ofPlatform().daemon().name("timers").factory());
     private final ConcurrentHashMap<ServiceName, RepeatBudget> repeats = new ConcurrentHashMap<>();
     private final LoadBoard board;
     private final LocalTarget target;
     private final MeshGuard guard;
     private final EntryParts parts;
+    private volatile NodeSettings.Repeats repeatLimit;
     private HttpListener callers;
     private HttpListener peers;
     private MeshEntry entry;
@@ -82,7 +82,8 @@
             IntSupplier fleetSize,
             DecisionLog decisions) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
-        this.mesh = Objects.requireNonNull(mesh, "mesh is null");
+        Objects.requireNonNull(mesh, "mesh is null");
+        this.repeatLimit = mesh.repeats();
         this.fleetSize = Objects.requireNonNull(fleetSize, "fleetSize is null");
         RandomGenerator random = SharedRandom.create();
         SlotQueue slots = SlotQueue.of(nanoseconds);
@@ -127,11 +128,13 @@
     }
 
     private RepeatBudget budget(ServiceName service) {
-        return repeats.computeIfAbsent(service, _ -> RepeatBudget.of(
-                mesh.repeats().ratio() * USED_SHARE,
-                mesh.repeats().allowance() * USED_SHARE / Math.max(1, fleetSize.getAsInt()),
-                mesh.repeats().window().duration().toNanos(),
-                nanoseconds));
+        return repeats.computeIfAbsent(
+                service,
+                _ -> RepeatBudget.of(
+                        repeatLimit.ratio() * USED_SHARE,
+                        repeatLimit.allowance() * USED_SHARE / Math.max(1, fleetSize.getAsInt()),
+                        repeatLimit.window().duration().toNanos(),
+                        nanoseconds));
     }
 
     // -- commands
@@ -142,8 +145,7 @@
         entry = MeshEntry.of(routes, isReady, PlatformDialect.instance(), parts);
         Address caller = settings.listen().caller();
         Address peer = settings.listen().peer();
-        ListenerLimits limits =
-                new ListenerLimits(CLIENT_CONNECTIONS, CLIENT_IDLE, CLIENT_LINE_BYTES, CLIENT_HEADERS);
+        ListenerLimits limits = new ListenerLimits(CLIENT_CONNECTIONS, CLIENT_IDLE, CLIENT_LINE_BYTES, CLIENT_HEADERS);
         return HttpListener.start(caller.host(), caller.port(), metrics.counted(entry), limits)
                 .peek(listener -> callers = listener)
                 .flatMap(_ -> HttpListener.start(peer.host(), peer.port(), guard, limits))
@@ -159,6 +161,12 @@
         });
     }
 
+    /** Takes over another bound on repeats. */
+    void limitRepeats(NodeSettings.Repeats limit) {
+        repeatLimit = Objects.requireNonNull(limit, "limit is null");
+        repeats.clear();
+    }
+
     /** Notes another node's load. */
     void report(NodeId node, LoadReport report) {
         board.report(node, report);
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -4,7 +4,9 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -28,6 +30,7 @@
 import org.oleanderturn.store.BudgetedStore;
 import org.oleanderturn.store.StoreSettings;
 import org.oleanderturn.traffic.CrashQuarantine;
+import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.wire.FrameClient;
 import org.oleanderturn.wire.FrameServer;
 import org.oleanderturn.wire.ListenAddress;
@@ -57,6 +60,12 @@
     private static final Duration LAST_STEPS = Duration.ofMillis(500);
 
     private static final long LOG_CLOSE_MILLISECONDS = 300;
+    /** How often a node tells its load: a few times in the course of a request. */
+    private static final long LOAD_PAUSE_MILLISECONDS = 100;
+
+    /** Bounds what a node sends to a hundred messages a second, whatever the fleet's size. */
+    private static final long LOAD_PAUSE_MILLISECONDS_PER_PEER = 10;
+
     private static final long MEMBERS_PAUSE_MILLISECONDS = 100;
 
     private final NodeSettings settings;
@@ -72,7 +81,9 @@
     private final AtomicReference<RouteIndex> routes = new AtomicReference<>(RouteIndex.empty());
     private final AtomicBoolean isStopping = new AtomicBoolean();
     private final NodeMetrics metrics = new NodeMetrics();
+    private final ControlChannel channel;
     private Set<NodeId> reachable = Set.of();
+    private LoadReport told = new LoadReport(0, 0, 0, 0);
     private FrameServer controlServer;
     private HttpListener readiness;
     private HttpListener targetCalls;
@@ -86,7 +97,7 @@
         int callsPerSecond = settings.platform().callsPerSecond();
         this.budgeted = BudgetedStore.of(store, callsPerSecond, callsPerSecond * BURST_SECONDS, System::nanoTime);
         LongSupplier milliseconds = MonotonicClock.start();
-        ControlChannel channel = ControlChannel.of(
+        this.channel = ControlChannel.of(
                 frames::call, loops.executor(), settings.listen().control());
         this.control = new ControlPlane(
                 settings, budgeted, channel, milliseconds, GossipSettings.brisk(), this::membersChanged);
@@ -138,7 +149,8 @@
         if (!isStopping.compareAndSet(false, true)) {
             return true;
         }
-        long end = System.nanoTime() + mesh.stopTime().duration().minus(LAST_STEPS).toNanos();
+        long end =
+                System.nanoTime() + mesh.stopTime().duration().minus(LAST_STEPS).toNanos();
         log.atInfo().log("stopping");
         data.shed();
         control.gossip().announceState(EndpointState.DRAINING);
@@ -151,6 +163,25 @@
         return isFinished;
     }
 
+    /** Takes over settings that changed; those that need another start are logged. */
+    void reload(NodeSettings changed) {
+        Optional<NodeSettings.Mesh> next = changed.mesh();
+        if (next.isEmpty()) {
+            log.atWarning().log("settings without section mesh are not taken over");
+            return;
+        }
+        data.limitRepeats(next.get().repeats());
+        boolean isSame = changed.listen().equals(settings.listen())
+                && changed.target().equals(settings.target())
+                && changed.node().equals(settings.node());
+        log.atInfo().log("settings are taken over; a start is needed for some: %s", !isSame);
+    }
+
+    /** Runs something again and again while the node runs; each run says how long to pause, in milliseconds. */
+    void repeat(LongSupplier work) {
+        loops.repeat(work);
+    }
+
     // -- start
 
     private Either<NodeFailure, MeshNode> listen() {
@@ -177,11 +208,7 @@
     private ControlHandler controlHandler() {
         CrashQuarantine quarantine = CrashQuarantine.of(settings.node(), MonotonicClock.start(), SharedRandom.create());
         DrainControl drains = new DrainControl(
-                settings.node(),
-                data.target()::drain,
-                data.target()::undrain,
-                data.target()::state,
-                control.gossip());
+                settings.node(), data.target()::drain, data.target()::undrain, data.target()::state, control.gossip());
         return new ControlHandler(
                 settings.node(),
                 control.gossip(),
@@ -189,6 +216,7 @@
                 control.recovery(),
                 drains,
                 quarantine,
+                data::report,
                 System::currentTimeMillis);
     }
 
@@ -198,6 +226,7 @@
         data.start(loops);
         control.start(loops, operators::runOnce, () -> {});
         loops.every(MEMBERS_PAUSE_MILLISECONDS, this::reviewMembers);
+        loops.repeat(this::tellLoad);
         log.atInfo().log("node %s started in %s", settings.node(), settings.locality());
     }
 
@@ -224,6 +253,19 @@
         reachable = now;
     }
 
+    /** Tells the nodes that send here how full the target is; returns how long to pause, in milliseconds. */
+    private long tellLoad() {
+        LoadReport load = data.load();
+        List<Address> peers = control.gossip().table().reachablePeers().stream()
+                .map(MemberRecord::controlAddress)
+                .toList();
+        if (!load.equals(told)) {
+            told = load;
+            channel.tellLoad(peers, settings.node(), load);
+        }
+        return Math.max(LOAD_PAUSE_MILLISECONDS, peers.size() * LOAD_PAUSE_MILLISECONDS_PER_PEER);
+    }
+
     // -- end
 
     private void closeAll() {
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -12,12 +12,12 @@
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.EndpointState;
-import org.oleanderturn.store.BudgetedStore;
-import org.oleanderturn.store.HttpStore;
-import org.oleanderturn.store.StoreSettings;
 import org.oleanderturn.proxy.HttpListener;
 import org.oleanderturn.proxy.ListenerLimits;
 import org.oleanderturn.proxy.ProxyFailure;
+import org.oleanderturn.store.BudgetedStore;
+import org.oleanderturn.store.HttpStore;
+import org.oleanderturn.store.StoreSettings;
 import org.oleanderturn.traffic.Conviction;
 import org.oleanderturn.wire.FrameClient;
 import org.oleanderturn.wire.FrameServer;
@@ -62,7 +62,8 @@
         this.channel = ControlChannel.of(
                 frames::call, loops.executor(), settings.listen().control());
         this.data = new DataPlane(settings, budgeted, loops.executor(), milliseconds);
-        this.control = new ControlPlane(settings, budgeted, channel, milliseconds, GossipSettings.standard(), this::membersChanged);
+        this.control = new ControlPlane(
+                settings, budgeted, channel, milliseconds, GossipSettings.standard(), this::membersChanged);
         this.routing = new RoutingState(
                 () -> control.holder().held(), () -> control.gossip().table().endpointView(), data::configure);
         this.drains = new DrainControl(
@@ -130,6 +131,7 @@
                 control.recovery(),
                 drains,
                 data.quarantine(),
+                (_, _) -> {},
                 System::currentTimeMillis);
         Address address = settings.listen().control();
         return FrameServer.start(ListenAddress.of(address), handler, WireLimits.standard())
--- a/node/src/main/java/org/oleanderturn/node/NodeMain.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeMain.java
@@ -48,7 +48,8 @@
         @Option(
                 names = "--rehearse",
                 required = true,
-                description = "Run alone on loopback with a store and a target of its own, send requests through and stop.")
+                description =
+                        "Run alone on loopback with a store and a target of its own, send requests through and stop.")
         private boolean isRehearsal;
     }
 
@@ -88,6 +89,9 @@
             System.err.println("oleanderturn-node: " + started.getLeft().describe());
             return START_FAILED;
         }
+        SettingsReload reload = SettingsReload.of(task.settingsFile, settings, started.get()::reload);
+        reload.onSignal();
+        started.get().repeat(reload::check);
         return ShutdownSignal.awaitAndStop(started.get()::stop);
     }
 
--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -131,15 +131,14 @@
     }
 
     private boolean isAnswered(Address address, OutboundRequest request) {
-        Either<ForwardFailure, WholeAnswer> answer = client.exchange(
-                address, request, AnswerExpectation.framed(), BODY_LIMIT_BYTES, Cancellation.create());
+        Either<ForwardFailure, WholeAnswer> answer =
+                client.exchange(address, request, AnswerExpectation.framed(), BODY_LIMIT_BYTES, Cancellation.create());
         return answer.exists(whole -> whole.status() == OK);
     }
 
     private NodeSettings settings() throws IOException {
         NodeSettings.Repeats repeats = new NodeSettings.Repeats(0, 0, Span.of("10s"));
-        NodeSettings.Mesh mesh =
-                new NodeSettings.Mesh(free(), free(), Span.of("60s"), Span.of("1s"), repeats);
+        NodeSettings.Mesh mesh = new NodeSettings.Mesh(free(), free(), Span.of("60s"), Span.of("5s"), repeats);
         return new NodeSettings(
                 NodeId.of(NAME),
                 Region.of(NAME),
--- a/node/src/main/java/org/oleanderturn/node/SettingsField.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsField.java
@@ -59,7 +59,8 @@
                     value.isNumber()
                             && value.doubleValue() >= decimal.lowest()
                             && value.doubleValue() <= decimal.highest();
-                case TimeSpan _ -> value.isTextual() && Span.parse(value.textValue()).isPresent();
+                case TimeSpan _ ->
+                    value.isTextual() && Span.parse(value.textValue()).isPresent();
                 case Addresses _ -> isAddresses(value);
             };
         }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -17,9 +17,9 @@
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.pool.LaxConnPool;
 import org.apache.hc.core5.pool.PoolEntry;
 import org.apache.hc.core5.pool.PoolReusePolicy;
@@ -73,8 +73,8 @@
         Objects.requireNonNull(cancellation, "cancellation is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
         return connect(peer, request)
-                .flatMap(connection ->
-                        exchange(connection, message, request, AnswerExpectation.framed(), cancellation));
+                .flatMap(
+                        connection -> exchange(connection, message, request, AnswerExpectation.framed(), cancellation));
     }
 
     /**
--- a/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/RequestScenario.java
@@ -10,11 +10,11 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.oleanderturn.store.FakeStore;
 import org.oleanderturn.proxy.FakeMesh.Call;
 import org.oleanderturn.proxy.FakeMesh.Reply;
 import org.oleanderturn.proxy.FaultRelay.Step;
 import org.oleanderturn.proxy.FaultRelay.Verdict;
+import org.oleanderturn.store.FakeStore;
 
 /** Runs one request into one fault, sends it again, and checks what must hold. */
 final class RequestScenario {
--- a/traffic/src/main/java/org/oleanderturn/traffic/LoadBoard.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LoadBoard.java
@@ -94,7 +94,6 @@
     }
 
     private AtomicReference<Standing> reference(NodeId node) {
-        return standings.computeIfAbsent(
-                node, _ -> new AtomicReference<>(Standing.unknown(nanoseconds.getAsLong())));
+        return standings.computeIfAbsent(node, _ -> new AtomicReference<>(Standing.unknown(nanoseconds.getAsLong())));
     }
 }
--- a/traffic/src/main/java/org/oleanderturn/traffic/Placement.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Placement.java
@@ -59,8 +59,7 @@
     }
 
     /** Returns the placement of an entry that stands at the given locality. */
-    public static Placement of(
-            LoadBoard board, Locality locality, LongSupplier nanoseconds, RandomGenerator random) {
+    public static Placement of(LoadBoard board, Locality locality, LongSupplier nanoseconds, RandomGenerator random) {
         Objects.requireNonNull(board, "board is null");
         Objects.requireNonNull(locality, "locality is null");
         Objects.requireNonNull(nanoseconds, "nanoseconds is null");
--- a/traffic/src/main/java/org/oleanderturn/traffic/RepeatBudget.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RepeatBudget.java
@@ -37,8 +37,7 @@
      * @param allowance this node's part of the repeats that are granted beside the ratio
      * @param windowNanoseconds the window's length
      */
-    public static RepeatBudget of(
-            double ratio, double allowance, long windowNanoseconds, LongSupplier nanoseconds) {
+    public static RepeatBudget of(double ratio, double allowance, long windowNanoseconds, LongSupplier nanoseconds) {
         Objects.requireNonNull(nanoseconds, "nanoseconds is null");
         return new RepeatBudget(ratio, allowance, windowNanoseconds, nanoseconds);
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -25,7 +25,7 @@
     private final LongSupplier nanoseconds;
     private final PriorityQueue<SlotTicket> waiting =
             new PriorityQueue<>(Comparator.comparingInt(SlotTicket::rank).thenComparingLong(SlotTicket::number));
-    private SlotState state = new SlotState(0, true, 0, 0, FIRST_AVERAGE_NANOSECONDS);
+    private SlotState state = new SlotState(0, false, 0, 0, FIRST_AVERAGE_NANOSECONDS);
     private long tickets;
 
     private SlotQueue(LongSupplier nanoseconds) {
@@ -113,8 +113,7 @@
         if (state.slots() == 0) {
             return Duration.ofNanos((long) state.averageNanoseconds());
         }
-        long ahead =
-                waiting.stream().filter(other -> other.rank() <= rank).count() + 1;
+        long ahead = waiting.stream().filter(other -> other.rank() <= rank).count() + 1;
         return Duration.ofNanos((long) (ahead * state.averageNanoseconds() / state.slots()));
     }
 
