--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
@@ -201,6 +201,7 @@
                 route.rank(),
                 given,
                 Duration.ofMillis(route.targetLatencyMilliseconds().orElse(USUAL_TARGET_LATENCY_MILLISECONDS)),
+                elapsed(),
                 attempts);
         List<HeaderField> headers = new ArrayList<>(request.headers());
         headers.addAll(order.headers());
@@ -294,6 +295,11 @@
                 request.deadlineNanoseconds() - parts.nanoseconds().getAsLong());
     }
 
+    private Duration elapsed() {
+        long here = parts.nanoseconds().getAsLong() - request.begunNanoseconds();
+        return request.waitedBefore().plusNanos(here);
+    }
+
     private RepeatBudget repeats() {
         return parts.repeats().apply(request.service());
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryRequest.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.mesh;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import org.oleanderturn.model.ConfigurationVersion;
@@ -16,6 +17,7 @@
  * @param version the configuration that the route comes from
  * @param begunNanoseconds when the request came
  * @param deadlineNanoseconds when its client or its route gives it up
+ * @param waitedBefore how long its client spent on earlier attempts
  */
 @SuppressWarnings("ArrayRecordComponent")
 record EntryRequest(
@@ -28,7 +30,8 @@
         ServiceName service,
         ConfigurationVersion version,
         long begunNanoseconds,
-        long deadlineNanoseconds) {
+        long deadlineNanoseconds,
+        Duration waitedBefore) {
 
     EntryRequest {
         Objects.requireNonNull(method, "method is null");
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardOrder.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardOrder.java
@@ -24,7 +24,8 @@
  * @param kind what may be repeated
  * @param rank where it stands when work has to wait, 0 first
  * @param left how long its client still waits
- * @param targetLatency within which its answer is worth most
+ * @param targetLatency within which its answer is worth most, from its client's first attempt
+ * @param elapsed how long its client has waited, earlier attempts included
  * @param attempt the attempt's number, from 1
  */
 record GuardOrder(
@@ -34,6 +35,7 @@
         int rank,
         Duration left,
         Duration targetLatency,
+        Duration elapsed,
         int attempt) {
 
     GuardOrder {
@@ -42,6 +44,7 @@
         Objects.requireNonNull(kind, "kind is null");
         Objects.requireNonNull(left, "left is null");
         Objects.requireNonNull(targetLatency, "targetLatency is null");
+        Objects.requireNonNull(elapsed, "elapsed is null");
     }
 
     /** Reads an order from a request; the left side names the header that is missing or malformed. */
@@ -60,7 +63,8 @@
         if (kind.isEmpty() || rank.isEmpty() || attempt.isEmpty()) {
             return Either.left(ProxyHeaders.KIND);
         }
-        if (left.isEmpty() || latency.isEmpty()) {
+        Optional<Duration> elapsed = HeaderValues.milliseconds(headers, ProxyHeaders.ELAPSED);
+        if (left.isEmpty() || latency.isEmpty() || elapsed.isEmpty()) {
             return Either.left(ProxyHeaders.DEADLINE);
         }
         return Either.right(new GuardOrder(
@@ -70,6 +74,7 @@
                 Math.toIntExact(rank.getAsLong()),
                 left.get(),
                 latency.get(),
+                elapsed.get(),
                 Math.toIntExact(attempt.getAsLong())));
     }
 
@@ -82,6 +87,7 @@
         headers.add(HeaderField.of(ProxyHeaders.RANK, rank));
         headers.add(HeaderField.of(ProxyHeaders.DEADLINE, left.toMillis()));
         headers.add(HeaderField.of(ProxyHeaders.TARGET_LATENCY, targetLatency.toMillis()));
+        headers.add(HeaderField.of(ProxyHeaders.ELAPSED, elapsed.toMillis()));
         headers.add(HeaderField.of(ProxyHeaders.ATTEMPT, attempt));
         return headers;
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -31,6 +31,7 @@
     private final BooleanSupplier isReady;
     private final Dialect dialect;
     private final EntryParts parts;
+    private final ClientPatience patience = ClientPatience.unknown();
     private final SplitChoice splits = SplitChoice.create();
     private final ConcurrentHashMap<NodeId, Set<Cancellation>> outstanding = new ConcurrentHashMap<>();
 
@@ -96,9 +97,12 @@
             RouteIndex index,
             long begun) {
         Duration timeout = Duration.ofMillis(match.policy().timeoutMilliseconds());
-        Duration patience =
+        Duration longest =
                 client.patience().filter(span -> span.compareTo(timeout) < 0).orElse(timeout);
         ServiceName service = splits.next(match.route());
+        Duration waited = client.patience()
+                .map(span -> patience.waited(match.route().name(), span))
+                .orElse(Duration.ZERO);
         return new EntryRequest(
                 request.method(),
                 request.path(),
@@ -109,6 +113,7 @@
                 service,
                 index.snapshot().version(),
                 begun,
-                begun + patience.toNanos());
+                begun + longest.toNanos(),
+                waited);
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -24,6 +24,7 @@
 import org.oleanderturn.proxy.WholeAnswer;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.SlotDecision;
+import org.oleanderturn.traffic.SlotDemand;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.SlotState;
 import org.oleanderturn.traffic.SlotTicket;
@@ -126,7 +127,7 @@
         long begun = nanoseconds.getAsLong();
         Duration left = run.order().left();
         Duration longestWait = Duration.ofNanos((long) (left.toNanos() * WAITING_SHARE));
-        SlotTicket ticket = slots.request(run.order().rank(), longestWait);
+        SlotTicket ticket = slots.request(demand(run.order(), longestWait));
         try {
             SlotDecision decision = await(run, ticket, longestWait);
             GuardReply reply = decide(run, ticket, decision, begun);
@@ -143,6 +144,12 @@
         }
     }
 
+    private SlotDemand demand(GuardOrder order, Duration longestWait) {
+        Duration expectedRun = slowness.expected(order.targetLatency());
+        Duration worthWhile = order.targetLatency().minus(order.elapsed());
+        return new SlotDemand(order.rank(), expectedRun, worthWhile, longestWait);
+    }
+
     private SlotDecision await(GuardRun run, SlotTicket ticket, Duration longest) {
         run.cancellation().onCancel(() -> slots.withdraw(ticket));
         try {
--- a/mesh/src/main/java/org/oleanderturn/mesh/Slowness.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/Slowness.java
@@ -16,6 +16,9 @@
     /** The least that is reported once there was a run, so that it can be told from none. */
     private static final int LEAST_PERCENT = 1;
 
+    /** Stands for the average before the first run; the users' target latencies are about three times the work. */
+    private static final double USUAL_RATIO = 0.33;
+
     private static final int PERCENT = 100;
 
     /** Bounds one outlier's pull on the average. */
@@ -35,6 +38,12 @@
         return current == 0 ? 0 : Math.max(LEAST_PERCENT, (int) Math.round(current * PERCENT));
     }
 
+    /** Returns how long a request with the given target latency is expected to run. */
+    Duration expected(Duration targetLatency) {
+        double current = Double.longBitsToDouble(ratio.get());
+        return Duration.ofNanos((long) (targetLatency.toNanos() * (current == 0 ? USUAL_RATIO : current)));
+    }
+
     /** Notes a run. */
     void note(Duration taken, Duration targetLatency) {
         if (targetLatency.isZero()) {
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -61,7 +61,10 @@
 
     private static final long LOG_CLOSE_MILLISECONDS = 300;
     /** How often a node tells its load: a few times in the course of a request. */
-    private static final long LOAD_PAUSE_MILLISECONDS = 100;
+    private static final long LOAD_PAUSE_MILLISECONDS = 150;
+
+    /** One in so many tellings goes to other regions too: the link is paid for, and answers carry the load as well. */
+    private static final long TELLINGS_TO_OTHER_REGIONS = 6;
 
     /** Bounds what a node sends to a hundred messages a second, whatever the fleet's size. */
     private static final long LOAD_PAUSE_MILLISECONDS_PER_PEER = 10;
@@ -84,6 +87,8 @@
     private final ControlChannel channel;
     private Set<NodeId> reachable = Set.of();
     private LoadReport told = new LoadReport(0, 0, 0, 0);
+    private LoadReport toldToAll = new LoadReport(0, 0, 0, 0);
+    private long tellings;
     private FrameServer controlServer;
     private HttpListener readiness;
     private HttpListener targetCalls;
@@ -256,12 +261,18 @@
     /** Tells the nodes that send here how full the target is; returns how long to pause, in milliseconds. */
     private long tellLoad() {
         LoadReport load = data.load();
-        List<Address> peers = control.gossip().table().reachablePeers().stream()
-                .map(MemberRecord::controlAddress)
-                .toList();
-        if (!load.equals(told)) {
+        List<MemberRecord> peers = control.gossip().table().reachablePeers();
+        tellings++;
+        boolean isForAll = tellings % TELLINGS_TO_OTHER_REGIONS == 0;
+        boolean isTold = isForAll ? load.isNear(toldToAll) : load.isNear(told);
+        if (!isTold) {
             told = load;
-            channel.tellLoad(peers, settings.node(), load);
+            toldToAll = isForAll ? load : toldToAll;
+            List<Address> receivers = peers.stream()
+                    .filter(peer -> isForAll || peer.locality().region().equals(settings.region()))
+                    .map(MemberRecord::controlAddress)
+                    .toList();
+            channel.tellLoad(receivers, settings.node(), load);
         }
         return Math.max(LOAD_PAUSE_MILLISECONDS, peers.size() * LOAD_PAUSE_MILLISECONDS_PER_PEER);
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
@@ -30,6 +30,7 @@
             lower(ProxyHeaders.RETRIES_LEFT),
             lower(ProxyHeaders.RANK),
             lower(ProxyHeaders.TARGET_LATENCY),
+            lower(ProxyHeaders.ELAPSED),
             lower(ProxyHeaders.CALLER_SERVICE),
             lower(ProxyHeaders.LOAD),
             lower(ProxyHeaders.RETRY_AFTER_MILLISECONDS));
--- a/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
@@ -41,6 +41,8 @@
     public static final String RANK = "Oleanderturn-Rank";
     /** Between nodes: milliseconds within which an answer is worth most. */
     public static final String TARGET_LATENCY = "Oleanderturn-Target-Latency-Milliseconds";
+    /** Between nodes: milliseconds that the client has waited, earlier attempts included. */
+    public static final String ELAPSED = "Oleanderturn-Elapsed-Milliseconds";
     /** Between nodes: the service on whose host the request began. */
     public static final String CALLER_SERVICE = "Oleanderturn-Caller-Service";
     /** Between nodes: the load of the answering node's target. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/LoadReport.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LoadReport.java
@@ -15,6 +15,15 @@
 public record LoadReport(int slots, int running, int waiting, int slownessPercent) {
     private static final int FIELDS = 4;
 
+    /** A change of load by up to this part of the slots is not worth a message. */
+    private static final int NEAR_PART = 6;
+
+    /** Returns whether a report says so nearly the same that it need not be told. */
+    public boolean isNear(LoadReport other) {
+        int change = Math.abs(running + waiting - other.running - other.waiting);
+        return slots == other.slots && change <= slots / NEAR_PART;
+    }
+
     /** Returns the report as text, for a header. */
     public String text() {
         return slots + "," + running + "," + waiting + "," + slownessPercent;
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -1,16 +1,20 @@
 package org.oleanderturn.traffic;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Objects;
-import java.util.PriorityQueue;
 import java.util.function.LongSupplier;
 
 /**
- * Hands a target's slots to requests: by rank, then in the order of arrival.
+ * Hands a target's slots to requests.
  *
- * <p>It answers a load above what the target can run at once: a request that is expected to wait longer than it may is
- * refused on arrival, so that its caller can go elsewhere while there is time.
+ * <p>It answers a load above what the target can run. A slot goes to the request that still gains most by it: one whose
+ * answer can come while it is worth most, by rank and then by what is due first; the late ones take what is left, in the
+ * same order. In a queue by arrival, a load a little above the target's makes every answer late. A request that can't be
+ * served in its time is refused on arrival, so that its caller can go elsewhere while there is time.
  *
  * <p>Invariants: no more requests hold a slot than the target has slots; a request that is refused never holds one; each
  * ticket is settled once. Thread safe.
@@ -23,8 +27,7 @@
     private static final double FIRST_AVERAGE_NANOSECONDS = 150e6;
 
     private final LongSupplier nanoseconds;
-    private final PriorityQueue<SlotTicket> waiting =
-            new PriorityQueue<>(Comparator.comparingInt(SlotTicket::rank).thenComparingLong(SlotTicket::number));
+    private final List<SlotTicket> waiting = new ArrayList<>();
     private SlotState state = new SlotState(0, false, 0, 0, FIRST_AVERAGE_NANOSECONDS);
     private long tickets;
 
@@ -56,19 +59,14 @@
     public synchronized void close() {
         state = state.closed();
         while (!waiting.isEmpty()) {
-            settle(waiting.poll(), new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
+            settle(waiting.removeLast(), new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
         }
     }
 
-    /**
-     * Asks for a slot.
-     *
-     * @param rank 0 first
-     * @param longestWait the longest that the request may wait
-     * @return a ticket that is settled at once when a slot is free or the request is refused
-     */
-    public synchronized SlotTicket request(int rank, Duration longestWait) {
-        SlotTicket ticket = new SlotTicket(rank, tickets++, nanoseconds.getAsLong());
+    /** Asks for a slot; the ticket is settled at once when a slot is free or the request is refused. */
+    public synchronized SlotTicket request(SlotDemand demand) {
+        long now = nanoseconds.getAsLong();
+        SlotTicket ticket = new SlotTicket(demand, tickets++, now);
         if (!state.isOpen()) {
             settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
             return ticket;
@@ -77,8 +75,8 @@
             begin(ticket);
             return ticket;
         }
-        Duration expected = expectedWait(rank);
-        if (expected.compareTo(longestWait) > 0) {
+        Duration expected = expectedWait(ticket, now);
+        if (expected.compareTo(demand.longestWait()) > 0) {
             settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.FULL, expected));
             return ticket;
         }
@@ -91,7 +89,7 @@
     public synchronized void withdraw(SlotTicket ticket) {
         if (waiting.remove(ticket)) {
             state = state.withWaiting(waiting.size());
-            settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.WITHDRAWN, expectedWait(ticket.rank())));
+            settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.WITHDRAWN, expectedWait(ticket, nanoseconds.getAsLong())));
         }
     }
 
@@ -108,18 +106,31 @@
 
     // -- state
 
-    /** Returns how long a request of the given rank is expected to wait when it joins now. */
-    private Duration expectedWait(int rank) {
+    /** Returns how long a request is expected to wait behind those that go before it. */
+    private Duration expectedWait(SlotTicket ticket, long now) {
         if (state.slots() == 0) {
             return Duration.ofNanos((long) state.averageNanoseconds());
         }
-        long ahead = waiting.stream().filter(other -> other.rank() <= rank).count() + 1;
+        Comparator<SlotTicket> order = order(now);
+        int ahead = 1;
+        for (SlotTicket other : waiting) {
+            ahead += order.compare(other, ticket) < 0 ? 1 : 0;
+        }
         return Duration.ofNanos((long) (ahead * state.averageNanoseconds() / state.slots()));
     }
 
+    private static Comparator<SlotTicket> order(long now) {
+        return Comparator.comparing((SlotTicket ticket) -> ticket.isLateAt(now))
+                .thenComparingInt(SlotTicket::rank)
+                .thenComparingLong(SlotTicket::dueNanoseconds)
+                .thenComparingLong(SlotTicket::number);
+    }
+
     private void grant() {
         while (state.isOpen() && state.isSlotFree() && !waiting.isEmpty()) {
-            begin(waiting.poll());
+            SlotTicket next = Collections.min(waiting, order(nanoseconds.getAsLong()));
+            waiting.remove(next);
+            begin(next);
         }
         state = state.withWaiting(waiting.size());
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -14,15 +14,15 @@
  * <p>Invariant: settled once; its slot is given back once. Thread safe.
  */
 public final class SlotTicket {
-    private final int rank;
+    private final SlotDemand demand;
     private final long number;
     private final long requestedNanoseconds;
     private final CompletableFuture<SlotDecision> decision = new CompletableFuture<>();
     private final AtomicBoolean isHeld = new AtomicBoolean();
     private volatile long grantedNanoseconds;
 
-    SlotTicket(int rank, long number, long requestedNanoseconds) {
-        this.rank = rank;
+    SlotTicket(SlotDemand demand, long number, long requestedNanoseconds) {
+        this.demand = demand;
         this.number = number;
         this.requestedNanoseconds = requestedNanoseconds;
     }
@@ -30,7 +30,17 @@
     // -- queries
 
     int rank() {
-        return rank;
+        return demand.rank();
+    }
+
+    /** Returns when the request's answer loses worth. */
+    long dueNanoseconds() {
+        return requestedNanoseconds + demand.worthWhile().toNanos();
+    }
+
+    /** Returns whether the answer loses worth before it can come, when the request gets its slot now. */
+    boolean isLateAt(long now) {
+        return now + demand.run().toNanos() - dueNanoseconds() > 0;
     }
 
     long number() {
--- a/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
@@ -17,15 +17,15 @@
 
     @Test
     void shouldRefuseWhenClosed() {
-        assertThat(reason(queue.request(0, LONG))).isEqualTo(SlotDecision.Reason.CLOSED);
+        assertThat(reason(queue.request(SlotDemand.of(0, LONG)))).isEqualTo(SlotDecision.Reason.CLOSED);
     }
 
     @Test
     void shouldGrantNoMoreThanItsSlots() {
         queue.open(2);
-        queue.request(0, LONG);
-        queue.request(0, LONG);
-        SlotTicket third = queue.request(0, LONG);
+        queue.request(SlotDemand.of(0, LONG));
+        queue.request(SlotDemand.of(0, LONG));
+        SlotTicket third = queue.request(SlotDemand.of(0, LONG));
         assertThat(third.decision().isPresent()).isFalse();
         assertThat(queue.state().running()).isEqualTo(2);
     }
@@ -33,9 +33,9 @@
     @Test
     void shouldGrantByRankThenByArrivalWhenASlotIsGivenBack() {
         queue.open(1);
-        SlotTicket running = queue.request(0, LONG);
-        SlotTicket early = queue.request(2, LONG);
-        SlotTicket urgent = queue.request(1, LONG);
+        SlotTicket running = queue.request(SlotDemand.of(0, LONG));
+        SlotTicket early = queue.request(SlotDemand.of(2, LONG));
+        SlotTicket urgent = queue.request(SlotDemand.of(1, LONG));
         queue.release(running);
         assertThat(isGranted(urgent)).isTrue();
         assertThat(early.decision().isPresent()).isFalse();
@@ -46,8 +46,8 @@
     @Test
     void shouldRefuseAtOnceWhenTheWaitWouldBeTooLong() {
         queue.open(1);
-        queue.request(0, LONG);
-        SlotTicket refused = queue.request(0, Duration.ofMillis(10));
+        queue.request(SlotDemand.of(0, LONG));
+        SlotTicket refused = queue.request(SlotDemand.of(0, Duration.ofMillis(10)));
         assertThat(reason(refused)).isEqualTo(SlotDecision.Reason.FULL);
         SlotDecision.Refused decision =
                 (SlotDecision.Refused) refused.decision().get();
@@ -57,8 +57,8 @@
     @Test
     void shouldNotGrantAWithdrawnRequest() {
         queue.open(1);
-        SlotTicket running = queue.request(0, LONG);
-        SlotTicket waiting = queue.request(0, LONG);
+        SlotTicket running = queue.request(SlotDemand.of(0, LONG));
+        SlotTicket waiting = queue.request(SlotDemand.of(0, LONG));
         queue.withdraw(waiting);
         queue.release(running);
         assertThat(reason(waiting)).isEqualTo(SlotDecision.Reason.WITHDRAWN);
@@ -68,8 +68,8 @@
     @Test
     void shouldRefuseWhatWaitsWhenItCloses() {
         queue.open(1);
-        queue.request(0, LONG);
-        SlotTicket waiting = queue.request(0, LONG);
+        queue.request(SlotDemand.of(0, LONG));
+        SlotTicket waiting = queue.request(SlotDemand.of(0, LONG));
         queue.close();
         assertThat(reason(waiting)).isEqualTo(SlotDecision.Reason.CLOSED);
         assertThat(queue.state().running()).isEqualTo(1);
@@ -78,7 +78,7 @@
     @Test
     void shouldCountASlotGivenBackTwiceOnce() {
         queue.open(1);
-        SlotTicket running = queue.request(0, LONG);
+        SlotTicket running = queue.request(SlotDemand.of(0, LONG));
         queue.release(running);
         queue.release(running);
         assertThat(queue.state().running()).isEqualTo(0);
@@ -103,7 +103,7 @@
                     walked.open(slots);
                 }
                 case 1 -> walked.close();
-                case 2, 3 -> tickets.add(walked.request(random.nextInt(3), Duration.ofMillis(random.nextInt(2_000))));
+                case 2, 3 -> tickets.add(walked.request(SlotDemand.of(random.nextInt(3), Duration.ofMillis(random.nextInt(2_000)))));
                 case 4 -> {
                     if (!tickets.isEmpty()) {
                         walked.release(tickets.poll());
