Serve with fewer system calls; one node of each zone reads configurations; metrics, state, reload, a check after a start

A node that restarts asks its target's health once before it believes a heartbeat, which may be from before the target said that it leaves.

--- a/mesh/src/main/java/org/oleanderturn/mesh/ClientPatience.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ClientPatience.java
@@ -21,7 +21,8 @@
 
     /** Returns how long a client that states its patience has waited. */
     Duration waited(RouteName route, Duration patience) {
-        Duration first = longest.merge(route, patience, (known, stated) -> known.compareTo(stated) < 0 ? stated : known);
+        Duration first =
+                longest.merge(route, patience, (known, stated) -> known.compareTo(stated) < 0 ? stated : known);
         return first.minus(patience);
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
@@ -210,7 +210,7 @@
                 request.path(),
                 headers,
                 request.body(),
-                Delivery.POOLED,
+                isIdempotent() ? Delivery.TRUSTED : Delivery.POOLED,
                 shorter(CONNECT_TIMEOUT, left),
                 left);
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -130,7 +130,7 @@
         SlotTicket ticket = slots.request(demand(run.order(), longestWait));
         try {
             SlotDecision decision = await(run, ticket, longestWait);
-            GuardReply reply = decide(run, ticket, decision, begun);
+            GuardReply reply = decide(run, decision, begun);
             decisions.record(new Decision.Guarded(
                     run.identity().attemptId(),
                     run.order().attempt(),
@@ -165,7 +165,7 @@
                 .orElseGet(() -> new SlotDecision.Refused(SlotDecision.Reason.WITHDRAWN, Duration.ZERO));
     }
 
-    private GuardReply decide(GuardRun run, SlotTicket ticket, SlotDecision decision, long begun) {
+    private GuardReply decide(GuardRun run, SlotDecision decision, long begun) {
         return switch (decision) {
             case SlotDecision.Refused refused ->
                 new GuardReply.NotRun(refused.reason().name(), false, refused.expectedWait());
@@ -190,7 +190,7 @@
         List<HeaderField> received = HeaderValues.forwarded(run.request().headers());
         List<HeaderField> headers =
                 dialect.toTarget(received, run.identity(), run.order().caller(), left, start.instance());
-        Delivery delivery = run.order().kind() == RequestKind.SINGLE ? Delivery.RECENT_CONNECTION : Delivery.POOLED;
+        Delivery delivery = run.order().kind() == RequestKind.SINGLE ? Delivery.RECENT_CONNECTION : Delivery.TRUSTED;
         OutboundRequest outbound = new OutboundRequest(
                 run.request().method(), run.request().path(), headers, run.body(), delivery, CONNECT_TIMEOUT, left);
         AnswerExpectation expectation = AnswerExpectation.matching(fields -> isOwn(fields, run.identity()));
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetCallHandler.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetCallHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.oleanderturn.proxy.Answer;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.InboundRequest;
@@ -19,26 +20,35 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final int OK = 200;
 
+    /** How many reports a health check may contradict before they are believed; a late one comes alone. */
+    private static final int MOST_DOUBTS = 2;
+
     private final Dialect dialect;
     private final LocalTarget target;
+    private final TargetCheck check;
+    private final AtomicInteger doubts = new AtomicInteger();
 
-    private TargetCallHandler(Dialect dialect, LocalTarget target) {
+    private TargetCallHandler(Dialect dialect, LocalTarget target, TargetCheck check) {
         this.dialect = dialect;
         this.target = target;
+        this.check = check;
     }
 
     /** Returns the handler of a target's calls. */
-    public static TargetCallHandler of(Dialect dialect, LocalTarget target) {
+    public static TargetCallHandler of(Dialect dialect, LocalTarget target, TargetCheck check) {
         Objects.requireNonNull(dialect, "dialect is null");
         Objects.requireNonNull(target, "target is null");
-        return new TargetCallHandler(dialect, target);
+        Objects.requireNonNull(check, "check is null");
+        return new TargetCallHandler(dialect, target, check);
     }
 
     @Override
     public Answer handle(InboundRequest request) throws IOException {
         return switch (dialect.call(request)) {
             case TargetCall.Heartbeat heartbeat -> {
-                target.report(heartbeat.report());
+                if (!isDoubtful(heartbeat.report())) {
+                    target.report(heartbeat.report());
+                }
                 yield answer(OK);
             }
             case TargetCall.Leave leave -> {
@@ -53,6 +63,20 @@
         };
     }
 
+    /**
+     * Returns whether a report of work taken may be one from before the target said to an earlier process that it leaves.
+     * A target whose health answer is false is believed when it goes on reporting.
+     */
+    private boolean isDoubtful(TargetReport report) {
+        boolean isKnown = target.belief().report().isPresent();
+        if (isKnown || report.isLeaving() || check.isTakingWork(report.start())) {
+            return false;
+        }
+        boolean isDoubtful = doubts.incrementAndGet() <= MOST_DOUBTS;
+        log.atInfo().log("report %s of target %s is doubtful: %s", report.sequence(), report.start(), isDoubtful);
+        return isDoubtful;
+    }
+
     private static Answer answer(int status) {
         byte[] body = {'{', '}'};
         return Answer.of(
--- /dev/null
+++ b/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
@@ -0,0 +1,131 @@
+package org.oleanderturn.mesh;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.HeaderField;
+import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.InboundRequest;
+import org.oleanderturn.proxy.ListenerLimits;
+import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.traffic.SlotQueue;
+
+final class TargetCallHandlerTest {
+    private static final ServiceName SERVICE = ServiceName.of("bookings");
+    private static final TargetStart START = new TargetStart("i-1", 1_000);
+
+    private final AtomicReference<Answer> health = new AtomicReference<>();
+    private final HttpListener target = HttpListener.start("127.0.0.1", 0, _ -> health.get(), ListenerLimits.standard())
+            .get();
+    private final UpstreamClient client = UpstreamClient.of(1);
+    private final AtomicReference<TargetCall> call = new AtomicReference<>();
+    private final LocalTarget local =
+            LocalTarget.of(SERVICE, SlotQueue.of(System::nanoTime), Duration.ofSeconds(5), System::nanoTime);
+    private final Dialect dialect = new Dialect() {
+        private final Dialect other = new FakeDialect(Optional.empty());
+
+        @Override
+        public ClientRequest client(InboundRequest request) {
+            return other.client(request);
+        }
+
+        @Override
+        public List<HeaderField> toTarget(
+                List<HeaderField> received, ClientRequest sender, ServiceName caller, Duration left, String instance) {
+            return received;
+        }
+
+        @Override
+        public TargetSignals signals(List<HeaderField> headers) {
+            return new TargetSignals(Optional.empty(), false, false, HeaderField.find(headers, "Instance"));
+        }
+
+        @Override
+        public TargetCall call(InboundRequest request) {
+            return call.get();
+        }
+
+        @Override
+        public boolean isReadinessCheck(InboundRequest request) {
+            return false;
+        }
+
+        @Override
+        public String healthPath() {
+            return "/health";
+        }
+    };
+    private final TargetCallHandler handler =
+            TargetCallHandler.of(dialect, local, TargetCheck.of(target.address(), client, dialect));
+
+    @AfterEach
+    void close() {
+        client.close();
+        target.close();
+    }
+
+    @Test
+    void shouldOpenAtTheFirstReportOfAHealthyTarget() throws IOException {
+        health.set(health(200, "i-1"));
+        report(5);
+        assertThat(local.open()).isEqualTo(Optional.of(START));
+    }
+
+    @Test
+    void shouldNotOpenAtALateReportOfATargetThatLeavesAfterARestartOfTheNode() throws IOException {
+        health.set(health(503, "i-1"));
+        report(5);
+        assertThat(local.open()).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void shouldNotOpenForAnotherInstanceAtTheAddress() throws IOException {
+        health.set(health(200, "i-2"));
+        report(5);
+        assertThat(local.open()).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void shouldBelieveATargetThatGoesOnReportingWhateverItsHealthAnswer() throws IOException {
+        health.set(health(503, "i-1"));
+        report(5);
+        report(6);
+        report(7);
+        assertThat(local.open()).isEqualTo(Optional.of(START));
+    }
+
+    @Test
+    void shouldBeClosedBeforeADepartureIsAnswered() throws IOException {
+        health.set(health(200, "i-1"));
+        report(5);
+        call.set(new TargetCall.Leave("i-1", java.util.OptionalLong.empty()));
+        assertThat(handler.handle(FakeRequest.of("/")).status()).isEqualTo(200);
+        assertThat(local.open()).isEqualTo(Optional.empty());
+    }
+
+    @Test
+    void shouldChangeNothingAtACallThatItCannotRead() throws IOException {
+        health.set(health(200, "i-1"));
+        report(5);
+        call.set(new TargetCall.Malformed("bytes"));
+        assertThat(handler.handle(FakeRequest.of("/")).status()).isEqualTo(400);
+        assertThat(local.open()).isEqualTo(Optional.of(START));
+    }
+
+    private void report(long sequence) throws IOException {
+        call.set(new TargetCall.Heartbeat(new TargetReport(START, sequence, SERVICE, 9, false, Duration.ZERO)));
+        assertThat(handler.handle(FakeRequest.of("/")).status()).isEqualTo(200);
+    }
+
+    private static Answer health(int status, String instance) {
+        return Answer.text(status, "text/plain", "x").withHeader("Instance", instance);
+    }
+}
--- a/node/src/main/java/org/oleanderturn/node/ControlNode.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlNode.java
@@ -43,7 +43,8 @@
         this.settings = settings;
         Address self = settings.listen().control();
         ControlChannel channel = ControlChannel.of(link.apply(frames::call), loops.executor(), self);
-        this.control = new ControlPlane(settings, store, channel, milliseconds, GossipSettings.standard(), () -> {});
+        this.control = new ControlPlane(
+                settings, store, channel, milliseconds, GossipSettings.standard(), (election, _) -> election, () -> {});
     }
 
     /**
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -13,6 +13,7 @@
 import org.oleanderturn.distribution.RelayCandidacy;
 import org.oleanderturn.distribution.RelayElection;
 import org.oleanderturn.distribution.RelayEntry;
+import org.oleanderturn.distribution.RelayRole;
 import org.oleanderturn.distribution.RelayWatch;
 import org.oleanderturn.distribution.SnapshotHistory;
 import org.oleanderturn.distribution.Spreader;
@@ -38,11 +39,19 @@
     private static final long RECOVERY_PAUSE_MILLISECONDS = 100;
     private static final int UNKNOWN_SLOTS = 1;
 
+    /** Chooses which nodes pass configurations on to other zones. */
+    interface RoleChoice {
+
+        /** Returns this node's role. */
+        RelayRole choose(RelayElection election, MemberDirectory directory);
+    }
+
     private final ConfigurationHolder holder = ConfigurationHolder.empty();
     private final ReadinessFloor floor = ReadinessFloor.unknown();
     private final Gossip gossip;
     private final MemberDirectory directory;
     private final RelayElection election;
+    private final RelayRole role;
     private final RelayWatch watch;
     private final Spreader spreader;
     private final Acceptor acceptor;
@@ -56,6 +65,7 @@
             ControlChannel channel,
             LongSupplier milliseconds,
             GossipSettings gossipSettings,
+            RoleChoice roles,
             MembershipListener listener) {
         Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(channel, "channel is null");
@@ -64,6 +74,7 @@
         this.gossip = Gossip.of(localRecord(settings), gossipSettings, channel, milliseconds, random, listener);
         this.directory = new MemberDirectory(gossip::table);
         this.election = election(settings, store, directory, split(random));
+        this.role = roles.choose(election, directory);
         this.watch = RelayWatch.of(
                 store,
                 election,
@@ -79,7 +90,7 @@
                 UpdateSource.of(holder, history),
                 channel,
                 directory,
-                election,
+                role,
                 settings.locality(),
                 settings.platformRegion(),
                 split(random));
@@ -120,6 +131,11 @@
         return election;
     }
 
+    /** Returns whether this node learns configurations first and passes them on. */
+    RelayRole role() {
+        return role;
+    }
+
     RelayWatch watch() {
         return watch;
     }
--- a/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
+++ b/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
@@ -31,7 +31,7 @@
     private final NodeId node;
     private final LogWriter writer;
     private final LongSupplier milliseconds;
-    private final ConcurrentHashMap<String, List<String>> pending = new ConcurrentHashMap<>();
+    private final ConcurrentHashMap<String, List<Stamped>> pending = new ConcurrentHashMap<>();
 
     JsonDecisionLog(NodeId node, LogWriter writer, LongSupplier milliseconds) {
         this.node = Objects.requireNonNull(node, "node is null");
@@ -62,15 +62,15 @@
             writer.offer(line(decision));
         } else if (pending.size() < MOST_PENDING) {
             pending.computeIfAbsent(decision.attemptId(), _ -> new ArrayList<>())
-                    .add(line(decision));
+                    .add(new Stamped(milliseconds.getAsLong(), decision));
         }
     }
 
     private void settle(Decision.Answered answered) {
-        List<String> kept = pending.remove(answered.attemptId());
+        List<Stamped> kept = pending.remove(answered.attemptId());
         boolean isWritten = answered.isFailure() || answered.attempts() > 1;
         if (kept != null && isWritten) {
-            kept.forEach(writer::offer);
+            kept.forEach(stamped -> writer.offer(line(stamped)));
         }
         if (isWritten || isSampled(answered.attemptId())) {
             writer.offer(line(answered));
@@ -79,9 +79,17 @@
 
     // -- lines
 
+    /** A decision that waits for its request's outcome. */
+    private record Stamped(long milliseconds, Decision decision) {}
+
     private String line(Decision decision) {
+        return line(new Stamped(milliseconds.getAsLong(), decision));
+    }
+
+    private String line(Stamped stamped) {
+        Decision decision = stamped.decision();
         Map<String, Object> fields = new LinkedHashMap<>();
-        fields.put("time", milliseconds.getAsLong());
+        fields.put("time", stamped.milliseconds());
         fields.put("node", node.value());
         fields.put("event", decision.getClass().getSimpleName());
         fields.put("request", decision.attemptId());
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -4,8 +4,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -18,6 +17,7 @@
 import org.oleanderturn.mesh.MeshGuard;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.TargetCallHandler;
+import org.oleanderturn.mesh.TargetCheck;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.EndpointView;
 import org.oleanderturn.model.NodeId;
@@ -54,6 +54,9 @@
     /** How long a client's connection may stand idle: longer than any configuration lets clients reuse one. */
     private static final Duration CLIENT_IDLE = Duration.ofMinutes(10);
 
+    /** Most requests are over by then; the rest still end within half a second of their client's departure. */
+    private static final Duration WATCH_DELAY = Duration.ofMillis(150);
+
     private static final int CLIENT_LINE_BYTES = 65_536;
     private static final int CLIENT_HEADERS = 256;
     private static final int CLIENT_CONNECTIONS = 2_500;
@@ -63,8 +66,8 @@
     private final LongSupplier nanoseconds = System::nanoTime;
     private final UpstreamClient client = UpstreamClient.of(CONNECTIONS_PER_PEER);
     private final UpstreamClient targetClient = UpstreamClient.of(CONNECTIONS_PER_PEER);
-    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(
-            Thread.ofPlatform().daemon().name("timers").factory());
+    private final ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(
+            1, Thread.ofPlatform().daemon().name("timers").factory());
     private final ConcurrentHashMap<ServiceName, RepeatBudget> repeats = new ConcurrentHashMap<>();
     private final LoadBoard board;
     private final LocalTarget target;
@@ -83,6 +86,8 @@
             DecisionLog decisions) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(mesh, "mesh is null");
+        // Nearly every deadline is cancelled long before it is due; kept, each would wake the thread for nothing.
+        timers.setRemoveOnCancelPolicy(true);
         this.repeatLimit = mesh.repeats();
         this.fleetSize = Objects.requireNonNull(fleetSize, "fleetSize is null");
         RandomGenerator random = SharedRandom.create();
@@ -119,7 +124,9 @@
     }
 
     TargetCallHandler targetCalls() {
-        return TargetCallHandler.of(PlatformDialect.instance(), target);
+        PlatformDialect dialect = PlatformDialect.instance();
+        TargetCheck check = TargetCheck.of(settings.target().address(), targetClient, dialect);
+        return TargetCallHandler.of(dialect, target, check);
     }
 
     /** Returns the load of the local target. */
@@ -140,13 +147,13 @@
     // -- commands
 
     /** Starts to listen for clients and for other nodes. */
-    Either<ProxyFailure, MeshDataPlane> listen(
-            Supplier<RouteIndex> routes, BooleanSupplier isReady, NodeMetrics metrics) {
+    Either<ProxyFailure, MeshDataPlane> listen(Supplier<RouteIndex> routes, BooleanSupplier isReady) {
         entry = MeshEntry.of(routes, isReady, PlatformDialect.instance(), parts);
         Address caller = settings.listen().caller();
         Address peer = settings.listen().peer();
-        ListenerLimits limits = new ListenerLimits(CLIENT_CONNECTIONS, CLIENT_IDLE, CLIENT_LINE_BYTES, CLIENT_HEADERS);
-        return HttpListener.start(caller.host(), caller.port(), metrics.counted(entry), limits)
+        ListenerLimits limits =
+                new ListenerLimits(CLIENT_CONNECTIONS, CLIENT_IDLE, CLIENT_LINE_BYTES, CLIENT_HEADERS, WATCH_DELAY);
+        return HttpListener.start(caller.host(), caller.port(), entry, limits)
                 .peek(listener -> callers = listener)
                 .flatMap(_ -> HttpListener.start(peer.host(), peer.port(), guard, limits))
                 .peek(listener -> peers = listener)
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -20,6 +20,7 @@
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.OperatorPaths;
 import org.oleanderturn.platform.PlatformDialect;
 import org.oleanderturn.platform.PlatformStore;
 import org.oleanderturn.proxy.Answer;
@@ -59,6 +60,8 @@
     /** Kept of the time before the kill, to end in order. */
     private static final Duration LAST_STEPS = Duration.ofMillis(500);
 
+    private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+
     private static final long LOG_CLOSE_MILLISECONDS = 300;
     /** How often a node tells its load: a few times in the course of a request. */
     private static final long LOAD_PAUSE_MILLISECONDS = 150;
@@ -92,6 +95,7 @@
     private FrameServer controlServer;
     private HttpListener readiness;
     private HttpListener targetCalls;
+    private HttpListener observation;
 
     private MeshNode(NodeSettings settings, NodeSettings.Mesh mesh, LogWriter writer) {
         this.settings = settings;
@@ -105,14 +109,21 @@
         this.channel = ControlChannel.of(
                 frames::call, loops.executor(), settings.listen().control());
         this.control = new ControlPlane(
-                settings, budgeted, channel, milliseconds, GossipSettings.brisk(), this::membersChanged);
-        this.operators = new OperatorWatch(budgeted, control.holder(), control.floor(), SharedRandom.create());
+                settings,
+                budgeted,
+                channel,
+                milliseconds,
+                GossipSettings.brisk(),
+                (_, directory) -> ZoneLeadership.of(settings.node(), settings.locality(), directory),
+                this::membersChanged);
+        this.operators =
+                new OperatorWatch(budgeted, control.holder(), control.floor(), control.role(), SharedRandom.create());
         this.data = new MeshDataPlane(
                 settings,
                 mesh,
                 () -> control.gossip().table().endpointView(),
                 () -> control.gossip().table().reachablePeers().size() + 1,
-                new JsonDecisionLog(settings.node(), writer, System::currentTimeMillis));
+                MeshMetrics.of(new JsonDecisionLog(settings.node(), writer, System::currentTimeMillis), metrics));
     }
 
     /** Starts a node; when an address can't be listened on, nothing is left running. */
@@ -142,6 +153,55 @@
         return Answer.text(404, "text/plain", "not found\n");
     }
 
+    private Answer observe(InboundRequest request) {
+        return switch (request.path()) {
+            case OperatorPaths.METRICS -> Answer.text(200, METRICS_TYPE, metrics.text());
+            case OperatorPaths.STATE -> Answer.json(200, state());
+            default -> Answer.text(404, "text/plain", "not found\n");
+        };
+    }
+
+    private MeshState state() {
+        return new MeshState(
+                isServing(),
+                control.holder().status(),
+                operators.failure().map(Object::toString),
+                data.target().belief(),
+                data.target().state(),
+                data.load(),
+                control.gossip().table().records(),
+                writer.dropped());
+    }
+
+    private void registerGauges() {
+        metrics.gauge("oleanderturn_ready", "1 when the node answers clients.", () -> isServing() ? 1 : 0);
+        metrics.gauge(
+                "oleanderturn_configuration_version",
+                "The configuration in force.",
+                () -> control.holder().version().number());
+        metrics.gauge(
+                "oleanderturn_store_lost",
+                "1 when the platform's store can't be read.",
+                () -> operators.failure().isPresent() ? 1 : 0);
+        metrics.gauge(
+                "oleanderturn_members_reachable",
+                "Other nodes that can be reached.",
+                () -> control.gossip().table().reachablePeers().size());
+        metrics.gauge(
+                "oleanderturn_target_slots",
+                "Slots of the local target, 0 when closed.",
+                () -> data.load().slots());
+        metrics.gauge(
+                "oleanderturn_target_running",
+                "Requests on the local target.",
+                () -> data.load().running());
+        metrics.gauge(
+                "oleanderturn_target_waiting",
+                "Requests that wait for it.",
+                () -> data.load().waiting());
+        metrics.counter("oleanderturn_log_lines_dropped_total", "Log lines that were dropped.", writer::dropped);
+    }
+
     // -- commands
 
     /**
@@ -200,12 +260,15 @@
     private Either<NodeFailure, MeshNode> listenHttp() {
         Address ready = settings.listen().operator();
         Address calls = mesh.targetCalls();
+        Address watched = mesh.metrics();
         ListenerLimits limits = ListenerLimits.standard();
         return HttpListener.start(ready.host(), ready.port(), this::answer, limits)
                 .peek(listener -> readiness = listener)
                 .flatMap(_ -> HttpListener.start(calls.host(), calls.port(), data.targetCalls(), limits))
                 .peek(listener -> targetCalls = listener)
-                .flatMap(_ -> data.listen(routes::get, this::isServing, metrics))
+                .flatMap(_ -> HttpListener.start(watched.host(), watched.port(), this::observe, limits))
+                .peek(listener -> observation = listener)
+                .flatMap(_ -> data.listen(routes::get, this::isServing))
                 .mapLeft(MeshNode::listenFailed)
                 .map(_ -> this);
     }
@@ -228,6 +291,7 @@
     private void run() {
         data.target().onState(control.gossip()::announceState);
         control.holder().addListener(snapshot -> routes.set(RouteIndex.of(snapshot)));
+        registerGauges();
         data.start(loops);
         control.start(loops, operators::runOnce, () -> {});
         loops.every(MEMBERS_PAUSE_MILLISECONDS, this::reviewMembers);
@@ -285,6 +349,9 @@
         if (readiness != null) {
             readiness.close();
         }
+        if (observation != null) {
+            observation.close();
+        }
         if (targetCalls != null) {
             targetCalls.close();
         }
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -63,7 +63,13 @@
                 frames::call, loops.executor(), settings.listen().control());
         this.data = new DataPlane(settings, budgeted, loops.executor(), milliseconds);
         this.control = new ControlPlane(
-                settings, budgeted, channel, milliseconds, GossipSettings.standard(), this::membersChanged);
+                settings,
+                budgeted,
+                channel,
+                milliseconds,
+                GossipSettings.standard(),
+                (election, _) -> election,
+                this::membersChanged);
         this.routing = new RoutingState(
                 () -> control.holder().held(), () -> control.gossip().table().endpointView(), data::configure);
         this.drains = new DrainControl(
--- a/node/src/main/java/org/oleanderturn/node/NodeMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeMetrics.java
@@ -40,6 +40,11 @@
             .classicUpperBounds(0.0005, 0.001, 0.0017, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
             .register(registry);
 
+    /** Returns the registry, for further metrics of the same node. */
+    PrometheusRegistry registry() {
+        return registry;
+    }
+
     /** Returns a handler that counts what another one answers. */
     RequestHandler counted(RequestHandler handler) {
         return request -> {
--- a/node/src/main/java/org/oleanderturn/node/OperatorWatch.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorWatch.java
@@ -11,6 +11,7 @@
 import org.oleanderturn.distribution.Adoption;
 import org.oleanderturn.distribution.ConfigurationHolder;
 import org.oleanderturn.distribution.ReadinessFloor;
+import org.oleanderturn.distribution.RelayRole;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.DecodeFailure;
@@ -33,7 +34,10 @@
     private static final Duration WATCH_WAIT = Duration.ofSeconds(3);
 
     /** Kept between two calls, so that versions in quick succession cost one call and not one each. */
-    private static final long PACE_MILLISECONDS = 150;
+    private static final long PACE_MILLISECONDS = 300;
+
+    /** How often a node that is told of configurations by others looks whether it has to read them itself. */
+    private static final long IDLE_MILLISECONDS = 200;
 
     /** The first and the longest pause after a failed call: a change has to be in force within two seconds. */
     private static final Duration SHORTEST_PAUSE = Duration.ofMillis(100);
@@ -43,15 +47,18 @@
     private final Store store;
     private final ConfigurationHolder holder;
     private final ReadinessFloor floor;
+    private final RelayRole role;
     private final Backoff backoff;
     private final AtomicReference<Optional<StoreFailure>> failure = new AtomicReference<>(Optional.empty());
     private long seenRevision = StoredValue.ABSENT;
     private boolean hasRead;
     private int failures;
 
-    OperatorWatch(Store store, ConfigurationHolder holder, ReadinessFloor floor, RandomGenerator random) {
+    OperatorWatch(
+            Store store, ConfigurationHolder holder, ReadinessFloor floor, RelayRole role, RandomGenerator random) {
         this.store = Objects.requireNonNull(store, "store is null");
         this.holder = Objects.requireNonNull(holder, "holder is null");
+        this.role = Objects.requireNonNull(role, "role is null");
         this.floor = Objects.requireNonNull(floor, "floor is null");
         this.backoff = Backoff.of(SHORTEST_PAUSE, LONGEST_PAUSE, random);
     }
@@ -61,8 +68,16 @@
         return failure.get();
     }
 
-    /** Reads the configuration, or waits until it changes; returns how long to pause, in milliseconds. */
+    /**
+     * Reads the configuration, or waits until it changes, unless another node of the zone does; returns how long to pause,
+     * in milliseconds.
+     */
     long runOnce() {
+        boolean isFed = hasRead && !holder.version().equals(ConfigurationVersion.none()) && !role.isRelay(0);
+        return isFed ? IDLE_MILLISECONDS : read();
+    }
+
+    private long read() {
         Either<StoreFailure, Optional<StoredValue>> read = hasRead
                 ? store.watch(OperatorConfiguration.KEY, seenRevision, WATCH_WAIT)
                 : store.get(OperatorConfiguration.KEY);
--- a/node/src/main/java/org/oleanderturn/node/SettingsReload.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsReload.java
@@ -2,11 +2,13 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
+import java.lang.reflect.Method;
+import java.lang.reflect.Proxy;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
-import sun.misc.Signal;
 
 /**
  * Hands over settings that changed on disk, at SIGHUP or without a signal.
@@ -39,7 +41,26 @@
 
     /** Reads the file at each SIGHUP, which otherwise ends the process. */
     void onSignal() {
-        Signal.handle(new Signal("HUP"), _ -> Thread.ofVirtual().start(this::check));
+        try {
+            // The JDK's class for signals is no part of its API, and the compiler allows no direct use.
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object checking = Proxy.newProxyInstance(
+                    handler.getClassLoader(),
+                    new Class<?>[] {handler},
+                    (_, method, _) -> answer(method).orElse(null));
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), checking);
+        } catch (ReflectiveOperationException | IllegalArgumentException missing) {
+            log.atWarning().withCause(missing).log("SIGHUP can't be caught here");
+        }
+    }
+
+    private Optional<Object> answer(Method method) {
+        if (method.getName().equals("handle")) {
+            Thread.ofVirtual().start(this::check);
+        }
+        return Optional.empty();
     }
 
     /** Reads the file and hands over what changed; returns how long to pause, in milliseconds. */
--- a/proxy/src/main/java/org/oleanderturn/proxy/Delivery.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Delivery.java
@@ -4,6 +4,8 @@
 public enum Delivery {
     /** For requests that may run twice: a pooled connection is taken as it is. */
     POOLED,
+    /** For requests that may run twice: a connection used moments ago is taken without a look at it, which costs much. */
+    TRUSTED,
     /** For bookings to a node: the body is sent only when the peer asks for it, and nothing runs before. */
     GO_AHEAD,
     /** For bookings to a target: a new connection, which the target can't have been closing as idle. */
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -42,6 +42,9 @@
     private static final long LONGEST_ACCEPT_SECONDS = 1;
     private static final long DRAIN_POLL_MILLISECONDS = 10;
 
+    /** How often watches that were put off are looked after; a part of the half second in which work has to end. */
+    private static final long WATCH_PAUSE_MILLISECONDS = 80;
+
     private final ServerSocket server;
     private final HttpService service;
     private final ListenerLimits limits;
@@ -49,6 +52,7 @@
     private final Set<ServedConnection> connections = ConcurrentHashMap.newKeySet();
     private final CountDownLatch accepting = new CountDownLatch(1);
     private final AtomicInteger open = new AtomicInteger();
+    private volatile boolean isClosed;
     private final AtomicBoolean isDraining = new AtomicBoolean();
 
     private HttpListener(ServerSocket server, ExecutorService executor, RequestHandler handler, ListenerLimits limits) {
@@ -85,6 +89,9 @@
         }
         HttpListener listener = new HttpListener(server, executor, handler, limits);
         listener.executor.execute(listener::acceptAll);
+        if (limits.watchDelay().isPositive()) {
+            listener.executor.execute(listener::watchAll);
+        }
         return Either.right(listener);
     }
 
@@ -135,6 +142,7 @@
 
     @Override
     public void close() {
+        isClosed = true;
         isDraining.set(true);
         stopAccepting();
         connections.forEach(ServedConnection::abort);
@@ -157,6 +165,14 @@
         }
     }
 
+    /** Starts the watches that were put off. */
+    private void watchAll() {
+        while (!isClosed && Quietly.pause(WATCH_PAUSE_MILLISECONDS)) {
+            long now = System.nanoTime();
+            connections.forEach(connection -> connection.watchIfDue(now));
+        }
+    }
+
     private void acceptEach() {
         while (!server.isClosed()) {
             try {
@@ -192,7 +208,7 @@
                 .setMaxHeaderCount(limits.headers())
                 .build();
         DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection("http", settings);
-        ServedConnection served = ServedConnection.of((WatchedSocket) socket, connection, limits.idle());
+        ServedConnection served = ServedConnection.of((WatchedSocket) socket, connection, limits);
         connections.add(served);
         try {
             socket.setTcpNoDelay(true);
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServedConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServedConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
@@ -16,6 +17,9 @@
  * retired only when it is not busy; a request that comes after that does not run. Thread safe.
  */
 final class ServedConnection {
+    /** A watch that starts when its request has run for a while. */
+    private record PendingWatch(Runnable action, long dueNanoseconds) {}
+
     /** What the connection is used for. */
     private enum Phase {
         IDLE,
@@ -29,18 +33,22 @@
     private final WatchedSocket socket;
     private final DefaultBHttpServerConnection connection;
     private final Duration idle;
+    private final Duration watchDelay;
+    private Optional<PendingWatch> pending = Optional.empty();
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.IDLE);
 
-    private ServedConnection(WatchedSocket socket, DefaultBHttpServerConnection connection, Duration idle) {
+    private ServedConnection(
+            WatchedSocket socket, DefaultBHttpServerConnection connection, Duration idle, Duration watchDelay) {
         this.socket = socket;
         this.connection = connection;
         this.idle = idle;
+        this.watchDelay = watchDelay;
     }
 
-    static ServedConnection of(WatchedSocket socket, DefaultBHttpServerConnection connection, Duration idle) {
+    static ServedConnection of(WatchedSocket socket, DefaultBHttpServerConnection connection, ListenerLimits limits) {
         Objects.requireNonNull(socket, "socket is null");
         Objects.requireNonNull(connection, "connection is null");
-        return new ServedConnection(socket, connection, idle);
+        return new ServedConnection(socket, connection, limits.idle(), limits.watchDelay());
     }
 
     boolean isBusy() {
@@ -71,11 +79,30 @@
         phase.compareAndSet(Phase.BUSY, Phase.IDLE);
     }
 
-    void watch(Runnable onPeerGone) throws IOException {
-        socket.watch(onPeerGone);
+    synchronized void watch(Runnable onPeerGone) throws IOException {
+        if (watchDelay.isZero()) {
+            socket.watch(onPeerGone);
+            return;
+        }
+        pending = Optional.of(new PendingWatch(onPeerGone, System.nanoTime() + watchDelay.toNanos()));
+    }
+
+    /** Starts a watch that was put off, once its request has run for so long. */
+    synchronized void watchIfDue(long nowNanoseconds) {
+        if (pending.isEmpty() || nowNanoseconds - pending.get().dueNanoseconds() < 0) {
+            return;
+        }
+        Runnable action = pending.get().action();
+        pending = Optional.empty();
+        try {
+            socket.watch(action);
+        } catch (IOException broken) {
+            action.run();
+        }
     }
 
-    void unwatch() throws IOException {
+    synchronized void unwatch() throws IOException {
+        pending = Optional.empty();
         socket.unwatch();
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -35,6 +35,9 @@
 public final class UpstreamClient implements AutoCloseable {
     private static final int BUFFER_BYTES = 8_192;
     private static final TimeValue CONNECTION_LIFE = TimeValue.ofMinutes(5);
+    /** How long after its last use a connection is not looked at before it is used again. */
+    private static final Duration JUST_USED = Duration.ofMillis(500);
+
     /** How long after its last use a target surely keeps a connection open; targets state ten seconds and more. */
     private static final Duration RECENT = Duration.ofSeconds(3);
 
@@ -150,7 +153,7 @@
             Address peer, PoolEntry<Address, UpstreamConnection> entry, OutboundRequest request) {
         LeasedConnection leased = LeasedConnection.of(pool, entry);
         try {
-            if (entry.hasConnection() && (isUnfit(entry, request.delivery()) || isDead(entry))) {
+            if (entry.hasConnection() && (isUnfit(entry, request.delivery()) || isDead(entry, request.delivery()))) {
                 entry.discardConnection(CloseMode.IMMEDIATE);
             }
             if (!entry.hasConnection()) {
@@ -169,15 +172,17 @@
 
     private static boolean isUnfit(PoolEntry<Address, UpstreamConnection> entry, Delivery delivery) {
         return switch (delivery) {
-            case POOLED, GO_AHEAD -> false;
+            case POOLED, TRUSTED, GO_AHEAD -> false;
             case NEW_CONNECTION -> true;
             case RECENT_CONNECTION -> entry.getConnection().isIdleFor(RECENT);
         };
     }
 
-    private static boolean isDead(PoolEntry<Address, UpstreamConnection> entry) throws IOException {
+    /** A connection of moments ago is taken as it is when a repeat does no harm; a look at it costs four system calls. */
+    private static boolean isDead(PoolEntry<Address, UpstreamConnection> entry, Delivery delivery) throws IOException {
         UpstreamConnection connection = entry.getConnection();
-        return !connection.isOpen() || connection.isUnfit();
+        boolean isTakenAsIs = delivery == Delivery.TRUSTED && !connection.isIdleFor(JUST_USED);
+        return !connection.isOpen() || connection.isUnfit(!isTakenAsIs);
     }
 
     // -- exchange
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -59,9 +59,13 @@
         return System.nanoTime() - usedNanoseconds > span.toNanos();
     }
 
-    /** Returns whether the peer has closed the connection, or sent bytes that belong to no answer that was asked for. */
-    boolean isUnfit() throws IOException {
-        return hasBufferedInput() || hasChannelInput();
+    /**
+     * Returns whether the peer has closed the connection, or sent bytes that belong to no answer that was asked for.
+     *
+     * @param isChannelAsked whether bytes count that have come and were not read yet
+     */
+    boolean isUnfit(boolean isChannelAsked) throws IOException {
+        return hasBufferedInput() || (isChannelAsked && hasChannelInput());
     }
 
     private boolean hasBufferedInput() throws IOException {
--- a/testbed/src/main/java/org/oleanderturn/testbed/DecisionBenchmark.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/DecisionBenchmark.java
@@ -122,8 +122,8 @@
     private static RoutingTable.Entry entryOf(int count) {
         Service service = Service.of("bench", SLOTS, SLOTS);
         TrafficPolicy policy = new TrafficPolicy(TrafficPolicyName.of("bench"), 2_000, 3, 20, 95, 5, 20, 30);
-        Route route = Route.of(
-                RouteName.of("bench"), "/", List.of("GET"), service.name(), RequestKind.LOOKUP, policy.name());
+        Route route =
+                Route.of(RouteName.of("bench"), "/", List.of("GET"), service.name(), RequestKind.LOOKUP, policy.name());
         List<Endpoint> endpoints = new ArrayList<>();
         for (int number = 0; number < count; number++) {
             int zone = number % ZONES;
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -89,7 +89,10 @@
     public synchronized void withdraw(SlotTicket ticket) {
         if (waiting.remove(ticket)) {
             state = state.withWaiting(waiting.size());
-            settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.WITHDRAWN, expectedWait(ticket, nanoseconds.getAsLong())));
+            settle(
+                    ticket,
+                    new SlotDecision.Refused(
+                            SlotDecision.Reason.WITHDRAWN, expectedWait(ticket, nanoseconds.getAsLong())));
         }
     }
 
--- a/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
@@ -84,6 +84,73 @@
         assertThat(queue.state().running()).isEqualTo(0);
     }
 
+    @Test
+    void shouldServeWhatIsStillInTimeBeforeWhatIsLateWhateverTheirRank() {
+        queue.open(1);
+        SlotTicket running = queue.request(SlotDemand.of(0, LONG));
+        SlotTicket late = queue.request(demand(0, 50));
+        SlotTicket timely = queue.request(demand(2, 500));
+        queue.release(running);
+        assertThat(isGranted(timely)).isTrue();
+        assertThat(late.decision().isPresent()).isFalse();
+    }
+
+    @Test
+    void shouldServeWhatIsDueFirstAmongEqualRanks() {
+        queue.open(1);
+        SlotTicket running = queue.request(SlotDemand.of(0, LONG));
+        SlotTicket relaxed = queue.request(demand(1, 900));
+        SlotTicket pressing = queue.request(demand(1, 300));
+        queue.release(running);
+        assertThat(isGranted(pressing)).isTrue();
+        assertThat(relaxed.decision().isPresent()).isFalse();
+    }
+
+    /** A load a fifth above the target's: by arrival all would be late soon; here most are served in time. */
+    @Test
+    void shouldServeMostInTimeWhenTheLoadStaysAboveTheTargets() {
+        queue.open(1);
+        Deque<SlotTicket> waiting = new ArrayDeque<>();
+        Duration run = Duration.ofMillis(100);
+        long next = 0;
+        int inTime = 0;
+        int asked = 0;
+        SlotTicket held = queue.request(SlotDemand.of(1, LONG));
+        for (long now = 0; now < 60_000; now += 10) {
+            clock.set(Duration.ofMillis(now).toNanos());
+            if (now >= next) {
+                next += 83;
+                asked++;
+                waiting.add(queue.request(new SlotDemand(1, run, Duration.ofMillis(400), Duration.ofSeconds(2))));
+            }
+            if (now % 100 == 0) {
+                queue.release(held);
+                for (SlotTicket ticket : waiting) {
+                    if (isGranted(ticket)) {
+                        inTime += ticket.waited().toMillis() <= 300 ? 1 : 0;
+                        held = ticket;
+                    }
+                }
+                waiting.removeIf(ticket -> ticket.decision().isPresent());
+                waiting.removeIf(ticket -> isOverdue(ticket));
+            }
+        }
+        assertThat((double) inTime / asked).isAtLeast(0.75);
+    }
+
+    private boolean isOverdue(SlotTicket ticket) {
+        boolean isOverdue =
+                clock.get() - ticket.dueNanoseconds() > Duration.ofMillis(1_600).toNanos();
+        if (isOverdue) {
+            queue.withdraw(ticket);
+        }
+        return isOverdue;
+    }
+
+    private static SlotDemand demand(int rank, long worthWhileMilliseconds) {
+        return new SlotDemand(rank, Duration.ofMillis(100), Duration.ofMillis(worthWhileMilliseconds), LONG);
+    }
+
     @Test
     void shouldKeepItsInvariantsInAnyOrderOfEvents() {
         for (long seed = 0; seed < 500; seed++) {
@@ -103,7 +170,9 @@
                     walked.open(slots);
                 }
                 case 1 -> walked.close();
-                case 2, 3 -> tickets.add(walked.request(SlotDemand.of(random.nextInt(3), Duration.ofMillis(random.nextInt(2_000)))));
+                case 2, 3 ->
+                    tickets.add(
+                            walked.request(SlotDemand.of(random.nextInt(3), Duration.ofMillis(random.nextInt(2_000)))));
                 case 4 -> {
                     if (!tickets.isEmpty()) {
                         walked.release(tickets.poll());
