--- a/node/src/main/java/org/oleanderturn/node/Joining.java
+++ b/node/src/main/java/org/oleanderturn/node/Joining.java
@@ -29,6 +29,7 @@
     private final Rendezvous rendezvous;
     private final RandomGenerator random;
     private final AtomicBoolean hasTried = new AtomicBoolean();
+    private List<Address> lastRelays = List.of();
     private int steps;
 
     Joining(Gossip gossip, List<Address> addresses, Rendezvous rendezvous, RandomGenerator random) {
@@ -65,8 +66,10 @@
         steps++;
         List<Address> known = new ArrayList<>(addresses);
         if (steps % STEPS_BETWEEN_RENDEZVOUS_ALONE == 1) {
-            known.addAll(rendezvous.relays());
+            List<Address> relays = rendezvous.relays();
+            lastRelays = relays.isEmpty() ? lastRelays : relays;
         }
+        known.addAll(lastRelays);
         gossip.join(known);
         hasTried.set(true);
         return ALONE_PAUSE_MILLISECONDS + random.nextLong(ALONE_PAUSE_MILLISECONDS);
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -139,7 +139,7 @@
                 service,
                 _ -> RepeatBudget.of(
                         repeatLimit.ratio() * USED_SHARE,
-                        repeatLimit.allowance() * USED_SHARE / Math.max(1, fleetSize.getAsInt()),
+                        repeatLimit.floor() * USED_SHARE / Math.max(1, fleetSize.getAsInt()),
                         repeatLimit.window().duration().toNanos(),
                         nanoseconds));
     }
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -107,10 +107,10 @@
      * The bound on requests that are sent to a service again, over all nodes.
      *
      * @param ratio repeats for each request in a window
-     * @param allowance repeats in a window beside the ratio, for all nodes together
+     * @param floor repeats in a window beside the ratio, for all nodes together
      * @param window the window's length
      */
-    public record Repeats(double ratio, double allowance, Span window) {}
+    public record Repeats(double ratio, double floor, Span window) {}
 
     /**
      * The target on this host.
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -46,7 +46,7 @@
             SettingsField.requiredIn("mesh", "stopTime", SPAN),
             SettingsField.requiredIn("mesh", "repeats", SECTION),
             SettingsField.requiredIn("mesh.repeats", "ratio", decimal("repeats for each request", 0, 1)),
-            SettingsField.requiredIn("mesh.repeats", "allowance", decimal("repeats in a window", 0, 100_000)),
+            SettingsField.requiredIn("mesh.repeats", "floor", decimal("repeats in a window", 0, 100_000)),
             SettingsField.requiredIn("mesh.repeats", "window", SPAN));
 
     private SettingsSchema() {}
--- a/traffic/src/main/java/org/oleanderturn/traffic/RepeatBudget.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RepeatBudget.java
@@ -17,15 +17,15 @@
  */
 public final class RepeatBudget {
     private final double ratio;
-    private final double allowance;
+    private final double floor;
     private final long windowNanoseconds;
     private final LongSupplier nanoseconds;
     private final Deque<Long> requests = new ArrayDeque<>();
     private final Deque<Long> repeats = new ArrayDeque<>();
 
-    private RepeatBudget(double ratio, double allowance, long windowNanoseconds, LongSupplier nanoseconds) {
+    private RepeatBudget(double ratio, double floor, long windowNanoseconds, LongSupplier nanoseconds) {
         this.ratio = ratio;
-        this.allowance = allowance;
+        this.floor = floor;
         this.windowNanoseconds = windowNanoseconds;
         this.nanoseconds = nanoseconds;
     }
@@ -34,12 +34,12 @@
      * Returns a budget that has seen no request.
      *
      * @param ratio repeats for each request in a window
-     * @param allowance this node's part of the repeats that are granted beside the ratio
+     * @param floor this node's part of the repeats that are granted beside the ratio
      * @param windowNanoseconds the window's length
      */
-    public static RepeatBudget of(double ratio, double allowance, long windowNanoseconds, LongSupplier nanoseconds) {
+    public static RepeatBudget of(double ratio, double floor, long windowNanoseconds, LongSupplier nanoseconds) {
         Objects.requireNonNull(nanoseconds, "nanoseconds is null");
-        return new RepeatBudget(ratio, allowance, windowNanoseconds, nanoseconds);
+        return new RepeatBudget(ratio, floor, windowNanoseconds, nanoseconds);
     }
 
     /** Notes a request that is sent for the first time. */
@@ -51,7 +51,7 @@
     /** Takes a repeat; returns whether it is granted. */
     public synchronized boolean tryTake() {
         expire();
-        if (repeats.size() + 1 > ratio * requests.size() + allowance) {
+        if (repeats.size() + 1 > ratio * requests.size() + floor) {
             return false;
         }
         repeats.addLast(nanoseconds.getAsLong());
