--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -36,6 +36,9 @@
     private static final long GOSSIP_PAUSE_MILLISECONDS = 200;
     private static final long SPREAD_PAUSE_MILLISECONDS = 100;
     private static final long ELECTION_PAUSE_MILLISECONDS = 1_000;
+    /** How often a node that is ready, and stays so, looks after its recovery. */
+    private static final long READY_PAUSE_MILLISECONDS = 10_000;
+
     private static final long RECOVERY_PAUSE_MILLISECONDS = 100;
     private static final int UNKNOWN_SLOTS = 1;
 
@@ -175,10 +178,11 @@
         loops.every(ELECTION_PAUSE_MILLISECONDS, () -> election.tick(milliseconds.getAsLong()));
         loops.repeat(source);
         loops.repeat(joining::step);
-        loops.every(RECOVERY_PAUSE_MILLISECONDS, () -> {
+        loops.repeat(() -> {
             if (recovery.step()) {
                 onReady.run();
             }
+            return recovery.isReady() ? READY_PAUSE_MILLISECONDS : RECOVERY_PAUSE_MILLISECONDS;
         });
     }
 
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -49,7 +49,7 @@
     /** The longest waits for a connection to the store and for its answer; its usual answer takes milliseconds. */
     private static final Duration STORE_CONNECT_TIMEOUT = Duration.ofMillis(400);
 
-    private static final Duration STORE_ANSWER_TIMEOUT = Duration.ofMillis(1_000);
+    private static final Duration STORE_ANSWER_TIMEOUT = Duration.ofSeconds(1);
 
     /** Seconds' worth of store calls that a node may make at once. */
     private static final int BURST_SECONDS = 2;
@@ -64,7 +64,7 @@
 
     private static final long LOG_CLOSE_MILLISECONDS = 300;
     /** How often a node tells its load: a few times in the course of a request. */
-    private static final long LOAD_PAUSE_MILLISECONDS = 150;
+    private static final long LOAD_PAUSE_MILLISECONDS = 200;
 
     /** One in so many tellings goes to other regions too: the link is paid for, and answers carry the load as well. */
     private static final long TELLINGS_TO_OTHER_REGIONS = 6;
@@ -72,7 +72,7 @@
     /** Bounds what a node sends to a hundred messages a second, whatever the fleet's size. */
     private static final long LOAD_PAUSE_MILLISECONDS_PER_PEER = 10;
 
-    private static final long MEMBERS_PAUSE_MILLISECONDS = 100;
+    private static final long MEMBERS_PAUSE_MILLISECONDS = 250;
 
     private final NodeSettings settings;
     private final NodeSettings.Mesh mesh;
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -43,7 +43,7 @@
     private static final long DRAIN_POLL_MILLISECONDS = 10;
 
     /** How often watches that were put off are looked after; a part of the half second in which work has to end. */
-    private static final long WATCH_PAUSE_MILLISECONDS = 80;
+    private static final long WATCH_PAUSE_MILLISECONDS = 200;
 
     private final ServerSocket server;
     private final HttpService service;
