--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -154,7 +154,7 @@
     }
 
     private static Address free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return Address.of(LOOPBACK, socket.getLocalPort());
         }
     }
