--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
@@ -241,6 +241,7 @@
                 new NodeSettings.Target(unused, service, "/health", "/load"),
                 join,
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
     }
 
