--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -38,8 +38,8 @@
     private static final String NAME = "rehearsal";
     private static final Duration PATIENCE = Duration.ofSeconds(2);
     private static final Duration PAUSE = Duration.ofMillis(100);
-    private static final int TRIES = 200;
-    private static final int REQUESTS = 20;
+    private static final int TRIES = 400;
+    private static final int REQUESTS = 100;
     private static final int BODY_LIMIT_BYTES = 65_536;
     private static final int OK = 200;
 
--- /dev/null
+++ b/store/src/main/java/org/oleanderturn/store/RefusingSocketFactory.java
@@ -0,0 +1,61 @@
+package org.oleanderturn.store;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import javax.net.ssl.SSLSocketFactory;
+
+/**
+ * Opens no TLS connection at all.
+ *
+ * <p>Stateless and thread safe.
+ */
+final class RefusingSocketFactory extends SSLSocketFactory {
+    private static final RefusingSocketFactory INSTANCE = new RefusingSocketFactory();
+
+    private RefusingSocketFactory() {}
+
+    static RefusingSocketFactory instance() {
+        return INSTANCE;
+    }
+
+    @Override
+    public String[] getDefaultCipherSuites() {
+        return new String[0];
+    }
+
+    @Override
+    public String[] getSupportedCipherSuites() {
+        return new String[0];
+    }
+
+    @Override
+    public Socket createSocket(Socket socket, String host, int port, boolean isAutoClose) throws IOException {
+        throw refusal();
+    }
+
+    @Override
+    public Socket createSocket(String host, int port) throws IOException {
+        throw refusal();
+    }
+
+    @Override
+    public Socket createSocket(String host, int port, InetAddress localHost, int localPort) throws IOException {
+        throw refusal();
+    }
+
+    @Override
+    public Socket createSocket(InetAddress host, int port) throws IOException {
+        throw refusal();
+    }
+
+    @Override
+    public Socket createSocket(InetAddress address, int port, InetAddress localAddress, int localPort)
+            throws IOException {
+        throw refusal();
+    }
+
+    private static IOException refusal() {
+        return new IOException("the store is reached without TLS");
+    }
+}
--- a/store/src/main/java/org/oleanderturn/store/StoreConnections.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreConnections.java
@@ -48,6 +48,8 @@
                 .build();
         this.requester = RequesterBootstrap.bootstrap()
                 .setSocketConfig(socketConfiguration)
+                // The store is reached without TLS; the default would read all trusted certificates at every start.
+                .setSslSocketFactory(RefusingSocketFactory.instance())
                 .setHttpProcessor(HttpProcessors.customClient(USER_AGENT)
                         .addLast((HttpRequestInterceptor)
                                 (request, entity, context) -> context.setAttribute(WRITTEN, true))
