Charge placement for the bytes that cross zones and regions; fewer messages to other regions

Change: the cost of distance grows with the average size of a route's exchanges; loads go to other regions every 3 s, probes every 1.5 s, tables every 8 s. Times in settings and on the platform are one type, Span; a target's remaining cold time, which nothing used, is not decoded; headers' numbers are read without compiling a pattern each time. Ruled out: a cost for downloads alone, as before.

--- a/membership/src/main/java/org/oleanderturn/membership/GossipSettings.java
+++ b/membership/src/main/java/org/oleanderturn/membership/GossipSettings.java
@@ -49,8 +49,8 @@
     /** Returns settings that find a lost member within two seconds, for up to a hundred or so members. */
     public static GossipSettings brisk() {
         return new GossipSettings(
-                new Intervals(500, 600, 900),
-                new Intervals(2_000, 3_000, 4_000),
+                new Intervals(500, 600, 1_500),
+                new Intervals(2_000, 3_000, 8_000),
                 1_000,
                 3,
                 3,
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
@@ -17,6 +17,7 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.Route;
+import org.oleanderturn.model.RouteName;
 import org.oleanderturn.proxy.Answer;
 import org.oleanderturn.proxy.AnswerExpectation;
 import org.oleanderturn.proxy.Cancellation;
@@ -134,8 +135,9 @@
     private Optional<Endpoint> choose() {
         List<Endpoint> known = parts.endpoints().get().endpoints(request.service());
         List<Endpoint> ready = known.stream().filter(Endpoint::isReady).toList();
-        Optional<Endpoint> chosen = parts.placement().choose(ready, excluded, kind());
-        return chosen.isPresent() ? chosen : parts.placement().choose(known, excluded, kind());
+        double bytes = parts.sizes().expected(routeName(), kind());
+        Optional<Endpoint> chosen = parts.placement().choose(ready, excluded, bytes);
+        return chosen.isPresent() ? chosen : parts.placement().choose(known, excluded, bytes);
     }
 
     private GuardReply attempt(Endpoint endpoint) {
@@ -171,7 +173,11 @@
             return failed(endpoint.node(), received.getLeft());
         }
         GuardAnswers.load(received.get()).ifPresent(load -> parts.board().report(endpoint.node(), load));
-        return GuardAnswers.read(received.get());
+        GuardReply reply = GuardAnswers.read(received.get());
+        if (reply instanceof GuardReply.Ran ran) {
+            parts.sizes().note(routeName(), request.body().length, ran.answer().body().length);
+        }
+        return reply;
     }
 
     private GuardReply failed(NodeId node, ForwardFailure failure) {
@@ -221,6 +227,10 @@
         return isClientGone || isTimeUp || !left().isPositive();
     }
 
+    private RouteName routeName() {
+        return request.match().route().name();
+    }
+
     private RequestKind kind() {
         return request.match().route().kind();
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryParts.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryParts.java
@@ -9,6 +9,7 @@
 import org.oleanderturn.model.EndpointView;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LoadBoard;
 import org.oleanderturn.traffic.Placement;
 import org.oleanderturn.traffic.RepeatBudget;
@@ -22,6 +23,7 @@
  * @param endpoints gives the endpoints known now
  * @param placement chooses among them
  * @param board what is known of their load
+ * @param sizes what requests and answers take
  * @param repeats gives the budget for sending a service's requests again
  * @param client sends requests to guards
  * @param timers ends attempts at their deadline
@@ -31,6 +33,7 @@
         Supplier<EndpointView> endpoints,
         Placement placement,
         LoadBoard board,
+        ExchangeSizes sizes,
         Function<ServiceName, RepeatBudget> repeats,
         UpstreamClient client,
         ScheduledExecutorService timers,
@@ -44,6 +47,7 @@
         Objects.requireNonNull(endpoints, "endpoints is null");
         Objects.requireNonNull(placement, "placement is null");
         Objects.requireNonNull(board, "board is null");
+        Objects.requireNonNull(sizes, "sizes is null");
         Objects.requireNonNull(repeats, "repeats is null");
         Objects.requireNonNull(client, "client is null");
         Objects.requireNonNull(timers, "timers is null");
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetReport.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetReport.java
@@ -1,6 +1,5 @@
 package org.oleanderturn.mesh;
 
-import java.time.Duration;
 import java.util.Objects;
 import org.oleanderturn.model.ServiceName;
 
@@ -14,15 +13,12 @@
  * @param service the service that it answers for
  * @param slots requests that it runs at once
  * @param isLeaving whether it takes no new work and ends soon
- * @param coldRemaining how much longer it is slow after its start
  */
-public record TargetReport(
-        TargetStart start, long sequence, ServiceName service, int slots, boolean isLeaving, Duration coldRemaining) {
+public record TargetReport(TargetStart start, long sequence, ServiceName service, int slots, boolean isLeaving) {
 
     /** Checks that every part is there. */
     public TargetReport {
         Objects.requireNonNull(start, "start is null");
         Objects.requireNonNull(service, "service is null");
-        Objects.requireNonNull(coldRemaining, "coldRemaining is null");
     }
 }
--- a/mesh/src/test/java/org/oleanderturn/mesh/FakeFleet.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeFleet.java
@@ -28,6 +28,7 @@
 import org.oleanderturn.proxy.RequestHandler;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.proxy.WholeAnswer;
+import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LoadBoard;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.Placement;
@@ -94,6 +95,7 @@
                 () -> EndpointView.of(endpoints),
                 placement,
                 board,
+                ExchangeSizes.unknown(),
                 _ -> budget,
                 client,
                 timers,
--- a/mesh/src/test/java/org/oleanderturn/mesh/TargetBeliefTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/TargetBeliefTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -86,6 +85,6 @@
     }
 
     private static TargetReport report(TargetStart start, long sequence, boolean isLeaving) {
-        return new TargetReport(start, sequence, ServiceName.of("bookings"), 9, isLeaving, Duration.ZERO);
+        return new TargetReport(start, sequence, ServiceName.of("bookings"), 9, isLeaving);
     }
 }
--- a/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
@@ -121,7 +121,7 @@
     }
 
     private void report(long sequence) throws IOException {
-        call.set(new TargetCall.Heartbeat(new TargetReport(START, sequence, SERVICE, 9, false, Duration.ZERO)));
+        call.set(new TargetCall.Heartbeat(new TargetReport(START, sequence, SERVICE, 9, false)));
         assertThat(handler.handle(FakeRequest.of("/")).status()).isEqualTo(200);
     }
 
--- a/node/src/main/java/org/oleanderturn/node/Span.java
+++ b/model/src/main/java/org/oleanderturn/model/Span.java
@@ -1,4 +1,4 @@
-package org.oleanderturn.node;
+package org.oleanderturn.model;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
@@ -9,12 +9,12 @@
 import java.util.regex.Pattern;
 
 /**
- * A time in the settings: a number and its unit, {@code ms} or {@code s}.
+ * A length of time as text: a number and its unit, {@code ms} or {@code s}.
  *
  * <p>Invariant: the text is well-formed. Immutable and thread safe.
  */
 public record Span(@JsonValue String text) {
-    private static final Pattern FORM = Pattern.compile("([0-9]{1,9}(?:\\.[0-9]{1,6})?)(ms|s)");
+    private static final Pattern FORM = Pattern.compile("([0-9]{1,12}(?:\\.[0-9]{1,9})?)(ms|s)");
     private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
@@ -33,12 +33,12 @@
     }
 
     /** Returns the time that a text states; empty when it is malformed. */
-    static Optional<Span> parse(String text) {
+    public static Optional<Span> parse(String text) {
         return FORM.matcher(text).matches() ? Optional.of(new Span(text)) : Optional.empty();
     }
 
     /** Returns the time. */
-    Duration duration() {
+    public Duration duration() {
         Matcher matcher = FORM.matcher(text);
         if (!matcher.matches()) {
             throw new IllegalStateException("checked at construction: " + text);
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -27,6 +27,7 @@
 import org.oleanderturn.proxy.ListenerLimits;
 import org.oleanderturn.proxy.ProxyFailure;
 import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LoadBoard;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.Placement;
@@ -109,6 +110,7 @@
                 endpoints,
                 Placement.of(board, settings.locality(), nanoseconds, random),
                 board,
+                ExchangeSizes.unknown(),
                 this::budget,
                 client,
                 timers,
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -67,7 +67,7 @@
     private static final long LOAD_PAUSE_MILLISECONDS = 200;
 
     /** One in so many tellings goes to other regions too: the link is paid for, and answers carry the load as well. */
-    private static final long TELLINGS_TO_OTHER_REGIONS = 6;
+    private static final long TELLINGS_TO_OTHER_REGIONS = 15;
 
     /** Bounds what a node sends to a hundred messages a second, whatever the fleet's size. */
     private static final long LOAD_PAUSE_MILLISECONDS_PER_PEER = 10;
@@ -115,7 +115,9 @@
                 milliseconds,
                 GossipSettings.brisk(),
                 (_, directory) -> ZoneLeadership.of(settings.node(), settings.locality(), directory),
-                this::membersChanged);
+                () -> {
+                    // The members are reviewed by a loop, so that nothing is called under the protocol's feet.
+                });
         this.operators =
                 new OperatorWatch(budgeted, control.holder(), control.floor(), control.role(), SharedRandom.create());
         this.data = new MeshDataPlane(
@@ -132,7 +134,7 @@
         Objects.requireNonNull(writer, "writer is null");
         NodeSettings.Mesh mesh =
                 settings.mesh().orElseThrow(() -> new IllegalArgumentException("the settings have no section mesh"));
-        MeshNode node = new MeshNode(settings.withPlatformRegion(settings.region()), mesh, writer);
+        MeshNode node = new MeshNode(settings, mesh, writer);
         Either<NodeFailure, MeshNode> started = node.listen();
         started.peek(MeshNode::run);
         started.peekLeft(_ -> node.closeAll());
@@ -301,10 +303,6 @@
 
     // -- events
 
-    private void membersChanged() {
-        // Reviewed by a loop, so that nothing is called under the protocol's feet.
-    }
-
     /** Gives up what waits for nodes that can't be reached any more. */
     private void reviewMembers() {
         Set<NodeId> now = control.gossip().table().reachablePeers().stream()
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -9,6 +9,7 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.Region;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.model.Span;
 
 /**
  * The settings of a node.
@@ -47,22 +48,6 @@
         return new Locality(region, availabilityZone);
     }
 
-    /** Returns these settings with another region of the platform's store. */
-    NodeSettings withPlatformRegion(Region other) {
-        return new NodeSettings(
-                node,
-                region,
-                availabilityZone,
-                other,
-                listen,
-                platform,
-                target,
-                join,
-                drainMilliseconds,
-                warmupMilliseconds,
-                mesh);
-    }
-
     /** Returns the longest that a graceful stop waits for requests in flight. */
     public Duration drainTime() {
         return drainMilliseconds.map(Duration::ofMillis).orElse(STANDARD_DRAIN);
--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -14,6 +14,7 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.Region;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.model.Span;
 import org.oleanderturn.platform.RehearsalMessages;
 import org.oleanderturn.proxy.Answer;
 import org.oleanderturn.proxy.AnswerExpectation;
--- a/node/src/main/java/org/oleanderturn/node/SettingsField.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsField.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.Names;
+import org.oleanderturn.model.Span;
 
 /**
  * One field of the settings: its path, its form, and whether it is needed.
--- a/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
@@ -16,6 +16,9 @@
  */
 public final class HeaderValues {
     private static final long LONGEST_MILLISECONDS = 24L * 60 * 60 * 1_000;
+    /** The longest number, in digits: no sum of two of them overflows. */
+    private static final int MOST_DIGITS = 15;
+
     private static final Set<String> BETWEEN_NODES = Set.of(
             lower(ProxyHeaders.SERVICE),
             lower(ProxyHeaders.KIND),
@@ -68,12 +71,25 @@
     /** Returns a header's value as a whole number of zero or more. */
     public static OptionalLong number(List<HeaderField> headers, String name) {
         Optional<String> text = HeaderField.find(headers, name);
-        if (text.isEmpty() || !text.get().matches("[0-9]{1,15}")) {
+        if (text.isEmpty() || !isNumber(text.get())) {
             return OptionalLong.empty();
         }
         return OptionalLong.of(Long.parseLong(text.get()));
     }
 
+    private static boolean isNumber(String text) {
+        if (text.isEmpty() || text.length() > MOST_DIGITS) {
+            return false;
+        }
+        // A regular expression would be compiled for each header of each request.
+        for (int index = 0; index < text.length(); index++) {
+            if (text.charAt(index) < '0' || text.charAt(index) > '9') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns a header's value as a span of milliseconds. */
     public static Optional<Duration> milliseconds(List<HeaderField> headers, String name) {
         OptionalLong found = number(headers, name);
--- a/traffic/src/main/java/org/oleanderturn/traffic/Placement.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Placement.java
@@ -9,27 +9,34 @@
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
-import org.oleanderturn.model.RequestKind;
 
 /**
  * Chooses the target that is expected to answer first.
  *
  * <p>It answers uneven load and uneven targets: the expected time is that of the target's recent requests, stretched by
- * how full it is, and the distance is small beside it. A little randomness keeps entries with the same reports from
- * choosing the same target. Thread safe.
+ * how full it is; the distance adds what the users pay for the bytes that cross it. A little randomness keeps entries
+ * with the same reports from choosing the same target. Thread safe.
  */
 public final class Placement {
     /** Expected time of a target that has not reported, in percent of the target latency; the usual share. */
     private static final double USUAL_SLOWNESS = 35;
 
-    /** Added for another zone of the region, in percent of the target latency; bytes between zones are paid for. */
-    private static final double ZONE_COST = 4;
+    /** Added for another zone of the region, in percent of the target latency: the time of the trip. */
+    private static final double ZONE_TRIP = 1;
 
-    /** Added for another region, in percent of the target latency; the link is narrow and dear. */
-    private static final double REGION_COST = 14;
+    /** Added for another region, in percent of the target latency: the time of the trip. */
+    private static final double REGION_TRIP = 3;
 
-    /** How much dearer the distance is for a download, whose answer is fifty times as long. */
-    private static final double DOWNLOAD_FACTOR = 15;
+    /**
+     * Added for each thousand bytes that go to another zone of the region, in percent of the target latency: at the
+     * users' prices, a byte costs them as much as the answers that this wait makes late.
+     */
+    private static final double ZONE_COST_PER_THOUSAND_BYTES = 1.5;
+
+    /** The same for another region, whose links are narrow and dear. */
+    private static final double REGION_COST_PER_THOUSAND_BYTES = 5;
+
+    private static final double THOUSAND = 1_000;
 
     /** The share by which an expected time is varied at random. */
     private static final double SPREAD = 0.15;
@@ -67,15 +74,19 @@
         return new Placement(board, locality, nanoseconds, random);
     }
 
-    /** Returns the endpoint that is expected to answer first; empty when each is excluded. */
-    public Optional<Endpoint> choose(List<Endpoint> endpoints, Set<NodeId> excluded, RequestKind kind) {
+    /**
+     * Returns the endpoint that is expected to answer first; empty when each is excluded.
+     *
+     * @param bytes what the request and its answer are expected to take
+     */
+    public Optional<Endpoint> choose(List<Endpoint> endpoints, Set<NodeId> excluded, double bytes) {
         Optional<Endpoint> best = Optional.empty();
         double lowest = Double.MAX_VALUE;
         for (Endpoint endpoint : endpoints) {
             if (excluded.contains(endpoint.node())) {
                 continue;
             }
-            double cost = cost(endpoint, kind) * (1 + SPREAD * random.nextDouble());
+            double cost = cost(endpoint, bytes) * (1 + SPREAD * random.nextDouble());
             if (cost < lowest) {
                 lowest = cost;
                 best = Optional.of(endpoint);
@@ -84,11 +95,10 @@
         return best;
     }
 
-    private double cost(Endpoint endpoint, RequestKind kind) {
+    private double cost(Endpoint endpoint, double bytes) {
         LoadBoard.Standing standing = board.standing(endpoint.node());
         boolean isAvoided = standing.avoidedUntilNanoseconds() - nanoseconds.getAsLong() > 0;
-        double far = distance(endpoint) * (kind == RequestKind.DOWNLOAD ? DOWNLOAD_FACTOR : 1);
-        return expected(standing) + far + (isAvoided ? AVOIDED_COST : 0);
+        return expected(standing) + distance(endpoint, bytes) + (isAvoided ? AVOIDED_COST : 0);
     }
 
     private static double expected(LoadBoard.Standing standing) {
@@ -107,10 +117,13 @@
         return slowness * (1 + queue + crowd + LOADED_COST * share);
     }
 
-    private double distance(Endpoint endpoint) {
+    private double distance(Endpoint endpoint, double bytes) {
         if (endpoint.locality().equals(locality)) {
             return 0;
         }
-        return endpoint.locality().region().equals(locality.region()) ? ZONE_COST : REGION_COST;
+        double thousands = bytes / THOUSAND;
+        return endpoint.locality().region().equals(locality.region())
+                ? ZONE_TRIP + ZONE_COST_PER_THOUSAND_BYTES * thousands
+                : REGION_TRIP + REGION_COST_PER_THOUSAND_BYTES * thousands;
     }
 }
--- a/traffic/src/test/java/org/oleanderturn/traffic/PlacementTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/PlacementTest.java
@@ -13,10 +13,11 @@
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
-import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.ServiceName;
 
 final class PlacementTest {
+    private static final double LOOKUP_BYTES = 2_500;
+    private static final double DOWNLOAD_BYTES = 90_000;
     private static final Locality HERE = Locality.of("south", "hobart");
 
     private final AtomicLong clock = new AtomicLong();
@@ -29,28 +30,42 @@
     @Test
     void shouldChooseTheNearestWhenAllAreIdle() {
         reportAll(new LoadReport(9, 0, 0, 30));
-        assertThat(choose(RequestKind.LOOKUP)).isEqualTo(near);
+        assertThat(choose(LOOKUP_BYTES)).isEqualTo(near);
     }
 
     @Test
     void shouldChooseAnotherWhenTheNearestIsFull() {
         reportAll(new LoadReport(9, 0, 0, 30));
         board.report(near.node(), new LoadReport(9, 9, 8, 30));
-        assertThat(choose(RequestKind.LOOKUP)).isNotEqualTo(near);
+        assertThat(choose(LOOKUP_BYTES)).isNotEqualTo(near);
     }
 
     @Test
     void shouldChooseTheFasterWhenBothAreBusy() {
         reportAll(new LoadReport(9, 9, 5, 90));
         board.report(far.node(), new LoadReport(9, 9, 5, 20));
-        assertThat(choose(RequestKind.LOOKUP)).isEqualTo(far);
+        assertThat(choose(LOOKUP_BYTES)).isEqualTo(far);
     }
 
     @Test
     void shouldKeepADownloadInItsZoneWhenItCanBeServedThereInTime() {
         reportAll(new LoadReport(9, 2, 0, 30));
         board.report(near.node(), new LoadReport(9, 8, 0, 40));
-        assertThat(choose(RequestKind.DOWNLOAD)).isEqualTo(near);
+        assertThat(choose(DOWNLOAD_BYTES)).isEqualTo(near);
+    }
+
+    @Test
+    void shouldKeepARequestInItsRegionWhenTheTimeSavedIsLessThanItsBytesCost() {
+        reportAll(new LoadReport(9, 5, 0, 60));
+        board.report(far.node(), new LoadReport(9, 0, 0, 40));
+        assertThat(choose(LOOKUP_BYTES * 2)).isNotEqualTo(far);
+    }
+
+    @Test
+    void shouldLeaveTheRegionWhenItsTargetsWouldAnswerLate() {
+        reportAll(new LoadReport(9, 9, 12, 60));
+        board.report(far.node(), new LoadReport(9, 1, 0, 40));
+        assertThat(choose(LOOKUP_BYTES * 2)).isEqualTo(far);
     }
 
     @Test
@@ -59,18 +74,18 @@
         for (int request = 0; request < 6; request++) {
             board.sent(near.node());
         }
-        assertThat(choose(RequestKind.LOOKUP)).isNotEqualTo(near);
+        assertThat(choose(LOOKUP_BYTES)).isNotEqualTo(near);
     }
 
     @Test
     void shouldLeaveOutTheExcludedAndComeBackToTheAvoidedLast() {
         reportAll(new LoadReport(9, 0, 0, 30));
         board.avoid(near.node(), 1_000);
-        assertThat(choose(RequestKind.LOOKUP)).isEqualTo(zone);
-        assertThat(placement.choose(List.of(near, far), Set.of(far.node()), RequestKind.LOOKUP))
+        assertThat(choose(LOOKUP_BYTES)).isEqualTo(zone);
+        assertThat(placement.choose(List.of(near, far), Set.of(far.node()), LOOKUP_BYTES))
                 .isEqualTo(Optional.of(near));
         assertThat(placement
-                        .choose(List.of(near), Set.of(near.node()), RequestKind.LOOKUP)
+                        .choose(List.of(near), Set.of(near.node()), LOOKUP_BYTES)
                         .isEmpty())
                 .isTrue();
     }
@@ -79,8 +94,8 @@
         List.of(near, zone, far).forEach(endpoint -> board.report(endpoint.node(), report));
     }
 
-    private Endpoint choose(RequestKind kind) {
-        return placement.choose(List.of(far, zone, near), Set.of(), kind).orElseThrow();
+    private Endpoint choose(double bytes) {
+        return placement.choose(List.of(far, zone, near), Set.of(), bytes).orElseThrow();
     }
 
     private static Endpoint endpoint(String name, Locality locality) {
