--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
@@ -1,8 +1,6 @@
 package org.oleanderturn.mesh;
 
-import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -19,13 +17,7 @@
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.RouteName;
 import org.oleanderturn.proxy.Answer;
-import org.oleanderturn.proxy.AnswerExpectation;
 import org.oleanderturn.proxy.Cancellation;
-import org.oleanderturn.proxy.Delivery;
-import org.oleanderturn.proxy.ForwardFailure;
-import org.oleanderturn.proxy.HeaderField;
-import org.oleanderturn.proxy.OutboundRequest;
-import org.oleanderturn.proxy.WholeAnswer;
 import org.oleanderturn.traffic.LoadBoard;
 import org.oleanderturn.traffic.RepeatBudget;
 
@@ -43,12 +35,6 @@
     /** Time that a guard is not given, so that its own refusal arrives before the deadline here. */
     private static final Duration RETURN_TRIP = Duration.ofMillis(25);
 
-    /** The longest wait for a connection to another node: a lost packet costs a second, another node less. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
-
-    /** How long a node that could not be reached is avoided; membership finds out within about as long. */
-    private static final Duration AVOIDED = Duration.ofSeconds(1);
-
     /** The shortest and longest time after which a refused client is asked back. */
     private static final Duration SHORTEST_RETURN = Duration.ofMillis(100);
 
@@ -162,41 +148,14 @@
     }
 
     private GuardReply exchange(Endpoint endpoint, Cancellation cancellation) {
-        Either<ForwardFailure, WholeAnswer> received = parts.client()
-                .exchange(
-                        endpoint.address(),
-                        outbound(),
-                        AnswerExpectation.framed(),
-                        MeshGuard.BODY_LIMIT_BYTES,
-                        cancellation);
-        if (received.isLeft()) {
-            return failed(endpoint.node(), received.getLeft());
-        }
-        GuardAnswers.load(received.get()).ifPresent(load -> parts.board().report(endpoint.node(), load));
-        GuardReply reply = GuardAnswers.read(received.get());
+        GuardReply reply = parts.guards().call(endpoint, guardRequest(cancellation));
         if (reply instanceof GuardReply.Ran ran) {
             parts.sizes().note(routeName(), request.body().length, ran.answer().body().length);
         }
-        return reply;
-    }
-
-    private GuardReply failed(NodeId node, ForwardFailure failure) {
-        return switch (failure) {
-            case ForwardFailure.NotSent notSent -> {
-                parts.board().avoid(node, AVOIDED.toNanos());
-                yield new GuardReply.NotRun("GUARD_" + notSent.cause(), false, Duration.ZERO);
-            }
-            case ForwardFailure.AnswerLost lost -> {
-                parts.board().avoid(node, AVOIDED.toNanos());
-                yield new GuardReply.Unknown("GUARD_LOST: " + lost.reason());
-            }
-            case ForwardFailure.TimedOut _ -> new GuardReply.Unknown("GUARD_TIMED_OUT");
-            case ForwardFailure.Cancelled _ ->
-                isOver() ? new GuardReply.Abandoned() : new GuardReply.Unknown("GUARD_UNREACHABLE");
-        };
+        return reply instanceof GuardReply.Abandoned && !isOver() ? new GuardReply.Unknown("GUARD_UNREACHABLE") : reply;
     }
 
-    private OutboundRequest outbound() {
+    private GuardRequest guardRequest(Cancellation cancellation) {
         Duration left = left();
         Route route = request.match().route();
         Duration given = left.compareTo(RETURN_TRIP.multipliedBy(2)) > 0 ? left.minus(RETURN_TRIP) : left;
@@ -209,16 +168,15 @@
                 Duration.ofMillis(route.targetLatencyMilliseconds().orElse(USUAL_TARGET_LATENCY_MILLISECONDS)),
                 elapsed(),
                 attempts);
-        List<HeaderField> headers = new ArrayList<>(request.headers());
-        headers.addAll(order.headers());
-        return new OutboundRequest(
+        return new GuardRequest(
                 request.method(),
                 request.path(),
-                headers,
+                request.headers(),
                 request.body(),
-                isIdempotent() ? Delivery.TRUSTED : Delivery.POOLED,
-                shorter(CONNECT_TIMEOUT, left),
-                left);
+                request.client(),
+                order,
+                left,
+                cancellation);
     }
 
     // -- decisions
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryParts.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryParts.java
@@ -8,7 +8,6 @@
 import java.util.random.RandomGenerator;
 import org.oleanderturn.model.EndpointView;
 import org.oleanderturn.model.ServiceName;
-import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LoadBoard;
 import org.oleanderturn.traffic.Placement;
@@ -25,7 +24,7 @@
  * @param board what is known of their load
  * @param sizes what requests and answers take
  * @param repeats gives the budget for sending a service's requests again
- * @param client sends requests to guards
+ * @param guards hands requests to guards
  * @param timers ends attempts at their deadline
  */
 public record EntryParts(
@@ -35,7 +34,7 @@
         LoadBoard board,
         ExchangeSizes sizes,
         Function<ServiceName, RepeatBudget> repeats,
-        UpstreamClient client,
+        GuardCalls guards,
         ScheduledExecutorService timers,
         DecisionLog decisions,
         LongSupplier nanoseconds,
@@ -49,7 +48,7 @@
         Objects.requireNonNull(board, "board is null");
         Objects.requireNonNull(sizes, "sizes is null");
         Objects.requireNonNull(repeats, "repeats is null");
-        Objects.requireNonNull(client, "client is null");
+        Objects.requireNonNull(guards, "guards is null");
         Objects.requireNonNull(timers, "timers is null");
         Objects.requireNonNull(decisions, "decisions is null");
         Objects.requireNonNull(nanoseconds, "nanoseconds is null");
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -109,18 +109,21 @@
         if (order.isLeft() || body.isEmpty()) {
             return GuardAnswers.of(new GuardReply.NotRun("MALFORMED", false, Duration.ZERO), load());
         }
-        ClientRequest identity = dialect.client(request);
-        GuardRun run = new GuardRun(request, identity, order.get(), body.get(), Cancellation.create());
+        GuardRequest run = new GuardRequest(
+                request.method(),
+                request.path(),
+                HeaderValues.forwarded(request.headers()),
+                body.get(),
+                dialect.client(request),
+                order.get(),
+                order.get().left(),
+                Cancellation.create());
         request.onPeerGone(run.cancellation()::cancel);
         return GuardAnswers.of(admit(run), load());
     }
 
-    /** A request on its way to the target. */
-    @SuppressWarnings("ArrayRecordComponent")
-    private record GuardRun(
-            InboundRequest request, ClientRequest identity, GuardOrder order, byte[] body, Cancellation cancellation) {}
-
-    private GuardReply admit(GuardRun run) {
+    /** Runs a request when the target has a slot for it in time, and returns what became of it; blocks. */
+    GuardReply admit(GuardRequest run) {
         if (!run.order().service().equals(target.service())) {
             return new GuardReply.NotRun("WRONG_SERVICE", false, Duration.ZERO);
         }
@@ -132,12 +135,7 @@
             SlotDecision decision = await(run, ticket, longestWait);
             GuardReply reply = decide(run, decision, begun);
             decisions.record(new Decision.Guarded(
-                    run.identity().attemptId(),
-                    run.order().attempt(),
-                    reply,
-                    ticket.waited(),
-                    load(),
-                    target.belief()));
+                    run.client().attemptId(), run.order().attempt(), reply, ticket.waited(), load(), target.belief()));
             return reply;
         } finally {
             slots.release(ticket);
@@ -150,7 +148,7 @@
         return new SlotDemand(order.rank(), expectedRun, worthWhile, longestWait);
     }
 
-    private SlotDecision await(GuardRun run, SlotTicket ticket, Duration longest) {
+    private SlotDecision await(GuardRequest run, SlotTicket ticket, Duration longest) {
         run.cancellation().onCancel(() -> slots.withdraw(ticket));
         try {
             Optional<SlotDecision> decision = ticket.await(longest);
@@ -165,7 +163,7 @@
                 .orElseGet(() -> new SlotDecision.Refused(SlotDecision.Reason.WITHDRAWN, Duration.ZERO));
     }
 
-    private GuardReply decide(GuardRun run, SlotDecision decision, long begun) {
+    private GuardReply decide(GuardRequest run, SlotDecision decision, long begun) {
         return switch (decision) {
             case SlotDecision.Refused refused ->
                 new GuardReply.NotRun(refused.reason().name(), false, refused.expectedWait());
@@ -181,19 +179,18 @@
 
     // -- exchange
 
-    private GuardReply send(GuardRun run, TargetStart start, long begun) {
+    private GuardReply send(GuardRequest run, TargetStart start, long begun) {
         long sentNanoseconds = nanoseconds.getAsLong();
         Duration left = run.order().left().minusNanos(sentNanoseconds - begun);
         if (!left.isPositive()) {
             return new GuardReply.NotRun("DEADLINE", false, Duration.ZERO);
         }
-        List<HeaderField> received = HeaderValues.forwarded(run.request().headers());
         List<HeaderField> headers =
-                dialect.toTarget(received, run.identity(), run.order().caller(), left, start.instance());
+                dialect.toTarget(run.headers(), run.client(), run.order().caller(), left, start.instance());
         Delivery delivery = run.order().kind() == RequestKind.SINGLE ? Delivery.RECENT_CONNECTION : Delivery.TRUSTED;
-        OutboundRequest outbound = new OutboundRequest(
-                run.request().method(), run.request().path(), headers, run.body(), delivery, CONNECT_TIMEOUT, left);
-        AnswerExpectation expectation = AnswerExpectation.matching(fields -> isOwn(fields, run.identity()));
+        OutboundRequest outbound =
+                new OutboundRequest(run.method(), run.path(), headers, run.body(), delivery, CONNECT_TIMEOUT, left);
+        AnswerExpectation expectation = AnswerExpectation.matching(fields -> isOwn(fields, run.client()));
         Either<ForwardFailure, WholeAnswer> answer =
                 client.exchange(address, outbound, expectation, BODY_LIMIT_BYTES, run.cancellation());
         Duration taken = Duration.ofNanos(nanoseconds.getAsLong() - sentNanoseconds);
--- a/mesh/src/test/java/org/oleanderturn/mesh/FakeFleet.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeFleet.java
@@ -97,7 +97,7 @@
                 board,
                 ExchangeSizes.unknown(),
                 _ -> budget,
-                client,
+                GuardCalls.remote(client, board),
                 timers,
                 decisions::add,
                 System::nanoTime,
--- /dev/null
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardCallsTest.java
@@ -0,0 +1,135 @@
+package org.oleanderturn.mesh;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.proxy.Answer;
+import org.oleanderturn.proxy.Cancellation;
+import org.oleanderturn.proxy.HeaderField;
+import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.ListenerLimits;
+import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.traffic.LoadBoard;
+import org.oleanderturn.traffic.LoadReport;
+import org.oleanderturn.traffic.SlotQueue;
+
+final class GuardCallsTest {
+    private static final ServiceName SERVICE = ServiceName.of("bookings");
+    private static final NodeId OWN = NodeId.of("own");
+    private static final Locality HERE = Locality.of("south", "hobart");
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+
+    private final AtomicInteger runs = new AtomicInteger();
+    private final HttpListener target = HttpListener.start("127.0.0.1", 0, _ -> run(), ListenerLimits.standard())
+            .get();
+    private final UpstreamClient client = UpstreamClient.of(4);
+    private final LoadBoard board = LoadBoard.of(System::nanoTime);
+    private final SlotQueue slots = SlotQueue.of(System::nanoTime);
+    private final LocalTarget local = LocalTarget.of(SERVICE, slots, Duration.ofMinutes(1), System::nanoTime);
+    private final MeshGuard guard = MeshGuard.of(
+            target.address(), local, slots, client, new FakeDialect(Optional.empty()), _ -> {}, System::nanoTime);
+    private final HttpListener peers =
+            HttpListener.start("127.0.0.1", 0, guard, ListenerLimits.standard()).get();
+    private final GuardCalls calls = GuardCalls.of(OWN, guard, client, board);
+
+    @AfterEach
+    void close() {
+        client.close();
+        peers.close();
+        target.close();
+    }
+
+    @Test
+    void shouldGetTheSameReplyFromItsOwnGuardAsFromOneOfAnotherNode() {
+        open();
+        GuardReply.Ran own = (GuardReply.Ran) calls.call(endpoint(OWN, peers.address()), request());
+        GuardReply.Ran other = (GuardReply.Ran) calls.call(endpoint(NodeId.of("other"), peers.address()), request());
+        assertThat(own.answer().status()).isEqualTo(200);
+        assertThat(own.answer().body()).isEqualTo(other.answer().body());
+        assertThat(own.answer().header("Signed")).isEqualTo(other.answer().header("Signed"));
+        assertThat(runs.get()).isEqualTo(2);
+    }
+
+    @Test
+    void shouldReachItsOwnGuardWithoutAConnection() {
+        open();
+        Address nobody = Address.of("127.0.0.1", 1);
+        assertThat(calls.call(endpoint(OWN, nobody), request())).isInstanceOf(GuardReply.Ran.class);
+        assertThat(calls.call(endpoint(NodeId.of("other"), nobody), request())).isInstanceOf(GuardReply.NotRun.class);
+    }
+
+    @Test
+    void shouldNoteTheLoadThatAGuardTells() {
+        open();
+        var _ = calls.call(endpoint(OWN, peers.address()), request());
+        var _ = calls.call(endpoint(NodeId.of("other"), peers.address()), request());
+        assertThat(slotsOf(OWN)).isEqualTo(9);
+        assertThat(slotsOf(NodeId.of("other"))).isEqualTo(9);
+    }
+
+    @Test
+    void shouldNotRunWhenItsOwnTargetIsClosed() {
+        GuardReply reply = calls.call(endpoint(OWN, peers.address()), request());
+        assertThat(reply).isInstanceOf(GuardReply.NotRun.class);
+        assertThat(runs.get()).isEqualTo(0);
+    }
+
+    @Test
+    void shouldNotReachTheTargetWhenTheRequestIsCancelledAlready() {
+        open();
+        GuardRequest request = request();
+        request.cancellation().cancel();
+        assertThat(calls.call(endpoint(OWN, peers.address()), request)).isInstanceOf(GuardReply.NotRun.class);
+        assertThat(runs.get()).isEqualTo(0);
+    }
+
+    private int slotsOf(NodeId node) {
+        return board.standing(node).report().map(LoadReport::slots).orElse(0);
+    }
+
+    private void open() {
+        local.report(new TargetReport(new TargetStart("i-1", 1), 1, SERVICE, 9, false));
+    }
+
+    private Answer run() {
+        runs.incrementAndGet();
+        return Answer.of(200, List.of(HeaderField.of("Signed", "i-1")), new Answer.Body.Whole(new byte[] {'o', 'k'}));
+    }
+
+    private static Endpoint endpoint(NodeId node, Address address) {
+        return new Endpoint(node, address, HERE, SERVICE, 9, EndpointState.READY, 1);
+    }
+
+    private static GuardRequest request() {
+        GuardOrder order = new GuardOrder(
+                SERVICE,
+                ServiceName.of("caller"),
+                RequestKind.LOOKUP,
+                1,
+                PATIENCE,
+                Duration.ofMillis(600),
+                Duration.ZERO,
+                1);
+        return new GuardRequest(
+                "GET",
+                "/a/1",
+                List.of(),
+                new byte[0],
+                new ClientRequest("id-1", Optional.of(PATIENCE), "host.example"),
+                order,
+                PATIENCE,
+                Cancellation.create());
+    }
+}
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.oleanderturn.mesh.DecisionLog;
 import org.oleanderturn.mesh.EntryParts;
+import org.oleanderturn.mesh.GuardCalls;
 import org.oleanderturn.mesh.LocalTarget;
 import org.oleanderturn.mesh.MeshEntry;
 import org.oleanderturn.mesh.MeshGuard;
@@ -112,7 +113,7 @@
                 board,
                 ExchangeSizes.unknown(),
                 this::budget,
-                client,
+                GuardCalls.of(settings.node(), guard, client, board),
                 timers,
                 decisions,
                 nanoseconds,
--- /dev/null
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -0,0 +1,145 @@
+package org.oleanderturn.node;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.oleanderturn.mesh.Decision;
+import org.oleanderturn.mesh.GuardReply;
+import org.oleanderturn.mesh.LocalTarget;
+import org.oleanderturn.mesh.TargetReport;
+import org.oleanderturn.mesh.TargetStart;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.RouteName;
+import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.traffic.LoadReport;
+import org.oleanderturn.traffic.SlotQueue;
+
+final class JsonDecisionLogTest {
+    private static final JsonMapper MAPPER = JsonMapper.builder().build();
+    private static final Path OPERATIONS = Path.of("..", "docs", "OPERATIONS.md");
+    private static final Pattern TABLE_ROW = Pattern.compile("\\| `(\\w+)` \\| (?:entry|guard) \\| (.*) \\|");
+    private static final Pattern FIELD = Pattern.compile("`(\\w+)`");
+    private static final Set<String> COMMON = Set.of("time", "node", "event", "request");
+    private static final long CLOSE_MILLISECONDS = 10_000;
+    private static final LoadReport LOAD = new LoadReport(9, 3, 1, 40);
+    private static final NodeId NODE = NodeId.of("node");
+    private static final ConfigurationVersion VERSION = ConfigurationVersion.of(4);
+    private static final GuardReply FULL = new GuardReply.NotRun("FULL", false, Duration.ZERO);
+
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final LogWriter writer = LogWriter.start(output);
+    private final JsonDecisionLog decisions = new JsonDecisionLog(NODE, writer, () -> 1);
+
+    @Test
+    void shouldWriteTheFieldsThatTheOperationsPageLists() throws IOException {
+        String id = named(false);
+        decisions.record(placed(id));
+        decisions.record(new Decision.AttemptFailed(id, 1, NODE, FULL, Duration.ZERO, false));
+        decisions.record(
+                new Decision.Answered(id, 503, "FULL", 1, Duration.ZERO, Optional.of(Duration.ofMillis(200)), VERSION));
+        decisions.record(guarded(id, FULL));
+        List<JsonNode> lines = written();
+        assertThat(lines).hasSize(4);
+        for (JsonNode line : lines) {
+            assertThat(fields(line)).isEqualTo(documented(line.get("event").asText()));
+        }
+    }
+
+    @Test
+    void shouldWriteEveryLineOfARequestThatFailsAndNoneOfOneThatIsServedAtOnce() throws IOException {
+        String served = named(false);
+        decisions.record(placed(served));
+        decisions.record(new Decision.Answered(served, 200, "", 1, Duration.ZERO, Optional.empty(), VERSION));
+        String failed = served + "x".repeat(JsonDecisionLog.isSampled(served + "x") ? 2 : 1);
+        decisions.record(placed(failed));
+        decisions.record(new Decision.Answered(failed, 504, "TIMED_OUT", 1, Duration.ZERO, Optional.empty(), VERSION));
+        assertThat(written().stream().map(line -> line.get("request").asText()).toList())
+                .containsExactly(failed, failed);
+    }
+
+    @Test
+    void shouldWriteEveryLineOfASampledRequest() throws IOException {
+        String id = named(true);
+        decisions.record(placed(id));
+        decisions.record(new Decision.Answered(id, 200, "", 1, Duration.ZERO, Optional.empty(), VERSION));
+        assertThat(written()).hasSize(2);
+    }
+
+    // -- helpers
+
+    /** Returns an id that is sampled, or one that is not. */
+    private static String named(boolean isSampled) {
+        return IntStream.iterate(0, number -> number + 1)
+                .mapToObj(number -> "id-" + number)
+                .filter(id -> JsonDecisionLog.isSampled(id) == isSampled)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static Decision placed(String id) {
+        return new Decision.Placed(
+                id,
+                1,
+                RouteName.of("route"),
+                ServiceName.of("bookings"),
+                NODE,
+                VERSION,
+                Optional.of(LOAD),
+                20,
+                Duration.ofMillis(700));
+    }
+
+    private static Decision guarded(String id, GuardReply reply) {
+        ServiceName service = ServiceName.of("bookings");
+        LocalTarget target = LocalTarget.of(service, SlotQueue.of(() -> 0), Duration.ofSeconds(5), () -> 0);
+        target.report(new TargetReport(new TargetStart("i-1", 1), 1, service, 9, false));
+        return new Decision.Guarded(id, 1, reply, Duration.ZERO, LOAD, target.belief());
+    }
+
+    private List<JsonNode> written() throws IOException {
+        writer.close(CLOSE_MILLISECONDS);
+        List<JsonNode> lines = new ArrayList<>();
+        for (String line : output.toString(StandardCharsets.UTF_8).lines().toList()) {
+            lines.add(MAPPER.readTree(line));
+        }
+        return lines;
+    }
+
+    private static Set<String> fields(JsonNode line) {
+        Set<String> names = new TreeSet<>();
+        line.fieldNames().forEachRemaining(names::add);
+        names.removeAll(COMMON);
+        return names;
+    }
+
+    private static Set<String> documented(String event) throws IOException {
+        for (String line : Files.readAllLines(OPERATIONS)) {
+            Matcher row = TABLE_ROW.matcher(line);
+            if (row.matches() && row.group(1).equals(event)) {
+                return FIELD.matcher(row.group(2))
+                        .results()
+                        .map(result -> result.group(1))
+                        .collect(Collectors.toCollection(TreeSet::new));
+            }
+        }
+        return Set.of();
+    }
+}
