--- a/command/src/main/java/org/oleanderturn/command/Grammar.java
+++ b/command/src/main/java/org/oleanderturn/command/Grammar.java
@@ -131,6 +131,11 @@
                         "endpoints"),
                 "Shows the endpoints that the asked node knows.",
                 "query endpoints");
+        addQueriesOfOne(queries);
+    }
+
+    /** Adds the queries for one change, one folder of declarations, one node or one request. */
+    private static void addQueriesOfOne(CommandLine queries) {
         describe(
                 add(queries, new ChangeQuery(), "change"),
                 "Shows what became of a proposal.",
@@ -146,6 +151,10 @@
                         "state"),
                 "Shows the state dump of the asked node.",
                 "query state --node 127.0.0.1:24001");
+        describe(
+                add(queries, new ExplainQuery(), "explain"),
+                "Shows the course of one request, merged from the log files of nodes.",
+                "query explain 52728f88bc824ba5 hobart-*.log");
     }
 
     private static CommandLine add(CommandLine parent, Object operation, String name, String... aliases) {
