--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -183,6 +183,7 @@
     }
 
     void peerLost(NodeId node) {
+        board.forget(node);
         if (entry != null) {
             entry.peerLost(node);
         }
--- a/traffic/src/main/java/org/oleanderturn/traffic/LoadBoard.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LoadBoard.java
@@ -93,6 +93,11 @@
                         known.report(), known.reportedNanoseconds(), known.sentSince(), known.outstanding(), until));
     }
 
+    /** Forgets a node that is gone; should it come back, it is unknown. */
+    public void forget(NodeId node) {
+        standings.remove(node);
+    }
+
     private AtomicReference<Standing> reference(NodeId node) {
         return standings.computeIfAbsent(node, _ -> new AtomicReference<>(Standing.unknown(nanoseconds.getAsLong())));
     }
