Refuse a waiting request as soon as others leave no time for it

Change: each arrival reviews what waits; what is expected to wait longer than it may is refused with the expected wait. Tests failed first: one request overtaken by three; a load of twice the target's, where fewer than a tenth of the refusals may come in the last quarter of the time. Ruled out: a shorter longest wait for all, which would refuse requests that still get a slot.

--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -14,7 +14,8 @@
  * <p>It answers a load above what the target can run. A slot goes to the request that still gains most by it: one whose
  * answer can come while it is worth most, by rank and then by what is due first; the late ones take what is left, in the
  * same order. In a queue by arrival, a load a little above the target's makes every answer late. A request that can't be
- * served in its time is refused on arrival, so that its caller can go elsewhere while there is time.
+ * served in its time is refused on arrival, or as soon as others that go before it leave no time for it, so that its
+ * caller can go elsewhere meanwhile.
  *
  * <p>Invariants: no more requests hold a slot than the target has slots; a request that is refused never holds one; each
  * ticket is settled once. Thread safe.
@@ -75,13 +76,8 @@
             begin(ticket);
             return ticket;
         }
-        Duration expected = expectedWait(ticket, now);
-        if (expected.compareTo(demand.longestWait()) > 0) {
-            settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.FULL, expected));
-            return ticket;
-        }
         waiting.add(ticket);
-        state = state.withWaiting(waiting.size());
+        refuseHopeless(now);
         return ticket;
     }
 
@@ -111,15 +107,33 @@
 
     /** Returns how long a request is expected to wait behind those that go before it. */
     private Duration expectedWait(SlotTicket ticket, long now) {
-        if (state.slots() == 0) {
-            return Duration.ofNanos((long) state.averageNanoseconds());
-        }
         Comparator<SlotTicket> order = order(now);
-        int ahead = 1;
+        int place = 1;
         for (SlotTicket other : waiting) {
-            ahead += order.compare(other, ticket) < 0 ? 1 : 0;
+            place += order.compare(other, ticket) < 0 ? 1 : 0;
+        }
+        return expectedWait(place);
+    }
+
+    /** Returns how long the request at a place of the queue is expected to wait; the first place is 1. */
+    private Duration expectedWait(int place) {
+        int slots = Math.max(1, state.slots());
+        return Duration.ofNanos((long) (place * state.averageNanoseconds() / slots));
+    }
+
+    /** Refuses what can't get a slot in its time any more, now that others may have come before it. */
+    private void refuseHopeless(long now) {
+        int ahead = 0;
+        for (SlotTicket ticket : waiting.stream().sorted(order(now)).toList()) {
+            Duration expected = expectedWait(ahead + 1);
+            if (expected.compareTo(ticket.patienceAt(now)) > 0) {
+                waiting.remove(ticket);
+                settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.FULL, expected));
+            } else {
+                ahead++;
+            }
         }
-        return Duration.ofNanos((long) (ahead * state.averageNanoseconds() / state.slots()));
+        state = state.withWaiting(waiting.size());
     }
 
     private static Comparator<SlotTicket> order(long now) {
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -43,6 +43,11 @@
         return now + demand.run().toNanos() - dueNanoseconds() > 0;
     }
 
+    /** Returns how much longer the request may wait; negative when that is over. */
+    Duration patienceAt(long now) {
+        return demand.longestWait().minusNanos(now - requestedNanoseconds);
+    }
+
     long number() {
         return number;
     }
--- a/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
@@ -11,6 +11,7 @@
 
 final class SlotQueueTest {
     private static final Duration LONG = Duration.ofSeconds(10);
+    private static final Duration RUN = Duration.ofMillis(100);
 
     private final AtomicLong clock = new AtomicLong();
     private final SlotQueue queue = SlotQueue.of(clock::get);
@@ -54,6 +55,51 @@
         assertThat(decision.expectedWait()).isGreaterThan(Duration.ofMillis(10));
     }
 
+    @Test
+    void shouldRefuseAWaitingRequestAsSoonAsOthersBeforeItLeaveNoTimeForIt() {
+        queue.open(1);
+        queue.request(SlotDemand.of(0, LONG));
+        SlotTicket waiting = queue.request(new SlotDemand(1, RUN, Duration.ZERO, Duration.ofSeconds(1)));
+        clock.addAndGet(Duration.ofMillis(500).toNanos());
+        assertThat(waiting.decision().isPresent()).isFalse();
+        for (int arrival = 0; arrival < 3; arrival++) {
+            queue.request(new SlotDemand(1, RUN, Duration.ofSeconds(5), LONG));
+        }
+        assertThat(reason(waiting)).isEqualTo(SlotDecision.Reason.FULL);
+        assertThat(queue.state().waiting()).isEqualTo(3);
+    }
+
+    /** A load of twice the target's: what is refused learns it soon, not when its time is over. */
+    @Test
+    void shouldRefuseEarlyWhenTheLoadIsTwiceTheTargets() {
+        queue.open(1);
+        Duration longest = Duration.ofSeconds(2);
+        Deque<SlotTicket> waiting = new ArrayDeque<>();
+        SlotTicket held = queue.request(SlotDemand.of(1, LONG));
+        int refused = 0;
+        int late = 0;
+        for (long now = 0; now < 60_000; now += 50) {
+            clock.set(Duration.ofMillis(now).toNanos());
+            waiting.add(queue.request(new SlotDemand(1, RUN, Duration.ofMillis(400), longest)));
+            if (now % 100 == 0) {
+                queue.release(held);
+                held = waiting.stream()
+                        .filter(SlotQueueTest::isGranted)
+                        .findFirst()
+                        .orElseThrow();
+            }
+            for (SlotTicket ticket : waiting) {
+                if (ticket.decision().isPresent() && !isGranted(ticket)) {
+                    refused++;
+                    late += ticket.patienceAt(clock.get()).compareTo(longest.dividedBy(4)) < 0 ? 1 : 0;
+                }
+            }
+            waiting.removeIf(ticket -> ticket.decision().isPresent());
+        }
+        assertThat(refused).isAtLeast(500);
+        assertThat((double) late / refused).isLessThan(0.1);
+    }
+
     @Test
     void shouldNotGrantAWithdrawnRequest() {
         queue.open(1);
