--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryCourse.java
@@ -283,7 +283,7 @@
                 .record(new Decision.Placed(
                         request.id(),
                         attempts,
-                        request.match().route().name(),
+                        routeName(),
                         request.service(),
                         node,
                         request.version(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardOrder.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardOrder.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.oleanderturn.model.Names;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.HeaderField;
@@ -52,7 +53,8 @@
         List<HeaderField> headers = request.headers();
         Optional<ServiceName> service = name(headers, ProxyHeaders.SERVICE);
         Optional<ServiceName> caller = name(headers, ProxyHeaders.CALLER_SERVICE);
-        Optional<RequestKind> kind = kind(headers);
+        Optional<RequestKind> kind =
+                HeaderField.find(headers, ProxyHeaders.KIND).flatMap(RequestKind::parse);
         OptionalLong rank = HeaderValues.number(headers, ProxyHeaders.RANK);
         OptionalLong attempt = HeaderValues.number(headers, ProxyHeaders.ATTEMPT);
         Optional<Duration> left = HeaderValues.milliseconds(headers, ProxyHeaders.DEADLINE);
@@ -93,20 +95,6 @@
     }
 
     private static Optional<ServiceName> name(List<HeaderField> headers, String header) {
-        try {
-            return HeaderField.find(headers, header).map(ServiceName::of);
-        } catch (IllegalArgumentException malformed) {
-            return Optional.empty();
-        }
-    }
-
-    private static Optional<RequestKind> kind(List<HeaderField> headers) {
-        String text = HeaderField.find(headers, ProxyHeaders.KIND).orElse("");
-        for (RequestKind kind : RequestKind.values()) {
-            if (kind.name().equals(text)) {
-                return Optional.of(kind);
-            }
-        }
-        return Optional.empty();
+        return HeaderField.find(headers, header).filter(Names::isWellFormed).map(ServiceName::of);
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/HttpStatuses.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/HttpStatuses.java
@@ -14,7 +14,6 @@
     static final int GATEWAY_TIMEOUT = 504;
     private static final int LOWEST_SUCCESS = 200;
     private static final int LOWEST_REDIRECTION = 300;
-    private static final int LOWEST_SERVER_ERROR = 500;
 
     private HttpStatuses() {}
 
@@ -22,10 +21,6 @@
         return status >= LOWEST_SUCCESS && status < LOWEST_REDIRECTION;
     }
 
-    static boolean isServerError(int status) {
-        return status >= LOWEST_SERVER_ERROR;
-    }
-
     /** Returns whether a client takes the status for the word that its request has not run and never will. */
     static boolean isPromise(int status) {
         return status == REQUEST_TIMEOUT
--- a/node/src/main/java/org/oleanderturn/node/LogFormat.java
+++ b/node/src/main/java/org/oleanderturn/node/LogFormat.java
@@ -22,22 +22,22 @@
 
     /** Makes every logger write this format. */
     void install() {
-        Logger root = Logger.getLogger("");
-        for (Handler standard : root.getHandlers()) {
-            root.removeHandler(standard);
-        }
         Handler handler = new ConsoleHandler();
         handler.setFormatter(new LineFormatter(this));
-        root.addHandler(handler);
+        replaceHandlers(handler);
     }
 
     /** Makes every logger write this format to a writer that never blocks. */
     void install(LogWriter writer) {
+        replaceHandlers(new WriterHandler(writer, new LineFormatter(this)));
+    }
+
+    private static void replaceHandlers(Handler handler) {
         Logger root = Logger.getLogger("");
         for (Handler standard : root.getHandlers()) {
             root.removeHandler(standard);
         }
-        root.addHandler(new WriterHandler(writer, new LineFormatter(this)));
+        root.addHandler(handler);
     }
 
     /** Hands each record to a writer. */
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -92,10 +93,8 @@
     private LoadReport told = new LoadReport(0, 0, 0, 0);
     private LoadReport toldToAll = new LoadReport(0, 0, 0, 0);
     private long tellings;
+    private final List<HttpListener> listeners = new ArrayList<>();
     private FrameServer controlServer;
-    private HttpListener readiness;
-    private HttpListener targetCalls;
-    private HttpListener observation;
 
     private MeshNode(NodeSettings settings, NodeSettings.Mesh mesh, LogWriter writer) {
         this.settings = settings;
@@ -265,11 +264,11 @@
         Address watched = mesh.metrics();
         ListenerLimits limits = ListenerLimits.standard();
         return HttpListener.start(ready.host(), ready.port(), this::answer, limits)
-                .peek(listener -> readiness = listener)
+                .peek(listeners::add)
                 .flatMap(_ -> HttpListener.start(calls.host(), calls.port(), data.targetCalls(), limits))
-                .peek(listener -> targetCalls = listener)
+                .peek(listeners::add)
                 .flatMap(_ -> HttpListener.start(watched.host(), watched.port(), this::observe, limits))
-                .peek(listener -> observation = listener)
+                .peek(listeners::add)
                 .flatMap(_ -> data.listen(routes::get, this::isServing))
                 .mapLeft(MeshNode::listenFailed)
                 .map(_ -> this);
@@ -344,15 +343,7 @@
     private void closeAll() {
         loops.close();
         data.close();
-        if (readiness != null) {
-            readiness.close();
-        }
-        if (observation != null) {
-            observation.close();
-        }
-        if (targetCalls != null) {
-            targetCalls.close();
-        }
+        listeners.forEach(HttpListener::close);
         if (controlServer != null) {
             controlServer.close();
         }
--- a/proxy/src/main/java/org/oleanderturn/proxy/AnswerExpectation.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AnswerExpectation.java
@@ -1,10 +1,8 @@
 package org.oleanderturn.proxy;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.function.Predicate;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpResponse;
 
 /**
@@ -15,10 +13,10 @@
 public final class AnswerExpectation {
     private static final AnswerExpectation FRAMED = new AnswerExpectation(_ -> true, false);
 
-    private final Predicate<List<HeaderField>> isOwn;
+    private final Predicate<HttpResponse> isOwn;
     private final boolean mayEndWithConnection;
 
-    private AnswerExpectation(Predicate<List<HeaderField>> isOwn, boolean mayEndWithConnection) {
+    private AnswerExpectation(Predicate<HttpResponse> isOwn, boolean mayEndWithConnection) {
         this.isOwn = isOwn;
         this.mayEndWithConnection = mayEndWithConnection;
     }
@@ -34,15 +32,12 @@
      * @param isOwn returns whether the headers are those of the answer to this request
      */
     public static AnswerExpectation matching(Predicate<List<HeaderField>> isOwn) {
-        return new AnswerExpectation(Objects.requireNonNull(isOwn, "isOwn is null"), true);
+        Objects.requireNonNull(isOwn, "isOwn is null");
+        return new AnswerExpectation(response -> isOwn.test(HeaderValues.all(response)), true);
     }
 
     boolean isMatch(HttpResponse response) {
-        List<HeaderField> headers = new ArrayList<>();
-        for (Header header : response.getHeaders()) {
-            headers.add(HeaderField.of(header.getName(), header.getValue()));
-        }
-        return isOwn.test(headers);
+        return isOwn.test(response);
     }
 
     boolean mayEndWithConnection() {
--- a/proxy/src/main/java/org/oleanderturn/proxy/GuardedRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/GuardedRequest.java
@@ -44,7 +44,7 @@
     static Either<RequestFault, GuardedRequest> parse(InboundRequest request, LongSupplier nanoseconds) {
         Optional<ServiceName> service =
                 request.header(ProxyHeaders.SERVICE).filter(Names::isWellFormed).map(ServiceName::of);
-        Optional<RequestKind> kind = request.header(ProxyHeaders.KIND).flatMap(GuardedRequest::kind);
+        Optional<RequestKind> kind = request.header(ProxyHeaders.KIND).flatMap(RequestKind::parse);
         Optional<Duration> deadline = HeaderValues.milliseconds(request.headers(), ProxyHeaders.DEADLINE);
         Optional<Fingerprint> fingerprint =
                 request.header(ProxyHeaders.FINGERPRINT).flatMap(GuardedRequest::fingerprint);
@@ -88,15 +88,6 @@
         return Either.left(new RequestFault.MalformedHeader(header));
     }
 
-    private static Optional<RequestKind> kind(String text) {
-        for (RequestKind kind : RequestKind.values()) {
-            if (kind.name().equals(text)) {
-                return Optional.of(kind);
-            }
-        }
-        return Optional.empty();
-    }
-
     private static Optional<Fingerprint> fingerprint(String text) {
         try {
             return Optional.of(Fingerprint.of(text));
--- a/proxy/src/main/java/org/oleanderturn/proxy/HandlerBridge.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HandlerBridge.java
@@ -5,7 +5,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -123,7 +122,7 @@
             this.request = request;
             this.trigger = trigger;
             this.served = served;
-            this.headers = fields(request);
+            this.headers = HeaderValues.all(request);
             Header expectation = request.getFirstHeader(HttpHeaders.EXPECT);
             this.isWaiting = expectation != null && expectation.getValue().equalsIgnoreCase("100-continue");
         }
@@ -190,13 +189,5 @@
                 throw new IOException("the go-ahead could not be sent", cause);
             }
         }
-
-        private static List<HeaderField> fields(ClassicHttpRequest request) {
-            List<HeaderField> fields = new ArrayList<>();
-            for (Header header : request.getHeaders()) {
-                fields.add(HeaderField.of(header.getName(), header.getValue()));
-            }
-            return List.copyOf(fields);
-        }
     }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
@@ -8,6 +8,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.regex.Pattern;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.MessageHeaders;
 
 /**
  * Reads and filters the headers that nodes exchange.
@@ -16,8 +19,8 @@
  */
 public final class HeaderValues {
     private static final long LONGEST_MILLISECONDS = 24L * 60 * 60 * 1_000;
-    /** The longest number, in digits: no sum of two of them overflows. */
-    private static final int MOST_DIGITS = 15;
+    /** At most fifteen digits, so that no sum of two numbers overflows. */
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}");
 
     private static final Set<String> BETWEEN_NODES = Set.of(
             lower(ProxyHeaders.SERVICE),
@@ -40,6 +43,15 @@
 
     private HeaderValues() {}
 
+    /** Returns every header of a message, in order. */
+    static List<HeaderField> all(MessageHeaders message) {
+        List<HeaderField> headers = new ArrayList<>();
+        for (Header header : message.getHeaders()) {
+            headers.add(HeaderField.of(header.getName(), header.getValue()));
+        }
+        return List.copyOf(headers);
+    }
+
     /** Returns the headers that are passed on: neither of one connection nor of one hop between nodes. */
     public static List<HeaderField> forwarded(List<HeaderField> headers) {
         Set<String> ofConnection = ofConnection(headers);
@@ -71,25 +83,12 @@
     /** Returns a header's value as a whole number of zero or more. */
     public static OptionalLong number(List<HeaderField> headers, String name) {
         Optional<String> text = HeaderField.find(headers, name);
-        if (text.isEmpty() || !isNumber(text.get())) {
+        if (text.isEmpty() || !NUMBER.matcher(text.get()).matches()) {
             return OptionalLong.empty();
         }
         return OptionalLong.of(Long.parseLong(text.get()));
     }
 
-    private static boolean isNumber(String text) {
-        if (text.isEmpty() || text.length() > MOST_DIGITS) {
-            return false;
-        }
-        // A regular expression would be compiled for each header of each request.
-        for (int index = 0; index < text.length(); index++) {
-            if (text.charAt(index) < '0' || text.charAt(index) > '9') {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /** Returns a header's value as a span of milliseconds. */
     public static Optional<Duration> milliseconds(List<HeaderField> headers, String name) {
         OptionalLong found = number(headers, name);
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamAnswer.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamAnswer.java
@@ -3,12 +3,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpResponse;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpHeaders;
 
@@ -35,11 +33,7 @@
     static UpstreamAnswer of(ClassicHttpResponse response, LeasedConnection connection) {
         Objects.requireNonNull(response, "response is null");
         Objects.requireNonNull(connection, "connection is null");
-        List<HeaderField> headers = new ArrayList<>();
-        for (Header header : response.getHeaders()) {
-            headers.add(HeaderField.of(header.getName(), header.getValue()));
-        }
-        return new UpstreamAnswer(response, connection, List.copyOf(headers));
+        return new UpstreamAnswer(response, connection, HeaderValues.all(response));
     }
 
     // -- queries
--- a/store/src/main/java/org/oleanderturn/store/HttpStore.java
+++ b/store/src/main/java/org/oleanderturn/store/HttpStore.java
@@ -6,11 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
-import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.Method;
-import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.DecodeFailure;
 
@@ -59,9 +56,9 @@
     public Either<StoreFailure, Optional<StoredValue>> watch(String key, long seen, Duration wait) {
         Objects.requireNonNull(key, "key is null");
         Objects.requireNonNull(wait, "wait is null");
-        Duration bounded = wait.compareTo(settings.longestWatch()) > 0 ? settings.longestWatch() : wait;
         String path = StoreProtocol.keyPath(key) + "?" + parameter(StoreProtocol.SEEN, seen) + "&"
-                + parameter(StoreProtocol.WAIT_MILLISECONDS, bounded.toMillis());
+                + parameter(
+                        StoreProtocol.WAIT_MILLISECONDS, settings.bounded(wait).toMillis());
         return read(watches, path);
     }
 
@@ -146,9 +143,7 @@
 
     private static Either<StoreFailure, StoreAnswer> send(
             StoreConnections connections, Method method, String path, Optional<byte[]> body) {
-        BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
-        body.ifPresent(bytes -> request.setEntity(new ByteArrayEntity(bytes, ContentType.APPLICATION_JSON)));
-        return connections.exchange(request, method == Method.GET).flatMap(HttpStore::accept);
+        return connections.call(method, path, body).flatMap(HttpStore::accept);
     }
 
     private static Either<StoreFailure, StoreAnswer> accept(StoreAnswer answer) {
--- a/store/src/main/java/org/oleanderturn/store/StoreConnections.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreConnections.java
@@ -3,20 +3,25 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequestInterceptor;
+import org.apache.hc.core5.http.Method;
 import org.apache.hc.core5.http.NoHttpResponseException;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
 import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.TimeValue;
@@ -70,7 +75,7 @@
      * @param isRepeatable whether the request is sent once more, on a new connection, when the store closed the first
      *     one without a word, as it does with an idle one
      */
-    public Either<StoreFailure, StoreAnswer> exchange(ClassicHttpRequest request, boolean isRepeatable) {
+    private Either<StoreFailure, StoreAnswer> exchange(ClassicHttpRequest request, boolean isRepeatable) {
         HttpCoreContext context = HttpCoreContext.create();
         try {
             StoreAnswer answer = requester.execute(host, request, connectTimeout, context, StoreConnections::readWhole);
@@ -89,6 +94,13 @@
         requester.close(CloseMode.IMMEDIATE);
     }
 
+    /** Sends a call and reads its whole answer; a call that only reads is repeatable. */
+    public Either<StoreFailure, StoreAnswer> call(Method method, String path, Optional<byte[]> body) {
+        BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
+        body.ifPresent(bytes -> request.setEntity(new ByteArrayEntity(bytes, ContentType.APPLICATION_JSON)));
+        return exchange(request, method == Method.GET);
+    }
+
     private static StoreFailure failure(HttpCoreContext context, Exception cause) {
         String reason = cause.getClass().getSimpleName() + ": " + cause.getMessage();
         boolean written = Boolean.TRUE.equals(context.getAttribute(WRITTEN));
--- a/store/src/main/java/org/oleanderturn/store/StoreSettings.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreSettings.java
@@ -54,4 +54,9 @@
             throw new IllegalArgumentException(name + " is not positive: " + duration);
         }
     }
+
+    /** Returns how long a watch that is to wait for the given time may wait. */
+    public Duration bounded(Duration wait) {
+        return wait.compareTo(longestWatch) > 0 ? longestWatch : wait;
+    }
 }
--- a/traffic/src/main/java/org/oleanderturn/traffic/LoadReport.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LoadReport.java
@@ -1,6 +1,8 @@
 package org.oleanderturn.traffic;
 
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * What a guard says of its target's load.
@@ -13,7 +15,7 @@
  * @param slownessPercent how long the target's requests take, as a share of their target latency
  */
 public record LoadReport(int slots, int running, int waiting, int slownessPercent) {
-    private static final int FIELDS = 4;
+    private static final Pattern FORM = Pattern.compile("([0-9]{1,7}),([0-9]{1,7}),([0-9]{1,7}),([0-9]{1,7})");
 
     /** A change of load by up to this part of the slots is not worth a message. */
     private static final int NEAR_PART = 6;
@@ -31,17 +33,14 @@
 
     /** Returns the report that a text stands for; empty when it is malformed. */
     public static Optional<LoadReport> parse(String text) {
-        String[] fields = text.split(",", -1);
-        if (fields.length != FIELDS) {
+        Matcher fields = FORM.matcher(text);
+        if (!fields.matches()) {
             return Optional.empty();
         }
-        int[] numbers = new int[FIELDS];
-        for (int index = 0; index < FIELDS; index++) {
-            if (!fields[index].matches("[0-9]{1,7}")) {
-                return Optional.empty();
-            }
-            numbers[index] = Integer.parseInt(fields[index]);
-        }
-        return Optional.of(new LoadReport(numbers[0], numbers[1], numbers[2], numbers[3]));
+        return Optional.of(new LoadReport(number(fields, 1), number(fields, 2), number(fields, 3), number(fields, 4)));
+    }
+
+    private static int number(Matcher fields, int field) {
+        return Integer.parseInt(fields.group(field));
     }
 }
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -45,7 +45,7 @@
 
     /** Returns what the queue holds now. */
     public synchronized SlotState state() {
-        return state;
+        return state.withWaiting(waiting.size());
     }
 
     // -- commands
@@ -60,7 +60,7 @@
     public synchronized void close() {
         state = state.closed();
         while (!waiting.isEmpty()) {
-            settle(waiting.removeLast(), new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
+            waiting.removeLast().settle(new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
         }
     }
 
@@ -69,7 +69,7 @@
         long now = nanoseconds.getAsLong();
         SlotTicket ticket = new SlotTicket(demand, tickets++, now);
         if (!state.isOpen()) {
-            settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
+            ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
             return ticket;
         }
         if (state.isSlotFree()) {
@@ -84,11 +84,8 @@
     /** Takes back a request that waits; nothing happens to one that is settled. */
     public synchronized void withdraw(SlotTicket ticket) {
         if (waiting.remove(ticket)) {
-            state = state.withWaiting(waiting.size());
-            settle(
-                    ticket,
-                    new SlotDecision.Refused(
-                            SlotDecision.Reason.WITHDRAWN, expectedWait(ticket, nanoseconds.getAsLong())));
+            Duration expected = expectedWait(ticket, nanoseconds.getAsLong());
+            ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.WITHDRAWN, expected));
         }
     }
 
@@ -128,12 +125,11 @@
             Duration expected = expectedWait(ahead + 1);
             if (expected.compareTo(ticket.patienceAt(now)) > 0) {
                 waiting.remove(ticket);
-                settle(ticket, new SlotDecision.Refused(SlotDecision.Reason.FULL, expected));
+                ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.FULL, expected));
             } else {
                 ahead++;
             }
         }
-        state = state.withWaiting(waiting.size());
     }
 
     private static Comparator<SlotTicket> order(long now) {
@@ -149,17 +145,11 @@
             waiting.remove(next);
             begin(next);
         }
-        state = state.withWaiting(waiting.size());
     }
 
     private void begin(SlotTicket ticket) {
         state = state.withRunning(state.running() + 1);
         ticket.grantedAt(nanoseconds.getAsLong());
-        settle(ticket, new SlotDecision.Granted());
-    }
-
-    private void settle(SlotTicket ticket, SlotDecision decision) {
-        state = state.withWaiting(waiting.size());
-        ticket.settle(decision);
+        ticket.settle(new SlotDecision.Granted());
     }
 }
