Put the exchange of versions and the configuration of a platform node into classes of their own

Cause: ControlPlane and MeshNode wired these steps in place, so a simulation could not run the same ones. Change: ConfigurationPlane (holder, exchange, readiness), MeshConfiguration (what a node of the users' platform serves by), ConfigurationMessages and TaskRunner; no step changes.

--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -4,11 +4,9 @@
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
 import org.oleanderturn.distribution.Disseminator;
-import org.oleanderturn.distribution.PeerVersionReport;
 import org.oleanderturn.membership.Gossip;
 import org.oleanderturn.membership.GossipMessage;
 import org.oleanderturn.model.Codec;
-import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.traffic.CrashQuarantine;
 import org.oleanderturn.wire.Frame;
@@ -20,14 +18,12 @@
  * <p>Invariant: every frame gets an answer; one that can't be decoded changes nothing. Thread safe.
  */
 final class ControlHandler implements FrameHandler {
-    private final NodeId self;
     private final Gossip gossip;
     private final Disseminator disseminator;
-    private final Recovery recovery;
+    private final ConfigurationMessages configurationMessages;
     private final DrainController drainController;
     private final CrashQuarantine quarantine;
     private final UnaryOperator<ControlMessage> targetMessages;
-    private final LongSupplier milliseconds;
 
     ControlHandler(
             NodeId self,
@@ -38,14 +34,14 @@
             CrashQuarantine quarantine,
             UnaryOperator<ControlMessage> targetMessages,
             LongSupplier milliseconds) {
-        this.self = Objects.requireNonNull(self, "self is null");
+        Objects.requireNonNull(self, "self is null");
         this.gossip = Objects.requireNonNull(gossip, "gossip is null");
         this.disseminator = Objects.requireNonNull(disseminator, "disseminator is null");
-        this.recovery = Objects.requireNonNull(recovery, "recovery is null");
         this.drainController = Objects.requireNonNull(drainController, "drainController is null");
         this.quarantine = Objects.requireNonNull(quarantine, "quarantine is null");
         this.targetMessages = Objects.requireNonNull(targetMessages, "targetMessages is null");
-        this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
+        this.configurationMessages = new ConfigurationMessages(
+                self, disseminator, recovery, requester -> gossip.table().highestKnownVersion(requester), milliseconds);
     }
 
     @Override
@@ -59,12 +55,8 @@
     private ControlMessage answer(ControlMessage message) {
         return switch (message) {
             case ControlMessage.Membership membership -> gossip(membership.message());
-            case ControlMessage.Fetch fetch ->
-                new ControlMessage.Update(disseminator.serve(fetch.held(), fetch.digest(), milliseconds.getAsLong()));
-            case ControlMessage.Push push ->
-                new ControlMessage.Pushed(disseminator.receive(push.sender(), push.update()));
-            case ControlMessage.Recollect recollect ->
-                new ControlMessage.Recollected(reportVersions(recollect.asker()));
+            case ControlMessage.Fetch _, ControlMessage.Push _, ControlMessage.Recollect _ ->
+                configurationMessages.answer(message);
             case ControlMessage.Drain drain ->
                 new ControlMessage.Drained(drainController.setDraining(drain.isDraining()));
             case ControlMessage.Convict convict -> {
@@ -93,11 +85,4 @@
                         record -> disseminator.recordAdvertisedVersion(record.controlAddress(), record.heldVersion()));
         return new ControlMessage.Membership(answer);
     }
-
-    private PeerVersionReport reportVersions(NodeId requester) {
-        PeerVersionReport report = disseminator.reportVersions(self, recovery.isReady());
-        ConfigurationVersion highestKnown = gossip.table().highestKnownVersion(requester);
-        return new PeerVersionReport(
-                self, report.isReady(), report.held(), ConfigurationVersion.newest(report.newestKnown(), highestKnown));
-    }
 }
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -16,8 +16,6 @@
 import org.oleanderturn.distribution.RelayElection;
 import org.oleanderturn.distribution.RelayRegistration;
 import org.oleanderturn.distribution.RelayRole;
-import org.oleanderturn.distribution.SnapshotHistory;
-import org.oleanderturn.distribution.UpdateSource;
 import org.oleanderturn.membership.Gossip;
 import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.membership.MemberRecord;
@@ -34,13 +32,8 @@
  */
 final class ControlPlane {
     private static final long GOSSIP_INTERVAL_MILLISECONDS = 200;
-    private static final long DISSEMINATION_INTERVAL_MILLISECONDS = 100;
     private static final long ELECTION_INTERVAL_MILLISECONDS = 1_000;
 
-    /** Recovery has nothing to do once the node is ready, so its task then runs rarely. */
-    private static final long READY_CHECK_INTERVAL_MILLISECONDS = 10_000;
-
-    private static final long RECOVERY_INTERVAL_MILLISECONDS = 100;
     /** Advertised until the configured number of slots is known. */
     private static final int PLACEHOLDER_SLOTS = 1;
 
@@ -51,17 +44,14 @@
         RelayRole select(RelayElection election, MemberDirectory directory);
     }
 
-    private final ConfigurationHolder holder = ConfigurationHolder.empty();
-    private final ReadinessGate readinessGate = ReadinessGate.create();
     private final Gossip gossip;
     private final MemberDirectory directory;
     private final RelayElection election;
     private final RelayRole role;
+    private final MemberDiscovery memberDiscovery;
+    private final ConfigurationPlane configuration;
     private final HeadWatcher headWatcher;
-    private final Disseminator disseminator;
     private final ProposalAcceptor acceptor;
-    private final Recovery recovery;
-    private final MemberDiscovery memberDiscovery;
     private final LongSupplier milliseconds;
 
     ControlPlane(
@@ -80,48 +70,34 @@
         this.directory = new MemberDirectory(gossip::table);
         this.election = election(settings, store, directory, split(random));
         this.role = roleSelector.select(election, directory);
+        this.memberDiscovery = new MemberDiscovery(
+                gossip, settings.join(), new RelayDirectory(store, election, milliseconds), split(random));
+        this.configuration = new ConfigurationPlane(
+                settings, directory, role, channel, memberDiscovery::hasAttemptedJoin, milliseconds, split(random));
         this.headWatcher = HeadWatcher.of(
                 store,
                 election,
-                holder,
-                readinessGate,
+                holder(),
+                readinessGate(),
                 settings.locality(),
                 settings.platformRegion(),
                 directory,
                 split(random));
-        SnapshotHistory history = SnapshotHistory.of(holder);
-        this.disseminator = Disseminator.of(
-                holder,
-                UpdateSource.of(holder, history),
-                channel,
-                directory,
-                role,
-                settings.locality(),
-                settings.platformRegion(),
-                split(random));
-        this.acceptor = ProposalAcceptor.of(store, holder, history, this::newestVersion);
-        this.memberDiscovery = new MemberDiscovery(
-                gossip, settings.join(), new RelayDirectory(store, election, milliseconds), split(random));
-        this.recovery = new Recovery(
-                settings.node(),
-                settings.locality(),
-                directory,
-                holder,
-                readinessGate,
-                disseminator,
-                channel,
-                memberDiscovery::hasAttemptedJoin,
-                split(random));
+        this.acceptor = ProposalAcceptor.of(store, holder(), configuration.history(), this::newestVersion);
     }
 
     // -- components
 
+    ConfigurationPlane configuration() {
+        return configuration;
+    }
+
     ReadinessGate readinessGate() {
-        return readinessGate;
+        return configuration.readinessGate();
     }
 
     ConfigurationHolder holder() {
-        return holder;
+        return configuration.holder();
     }
 
     Gossip gossip() {
@@ -146,7 +122,7 @@
     }
 
     Disseminator disseminator() {
-        return disseminator;
+        return configuration.disseminator();
     }
 
     ProposalAcceptor acceptor() {
@@ -154,43 +130,28 @@
     }
 
     Recovery recovery() {
-        return recovery;
+        return configuration.recovery();
     }
 
     /** Returns the newest version that this node holds or has heard of. */
     ConfigurationVersion newestVersion() {
-        return ConfigurationVersion.newest(disseminator.newestKnown(), directory.newestVersion());
+        return ConfigurationVersion.newest(disseminator().newestKnown(), directory.newestVersion());
     }
 
     // -- commands
 
     /** Starts the periodic tasks; {@code onReady} runs once, when the node becomes ready. */
     void start(PeriodicTasks tasks, Runnable onReady) {
-        start(tasks, () -> headWatcher.runOnce(milliseconds.getAsLong()), onReady);
-    }
-
-    /**
-     * Starts the periodic tasks with another source of configurations than {@link HeadWatcher}.
-     *
-     * @param configurationSource reads the configuration; returns the delay before the next read, in milliseconds
-     * @param onReady runs once, when the node becomes ready
-     */
-    void start(PeriodicTasks tasks, LongSupplier configurationSource, Runnable onReady) {
-        holder.addListener(snapshot -> {
-            gossip.advanceHeldVersion(snapshot.version());
-            tasks.executor().execute(() -> disseminator.disseminate(milliseconds.getAsLong()));
-        });
+        configuration.start(tasks, gossip::advanceHeldVersion, onReady);
+        tasks.runRepeatedly(() -> headWatcher.runOnce(milliseconds.getAsLong()));
+        startMembership(tasks);
+    }
+
+    /** Starts the periodic tasks of the membership alone, where configurations come from another source. */
+    void startMembership(PeriodicTasks tasks) {
         tasks.runEvery(GOSSIP_INTERVAL_MILLISECONDS, gossip::tick);
-        tasks.runEvery(DISSEMINATION_INTERVAL_MILLISECONDS, () -> disseminator.tick(milliseconds.getAsLong()));
         tasks.runEvery(ELECTION_INTERVAL_MILLISECONDS, () -> election.tick(milliseconds.getAsLong()));
-        tasks.runRepeatedly(configurationSource);
         tasks.runRepeatedly(memberDiscovery::step);
-        tasks.runRepeatedly(() -> {
-            if (recovery.step()) {
-                onReady.run();
-            }
-            return recovery.isReady() ? READY_CHECK_INTERVAL_MILLISECONDS : RECOVERY_INTERVAL_MILLISECONDS;
-        });
     }
 
     /** Resigns from the relay election and announces the departure; blocks for one gossip interval. */
--- /dev/null
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -0,0 +1,69 @@
+package org.oleanderturn.node;
+
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.oleanderturn.distribution.PeerDirectory;
+import org.oleanderturn.distribution.RelayRole;
+import org.oleanderturn.mesh.RouteIndex;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.store.Store;
+
+/**
+ * The configuration by which a node of the users' platform serves: read from the platform's store by the relay of each
+ * zone, and passed on from node to node.
+ *
+ * <p>Thread safe.
+ */
+final class MeshConfiguration {
+    private final ConfigurationPlane plane;
+    private final OperatorConfigurationWatcher watcher;
+    private final RelayCheck relayCheck;
+    private final AtomicReference<RouteIndex> routes = new AtomicReference<>(RouteIndex.empty());
+
+    MeshConfiguration(
+            NodeSettings settings,
+            ConfigurationPlane plane,
+            PeerDirectory directory,
+            RelayRole role,
+            Store store,
+            VersionReportTransport transport,
+            RandomGenerator random) {
+        this.plane = Objects.requireNonNull(plane, "plane is null");
+        this.relayCheck = new RelayCheck(
+                settings.node(), ZoneLeadership.of(settings.node(), settings.locality(), directory), transport);
+        this.watcher = new OperatorConfigurationWatcher(
+                store, plane.holder(), plane.readinessGate(), role, relayCheck::isAnswering, random);
+    }
+
+    // -- queries
+
+    /** Returns the index of the routes in force. */
+    RouteIndex routes() {
+        return routes.get();
+    }
+
+    /** Returns whether the node has a configuration that it may serve by. */
+    boolean isServing() {
+        return plane.recovery().isReady() && !plane.holder().version().equals(ConfigurationVersion.none());
+    }
+
+    OperatorConfigurationWatcher watcher() {
+        return watcher;
+    }
+
+    // -- commands
+
+    /**
+     * Starts the periodic tasks.
+     *
+     * @param onAdopted is told each version that the node adopts; must not block
+     */
+    void start(TaskRunner tasks, Consumer<ConfigurationVersion> onAdopted) {
+        plane.holder().addListener(snapshot -> routes.set(RouteIndex.of(snapshot)));
+        plane.start(tasks, onAdopted, () -> {});
+        tasks.runRepeatedly(watcher::runOnce);
+        tasks.runRepeatedly(relayCheck::runOnce);
+    }
+}
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -8,14 +8,11 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
 import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.membership.Liveness;
-import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.model.Address;
-import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.OperatorPaths;
@@ -74,10 +71,8 @@
     private final PlatformStore store;
     private final RateLimitedStore rateLimitedStore;
     private final ControlPlane control;
-    private final RelayCheck relayCheck;
-    private final OperatorConfigurationWatcher configurationWatcher;
+    private final MeshConfiguration configuration;
     private final MeshDataPlane data;
-    private final AtomicReference<RouteIndex> routes = new AtomicReference<>(RouteIndex.empty());
     private final AtomicBoolean isStopping = new AtomicBoolean();
     private final NodeMetrics metrics = new NodeMetrics();
     private final ControlChannel channel;
@@ -111,14 +106,13 @@
                 () -> {
                     // A periodic task reviews the members, so the gossip protocol never calls back into the node.
                 });
-        this.relayCheck = new RelayCheck(
-                settings.node(), ZoneLeadership.of(settings.node(), settings.locality(), control.directory()), channel);
-        this.configurationWatcher = new OperatorConfigurationWatcher(
-                rateLimitedStore,
-                control.holder(),
-                control.readinessGate(),
+        this.configuration = new MeshConfiguration(
+                settings,
+                control.configuration(),
+                control.directory(),
                 control.role(),
-                relayCheck::isAnswering,
+                rateLimitedStore,
+                channel,
                 SharedRandom.create());
         this.data = new MeshDataPlane(
                 settings,
@@ -193,10 +187,6 @@
 
     // -- queries
 
-    private boolean isServing() {
-        return control.recovery().isReady() && !control.holder().version().equals(ConfigurationVersion.none());
-    }
-
     /** Returns the number of nodes that have not left, this one included; those that are cut off go on serving. */
     private int countMembers() {
         return Math.toIntExact(control.gossip().table().records().stream()
@@ -206,7 +196,7 @@
 
     private Response handleReadinessCheck(InboundRequest request) {
         if (PlatformProtocolAdapter.instance().isReadinessCheck(request)) {
-            boolean isReady = isServing() && !isStopping.get();
+            boolean isReady = configuration.isServing() && !isStopping.get();
             return Response.text(isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n");
         }
         return Response.text(404, "text/plain", "not found\n");
@@ -222,9 +212,9 @@
 
     private MeshState state() {
         return new MeshState(
-                isServing(),
+                configuration.isServing(),
                 control.holder().status(),
-                configurationWatcher.failure().map(Object::toString),
+                configuration.watcher().failure().map(Object::toString),
                 data.target().status(),
                 data.target().state(),
                 data.load(),
@@ -302,7 +292,7 @@
                 .flatMap(_ -> HttpListener.start(
                         metricsAddress.host(), metricsAddress.port(), this::handleObservability, limits))
                 .peek(listeners::add)
-                .flatMap(_ -> data.listen(routes::get, this::isServing))
+                .flatMap(_ -> data.listen(configuration::routes, configuration::isServing))
                 .mapLeft(MeshNode::bindFailure)
                 .map(_ -> this);
     }
@@ -324,19 +314,18 @@
 
     private void run() {
         data.target().onStateChange(control.gossip()::announceState);
-        control.holder().addListener(snapshot -> routes.set(RouteIndex.of(snapshot)));
-        MeshGauges.of(metrics, control, configurationWatcher, data, writer).register(this::isServing);
+        MeshGauges.of(metrics, control, configuration.watcher(), data, writer).register(configuration::isServing);
         data.crashMonitor().onChange(suspicions::publish);
         data.crashMonitor().onAgreedTrial(suspicionStore::claimTrial);
         data.crashMonitor().onTrial(new SuspicionReplicator(suspicions, suspicionStore));
         data.start(tasks);
-        control.start(tasks, configurationWatcher::runOnce, () -> {});
+        control.startMembership(tasks);
+        configuration.start(tasks, control.gossip()::advanceHeldVersion);
         tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, peerReview::run);
         tasks.runRepeatedly(loadAnnouncer::run);
         tasks.runEvery(COMPARISON_INTERVAL_MILLISECONDS, suspicions::compareWithOne);
         tasks.runEvery(COMPARISON_INTERVAL_MILLISECONDS, conditions::compareWithOne);
         tasks.runRepeatedly(conditions::announce);
-        tasks.runRepeatedly(relayCheck::runOnce);
         tasks.runRepeatedly(suspicionStore::read);
         tasks.runRepeatedly(suspicionStore::write);
         log.atInfo().log("node %s started in %s", settings.node(), settings.locality());
--- a/node/src/main/java/org/oleanderturn/node/PeriodicTasks.java
+++ b/node/src/main/java/org/oleanderturn/node/PeriodicTasks.java
@@ -12,23 +12,23 @@
  *
  * <p>Invariant: a task that throws is logged and runs again after a delay. Thread safe.
  */
-final class PeriodicTasks implements AutoCloseable {
+final class PeriodicTasks implements TaskRunner, AutoCloseable {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final long FAILURE_DELAY_MILLISECONDS = 1_000;
 
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final AtomicBoolean isRunning = new AtomicBoolean(true);
 
-    /** Runs a task repeatedly with a fixed delay between runs, in milliseconds. */
-    void runEvery(long delayMilliseconds, Runnable task) {
+    @Override
+    public void runEvery(long delayMilliseconds, Runnable task) {
         runRepeatedly(() -> {
             task.run();
             return delayMilliseconds;
         });
     }
 
-    /** Runs a task repeatedly; each run returns the delay before the next, in milliseconds. */
-    void runRepeatedly(LongSupplier task) {
+    @Override
+    public void runRepeatedly(LongSupplier task) {
         executor.execute(() -> {
             while (isRunning.get()) {
                 if (!pause(runOnce(task))) {
@@ -38,8 +38,8 @@
         });
     }
 
-    /** Returns the executor that runs the tasks, for other short-lived work. */
-    ExecutorService executor() {
+    @Override
+    public ExecutorService executor() {
         return executor;
     }
 
