Hold a version only once its routes are in place

What callers saw: 404 for every route at a node that had just started (DENIED). Cause: a node said that it holds a version, and was ready, before the listener had built its routes; a version that a peer pushed between the start of the control server and the registration of the listener never got any. The entry also read the index before it asked for readiness. Class of fault: readiness and service read two sources that change at different times. The product's own interface had the same order and follows.

--- a/distribution/src/main/java/org/oleanderturn/distribution/ConfigurationHolder.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/ConfigurationHolder.java
@@ -20,13 +20,15 @@
  * Holds the current configuration of this node.
  *
  * <p>Invariants: the held version never decreases; the held snapshot is intact and valid; an offer is adopted
- * completely or not at all; listeners are called with the adopted snapshots in the order of their versions. Thread
- * safe: readers get the snapshot without a lock, adoptions are serialized by a lock.
+ * completely or not at all; what is derived from a snapshot is prepared before the snapshot is held; preparations and
+ * listeners are called in the order of the versions. Thread safe: readers get the snapshot without a lock, adoptions are
+ * serialized by a lock.
  */
 public final class ConfigurationHolder {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
     private final AtomicReference<ConfigurationSnapshot> held = new AtomicReference<>(ConfigurationSnapshot.empty());
+    private final List<Consumer<ConfigurationSnapshot>> preparations = new CopyOnWriteArrayList<>();
     private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
     private final ReentrantLock adoptionLock = new ReentrantLock();
     private final Queue<ConfigurationSnapshot> pendingNotifications = new ArrayDeque<>();
@@ -67,6 +69,14 @@
 
     // -- commands
 
+    /**
+     * Adds a preparation, which is called with each snapshot on the adopting thread before any reader can see that it is
+     * held. A snapshot whose preparation throws is not held.
+     */
+    public void addPreparation(Consumer<ConfigurationSnapshot> preparation) {
+        preparations.add(Objects.requireNonNull(preparation, "preparation is null"));
+    }
+
     /**
      * Adds a listener of adopted snapshots. It is called on the adopting thread, in the order of versions, and must not
      * block. Exceptions that it throws are logged.
@@ -127,6 +137,7 @@
         if (!faults.isEmpty()) {
             return reject(offered.version(), new AdoptionResult.Rejection.Invalid(faults));
         }
+        preparations.forEach(preparation -> preparation.accept(offered));
         held.set(offered);
         adopted++;
         pendingNotifications.add(offered);
--- a/distribution/src/test/java/org/oleanderturn/distribution/ConfigurationHolderTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/ConfigurationHolderTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -36,6 +37,27 @@
         assertThat(holder.held()).isEqualTo(Samples.snapshot(3));
     }
 
+    @Test
+    void shouldHoldASnapshotOnlyAfterItsPreparations() {
+        List<ConfigurationVersion> heldMeanwhile = new ArrayList<>();
+        holder.addPreparation(_ -> heldMeanwhile.add(holder.version()));
+        holder.adopt(Samples.snapshot(1));
+        holder.adopt(Samples.snapshot(2));
+        assertThat(heldMeanwhile)
+                .containsExactly(ConfigurationVersion.none(), ConfigurationVersion.of(1))
+                .inOrder();
+    }
+
+    @Test
+    void shouldKeepTheHeldSnapshotWhenAPreparationThrows() {
+        holder.adopt(Samples.snapshot(1));
+        holder.addPreparation(_ -> {
+            throw new IllegalStateException("no routes");
+        });
+        assertThrows(IllegalStateException.class, () -> holder.adopt(Samples.snapshot(2)));
+        assertThat(holder.held()).isEqualTo(Samples.snapshot(1));
+    }
+
     @Test
     void shouldRejectTheDeltaWhenItsDigestDoesNotMatch() {
         ConfigurationDelta delta = ConfigurationDelta.between(Samples.snapshot(1), Samples.snapshot(2));
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -70,10 +70,12 @@
         long receivedNanoseconds = dependencies.clockNanoseconds().getAsLong();
         ClientRequestMetadata client = adapter.clientMetadata(request);
         Optional<byte[]> body = request.readBody(MeshGuard.BODY_LIMIT_BYTES);
+        boolean isServing = isReady.getAsBoolean();
+        // Read after the readiness, which may come with a newer index.
         RouteIndex index = routes.get();
         ClientResponses responses = new ClientResponses(
                 client.attemptId(), receivedNanoseconds, index.snapshot().version(), dependencies);
-        if (!isReady.getAsBoolean()) {
+        if (!isServing || index.isEmpty()) {
             return responses.notRun("NOT_READY", 0, NOT_READY_RETRY_AFTER);
         }
         if (body.isEmpty()) {
--- a/mesh/src/main/java/org/oleanderturn/mesh/RouteIndex.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RouteIndex.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.TrafficPolicy;
 import org.oleanderturn.model.TrafficPolicyName;
@@ -66,6 +67,11 @@
         return EMPTY;
     }
 
+    /** Returns whether no version of the configuration is known yet. */
+    public boolean isEmpty() {
+        return snapshot.version().equals(ConfigurationVersion.none());
+    }
+
     /** Returns the snapshot that the index was built from. */
     public ConfigurationSnapshot snapshot() {
         return snapshot;
--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -14,7 +14,7 @@
  * The configuration by which a node of the users' platform serves: read from the platform's store by the relay of each
  * zone, and passed on from node to node.
  *
- * <p>Thread safe.
+ * <p>Invariant: the routes are never older than the version that the node says it holds. Thread safe.
  */
 final class MeshConfiguration {
     private final ConfigurationPlane plane;
@@ -31,6 +31,7 @@
             VersionReportTransport transport,
             RandomGenerator random) {
         this.plane = Objects.requireNonNull(plane, "plane is null");
+        plane.holder().addPreparation(snapshot -> routes.set(RouteIndex.of(snapshot)));
         this.relayCheck = new RelayCheck(
                 settings.node(), ZoneLeadership.of(settings.node(), settings.locality(), directory), transport);
         this.watcher = new OperatorConfigurationWatcher(
@@ -46,7 +47,7 @@
 
     /** Returns whether the node has a configuration that it may serve by. */
     boolean isServing() {
-        return plane.recovery().isReady() && !plane.holder().version().equals(ConfigurationVersion.none());
+        return plane.recovery().isReady() && !routes.get().isEmpty();
     }
 
     OperatorConfigurationWatcher watcher() {
@@ -61,7 +62,6 @@
      * @param onAdopted is told each version that the node adopts; must not block
      */
     void start(TaskRunner tasks, Consumer<ConfigurationVersion> onAdopted) {
-        plane.holder().addListener(snapshot -> routes.set(RouteIndex.of(snapshot)));
         plane.start(tasks, onAdopted, () -> {});
         tasks.runRepeatedly(watcher::runOnce);
         tasks.runRepeatedly(relayCheck::runOnce);
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -76,8 +76,8 @@
                 GossipSettings.defaults(),
                 (election, _) -> election,
                 this::onMembersChanged);
-        this.routing = new RoutingState(
-                () -> control.holder().held(), () -> control.gossip().table().endpointView(), data::updateLimits);
+        this.routing = new RoutingState(() -> control.gossip().table().endpointView(), data::updateLimits);
+        control.holder().addPreparation(routing::update);
         this.drainController = new DrainController(
                 settings.node(),
                 data.monitor()::drain,
@@ -176,7 +176,6 @@
         StateMetrics.register(metrics, this::state);
         data.monitor().onStateChange(this::onTargetStateChanged);
         data.monitor().onQuarantine(this::announceQuarantine);
-        control.holder().addListener(_ -> routing.refresh());
         data.start(tasks);
         warmUp();
         control.start(tasks, this::onReady);
--- a/node/src/main/java/org/oleanderturn/node/RoutingState.java
+++ b/node/src/main/java/org/oleanderturn/node/RoutingState.java
@@ -15,14 +15,12 @@
  * decreases. Thread safe; readers don't lock.
  */
 final class RoutingState {
-    private final Supplier<ConfigurationSnapshot> snapshots;
     private final Supplier<EndpointView> views;
     private final Consumer<RoutingTable> listener;
+    private ConfigurationSnapshot snapshot = ConfigurationSnapshot.empty();
     private final AtomicReference<RoutingTable> table = new AtomicReference<>(RoutingTable.empty());
 
-    RoutingState(
-            Supplier<ConfigurationSnapshot> snapshots, Supplier<EndpointView> views, Consumer<RoutingTable> listener) {
-        this.snapshots = Objects.requireNonNull(snapshots, "snapshots is null");
+    RoutingState(Supplier<EndpointView> views, Consumer<RoutingTable> listener) {
         this.views = Objects.requireNonNull(views, "views is null");
         this.listener = Objects.requireNonNull(listener, "listener is null");
     }
@@ -31,9 +29,15 @@
         return table.get();
     }
 
-    /** Rebuilds the table from the current snapshot and endpoint view, and passes it to the listener. */
+    /** Rebuilds the table from a newer snapshot. */
+    synchronized void update(ConfigurationSnapshot newer) {
+        snapshot = Objects.requireNonNull(newer, "newer is null");
+        refresh();
+    }
+
+    /** Rebuilds the table from the current endpoint view, and passes it to the listener. */
     synchronized void refresh() {
-        RoutingTable next = RoutingTable.of(snapshots.get(), views.get());
+        RoutingTable next = RoutingTable.of(snapshot, views.get());
         table.set(next);
         listener.accept(next);
     }
--- a/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
@@ -230,7 +230,7 @@
 
     // -- settings
 
-    private static NodeSettings settings(int number) {
+    static NodeSettings settings(int number) {
         String address = "10.0.0." + number;
         Address other = Address.of(address, OTHER_PORT);
         NodeSettings.Mesh mesh = new NodeSettings.Mesh(
