Deny a request only by a version that is known to be the newest

What callers saw: 404 for a route of a version that had been acknowledged more than config_apply before (CONFIG, DENIED). Cause: the entry denied by the version that it held, also when it had heard of a newer one or could not know of it. Class of fault: an answer that claims more than the node knows. A node that has heard of a newer version, or gets no confirmation, rejects the request as not run and says when to come back.

--- a/distribution/src/main/java/org/oleanderturn/distribution/Disseminator.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Disseminator.java
@@ -98,6 +98,11 @@
         return fetcher.isDue();
     }
 
+    /** Returns the version that this node holds. */
+    public ConfigurationVersion heldVersion() {
+        return holder.version();
+    }
+
     /** Returns the newest version that this node holds or that a peer has advertised; it never decreases. */
     public ConfigurationVersion newestKnown() {
         return ConfigurationVersion.newest(holder.version(), fetcher.newestAdvertised());
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -20,7 +20,8 @@
 /**
  * Serves the requests of this host's clients by sending them to guards.
  *
- * <p>Invariants: a request is routed by one configuration snapshot; its client gets the target's complete response, or one
+ * <p>Invariants: a request is routed by one configuration snapshot; it is denied only by a version that is known to be the
+ * newest in force; its client gets the target's complete response, or one
  * of the node's own that says truly whether the request can have run; a cancelled request gets its response at once.
  * Thread safe.
  */
@@ -28,8 +29,12 @@
     /** When a client may retry at a node that is not ready; a node takes about as long to start. */
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(500);
 
+    /** When a client may retry at a node that lacks a version or can't confirm its own; a transfer takes about as long. */
+    private static final Duration VERSION_RETRY_AFTER = Duration.ofMillis(400);
+
     private final Supplier<RouteIndex> routes;
     private final BooleanSupplier isReady;
+    private final VersionCheck versionCheck;
     private final ProtocolAdapter adapter;
     private final MeshEntryDependencies dependencies;
     private final ClientWaitEstimator waitEstimator = ClientWaitEstimator.create();
@@ -39,10 +44,12 @@
     private MeshEntry(
             Supplier<RouteIndex> routes,
             BooleanSupplier isReady,
+            VersionCheck versionCheck,
             ProtocolAdapter adapter,
             MeshEntryDependencies dependencies) {
         this.routes = routes;
         this.isReady = isReady;
+        this.versionCheck = versionCheck;
         this.adapter = adapter;
         this.dependencies = dependencies;
     }
@@ -52,17 +59,20 @@
      *
      * @param routes returns the routes in force
      * @param isReady returns whether the node has a configuration that it may serve by
+     * @param versionCheck is asked before a request without a route is denied
      */
     public static MeshEntry of(
             Supplier<RouteIndex> routes,
             BooleanSupplier isReady,
+            VersionCheck versionCheck,
             ProtocolAdapter adapter,
             MeshEntryDependencies dependencies) {
         Objects.requireNonNull(routes, "routes is null");
         Objects.requireNonNull(isReady, "isReady is null");
+        Objects.requireNonNull(versionCheck, "versionCheck is null");
         Objects.requireNonNull(adapter, "adapter is null");
         Objects.requireNonNull(dependencies, "dependencies is null");
-        return new MeshEntry(routes, isReady, adapter, dependencies);
+        return new MeshEntry(routes, isReady, versionCheck, adapter, dependencies);
     }
 
     @Override
@@ -83,7 +93,13 @@
         }
         Optional<RouteIndex.Match> match = index.find(client.host(), request.method(), request.path());
         if (match.isEmpty()) {
-            return responses.refused(HttpStatuses.NOT_FOUND, "NO_ROUTE");
+            VersionStatus status = versionCheck.check(index.snapshot().version());
+            // The check may have brought a newer version.
+            index = routes.get();
+            match = index.find(client.host(), request.method(), request.path());
+            if (match.isEmpty()) {
+                return deny(status, responses);
+            }
         }
         MeshRequest routed = routedRequest(request, client, body.get(), match.get(), index, receivedNanoseconds);
         EntryDispatch dispatch = new EntryDispatch(routed, dependencies, responses, cancellationsByNode);
@@ -91,6 +107,15 @@
         return dispatch.run();
     }
 
+    /** Returns the response to a request for which no route is known. */
+    private static Response deny(VersionStatus status, ClientResponses responses) {
+        return switch (status) {
+            case VersionStatus.Newest _ -> responses.refused(HttpStatuses.NOT_FOUND, "NO_ROUTE");
+            case VersionStatus.Behind _ -> responses.notRun("CONFIGURATION_BEHIND", 0, VERSION_RETRY_AFTER);
+            case VersionStatus.Unconfirmed _ -> responses.notRun("CONFIGURATION_UNCONFIRMED", 0, VERSION_RETRY_AFTER);
+        };
+    }
+
     /** Cancels the attempts that wait for a node, after it became unreachable. */
     public void cancelAttempts(NodeId node) {
         Set<Cancellation> cancellations = cancellationsByNode.remove(node);
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/VersionCheck.java
@@ -0,0 +1,11 @@
+package org.oleanderturn.mesh;
+
+import org.oleanderturn.model.ConfigurationVersion;
+
+/** Finds out whether a version of the configuration is the newest one in force. Implementations are thread safe. */
+@FunctionalInterface
+public interface VersionCheck {
+
+    /** Returns the status of the version by which a request would be denied; blocks for a bounded time. */
+    VersionStatus check(ConfigurationVersion version);
+}
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -52,6 +52,7 @@
     private final TargetConditions conditions = TargetConditions.empty();
     final List<Decision> decisions = new CopyOnWriteArrayList<>();
     boolean isReady = true;
+    VersionStatus versionStatus = new VersionStatus.Newest();
 
     /** Adds a guard that gives the same reply to every request. */
     EntryFixture addGuard(GuardReply reply) {
@@ -115,7 +116,7 @@
                 decisions::add,
                 System::nanoTime,
                 new SplittableRandom(2));
-        return MeshEntry.of(() -> index, () -> isReady, adapter, dependencies);
+        return MeshEntry.of(() -> index, () -> isReady, _ -> versionStatus, adapter, dependencies);
     }
 
     /** Returns how many requests a guard got; guards are numbered from 0. */
--- a/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.Response;
@@ -132,6 +133,23 @@
         assertThat(entry.handle(FakeRequest.of("/a/x")).status()).isEqualTo(503);
     }
 
+    @Test
+    void shouldSayThatTheRequestDidNotRunWhenItsRouteMayStandInAVersionThatIsNotHeld() throws IOException {
+        fixture.addGuard(EntryFixture.ran(200, "x"));
+        MeshEntry entry = fixture.entry(RequestKind.LOOKUP, 1, new FakeProtocolAdapter(Optional.empty()));
+        fixture.versionStatus = new VersionStatus.Behind(ConfigurationVersion.of(2));
+        assertNotRun(entry.handle(FakeRequest.of("/none/")), "CONFIGURATION_BEHIND");
+        fixture.versionStatus = new VersionStatus.Unconfirmed();
+        assertNotRun(entry.handle(FakeRequest.of("/none/")), "CONFIGURATION_UNCONFIRMED");
+        assertThat(entry.handle(FakeRequest.of("/a/x")).status()).isEqualTo(200);
+    }
+
+    private static void assertNotRun(Response response, String reason) throws IOException {
+        assertThat(response.status()).isEqualTo(503);
+        assertThat(text(response)).isEqualTo(reason + "\n");
+        assertThat(HeaderField.find(response.headers(), "Retry-After")).isEqualTo(Optional.of("0.400"));
+    }
+
     @Test
     void shouldLogEachDecisionWithItsAttemptIdWhenARequestIsRetried() throws IOException {
         fixture.addGuard(EntryFixture.notRun()).addGuard(EntryFixture.ran(200, "other"));
--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -35,7 +35,7 @@
  *
  * <p>Invariant: every call ends within its timeout. Blocks the calling thread, except where stated. Thread safe.
  */
-final class ControlChannel implements GossipTransport, ConfigurationTransport, VersionReportTransport {
+final class ControlChannel implements GossipTransport, ConfigurationTransport, VersionReportTransport, RelayTransport {
     /** The kind of a frame that carries a {@link ControlMessage}. */
     static final String FRAME_KIND = "control";
 
@@ -137,6 +137,14 @@
         return pending.stream().map(CompletableFuture::join).toList();
     }
 
+    @Override
+    public Either<ControlFailure, RelayReport> askRelay(Address relay, boolean isConfirmationNeeded) {
+        return call(relay, new ControlMessage.AskRelay(isConfirmationNeeded), PROBE_TIMEOUT)
+                .flatMap(answer -> answer instanceof ControlMessage.RelayAnswer relayAnswer
+                        ? Either.right(relayAnswer.report())
+                        : Either.left(new ControlFailure.Malformed(answer.toString())));
+    }
+
     // -- commands to one node
 
     /** Requests that a node drains its target, or ends the drain. */
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -23,7 +23,7 @@
     private final ConfigurationMessages configurationMessages;
     private final DrainController drainController;
     private final CrashQuarantine quarantine;
-    private final UnaryOperator<ControlMessage> targetMessages;
+    private final UnaryOperator<ControlMessage> otherMessages;
 
     ControlHandler(
             NodeId self,
@@ -32,14 +32,14 @@
             Recovery recovery,
             DrainController drainController,
             CrashQuarantine quarantine,
-            UnaryOperator<ControlMessage> targetMessages,
+            UnaryOperator<ControlMessage> otherMessages,
             LongSupplier milliseconds) {
         Objects.requireNonNull(self, "self is null");
         this.gossip = Objects.requireNonNull(gossip, "gossip is null");
         this.disseminator = Objects.requireNonNull(disseminator, "disseminator is null");
         this.drainController = Objects.requireNonNull(drainController, "drainController is null");
         this.quarantine = Objects.requireNonNull(quarantine, "quarantine is null");
-        this.targetMessages = Objects.requireNonNull(targetMessages, "targetMessages is null");
+        this.otherMessages = Objects.requireNonNull(otherMessages, "otherMessages is null");
         this.configurationMessages = new ConfigurationMessages(
                 self, disseminator, recovery, requester -> gossip.table().highestKnownVersion(requester), milliseconds);
     }
@@ -63,14 +63,16 @@
                 quarantine.merge(convict.conviction());
                 yield new ControlMessage.Noted();
             }
-            case ControlMessage.Suspicions _,
+            case ControlMessage.AskRelay _,
+                    ControlMessage.Suspicions _,
                     ControlMessage.CompareSuspicions _,
                     ControlMessage.Conditions _,
                     ControlMessage.CompareConditions _,
-                    ControlMessage.Load _ -> targetMessages.apply(message);
+                    ControlMessage.Load _ -> otherMessages.apply(message);
             case ControlMessage.Update _,
                     ControlMessage.Pushed _,
                     ControlMessage.Recollected _,
+                    ControlMessage.RelayAnswer _,
                     ControlMessage.Drained _,
                     ControlMessage.Noted _,
                     ControlMessage.NotUnderstood _ -> new ControlMessage.NotUnderstood("an answer is no question");
--- a/node/src/main/java/org/oleanderturn/node/ControlMessage.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlMessage.java
@@ -46,6 +46,16 @@
     /** Answers {@link Recollect} with the versions that the peer knows. */
     record Recollected(PeerVersionReport recollection) implements ControlMessage {}
 
+    /**
+     * Asks the relay of a zone what it holds and whether it reads the store; answered by {@link RelayAnswer}.
+     *
+     * @param isConfirmationNeeded whether the relay should find out whether its version is the newest
+     */
+    record AskRelay(boolean isConfirmationNeeded) implements ControlMessage {}
+
+    /** Answers {@link AskRelay}. */
+    record RelayAnswer(RelayReport report) implements ControlMessage {}
+
     /** Requests that a node drains its target, or ends the drain; answered by {@link Drained}. */
     record Drain(boolean isDraining) implements ControlMessage {}
 
--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -3,10 +3,12 @@
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.oleanderturn.distribution.PeerDirectory;
 import org.oleanderturn.distribution.RelayRole;
 import org.oleanderturn.mesh.RouteIndex;
+import org.oleanderturn.mesh.VersionCheck;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.store.Store;
 
@@ -20,6 +22,7 @@
     private final ConfigurationPlane plane;
     private final OperatorConfigurationWatcher watcher;
     private final RelayCheck relayCheck;
+    private final VersionConfirmation confirmation;
     private final AtomicReference<RouteIndex> routes = new AtomicReference<>(RouteIndex.empty());
 
     MeshConfiguration(
@@ -28,14 +31,17 @@
             PeerDirectory directory,
             RelayRole role,
             Store store,
-            VersionReportTransport transport,
+            RelayTransport transport,
+            LongSupplier clockNanoseconds,
             RandomGenerator random) {
         this.plane = Objects.requireNonNull(plane, "plane is null");
         plane.holder().addPreparation(snapshot -> routes.set(RouteIndex.of(snapshot)));
-        this.relayCheck = new RelayCheck(
-                settings.node(), ZoneLeadership.of(settings.node(), settings.locality(), directory), transport);
+        ZoneLeadership leadership = ZoneLeadership.of(settings.node(), settings.locality(), directory);
+        this.relayCheck = new RelayCheck(leadership, transport, plane.disseminator());
         this.watcher = new OperatorConfigurationWatcher(
-                store, plane.holder(), plane.readinessGate(), role, relayCheck::isAnswering, random);
+                store, plane.holder(), plane.readinessGate(), role, relayCheck::isSupplied, clockNanoseconds, random);
+        this.confirmation =
+                new VersionConfirmation(store, plane.disseminator(), watcher, relayCheck, transport, clockNanoseconds);
     }
 
     // -- queries
@@ -54,6 +60,16 @@
         return watcher;
     }
 
+    /** Returns the check whether a version is the newest in force. */
+    VersionCheck versionCheck() {
+        return confirmation;
+    }
+
+    /** Answers a node that asks this one as the relay of its zone. */
+    ControlMessage answer(ControlMessage.AskRelay question) {
+        return new ControlMessage.RelayAnswer(confirmation.report(question.isConfirmationNeeded()));
+    }
+
     // -- commands
 
     /**
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -22,6 +22,7 @@
 import org.oleanderturn.mesh.TargetCondition;
 import org.oleanderturn.mesh.TargetConditions;
 import org.oleanderturn.mesh.TargetHealthCheck;
+import org.oleanderturn.mesh.VersionCheck;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.EndpointView;
 import org.oleanderturn.model.NodeId;
@@ -203,14 +204,15 @@
     // -- commands
 
     /** Returns the handler of clients' requests. */
-    RequestHandler serve(Supplier<RouteIndex> routes, BooleanSupplier isReady) {
-        entry = MeshEntry.of(routes, isReady, PlatformProtocolAdapter.instance(), entryDependencies);
+    RequestHandler serve(Supplier<RouteIndex> routes, BooleanSupplier isReady, VersionCheck versionCheck) {
+        entry = MeshEntry.of(routes, isReady, versionCheck, PlatformProtocolAdapter.instance(), entryDependencies);
         return entry;
     }
 
     /** Binds the listeners for clients and for other nodes. */
-    Either<ListenerFailure, MeshDataPlane> listen(Supplier<RouteIndex> routes, BooleanSupplier isReady) {
-        RequestHandler clientHandler = serve(routes, isReady);
+    Either<ListenerFailure, MeshDataPlane> listen(
+            Supplier<RouteIndex> routes, BooleanSupplier isReady, VersionCheck versionCheck) {
+        RequestHandler clientHandler = serve(routes, isReady, versionCheck);
         Address caller = settings.listen().caller();
         Address peer = settings.listen().peer();
         ListenerLimits limits = new ListenerLimits(
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -81,6 +81,7 @@
     private final ConditionExchange conditions;
     private final PeerReview peerReview;
     private final LoadAnnouncer loadAnnouncer;
+    private final TargetMessages targetMessages;
     private final List<HttpListener> listeners = new ArrayList<>();
     private FrameServer controlServer;
 
@@ -113,6 +114,7 @@
                 control.role(),
                 rateLimitedStore,
                 channel,
+                System::nanoTime,
                 SharedRandom.create());
         this.data = new MeshDataPlane(
                 settings,
@@ -127,6 +129,7 @@
         this.peerReview =
                 new PeerReview(() -> control.gossip().table().reachablePeers(), this::hasLeft, data, this::compareWith);
         this.loadAnnouncer = loadAnnouncer();
+        this.targetMessages = new TargetMessages(data);
     }
 
     private SuspicionExchange suspicionExchange() {
@@ -292,7 +295,8 @@
                 .flatMap(_ -> HttpListener.start(
                         metricsAddress.host(), metricsAddress.port(), this::handleObservability, limits))
                 .peek(listeners::add)
-                .flatMap(_ -> data.listen(configuration::routes, configuration::isServing))
+                .flatMap(
+                        _ -> data.listen(configuration::routes, configuration::isServing, configuration.versionCheck()))
                 .mapLeft(MeshNode::bindFailure)
                 .map(_ -> this);
     }
@@ -308,10 +312,16 @@
                 control.recovery(),
                 drainController,
                 quarantine,
-                new TargetMessages(data)::answer,
+                this::answerOther,
                 System::currentTimeMillis);
     }
 
+    private ControlMessage answerOther(ControlMessage message) {
+        return message instanceof ControlMessage.AskRelay question
+                ? configuration.answer(question)
+                : targetMessages.answer(message);
+    }
+
     private void run() {
         data.target().onStateChange(control.gossip()::announceState);
         MeshGauges.of(metrics, control, configuration.watcher(), data, writer).register(configuration::isServing);
--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.oleanderturn.distribution.AdoptionResult;
 import org.oleanderturn.distribution.ConfigurationHolder;
@@ -45,15 +46,24 @@
 
     private static final Duration MAXIMUM_BACKOFF = Duration.ofMillis(600);
 
+    /** How long after a response of the store this node still counts as reading it: a watch, a pause and some more. */
+    private static final Duration READING_PERIOD = Duration.ofMillis(4_500);
+
+    /** A version with the revision of the store at which this node read it. */
+    record ReadVersion(long revision, ConfigurationVersion version) {}
+
     private final Store store;
     private final ConfigurationHolder holder;
     private final ReadinessGate readinessGate;
     private final RelayRole role;
-    private final BooleanSupplier isRelayAnswering;
+    private final BooleanSupplier isSupplied;
+    private final LongSupplier clockNanoseconds;
     private final Backoff backoff;
     private final AtomicReference<Optional<StoreFailure>> failure = new AtomicReference<>(Optional.empty());
+    private final AtomicReference<Optional<ReadVersion>> lastRead = new AtomicReference<>(Optional.empty());
+    private volatile long lastResponseNanoseconds;
+    private volatile boolean hasRead;
     private long seenRevision = StoredValue.ABSENT;
-    private boolean hasRead;
     private int failures;
 
     OperatorConfigurationWatcher(
@@ -61,12 +71,14 @@
             ConfigurationHolder holder,
             ReadinessGate readinessGate,
             RelayRole role,
-            BooleanSupplier isRelayAnswering,
+            BooleanSupplier isSupplied,
+            LongSupplier clockNanoseconds,
             RandomGenerator random) {
         this.store = Objects.requireNonNull(store, "store is null");
         this.holder = Objects.requireNonNull(holder, "holder is null");
         this.role = Objects.requireNonNull(role, "role is null");
-        this.isRelayAnswering = Objects.requireNonNull(isRelayAnswering, "isRelayAnswering is null");
+        this.isSupplied = Objects.requireNonNull(isSupplied, "isSupplied is null");
+        this.clockNanoseconds = Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
         this.readinessGate = Objects.requireNonNull(readinessGate, "readinessGate is null");
         this.backoff = Backoff.of(MINIMUM_BACKOFF, MAXIMUM_BACKOFF, random);
     }
@@ -76,6 +88,18 @@
         return failure.get();
     }
 
+    /** Returns the version that this node read from the store last; empty before it has read one. */
+    Optional<ReadVersion> lastRead() {
+        return lastRead.get();
+    }
+
+    /** Returns whether this node reads the store, so that it notices a new version soon. */
+    boolean isReading() {
+        return hasRead
+                && failure.get().isEmpty()
+                && clockNanoseconds.getAsLong() - lastResponseNanoseconds < READING_PERIOD.toNanos();
+    }
+
     /**
      * Reads the configuration or waits until it changes, unless a relay of the zone does so and answers; returns the delay
      * before the next run, in milliseconds.
@@ -84,7 +108,7 @@
         boolean isSuppliedByRelay = hasRead
                 && !holder.version().equals(ConfigurationVersion.none())
                 && !role.isRelay(0)
-                && isRelayAnswering.getAsBoolean();
+                && isSupplied.getAsBoolean();
         return isSuppliedByRelay ? ROLE_CHECK_DELAY_MILLISECONDS : read();
     }
 
@@ -103,6 +127,7 @@
             log.atInfo().log("platform store is available again");
         }
         failures = 0;
+        lastResponseNanoseconds = clockNanoseconds.getAsLong();
         hasRead = true;
         if (read.get().isPresent()) {
             observe(read.get().get());
@@ -121,6 +146,8 @@
             return;
         }
         readinessGate.observeHead(decoded.get().version());
+        lastRead.set(
+                Optional.of(new ReadVersion(stored.revision(), decoded.get().version())));
         AdoptionResult result = holder.adopt(decoded.get());
         log.atInfo().log("configuration at revision %s: %s", stored.revision(), result);
     }
--- a/node/src/main/java/org/oleanderturn/node/ZoneLeadership.java
+++ b/node/src/main/java/org/oleanderturn/node/ZoneLeadership.java
@@ -1,5 +1,7 @@
 package org.oleanderturn.node;
 
+import java.util.Comparator;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -41,15 +43,16 @@
 
     /** Returns the relay of this node's zone; empty if it is this node. */
     Optional<Peer> relay() {
-        Optional<Peer> relay = Optional.empty();
-        for (Peer peer : directory.peers()) {
-            boolean isCandidate = peer.isReachable() && peer.locality().equals(locality);
-            NodeId earliest = relay.map(Peer::nodeId).orElse(self);
-            if (isCandidate && peer.nodeId().compareTo(earliest) < 0) {
-                relay = Optional.of(peer);
-            }
-        }
-        return relay;
+        return earlierNodes().stream().findFirst();
+    }
+
+    /** Returns the reachable nodes of this node's zone that would be its relay before this node, the first one first. */
+    List<Peer> earlierNodes() {
+        return directory.peers().stream()
+                .filter(peer -> peer.isReachable() && peer.locality().equals(locality))
+                .filter(peer -> peer.nodeId().compareTo(self) < 0)
+                .sorted(Comparator.comparing(Peer::nodeId))
+                .toList();
     }
 
     /** Returns the number of reachable nodes in this node's zone, this one included. */
--- a/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
@@ -71,6 +71,7 @@
                 leadership,
                 new SimulatedStore(time, new SimulatedStore.Content()),
                 channel,
+                time::nanoseconds,
                 new SplittableRandom(2));
     }
 
--- a/node/src/test/java/org/oleanderturn/node/RelayCheckTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RelayCheckTest.java
@@ -5,12 +5,11 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.distribution.ConfigurationHolder;
 import org.oleanderturn.distribution.Peer;
-import org.oleanderturn.distribution.PeerVersionReport;
-import org.oleanderturn.distribution.ReadinessGate;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationSnapshot;
@@ -21,6 +20,7 @@
 import org.oleanderturn.platform.FakePlatformStore;
 import org.oleanderturn.platform.PlatformStore;
 import org.oleanderturn.store.StoreSettings;
+import org.oleanderturn.wire.WireFailure;
 
 final class RelayCheckTest {
     private static final Locality HERE = Locality.of("south", "hobart");
@@ -28,22 +28,42 @@
     private static final int OLDER_VERSION = 1;
     private static final int NEWER_VERSION = 2;
 
+    private static final Address RELAY = Address.of("127.0.0.1", 1);
+
     private final List<Peer> peers = new ArrayList<>();
+    private final SimulatedTime time = new SimulatedTime();
     private final ZoneLeadership leadership = ZoneLeadership.of(SELF, HERE, () -> peers);
+    private final ConfigurationPlane plane = new ConfigurationPlane(
+            SimulatedHost.settings(0),
+            () -> peers,
+            leadership,
+            ControlChannel.of(
+                    (peer, _, timeout) -> Either.left(new WireFailure.TimedOut(peer, timeout)), Runnable::run, RELAY),
+            () -> true,
+            time::milliseconds,
+            new SplittableRandom(3));
     private boolean isRelayUp = true;
+    private boolean isRelayReading = true;
+    private int relayVersion = OLDER_VERSION;
     private final RelayCheck check =
-            new RelayCheck(SELF, leadership, (addresses, _) -> List.of(isRelayUp ? report() : failure()));
+            new RelayCheck(leadership, (_, _) -> isRelayUp ? report() : failure(), plane.disseminator());
 
     @Test
     void shouldReadTheStoreWithinTwoSecondsWhenTheRelayEndedAndMembershipStillTrustsIt() {
-        peers.add(new Peer(NodeId.of("a"), Address.of("127.0.0.1", 1), HERE, ConfigurationVersion.none(), true));
-        ConfigurationHolder holder = ConfigurationHolder.empty();
+        addRelay();
+        ConfigurationHolder holder = plane.holder();
         holder.adopt(ConfigurationSnapshot.of(
                 ConfigurationVersion.of(OLDER_VERSION), Configuration.of(List.of(), List.of(), List.of())));
         try (FakePlatformStore stored = FakePlatformStore.start();
                 PlatformStore store = PlatformStore.of(StoreSettings.of(stored.address()))) {
             OperatorConfigurationWatcher watcher = new OperatorConfigurationWatcher(
-                    store, holder, ReadinessGate.create(), leadership, check::isAnswering, new SplittableRandom(1));
+                    store,
+                    holder,
+                    plane.readinessGate(),
+                    leadership,
+                    check::isSupplied,
+                    time::nanoseconds,
+                    new SplittableRandom(1));
             watcher.runOnce();
             FakeOperator.configure(stored, NEWER_VERSION, "orders", 1);
             long delay = check.runOnce() + watcher.runOnce();
@@ -57,28 +77,32 @@
 
     @Test
     void shouldTrustTheRelayAgainWhenItAnswersAgain() {
-        peers.add(new Peer(NodeId.of("a"), Address.of("127.0.0.1", 1), HERE, ConfigurationVersion.none(), true));
+        addRelay();
         isRelayUp = false;
         check.runOnce();
-        assertThat(check.isAnswering()).isFalse();
+        assertThat(check.isSupplied()).isFalse();
         isRelayUp = true;
         check.runOnce();
-        assertThat(check.isAnswering()).isTrue();
+        assertThat(check.isSupplied()).isTrue();
     }
 
     @Test
     void shouldAskNobodyWhenThisNodeIsTheRelay() {
         isRelayUp = false;
         check.runOnce();
-        assertThat(check.isAnswering()).isTrue();
+        assertThat(check.supplier()).isEqualTo(Optional.empty());
+        assertThat(leadership.isRelay(0)).isTrue();
+    }
+
+    private void addRelay() {
+        peers.add(new Peer(NodeId.of("a"), RELAY, HERE, ConfigurationVersion.none(), true));
     }
 
-    private static Either<ControlFailure, PeerVersionReport> report() {
-        return Either.right(new PeerVersionReport(
-                NodeId.of("a"), true, ConfigurationVersion.of(OLDER_VERSION), ConfigurationVersion.of(OLDER_VERSION)));
+    private Either<ControlFailure, RelayReport> report() {
+        return Either.right(new RelayReport(ConfigurationVersion.of(relayVersion), isRelayReading, Optional.empty()));
     }
 
-    private static Either<ControlFailure, PeerVersionReport> failure() {
+    private static Either<ControlFailure, RelayReport> failure() {
         return Either.left(new ControlFailure.Unreachable("down"));
     }
 }
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
@@ -10,6 +10,7 @@
 import org.oleanderturn.distribution.Peer;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.mesh.RouteIndex;
+import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Endpoint;
@@ -54,7 +55,7 @@
                 fleet.decisions()::add,
                 new DataPlaneRuntime(
                         network, network, timers, this::awaitSlot, fleet.time()::nanoseconds, fleet.random()));
-        this.clientHandler = data.serve(() -> routes, () -> true);
+        this.clientHandler = data.serve(() -> routes, () -> true, _ -> new VersionStatus.Newest());
         this.targetCalls = data.targetCallHandler();
         ControlChannel channel =
                 ControlChannel.of(network, timers, settings.listen().control());
--- a/store/src/main/java/org/oleanderturn/store/RateLimitedStore.java
+++ b/store/src/main/java/org/oleanderturn/store/RateLimitedStore.java
@@ -69,6 +69,11 @@
         return limited(StoreOperation.WATCH, () -> store.watch(key, knownRevision, wait));
     }
 
+    @Override
+    public Either<StoreFailure, Boolean> isUnchanged(String key, long knownRevision) {
+        return limited(StoreOperation.GET, () -> store.isUnchanged(key, knownRevision));
+    }
+
     // -- commands
 
     @Override
--- a/store/src/main/java/org/oleanderturn/store/Store.java
+++ b/store/src/main/java/org/oleanderturn/store/Store.java
@@ -30,6 +30,15 @@
      */
     Either<StoreFailure, Optional<StoredValue>> watch(String key, long knownRevision, Duration wait);
 
+    /**
+     * Returns whether a key still has the known revision; may cost less than reading the key.
+     *
+     * @param knownRevision the revision last read
+     */
+    default Either<StoreFailure, Boolean> isUnchanged(String key, long knownRevision) {
+        return get(key).map(value -> value.map(StoredValue::revision).orElse(StoredValue.ABSENT) == knownRevision);
+    }
+
     // -- commands
 
     /**
