Read the store in place of a relay that does not

Cause: a node left reading to the relay of its zone as long as the relay answered, also when the store turned the relay away or the relay had just started and read nothing yet; the zone then waited for the rounds between zones. Measured: RelayCheckTest, 5 cases, 2 of them new, pass; the new ones were not run on the code before.

--- a/node/src/main/java/org/oleanderturn/node/RelayCheck.java
+++ b/node/src/main/java/org/oleanderturn/node/RelayCheck.java
@@ -9,10 +9,11 @@
 import org.oleanderturn.distribution.Peer;
 
 /**
- * Finds out whether a relay of this node's zone supplies it with configurations, sooner than membership does:
- * when many nodes end at once, their failures are detected one after the other.
+ * Finds out whether a relay of this node's zone supplies it with configurations, which it does as long as it answers and
+ * reads the platform's store. Membership would notice later: when many nodes end at once, their failures are detected one
+ * after the other, and a node that the store turns away is reachable all the while.
  *
- * <p>{@link #runOnce} must be called by one thread at a time;
+ * <p>Each answer also tells the version that the relay holds. {@link #runOnce} must be called by one thread at a time;
  * queries are thread safe.
  */
 final class RelayCheck {
@@ -24,11 +25,23 @@
     /** Limits a relay to 100 checks per second regardless of the number of nodes in its zone. */
     private static final long INTERVAL_MILLISECONDS_PER_NODE = 10;
 
+    /** How many nodes are asked, in the order in which they would be the relay. */
+    private static final int CANDIDATES = 2;
+
+    /**
+     * How many checks later each further node takes a zone without a relay as a reason to read the store itself, so that a
+     * zone does not read a large configuration as often as it has nodes.
+     */
+    private static final int CHECKS_PER_RANK = 1;
+
+    private static final int HIGHEST_RANK = 3;
+
     private final ZoneLeadership leadership;
     private final RelayTransport transport;
     private final Disseminator disseminator;
     private volatile Optional<Peer> supplier = Optional.empty();
     private volatile boolean isSupplied = true;
+    private int checksWithoutSupplier;
 
     RelayCheck(ZoneLeadership leadership, RelayTransport transport, Disseminator disseminator) {
         this.leadership = Objects.requireNonNull(leadership, "leadership is null");
@@ -51,7 +64,9 @@
         List<Peer> earlier = leadership.earlierNodes();
         Optional<Peer> before = supplier;
         supplier = findSupplier(earlier);
-        isSupplied = supplier.isPresent();
+        checksWithoutSupplier = supplier.isPresent() ? 0 : checksWithoutSupplier + 1;
+        int rank = Math.min(HIGHEST_RANK, earlier.size());
+        isSupplied = supplier.isPresent() || checksWithoutSupplier < rank * CHECKS_PER_RANK;
         if (!supplier.map(Peer::nodeId).equals(before.map(Peer::nodeId))) {
             log.atInfo().log(
                     "supplied with configurations by: %s",
@@ -61,9 +76,13 @@
     }
 
     private Optional<Peer> findSupplier(List<Peer> earlier) {
-        return earlier.stream()
-                .limit(1)
-                .filter(candidate -> transport.askRelay(candidate.address(), false).isRight())
-                .findFirst();
+        for (Peer candidate : earlier.subList(0, Math.min(CANDIDATES, earlier.size()))) {
+            Either<ControlFailure, RelayReport> report = transport.askRelay(candidate.address(), false);
+            report.forEach(answer -> disseminator.recordAdvertisedVersion(candidate.address(), answer.held()));
+            if (report.map(RelayReport::isReading).getOrElse(false)) {
+                return Optional.of(candidate);
+            }
+        }
+        return Optional.empty();
     }
 }
--- a/node/src/test/java/org/oleanderturn/node/RelayCheckTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RelayCheckTest.java
@@ -94,6 +94,24 @@
         assertThat(leadership.isRelay(0)).isTrue();
     }
 
+    @Test
+    void shouldNotLeaveReadingToARelayThatTheStoreTurnsAway() {
+        addRelay();
+        check.runOnce();
+        assertThat(check.isSupplied()).isTrue();
+        isRelayReading = false;
+        check.runOnce();
+        assertThat(check.isSupplied()).isFalse();
+    }
+
+    @Test
+    void shouldHearOfANewerVersionFromTheRelay() {
+        addRelay();
+        relayVersion = NEWER_VERSION;
+        check.runOnce();
+        assertThat(plane.disseminator().newestKnown()).isEqualTo(ConfigurationVersion.of(NEWER_VERSION));
+    }
+
     private void addRelay() {
         peers.add(new Peer(NodeId.of("a"), RELAY, HERE, ConfigurationVersion.none(), true));
     }
