--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -10,7 +10,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -46,6 +49,12 @@
     private static final int BODY_LIMIT_BYTES = 65_536;
     private static final int LOG_CLOSE_MILLISECONDS = 500;
     private static final int MAXIMUM_ATTEMPTS = 3;
+    private static final int LOWEST_PORT = 10_000;
+
+    /** From here on the operating system gives ports to connections. */
+    private static final int LOWEST_EPHEMERAL_PORT = 32_768;
+
+    private static final Set<Integer> RETURNED_PORTS = ConcurrentHashMap.newKeySet();
 
     /** A request that a target began to run, and when. */
     record Run(int host, String path, String attemptId, long nanoseconds) {}
@@ -255,9 +264,21 @@
         return client.exchange(address, request, ResponseMatcher.framed(), BODY_LIMIT_BYTES, Cancellation.create());
     }
 
-    private static Address freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return Address.of(LOOPBACK, socket.getLocalPort());
+    /** Returns an address whose port no connection takes as its own meanwhile, and that was not returned before. */
+    private static Address freeAddress() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, LOWEST_EPHEMERAL_PORT);
+            if (RETURNED_PORTS.add(port) && isFree(port)) {
+                return Address.of(LOOPBACK, port);
+            }
+        }
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket _ = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return true;
+        } catch (IOException taken) {
+            return false;
         }
     }
 }
