Log and measure when a node takes a version, from whom and how late

Cause: only a node that read the store logged a version; one that got it from a peer logged nothing, so the incident's logs could not tell a slow transfer from a relay held up or a version kept out. Change: the holder and the transport report VersionEvents; VersionJournal turns them into the lines VersionAdopted, VersionRejected, TransferFailed and FetchDeferred and into metrics; VersionTracker knows since when the node has heard of newer versions. Answered lines of the node's own have what it knew, and responses without an attempt are counted by reason. Measured: VersionJournalTest compares every line and metric by an injected clock; with it JsonDecisionLogTest, ConfigurationHolderTest, DisseminationFaultMatrixTest, RelayCheckTest and RecoveryTest pass.

--- a/distribution/src/main/java/org/oleanderturn/distribution/ConfigurationHolder.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/ConfigurationHolder.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.oleanderturn.model.ConfigurationDelta;
 import org.oleanderturn.model.ConfigurationFault;
 import org.oleanderturn.model.ConfigurationSnapshot;
@@ -30,16 +32,28 @@
     private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
     private final ReentrantLock adoptionLock = new ReentrantLock();
     private final Queue<ConfigurationSnapshot> pendingNotifications = new ArrayDeque<>();
+    private final VersionListener versionListener;
+    private final LongSupplier milliseconds;
     private boolean isNotifying;
     private long adopted;
     private long rejected;
     private Optional<AdoptionResult.Rejected> lastRejected = Optional.empty();
 
-    private ConfigurationHolder() {}
+    private ConfigurationHolder(VersionListener versionListener, LongSupplier milliseconds) {
+        this.versionListener = versionListener;
+        this.milliseconds = milliseconds;
+    }
 
     /** Returns a holder of the empty configuration, with which a node starts. */
     public static ConfigurationHolder empty() {
-        return new ConfigurationHolder();
+        return empty(VersionListener.none(), () -> 0);
+    }
+
+    /** Returns a holder of the empty configuration that reports each offer to a listener. */
+    public static ConfigurationHolder empty(VersionListener versionListener, LongSupplier milliseconds) {
+        Objects.requireNonNull(versionListener, "versionListener is null");
+        Objects.requireNonNull(milliseconds, "milliseconds is null");
+        return new ConfigurationHolder(versionListener, milliseconds);
     }
 
     // -- queries
@@ -75,35 +89,54 @@
         listeners.add(Objects.requireNonNull(listener, "listener is null"));
     }
 
-    /** Adopts a snapshot if it is newer than the held one, intact and valid. */
+    /** Passes an event to the listener that is told the offers. */
+    public void record(VersionEvent event) {
+        versionListener.record(event);
+    }
+
+    /** Adopts a snapshot from the platform's store if it is newer than the held one, intact and valid. */
     public AdoptionResult adopt(ConfigurationSnapshot offered) {
+        return adopt(offered, new VersionOrigin.Store());
+    }
+
+    /** Adopts a snapshot if it is newer than the held one, intact and valid. */
+    public AdoptionResult adopt(ConfigurationSnapshot offered, VersionOrigin origin) {
         Objects.requireNonNull(offered, "offered is null");
-        adoptionLock.lock();
-        try {
-            return evaluate(offered);
-        } finally {
-            adoptionLock.unlock();
-        }
+        Objects.requireNonNull(origin, "origin is null");
+        return offer(origin, VersionEvent.Form.SNAPSHOT, () -> evaluate(offered));
     }
 
     /** Applies a delta to the held snapshot and adopts the result as {@link #adopt(ConfigurationSnapshot)} does. */
-    public AdoptionResult adopt(ConfigurationDelta delta) {
+    public AdoptionResult adopt(ConfigurationDelta delta, VersionOrigin origin) {
         Objects.requireNonNull(delta, "delta is null");
+        Objects.requireNonNull(origin, "origin is null");
+        return offer(origin, VersionEvent.Form.DELTA, () -> evaluate(delta));
+    }
+
+    /** Reports the offer within the lock, so that the reports of adoptions come in the order of their versions. */
+    private AdoptionResult offer(VersionOrigin origin, VersionEvent.Form form, Supplier<AdoptionResult> evaluation) {
+        long start = milliseconds.getAsLong();
         adoptionLock.lock();
         try {
-            ConfigurationSnapshot current = held.get();
-            if (current.version().isAfter(delta.to())) {
-                return new AdoptionResult.Older(delta.to(), current.version());
-            }
-            if (current.version().equals(delta.to()) && current.digest().equals(delta.result())) {
-                return new AdoptionResult.AlreadyHeld(current.version());
-            }
-            return delta.applyTo(current).fold(mismatch -> evaluate(delta, mismatch), this::evaluate);
+            AdoptionResult result = evaluation.get();
+            versionListener.record(new VersionEvent.Offered(origin, form, result, milliseconds.getAsLong() - start));
+            return result;
         } finally {
             adoptionLock.unlock();
         }
     }
 
+    private AdoptionResult evaluate(ConfigurationDelta delta) {
+        ConfigurationSnapshot current = held.get();
+        if (current.version().isAfter(delta.to())) {
+            return new AdoptionResult.Older(delta.to(), current.version());
+        }
+        if (current.version().equals(delta.to()) && current.digest().equals(delta.result())) {
+            return new AdoptionResult.AlreadyHeld(current.version());
+        }
+        return delta.applyTo(current).fold(mismatch -> evaluate(delta, mismatch), this::evaluate);
+    }
+
     private AdoptionResult evaluate(ConfigurationDelta delta, ConfigurationDelta.Mismatch mismatch) {
         return switch (mismatch) {
             case ConfigurationDelta.Mismatch.OtherBase other -> new AdoptionResult.OtherBase(delta.to(), other.held());
--- a/distribution/src/main/java/org/oleanderturn/distribution/Disseminator.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Disseminator.java
@@ -140,11 +140,11 @@
             }
             case ConfigurationUpdate.Delta delta -> {
                 fetcher.recordOrigin(peer, delta.delta().to());
-                yield responseFor(holder.adopt(delta.delta()));
+                yield responseFor(holder.adopt(delta.delta(), new VersionOrigin.Push(peer)));
             }
             case ConfigurationUpdate.Snapshot snapshot -> {
                 fetcher.recordOrigin(peer, snapshot.snapshot().version());
-                yield responseFor(holder.adopt(snapshot.snapshot()));
+                yield responseFor(holder.adopt(snapshot.snapshot(), new VersionOrigin.Push(peer)));
             }
             case ConfigurationUpdate.Busy _ -> new PushResponse.AlreadyHeld(holder.version());
         };
--- a/distribution/src/main/java/org/oleanderturn/distribution/UpdateFetcher.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/UpdateFetcher.java
@@ -81,6 +81,7 @@
         if (!version.isAfter(holder.version())) {
             return;
         }
+        holder.record(new VersionEvent.Heard(new VersionOrigin.Advertisement(peer), version));
         newestVersion.accumulateAndGet(version, ConfigurationVersion::newest);
         Advertisement advertisement = new Advertisement(peer, version, selector.distanceTo(peer));
         newestAdvertisement.updateAndGet(current -> current.filter(previous -> !advertisement.isPreferredTo(previous))
@@ -138,11 +139,13 @@
             case ConfigurationUpdate.Current _ -> Optional.empty();
             case ConfigurationUpdate.Delta delta -> {
                 recordOrigin(peer, delta.delta().to());
-                yield Optional.of(recordRejection(holder.adopt(delta.delta()), nowMilliseconds));
+                yield Optional.of(
+                        recordRejection(holder.adopt(delta.delta(), new VersionOrigin.Fetch(peer)), nowMilliseconds));
             }
             case ConfigurationUpdate.Snapshot snapshot -> {
                 recordOrigin(peer, snapshot.snapshot().version());
-                yield Optional.of(recordRejection(holder.adopt(snapshot.snapshot()), nowMilliseconds));
+                yield Optional.of(recordRejection(
+                        holder.adopt(snapshot.snapshot(), new VersionOrigin.Fetch(peer)), nowMilliseconds));
             }
             case ConfigurationUpdate.Busy busy -> {
                 long delay = Math.max(1, busy.retryAfterMilliseconds());
--- a/distribution/src/test/java/org/oleanderturn/distribution/ConfigurationHolderTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/ConfigurationHolderTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationDelta;
 import org.oleanderturn.model.ConfigurationSnapshot;
@@ -22,6 +23,8 @@
 import org.oleanderturn.model.Service;
 
 class ConfigurationHolderTest {
+    private static final VersionOrigin PEER = new VersionOrigin.Push(Address.of("127.0.0.1", 1));
+
     private final ConfigurationHolder holder = ConfigurationHolder.empty();
 
     @Test
@@ -30,7 +33,7 @@
         holder.adopt(Samples.snapshot(1));
         holder.adopt(Samples.snapshot(3));
 
-        assertThat(holder.adopt(delta))
+        assertThat(holder.adopt(delta, PEER))
                 .isEqualTo(new AdoptionResult.Older(ConfigurationVersion.of(2), ConfigurationVersion.of(3)));
         assertThat(holder.adopt(Samples.snapshot(2))).isInstanceOf(AdoptionResult.Older.class);
         assertThat(holder.held()).isEqualTo(Samples.snapshot(3));
@@ -50,7 +53,7 @@
                 List.of());
         holder.adopt(Samples.snapshot(1));
 
-        assertThat(holder.adopt(corrupted)).isInstanceOf(AdoptionResult.Rejected.class);
+        assertThat(holder.adopt(corrupted, PEER)).isInstanceOf(AdoptionResult.Rejected.class);
         assertThat(holder.held()).isEqualTo(Samples.snapshot(1));
         assertThat(holder.status().rejected()).isEqualTo(1);
     }
@@ -66,7 +69,7 @@
         holder.adopt(first);
 
         assertThat(holder.adopt(invalid)).isInstanceOf(AdoptionResult.Rejected.class);
-        assertThat(holder.adopt(ConfigurationDelta.between(first, invalid)))
+        assertThat(holder.adopt(ConfigurationDelta.between(first, invalid), PEER))
                 .isInstanceOf(AdoptionResult.Rejected.class);
         assertThat(holder.held()).isEqualTo(first);
         assertThat(holder.status().lastRejected().orElseThrow().offered()).isEqualTo(invalid.version());
@@ -151,7 +154,7 @@
         for (ConfigurationSnapshot from : history) {
             updates.add(() -> fresh.adopt(from));
             for (ConfigurationSnapshot to : history) {
-                updates.add(() -> fresh.adopt(ConfigurationDelta.between(from, to)));
+                updates.add(() -> fresh.adopt(ConfigurationDelta.between(from, to), PEER));
             }
         }
         Collections.shuffle(updates, new Random(seed));
--- a/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
@@ -38,7 +38,7 @@
 
     /** Returns a target's response to pass on to the client. */
     Response delivered(BufferedResponse response, int attempts) {
-        logResponse(response.status(), "DELIVERED", attempts, Optional.empty());
+        logResponse(response.status(), Decision.Answered.DELIVERED, attempts, Optional.empty());
         return Response.of(response.status(), response.headers(), new Response.Body.Buffered(response.body()));
     }
 
--- a/mesh/src/main/java/org/oleanderturn/mesh/Decision.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/Decision.java
@@ -217,6 +217,8 @@
             Optional<Duration> retryAfter,
             ConfigurationVersion version)
             implements Decision {
+        /** The reason of a response that comes from the target. */
+        static final String DELIVERED = "DELIVERED";
 
         /** Throws a {@link NullPointerException} when a component is null. */
         public Answered {
@@ -227,6 +229,11 @@
             Objects.requireNonNull(version, "version is null");
         }
 
+        /** Returns whether the response comes from the target, not from the node. */
+        public boolean isDelivered() {
+            return reason.equals(DELIVERED);
+        }
+
         @Override
         public boolean isFailure() {
             return !HttpStatuses.isSuccess(status);
--- a/node/src/main/java/org/oleanderturn/node/ConfigurationPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ConfigurationPlane.java
@@ -8,11 +8,13 @@
 import java.util.random.RandomGenerator;
 import org.oleanderturn.distribution.ConfigurationHolder;
 import org.oleanderturn.distribution.Disseminator;
+import org.oleanderturn.distribution.ObservedTransport;
 import org.oleanderturn.distribution.PeerDirectory;
 import org.oleanderturn.distribution.ReadinessGate;
 import org.oleanderturn.distribution.RelayRole;
 import org.oleanderturn.distribution.SnapshotHistory;
 import org.oleanderturn.distribution.UpdateSource;
+import org.oleanderturn.distribution.VersionListener;
 import org.oleanderturn.model.ConfigurationVersion;
 
 /**
@@ -28,9 +30,9 @@
 
     private static final long RECOVERY_INTERVAL_MILLISECONDS = 100;
 
-    private final ConfigurationHolder holder = ConfigurationHolder.empty();
+    private final ConfigurationHolder holder;
     private final ReadinessGate readinessGate = ReadinessGate.create();
-    private final SnapshotHistory history = SnapshotHistory.of(holder);
+    private final SnapshotHistory history;
     private final Disseminator disseminator;
     private final Recovery recovery;
     private final LongSupplier milliseconds;
@@ -41,13 +43,16 @@
             RelayRole role,
             ControlChannel channel,
             BooleanSupplier hasAttemptedJoin,
+            VersionListener versionListener,
             LongSupplier milliseconds,
             RandomGenerator random) {
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
+        this.holder = ConfigurationHolder.empty(versionListener, milliseconds);
+        this.history = SnapshotHistory.of(holder);
         this.disseminator = Disseminator.of(
                 holder,
                 UpdateSource.of(holder, history),
-                channel,
+                ObservedTransport.of(channel, versionListener, milliseconds),
                 directory,
                 role,
                 settings.locality(),
--- a/node/src/main/java/org/oleanderturn/node/ControlNode.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlNode.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import java.util.function.UnaryOperator;
+import org.oleanderturn.distribution.VersionListener;
 import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ChangeOutcome;
@@ -45,7 +46,14 @@
         Address self = settings.listen().control();
         ControlChannel channel = ControlChannel.of(callerDecorator.apply(frames::call), tasks.executor(), self);
         this.control = new ControlPlane(
-                settings, store, channel, milliseconds, GossipSettings.defaults(), (election, _) -> election, () -> {});
+                settings,
+                store,
+                channel,
+                milliseconds,
+                GossipSettings.defaults(),
+                (election, _) -> election,
+                () -> {},
+                VersionListener.none());
     }
 
     /**
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -16,6 +16,7 @@
 import org.oleanderturn.distribution.RelayElection;
 import org.oleanderturn.distribution.RelayRegistration;
 import org.oleanderturn.distribution.RelayRole;
+import org.oleanderturn.distribution.VersionListener;
 import org.oleanderturn.membership.Gossip;
 import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.membership.MemberRecord;
@@ -61,7 +62,8 @@
             LongSupplier milliseconds,
             GossipSettings gossipSettings,
             RelayRoleSelector roleSelector,
-            MembershipListener listener) {
+            MembershipListener listener,
+            VersionListener versionListener) {
         Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(channel, "channel is null");
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
@@ -73,7 +75,14 @@
         this.memberDiscovery = new MemberDiscovery(
                 gossip, settings.join(), new RelayDirectory(store, election, milliseconds), split(random));
         this.configuration = new ConfigurationPlane(
-                settings, directory, role, channel, memberDiscovery::hasAttemptedJoin, milliseconds, split(random));
+                settings,
+                directory,
+                role,
+                channel,
+                memberDiscovery::hasAttemptedJoin,
+                versionListener,
+                milliseconds,
+                split(random));
         this.headWatcher = HeadWatcher.of(
                 store,
                 election,
--- a/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
+++ b/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
@@ -32,12 +32,14 @@
 
     private final NodeId node;
     private final LogWriter writer;
+    private final VersionTracker versions;
     private final LongSupplier milliseconds;
     private final ConcurrentHashMap<String, List<TimestampedDecision>> pending = new ConcurrentHashMap<>();
 
-    JsonDecisionLog(NodeId node, LogWriter writer, LongSupplier milliseconds) {
+    JsonDecisionLog(NodeId node, LogWriter writer, VersionTracker versions, LongSupplier milliseconds) {
         this.node = Objects.requireNonNull(node, "node is null");
         this.writer = Objects.requireNonNull(writer, "writer is null");
+        this.versions = Objects.requireNonNull(versions, "versions is null");
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
     }
 
@@ -160,7 +162,7 @@
         fields.put("remainingMilliseconds", verdict.remaining().toMillis());
     }
 
-    private static void add(Map<String, Object> fields, Decision.Answered answered) {
+    private void add(Map<String, Object> fields, Decision.Answered answered) {
         fields.put("status", answered.status());
         fields.put("reason", answered.reason());
         fields.put("attempts", answered.attempts());
@@ -169,6 +171,11 @@
                 .map(Duration::toMillis)
                 .ifPresent(duration -> fields.put("retryAfterMilliseconds", duration));
         fields.put("configuration", answered.version().number());
+        if (!answered.isDelivered()) {
+            fields.put("newest", versions.newest().number());
+            fields.put("behindMilliseconds", versions.behindMilliseconds());
+            versions.knowledgeAgeMilliseconds().ifPresent(age -> fields.put("knowledgeAgeMilliseconds", age));
+        }
     }
 
     private static String outcome(GuardReply reply) {
--- a/node/src/main/java/org/oleanderturn/node/MemberDirectory.java
+++ b/node/src/main/java/org/oleanderturn/node/MemberDirectory.java
@@ -1,13 +1,16 @@
 package org.oleanderturn.node;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.oleanderturn.distribution.Peer;
 import org.oleanderturn.distribution.PeerDirectory;
 import org.oleanderturn.membership.Liveness;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.membership.MemberTable;
+import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 
 /**
@@ -41,6 +44,23 @@
         return newest;
     }
 
+    /** Returns the member that is known to hold the newest version; empty when no other node is known. */
+    Optional<Peer> newestHolder() {
+        return table.get().records().stream()
+                .filter(record -> !record.node().equals(table.get().local().node()))
+                .max(Comparator.comparing(MemberRecord::heldVersion))
+                .map(MemberDirectory::peer);
+    }
+
+    /** Returns the name of the node with the given control address, or the address if no such node is known. */
+    String nameOf(Address controlAddress) {
+        return table.get().records().stream()
+                .filter(record -> record.controlAddress().equals(controlAddress))
+                .findFirst()
+                .map(record -> record.node().value())
+                .orElse(controlAddress.toString());
+    }
+
     private static Peer peer(MemberRecord record) {
         return new Peer(
                 record.node(),
--- a/node/src/main/java/org/oleanderturn/node/MeshGauges.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshGauges.java
@@ -61,6 +61,14 @@
                 "oleanderturn_configuration_version",
                 "Version of the active configuration.",
                 () -> control.holder().version().number());
+        metrics.gauge(
+                "oleanderturn_relay",
+                "1 when the node is a relay of its zone, else 0.",
+                () -> control.role().isRelay(0) ? 1 : 0);
+        metrics.counter(
+                "oleanderturn_configuration_snapshots_refused_total",
+                "Snapshots that the node did not send because of its rate limit.",
+                () -> control.disseminator().status().refusals());
         metrics.gauge(
                 "oleanderturn_store_lost",
                 "1 when the platform's store can't be read, else 0.",
--- a/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
@@ -23,6 +23,7 @@
 
     private final DecisionLog delegate;
     private final Counter decisions;
+    private final Counter ownResponses;
     private final Histogram responseLatency;
     private final Histogram failedAttemptLatency;
     private final Histogram slotWait;
@@ -34,6 +35,11 @@
                 .help("Decisions on requests by kind and outcome.")
                 .labelNames("decision", "outcome")
                 .register(metrics.registry());
+        this.ownResponses = Counter.builder()
+                .name("oleanderturn_own_responses_total")
+                .help("Responses to clients without an attempt at a target, by status and reason.")
+                .labelNames("status", "reason")
+                .register(metrics.registry());
         this.responseLatency =
                 histogram(metrics, "oleanderturn_answer_seconds", "Seconds from a request to its response.");
         this.failedAttemptLatency =
@@ -69,6 +75,11 @@
                 count(kind, String.valueOf(quarantined.verdict().level()));
             case Decision.Answered answered -> {
                 count(kind, String.valueOf(answered.status()));
+                if (answered.attempts() == 0) {
+                    ownResponses
+                            .labelValues(String.valueOf(answered.status()), answered.reason())
+                            .inc();
+                }
                 responseLatency.observe(seconds(answered.duration()));
             }
         }
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -10,8 +10,11 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
+import org.oleanderturn.distribution.VersionEvent;
+import org.oleanderturn.distribution.VersionOrigin;
 import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.membership.Liveness;
+import org.oleanderturn.mesh.DecisionLog;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.NodeId;
@@ -76,6 +79,7 @@
     private final AtomicBoolean isStopping = new AtomicBoolean();
     private final NodeMetrics metrics = new NodeMetrics();
     private final ControlChannel channel;
+    private final VersionJournal versions;
     private final SuspicionExchange suspicions;
     private final SuspicionStore suspicionStore;
     private final ConditionExchange conditions;
@@ -96,6 +100,7 @@
         LongSupplier milliseconds = MonotonicClock.start();
         this.channel = ControlChannel.of(
                 frames::call, tasks.executor(), settings.listen().control());
+        this.versions = versionJournal(milliseconds);
         this.control = new ControlPlane(
                 settings,
                 rateLimitedStore,
@@ -105,7 +110,8 @@
                 (_, directory) -> ZoneLeadership.of(settings.node(), settings.locality(), directory),
                 () -> {
                     // A periodic task reviews the members, so the gossip protocol never calls back into the node.
-                });
+                },
+                versions);
         this.configuration = new MeshConfiguration(
                 settings,
                 control.configuration(),
@@ -119,7 +125,7 @@
                 mesh,
                 () -> control.gossip().table().endpointView(),
                 this::countMembers,
-                MeshMetrics.of(new JsonDecisionLog(settings.node(), writer, System::currentTimeMillis), metrics),
+                decisionLog(),
                 DataPlaneRuntime.ofProcess());
         this.suspicions = suspicionExchange();
         this.suspicionStore = suspicionStore();
@@ -129,6 +135,16 @@
         this.loadAnnouncer = loadAnnouncer();
     }
 
+    private VersionJournal versionJournal(LongSupplier milliseconds) {
+        return new VersionJournal(
+                settings.node(), writer, metrics, this::nameOf, System::currentTimeMillis, milliseconds);
+    }
+
+    private DecisionLog decisionLog() {
+        return MeshMetrics.of(
+                new JsonDecisionLog(settings.node(), writer, versions.tracker(), System::currentTimeMillis), metrics);
+    }
+
     private SuspicionExchange suspicionExchange() {
         return new SuspicionExchange(
                 settings.locality(),
@@ -322,6 +338,7 @@
         control.startMembership(tasks);
         configuration.start(tasks, control.gossip()::advanceHeldVersion);
         tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, peerReview::run);
+        tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, this::recordNewestVersion);
         tasks.runRepeatedly(loadAnnouncer::run);
         tasks.runEvery(COMPARISON_INTERVAL_MILLISECONDS, suspicions::compareWithOne);
         tasks.runEvery(COMPARISON_INTERVAL_MILLISECONDS, conditions::compareWithOne);
@@ -333,6 +350,18 @@
 
     // -- events
 
+    /** Records the newest version that members are known to hold, also those that did not tell this node themselves. */
+    private void recordNewestVersion() {
+        control.directory()
+                .newestHolder()
+                .ifPresent(peer -> versions.record(
+                        new VersionEvent.Heard(new VersionOrigin.Advertisement(peer.address()), peer.heldVersion())));
+    }
+
+    private String nameOf(Address controlAddress) {
+        return control.directory().nameOf(controlAddress);
+    }
+
     private void compareWith(List<Address> newlyReachable) {
         suspicions.compareWith(newlyReachable);
         conditions.compareWith(newlyReachable);
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
+import org.oleanderturn.distribution.VersionListener;
 import org.oleanderturn.membership.GossipSettings;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.model.Address;
@@ -75,7 +76,8 @@
                 milliseconds,
                 GossipSettings.defaults(),
                 (election, _) -> election,
-                this::onMembersChanged);
+                this::onMembersChanged,
+                VersionListener.none());
         this.routing = new RoutingState(
                 () -> control.holder().held(), () -> control.gossip().table().endpointView(), data::updateLimits);
         this.drainController = new DrainController(
--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -13,6 +13,7 @@
 import org.oleanderturn.distribution.ConfigurationHolder;
 import org.oleanderturn.distribution.ReadinessGate;
 import org.oleanderturn.distribution.RelayRole;
+import org.oleanderturn.distribution.VersionEvent;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.DecodeFailure;
@@ -104,6 +105,7 @@
         }
         failures = 0;
         hasRead = true;
+        holder.record(new VersionEvent.StoreRead());
         if (read.get().isPresent()) {
             observe(read.get().get());
         } else if (holder.version().equals(ConfigurationVersion.none())) {
--- a/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -52,10 +52,12 @@
 
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final LogWriter writer = LogWriter.start(output);
-    private final JsonDecisionLog decisions = new JsonDecisionLog(NODE, writer, () -> 1);
+    private final VersionTracker versions = new VersionTracker(() -> 1);
+    private final JsonDecisionLog decisions = new JsonDecisionLog(NODE, writer, versions, () -> 1);
 
     @Test
     void shouldWriteTheDocumentedFieldsWhenADecisionIsRecorded() throws IOException {
+        versions.recordComparison();
         String id = requestId(false);
         decisions.record(placed(id));
         decisions.record(new Decision.AttemptFailed(
