Let a configuration plane take its two transports as interfaces

Cause: the simulated fleet asks several peers at once in tasks of its own; the plane took both transports as one ControlChannel. Change: ConfigurationPlane takes a ConfigurationTransport and a VersionReportTransport; ControlPlane passes its channel as both.

--- a/node/src/main/java/org/oleanderturn/node/ConfigurationPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ConfigurationPlane.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.oleanderturn.distribution.ConfigurationHolder;
+import org.oleanderturn.distribution.ConfigurationTransport;
 import org.oleanderturn.distribution.Disseminator;
 import org.oleanderturn.distribution.PeerDirectory;
 import org.oleanderturn.distribution.ReadinessGate;
@@ -39,7 +40,8 @@
             NodeSettings settings,
             PeerDirectory directory,
             RelayRole role,
-            ControlChannel channel,
+            ConfigurationTransport transport,
+            VersionReportTransport reportTransport,
             BooleanSupplier hasAttemptedJoin,
             LongSupplier milliseconds,
             RandomGenerator random) {
@@ -47,7 +49,7 @@
         this.disseminator = Disseminator.of(
                 holder,
                 UpdateSource.of(holder, history),
-                channel,
+                transport,
                 directory,
                 role,
                 settings.locality(),
@@ -60,7 +62,7 @@
                 holder,
                 readinessGate,
                 disseminator,
-                channel,
+                reportTransport,
                 hasAttemptedJoin,
                 split(random));
     }
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -73,7 +73,14 @@
         this.memberDiscovery = new MemberDiscovery(
                 gossip, settings.join(), new RelayDirectory(store, election, milliseconds), split(random));
         this.configuration = new ConfigurationPlane(
-                settings, directory, role, channel, memberDiscovery::hasAttemptedJoin, milliseconds, split(random));
+                settings,
+                directory,
+                role,
+                channel,
+                channel,
+                memberDiscovery::hasAttemptedJoin,
+                milliseconds,
+                split(random));
         this.headWatcher = HeadWatcher.of(
                 store,
                 election,
