Reproduce versions in force too late in a simulated fleet

Cause: versions with many routes were reported late on the grown sites, and no test had links, cores or a store that take time. The settings of simulated nodes move to a class of their own.

--- /dev/null
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationFleet.java
@@ -0,0 +1,372 @@
+package org.oleanderturn.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.oleanderturn.mesh.Decision;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Locality.Distance;
+import org.oleanderturn.proxy.HeaderField;
+
+/**
+ * A fleet of nodes in simulated time that take an operator's configuration from the platform's store and from each other,
+ * over links and cores of bounded rates, and answer requests by it. Equal seeds give equal courses. Used by one thread.
+ */
+final class ConfigurationFleet {
+    /** How long after its last disturbance a node is in touch. */
+    static final Duration STABLE_WINDOW = Duration.ofSeconds(3);
+
+    /** How long after its acknowledgement a version has to be in force. */
+    static final Duration APPLY_TIME = Duration.ofSeconds(3);
+
+    private static final Duration ZONE_DELAY = Duration.ofNanos(200_000);
+    private static final Duration REGION_DELAY = Duration.ofNanos(1_400_000);
+    private static final Duration FAR_DELAY = Duration.ofMillis(8);
+    private static final int REGION_MEGABITS = 60;
+    private static final int STORE_MEGABITS = 1_000;
+    private static final int PERCENT = 100;
+    private static final int LOST_FRAMES_PERCENT = 2;
+    private static final int LONGEST_JOIN_MILLISECONDS = 300;
+    private static final int SHORTEST_LOSS_DETECTION_MILLISECONDS = 300;
+    private static final int LONGEST_LOSS_DETECTION_MILLISECONDS = 1_500;
+    private static final long LARGE_MESSAGE_BYTES = 20_000;
+
+    /** What a machine has. */
+    record Machine(double cores, double megabitsPerSecond) {}
+
+    /** A fleet's machines: some large ones, drawn from the seed, among small ones. */
+    record Shape(int nodes, int zones, int largeNodes, Machine large, Machine small) {
+        /** Returns the machines in the order of the nodes' ids. */
+        private List<Machine> machines(Random random) {
+            List<Machine> machines = new ArrayList<>(Collections.nCopies(largeNodes, large));
+            machines.addAll(Collections.nCopies(nodes - largeNodes, small));
+            Collections.shuffle(machines, random);
+            return machines;
+        }
+    }
+
+    /** A version and the moment of its acknowledgement. */
+    record Acknowledgement(OperatorVersions.Version version, long nanoseconds) {
+        boolean isInForce(long atNanoseconds) {
+            return atNanoseconds - nanoseconds > APPLY_TIME.toNanos();
+        }
+    }
+
+    /** A node began to serve by a version. */
+    record Adoption(int host, int life, ConfigurationVersion version, long nanoseconds) {}
+
+    /** A large message on its way; the sender is empty when it is the store. */
+    record Transfer(Optional<Integer> sender, int receiver, long bytes, long sent, long arrived) {}
+
+    /** What a node answered to a request for a route, or for none; {@code isInTouch} tells whether the node was. */
+    record Probe(
+            int host,
+            int life,
+            Optional<OperatorVersions.Route> route,
+            Decision.Answered answer,
+            boolean isInTouch,
+            long nanoseconds) {}
+
+    private final SimulatedTime time = new SimulatedTime();
+    private final SimulatedTime.Life platform = new SimulatedTime.Life();
+    private final ConfigurationStore.Content store = new ConfigurationStore.Content();
+    private final SimulatedLink storeLink = new SimulatedLink(STORE_MEGABITS);
+    private final Map<Boolean, SimulatedLink> regionLinks =
+            Map.of(true, new SimulatedLink(REGION_MEGABITS), false, new SimulatedLink(REGION_MEGABITS));
+    private final Random random;
+    private final OperatorVersions operator;
+    private final List<ConfigurationHost> hosts = new ArrayList<>();
+    private final List<Acknowledgement> acknowledgements = new ArrayList<>();
+    private final Map<Long, Integer> routeCounts = new HashMap<>();
+    private final List<Adoption> adoptions = new ArrayList<>();
+    private final List<Transfer> transfers = new ArrayList<>();
+    private final List<Probe> probes = new ArrayList<>();
+    private final long[] sentBytes;
+    private boolean isLosingFrames;
+
+    /** Creates a fleet whose store holds a first version; its nodes are down. */
+    ConfigurationFleet(Shape shape, long firstVersion, int firstRoutes, long seed) {
+        random = new Random(seed);
+        operator = new OperatorVersions(seed);
+        sentBytes = new long[shape.nodes()];
+        List<Machine> machines = shape.machines(random);
+        for (int number = 0; number < shape.nodes(); number++) {
+            hosts.add(new ConfigurationHost(this, number, shape.zones(), machines.get(number)));
+        }
+        write(firstVersion, firstRoutes);
+    }
+
+    // -- queries
+
+    SimulatedTime time() {
+        return time;
+    }
+
+    /** Returns the life of what is no node. */
+    SimulatedTime.Life platform() {
+        return platform;
+    }
+
+    Random random() {
+        return random;
+    }
+
+    ConfigurationStore.Content store() {
+        return store;
+    }
+
+    ConfigurationHost host(int number) {
+        return hosts.get(number);
+    }
+
+    List<ConfigurationHost> hosts() {
+        return hosts;
+    }
+
+    ConfigurationHost hostOf(Address address) {
+        return hosts.get(SimulatedSettings.number(address));
+    }
+
+    int routeCount(ConfigurationVersion version) {
+        return routeCounts.getOrDefault(version.number(), 0);
+    }
+
+    /** Returns what has been acknowledged, in order. */
+    List<Acknowledgement> acknowledgements() {
+        return acknowledgements;
+    }
+
+    List<Probe> probes() {
+        return probes;
+    }
+
+    List<Adoption> adoptions() {
+        return adoptions;
+    }
+
+    List<Transfer> transfers() {
+        return transfers;
+    }
+
+    /** Returns the bytes that all nodes have sent to each other. */
+    long sentBytes() {
+        return Arrays.stream(sentBytes).sum();
+    }
+
+    /** Returns the newest version that was in force at all machines in touch at a moment. */
+    OperatorVersions.Version inForce(long nanoseconds) {
+        return acknowledgements.stream()
+                .filter(acknowledgement -> acknowledgement.isInForce(nanoseconds))
+                .reduce((_, newer) -> newer)
+                .orElseThrow()
+                .version();
+    }
+
+    /** Returns a duration between half the given one and one and a half of it. */
+    Duration jittered(Duration duration) {
+        return duration.dividedBy(2).plusNanos(random.nextLong(duration.toNanos()));
+    }
+
+    private boolean isInTouch(ConfigurationHost host) {
+        return host.isUndisturbedSince(time.nanoseconds() - STABLE_WINDOW.toNanos());
+    }
+
+    // -- operator
+
+    /** Writes a version, which the store acknowledges at once. */
+    void write(long number, int addedRoutes) {
+        OperatorVersions.Version version = operator.next(number, addedRoutes);
+        routeCounts.put(number, version.routes().size());
+        store.write(version);
+        acknowledgements.add(new Acknowledgement(version, time.nanoseconds()));
+    }
+
+    void recordAdoption(ConfigurationHost host, ConfigurationVersion version) {
+        adoptions.add(new Adoption(host.number(), host.life(), version, time.nanoseconds()));
+    }
+
+    // -- nodes
+
+    /** Starts all nodes within a second. */
+    void startAll() {
+        hosts.forEach(host -> time.at(Duration.ofNanos(random.nextLong(TimeUnit.SECONDS.toNanos(1))), host::startNode));
+    }
+
+    /** Stops a node as a SIGTERM does: it serves until its clients have left, and is started again later. */
+    void restart(int number, Duration departure, Duration pause) {
+        ConfigurationHost host = hosts.get(number);
+        if (host.isNodeUp()) {
+            host.beginStop();
+            time.at(departure, host::endNode);
+            time.at(departure.plus(pause), host::startNode);
+        }
+    }
+
+    /** Records that something that all nodes need is disturbed. */
+    void disturbAll() {
+        hosts.forEach(ConfigurationHost::disturb);
+    }
+
+    /** Lets the membership of all nodes notice, after a while, what has become of a host's node. */
+    void reviewLater(ConfigurationHost subject) {
+        for (ConfigurationHost other : hosts) {
+            if (other != subject) {
+                time.at(detectionDelay(subject), () -> review(other, subject));
+                time.at(detectionDelay(subject), () -> review(subject, other));
+            }
+        }
+    }
+
+    private static void review(ConfigurationHost observer, ConfigurationHost subject) {
+        observer.node().ifPresent(node -> node.see(subject.number(), subject.isNodeUp()));
+    }
+
+    private Duration detectionDelay(ConfigurationHost subject) {
+        return Duration.ofMillis(
+                subject.isNodeUp()
+                        ? random.nextInt(LONGEST_JOIN_MILLISECONDS)
+                        : random.nextInt(SHORTEST_LOSS_DETECTION_MILLISECONDS, LONGEST_LOSS_DETECTION_MILLISECONDS));
+    }
+
+    // -- links
+
+    /** Lets links lose some of the frames. */
+    void setLosingFrames(boolean losing) {
+        isLosingFrames = losing;
+        disturbAll();
+    }
+
+    Duration delay(ConfigurationHost from, ConfigurationHost to) {
+        return switch (from.settings().locality().distanceTo(to.settings().locality())) {
+            case SAME_ZONE -> ZONE_DELAY;
+            case SAME_REGION -> REGION_DELAY;
+            case OTHER_REGION -> FAR_DELAY;
+        };
+    }
+
+    /** Returns the delay between the store and a host. */
+    Duration storeDelay(ConfigurationHost host) {
+        return isInPlatformRegion(host) ? REGION_DELAY : FAR_DELAY;
+    }
+
+    /** Carries a message to another host; the action runs when its last byte has arrived. */
+    void send(ConfigurationHost sender, ConfigurationHost receiver, long bytes, Runnable onArrival) {
+        sentBytes[sender.number()] += bytes;
+        if (isLosingFrames && random.nextInt(PERCENT) < LOST_FRAMES_PERCENT) {
+            return;
+        }
+        boolean isFar =
+                sender.settings().locality().distanceTo(receiver.settings().locality()) == Distance.OTHER_REGION;
+        SimulatedLink.Passage passage = sender.uplink().carry(SimulatedLink.Passage.at(time.nanoseconds()), bytes);
+        Optional<Integer> from = Optional.of(sender.number());
+        if (isFar) {
+            SimulatedLink link = regionLinks.get(isInPlatformRegion(sender));
+            atFirstByte(
+                    passage,
+                    () -> deliver(
+                            from,
+                            receiver,
+                            bytes,
+                            link.carry(passage, bytes).plus(FAR_DELAY.toNanos()),
+                            () -> {},
+                            onArrival));
+        } else {
+            deliver(from, receiver, bytes, passage.plus(delay(sender, receiver).toNanos()), () -> {}, onArrival);
+        }
+    }
+
+    /** Carries an answer of the store to a host. */
+    void sendFromStore(ConfigurationHost receiver, long bytes, Runnable onFirstByte, Runnable onArrival) {
+        SimulatedLink.Passage passage = storeLink.carry(SimulatedLink.Passage.at(time.nanoseconds()), bytes);
+        long delay = storeDelay(receiver).toNanos();
+        if (isInPlatformRegion(receiver)) {
+            deliver(Optional.empty(), receiver, bytes, passage.plus(delay), onFirstByte, onArrival);
+        } else {
+            atFirstByte(
+                    passage,
+                    () -> deliver(
+                            Optional.empty(),
+                            receiver,
+                            bytes,
+                            regionLinks.get(true).carry(passage, bytes).plus(delay),
+                            onFirstByte,
+                            onArrival));
+        }
+    }
+
+    private void deliver(
+            Optional<Integer> sender,
+            ConfigurationHost receiver,
+            long bytes,
+            SimulatedLink.Passage arriving,
+            Runnable onFirstByte,
+            Runnable onArrival) {
+        long sent = time.nanoseconds();
+        atFirstByte(arriving, () -> {
+            SimulatedLink.Passage passage = receiver.downlink().carry(arriving, bytes);
+            atFirstByte(passage, onFirstByte);
+            if (bytes > LARGE_MESSAGE_BYTES) {
+                transfers.add(new Transfer(sender, receiver.number(), bytes, sent, passage.lastNanoseconds()));
+            }
+            time.at(Duration.ofNanos(passage.lastNanoseconds() - time.nanoseconds()), onArrival);
+        });
+    }
+
+    private void atFirstByte(SimulatedLink.Passage passage, Runnable action) {
+        time.at(Duration.ofNanos(passage.firstNanoseconds() - time.nanoseconds()), action);
+    }
+
+    private static boolean isInPlatformRegion(ConfigurationHost host) {
+        return host.settings().region().equals(host.settings().platformRegion());
+    }
+
+    // -- requests
+
+    /**
+     * Sends requests to each node that runs: about one in the given time for a route of the first version, for one of the
+     * newest in force, for the one that each version changes, and for none.
+     */
+    void probeRepeatedly(Duration interval) {
+        for (ConfigurationHost host : hosts) {
+            time.at(jittered(interval), () -> probeAndRepeat(host, interval));
+        }
+    }
+
+    private void probeAndRepeat(ConfigurationHost host, Duration interval) {
+        List<OperatorVersions.Route> routes = inForce(time.nanoseconds()).routes();
+        List<OperatorVersions.Route> first =
+                acknowledgements.getFirst().version().routes();
+        long newest = routes.getLast().version();
+        List<OperatorVersions.Route> added =
+                routes.stream().filter(route -> route.version() == newest).toList();
+        probe(host, Optional.of(first.get(random.nextInt(first.size()))));
+        probe(host, Optional.of(added.get(random.nextInt(added.size()))));
+        probe(host, Optional.of(routes.getFirst()));
+        probe(host, Optional.empty());
+        time.at(jittered(interval), () -> probeAndRepeat(host, interval));
+    }
+
+    private void probe(ConfigurationHost host, Optional<OperatorVersions.Route> route) {
+        host.node()
+                .ifPresent(node -> time.start(Duration.ZERO, node.life(), () -> {
+                    List<HeaderField> headers = List.of(
+                            HeaderField.of(
+                                    "Host",
+                                    route.map(OperatorVersions.Route::host).orElse("absent.example")),
+                            HeaderField.of("X-Oleanderturn-Attempt-Id", "p" + probes.size()),
+                            HeaderField.of("X-Oleanderturn-Deadline-Ms", 1_000));
+                    String path = route.map(OperatorVersions.Route::prefix).orElse("/absent/");
+                    Decision.Answered answer = node.answer(new SimulatedRequest("GET", path, headers, new byte[0]));
+                    probes.add(
+                            new Probe(host.number(), host.life(), route, answer, isInTouch(host), time.nanoseconds()));
+                }));
+    }
+}
--- a/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
@@ -289,8 +289,7 @@
     // -- network, for the hosts
 
     SimulatedHost hostOf(Address address) {
-        return hosts.get(
-                Integer.parseInt(address.host().substring(address.host().lastIndexOf('.') + 1)));
+        return hosts.get(SimulatedSettings.number(address));
     }
 
     boolean isConnected(SimulatedHost first, SimulatedHost second) {
--- a/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
@@ -11,15 +11,11 @@
 import java.util.logging.Logger;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.mesh.RouteIndex;
-import org.oleanderturn.model.Address;
-import org.oleanderturn.model.AvailabilityZone;
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.ConfigurationSnapshot;
-import org.oleanderturn.model.DurationText;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.NodeId;
-import org.oleanderturn.model.Region;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Response;
@@ -29,12 +25,7 @@
 
 /** A host of a {@link SimulatedFleet}: its target, and the lives of its node. Used by one task at a time. */
 final class SimulatedHost {
-    static final int TARGET_PORT = 3;
-
     private static final Logger LOGGER = Logger.getLogger("org.oleanderturn");
-    private static final int PEER_PORT = 1;
-    private static final int CONTROL_PORT = 2;
-    private static final int OTHER_PORT = 4;
 
     static {
         // Thousands of simulated nodes would each log what they learn.
@@ -56,7 +47,8 @@
     SimulatedHost(SimulatedFleet fleet, int number, int slots, ConfigurationSnapshot configuration) {
         this.fleet = fleet;
         this.number = number;
-        this.settings = settings(number);
+        this.settings = SimulatedSettings.of(
+                number, "node-" + number, SimulatedFleet.ZONES, ServiceName.of(SimulatedFleet.SERVICE));
         this.routes = RouteIndex.of(configuration);
         this.target = new SimulatedTarget(fleet, this, slots);
     }
@@ -227,34 +219,4 @@
         byte[] answer = Codec.messagePack().encode(node.orElseThrow().answer(message));
         return Frame.of(ControlChannel.FRAME_KIND, answer);
     }
-
-    // -- settings
-
-    private static NodeSettings settings(int number) {
-        String address = "10.0.0." + number;
-        Address other = Address.of(address, OTHER_PORT);
-        NodeSettings.Mesh mesh = new NodeSettings.Mesh(
-                other,
-                other,
-                DurationText.of("1500ms"),
-                DurationText.of("5s"),
-                new NodeSettings.RetryLimit(0.2, 60, DurationText.of("10s")));
-        return new NodeSettings(
-                NodeId.of("node-" + number),
-                Region.of(number % 2 == 0 ? "south" : "north"),
-                AvailabilityZone.of("zone-" + number % SimulatedFleet.ZONES),
-                Region.of("south"),
-                new NodeSettings.Listen(
-                        other, Address.of(address, PEER_PORT), Address.of(address, CONTROL_PORT), other),
-                new NodeSettings.Platform(other, 100, 1_000),
-                new NodeSettings.Target(
-                        Address.of(address, TARGET_PORT),
-                        ServiceName.of(SimulatedFleet.SERVICE),
-                        "/healthz",
-                        "/healthz"),
-                List.of(),
-                Optional.empty(),
-                Optional.empty(),
-                Optional.of(mesh));
-    }
 }
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
@@ -47,7 +47,7 @@
             response.complete(Either.left(new UpstreamFailure.Cancelled()));
             fleet.time().at(fleet.delay(host, receiver), received::disconnect);
         });
-        if (peer.port() == SimulatedHost.TARGET_PORT) {
+        if (peer.port() == SimulatedSettings.TARGET_PORT) {
             fleet.time().at(TARGET_DELAY, () -> receiver.target().receive(request, response));
         } else {
             connect(receiver, received, request, new Exchange(host, response));
@@ -83,7 +83,7 @@
     public boolean isListening(Address address, Duration timeout) {
         SimulatedHost receiver = fleet.hostOf(address);
         fleet.time().sleep(fleet.delay(host, receiver));
-        if (address.port() == SimulatedHost.TARGET_PORT) {
+        if (address.port() == SimulatedSettings.TARGET_PORT) {
             return receiver.target().isUp();
         }
         if (!fleet.isConnected(host, receiver)) {
--- /dev/null
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedTasks.java
@@ -0,0 +1,40 @@
+package org.oleanderturn.node;
+
+import java.time.Duration;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+
+/** The repeated tasks of one life of a node in simulated time. Used by one task at a time. */
+final class SimulatedTasks implements TaskRunner {
+    private final SimulatedTime time;
+    private final SimulatedTime.Life life;
+    private final Executor executor;
+
+    SimulatedTasks(SimulatedTime time, SimulatedTime.Life life) {
+        this.time = time;
+        this.life = life;
+        this.executor = new SimulatedTimers(time, life);
+    }
+
+    @Override
+    public void runEvery(long delayMilliseconds, Runnable task) {
+        runRepeatedly(() -> {
+            task.run();
+            return delayMilliseconds;
+        });
+    }
+
+    @Override
+    public void runRepeatedly(LongSupplier task) {
+        time.start(Duration.ZERO, life, () -> {
+            while (!life.isOver()) {
+                time.sleep(Duration.ofMillis(task.getAsLong()));
+            }
+        });
+    }
+
+    @Override
+    public Executor executor() {
+        return executor;
+    }
+}
