Take the headers of a simulated client from the fake operator

Cause: ConfigurationFleet named the users' platform's headers, which check-house-rules rejects. Change: it takes them from FakeOperator and replaces the host. Measured: check-house-rules names no file of the fleet.

--- a/node/src/test/java/org/oleanderturn/node/ConfigurationFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationFleet.java
@@ -357,13 +357,10 @@
     private void probe(ConfigurationHost host, Optional<OperatorVersions.Route> route) {
         host.node()
                 .ifPresent(node -> time.start(Duration.ZERO, node.life(), () -> {
-                    List<HeaderField> headers = List.of(
-                            HeaderField.of(
-                                    "Host",
-                                    route.map(OperatorVersions.Route::host).orElse("absent.example")),
-                            HeaderField.of("X-Oleanderturn-Attempt-Id", "p" + probes.size()),
-                            HeaderField.of("X-Oleanderturn-Deadline-Ms", 1_000));
-                    String path = route.map(OperatorVersions.Route::prefix).orElse("/absent/");
+                    List<HeaderField> headers = new ArrayList<>(FakeOperator.clientHeaders("p" + probes.size(), 1_000));
+            headers.removeIf(header -> header.name().equals("Host"));
+            headers.add(HeaderField.of("Host", route.map(OperatorVersions.Route::host).orElse("absent.example")));
+            String path = route.map(OperatorVersions.Route::prefix).orElse("/absent/");
                     Decision.Answered answer = node.answer(new SimulatedRequest("GET", path, headers, new byte[0]));
                     probes.add(
                             new Probe(host.number(), host.life(), route, answer, isInTouch(host), time.nanoseconds()));
