--- a/node/src/main/java/org/oleanderturn/node/ConfigurationPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ConfigurationPlane.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.oleanderturn.distribution.ConfigurationHolder;
+import org.oleanderturn.distribution.ConfigurationTransport;
 import org.oleanderturn.distribution.Disseminator;
 import org.oleanderturn.distribution.ObservedTransport;
 import org.oleanderturn.distribution.PeerDirectory;
@@ -41,7 +42,8 @@
             NodeSettings settings,
             PeerDirectory directory,
             RelayRole role,
-            ControlChannel channel,
+            ConfigurationTransport transport,
+            VersionReportTransport reportTransport,
             BooleanSupplier hasAttemptedJoin,
             VersionListener versionListener,
             LongSupplier milliseconds,
@@ -52,7 +54,7 @@
         this.disseminator = Disseminator.of(
                 holder,
                 UpdateSource.of(holder, history),
-                ObservedTransport.of(channel, versionListener, milliseconds),
+                ObservedTransport.of(transport, versionListener, milliseconds),
                 directory,
                 role,
                 settings.locality(),
@@ -65,7 +67,7 @@
                 holder,
                 readinessGate,
                 disseminator,
-                channel,
+                reportTransport,
                 hasAttemptedJoin,
                 split(random));
     }
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -79,6 +79,7 @@
                 directory,
                 role,
                 channel,
+                channel,
                 memberDiscovery::hasAttemptedJoin,
                 versionListener,
                 milliseconds,
--- a/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
@@ -10,11 +10,12 @@
 import org.oleanderturn.distribution.PeerDirectory;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.platform.FakeOperator;
 import org.oleanderturn.wire.WireFailure;
 
 final class MeshConfigurationTest {
-    private static final NodeSettings SETTINGS = SimulatedHost.settings(0);
+    private static final NodeSettings SETTINGS = SimulatedSettings.of(0, "node-0", SimulatedFleet.ZONES, ServiceName.of(SimulatedFleet.SERVICE));
     private static final PeerDirectory NOBODY = List::of;
 
     private final SimulatedTime time = new SimulatedTime();
--- a/node/src/test/java/org/oleanderturn/node/RelayCheckTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RelayCheckTest.java
@@ -16,6 +16,7 @@
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.platform.FakeOperator;
 import org.oleanderturn.platform.FakePlatformStore;
 import org.oleanderturn.platform.PlatformStore;
@@ -34,7 +35,7 @@
     private final SimulatedTime time = new SimulatedTime();
     private final ZoneLeadership leadership = ZoneLeadership.of(SELF, HERE, () -> peers);
     private final ConfigurationPlane plane = new ConfigurationPlane(
-            SimulatedHost.settings(0),
+            SimulatedSettings.of(0, "node-0", SimulatedFleet.ZONES, ServiceName.of(SimulatedFleet.SERVICE)),
             () -> peers,
             leadership,
             ControlChannel.of(
--- a/node/src/test/java/org/oleanderturn/node/SimulatedTasks.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedTasks.java
@@ -4,14 +4,16 @@
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
 
-/** Runs the repeated tasks of a simulated node until its life is over. Used by one task at a time. */
+/** The repeated tasks of one life of a node in simulated time. Used by one task at a time. */
 final class SimulatedTasks implements TaskRunner {
     private final SimulatedTime time;
     private final SimulatedTime.Life life;
+    private final Executor executor;
 
     SimulatedTasks(SimulatedTime time, SimulatedTime.Life life) {
         this.time = time;
         this.life = life;
+        this.executor = new SimulatedTimers(time, life);
     }
 
     @Override
@@ -33,6 +35,6 @@
 
     @Override
     public Executor executor() {
-        return task -> time.start(Duration.ZERO, life, task);
+        return executor;
     }
 }
--- a/node/src/test/java/org/oleanderturn/node/VersionConfirmationTest.java
+++ b/node/src/test/java/org/oleanderturn/node/VersionConfirmationTest.java
@@ -15,6 +15,7 @@
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.platform.FakeOperator;
 import org.oleanderturn.platform.FakePlatformStore;
 import org.oleanderturn.platform.PlatformStore;
@@ -22,7 +23,7 @@
 import org.oleanderturn.wire.WireFailure;
 
 final class VersionConfirmationTest {
-    private static final NodeSettings SETTINGS = SimulatedHost.settings(0);
+    private static final NodeSettings SETTINGS = SimulatedSettings.of(0, "node-0", SimulatedFleet.ZONES, ServiceName.of(SimulatedFleet.SERVICE));
     private static final Address RELAY = Address.of("127.0.0.1", 1);
     private static final ConfigurationVersion FIRST = ConfigurationVersion.of(1);
     private static final ConfigurationVersion SECOND = ConfigurationVersion.of(2);
