--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -1,12 +1,16 @@
 package org.oleanderturn.node;
 
+import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.oleanderturn.distribution.PeerDirectory;
 import org.oleanderturn.distribution.RelayRole;
 import org.oleanderturn.mesh.RouteIndex;
+import org.oleanderturn.mesh.VersionCheck;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.store.Store;
 
@@ -14,12 +18,13 @@
  * The configuration by which a node of the users' platform serves: read from the platform's store by the relay of each
  * zone, and passed on from node to node.
  *
- * <p>Thread safe.
+ * <p>Invariant: the routes are never older than the version that the node says it holds. Thread safe.
  */
 final class MeshConfiguration {
     private final ConfigurationPlane plane;
     private final OperatorConfigurationWatcher watcher;
     private final RelayCheck relayCheck;
+    private final VersionConfirmation confirmation;
     private final AtomicReference<RouteIndex> routes = new AtomicReference<>(RouteIndex.empty());
 
     MeshConfiguration(
@@ -28,13 +33,17 @@
             PeerDirectory directory,
             RelayRole role,
             Store store,
-            VersionReportTransport transport,
+            RelayTransport transport,
+            LongSupplier clockNanoseconds,
             RandomGenerator random) {
         this.plane = Objects.requireNonNull(plane, "plane is null");
-        this.relayCheck = new RelayCheck(
-                settings.node(), ZoneLeadership.of(settings.node(), settings.locality(), directory), transport);
+        plane.holder().addPreparation(snapshot -> routes.set(RouteIndex.of(snapshot)));
+        ZoneLeadership leadership = ZoneLeadership.of(settings.node(), settings.locality(), directory);
+        this.relayCheck = new RelayCheck(leadership, transport, plane.disseminator());
         this.watcher = new OperatorConfigurationWatcher(
-                store, plane.holder(), plane.readinessGate(), role, relayCheck::isAnswering, random);
+                store, plane.holder(), plane.readinessGate(), role, relayCheck::isSupplied, clockNanoseconds, random);
+        this.confirmation =
+                new VersionConfirmation(store, plane.disseminator(), watcher, relayCheck, transport, clockNanoseconds);
     }
 
     // -- queries
@@ -46,13 +55,28 @@
 
     /** Returns whether the node has a configuration that it may serve by. */
     boolean isServing() {
-        return plane.recovery().isReady() && !plane.holder().version().equals(ConfigurationVersion.none());
+        return plane.recovery().isReady() && !routes.get().isEmpty();
     }
 
     OperatorConfigurationWatcher watcher() {
         return watcher;
     }
 
+    /** Returns the check whether a version is the newest in force. */
+    VersionCheck versionCheck() {
+        return confirmation;
+    }
+
+    /** Returns how long ago a version was last confirmed as the newest; empty before the first time. */
+    Optional<Duration> confirmationAge() {
+        return confirmation.age();
+    }
+
+    /** Answers a node that asks this one as the relay of its zone. */
+    ControlMessage answer(ControlMessage.AskRelay question) {
+        return new ControlMessage.RelayAnswer(confirmation.report(question.isConfirmationNeeded()));
+    }
+
     // -- commands
 
     /**
@@ -61,7 +85,6 @@
      * @param onAdopted is told each version that the node adopts; must not block
      */
     void start(TaskRunner tasks, Consumer<ConfigurationVersion> onAdopted) {
-        plane.holder().addListener(snapshot -> routes.set(RouteIndex.of(snapshot)));
         plane.start(tasks, onAdopted, () -> {});
         tasks.runRepeatedly(watcher::runOnce);
         tasks.runRepeatedly(relayCheck::runOnce);
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -85,6 +85,7 @@
     private final ConditionExchange conditions;
     private final PeerReview peerReview;
     private final LoadAnnouncer loadAnnouncer;
+    private final TargetMessages targetMessages;
     private final List<HttpListener> listeners = new ArrayList<>();
     private FrameServer controlServer;
 
@@ -112,14 +113,7 @@
                     // A periodic task reviews the members, so the gossip protocol never calls back into the node.
                 },
                 versions);
-        this.configuration = new MeshConfiguration(
-                settings,
-                control.configuration(),
-                control.directory(),
-                control.role(),
-                rateLimitedStore,
-                channel,
-                SharedRandom.create());
+        this.configuration = meshConfiguration();
         this.data = new MeshDataPlane(
                 settings,
                 mesh,
@@ -133,6 +127,19 @@
         this.peerReview =
                 new PeerReview(() -> control.gossip().table().reachablePeers(), this::hasLeft, data, this::compareWith);
         this.loadAnnouncer = loadAnnouncer();
+        this.targetMessages = new TargetMessages(data);
+    }
+
+    private MeshConfiguration meshConfiguration() {
+        return new MeshConfiguration(
+                settings,
+                control.configuration(),
+                control.directory(),
+                control.role(),
+                rateLimitedStore,
+                channel,
+                System::nanoTime,
+                SharedRandom.create());
     }
 
     private VersionJournal versionJournal(LongSupplier milliseconds) {
@@ -142,7 +149,13 @@
 
     private DecisionLog decisionLog() {
         return MeshMetrics.of(
-                new JsonDecisionLog(settings.node(), writer, versions.tracker(), System::currentTimeMillis), metrics);
+                new JsonDecisionLog(
+                        settings.node(),
+                        writer,
+                        versions.tracker(),
+                        configuration::confirmationAge,
+                        System::currentTimeMillis),
+                metrics);
     }
 
     private SuspicionExchange suspicionExchange() {
@@ -308,7 +321,8 @@
                 .flatMap(_ -> HttpListener.start(
                         metricsAddress.host(), metricsAddress.port(), this::handleObservability, limits))
                 .peek(listeners::add)
-                .flatMap(_ -> data.listen(configuration::routes, configuration::isServing))
+                .flatMap(
+                        _ -> data.listen(configuration::routes, configuration::isServing, configuration.versionCheck()))
                 .mapLeft(MeshNode::bindFailure)
                 .map(_ -> this);
     }
@@ -324,10 +338,16 @@
                 control.recovery(),
                 drainController,
                 quarantine,
-                new TargetMessages(data)::answer,
+                this::answerOther,
                 System::currentTimeMillis);
     }
 
+    private ControlMessage answerOther(ControlMessage message) {
+        return message instanceof ControlMessage.AskRelay question
+                ? configuration.answer(question)
+                : targetMessages.answer(message);
+    }
+
     private void run() {
         data.target().onStateChange(control.gossip()::announceState);
         MeshGauges.of(metrics, control, configuration.watcher(), data, writer).register(configuration::isServing);
--- a/node/src/main/java/org/oleanderturn/node/Node.java
+++ b/node/src/main/java/org/oleanderturn/node/Node.java
@@ -78,8 +78,8 @@
                 (election, _) -> election,
                 this::onMembersChanged,
                 VersionListener.none());
-        this.routing = new RoutingState(
-                () -> control.holder().held(), () -> control.gossip().table().endpointView(), data::updateLimits);
+        this.routing = new RoutingState(() -> control.gossip().table().endpointView(), data::updateLimits);
+        control.holder().addPreparation(routing::update);
         this.drainController = new DrainController(
                 settings.node(),
                 data.monitor()::drain,
@@ -178,7 +178,6 @@
         StateMetrics.register(metrics, this::state);
         data.monitor().onStateChange(this::onTargetStateChanged);
         data.monitor().onQuarantine(this::announceQuarantine);
-        control.holder().addListener(_ -> routing.refresh());
         data.start(tasks);
         warmUp();
         control.start(tasks, this::onReady);
--- a/node/src/main/java/org/oleanderturn/node/VersionJournal.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionJournal.java
@@ -123,7 +123,7 @@
     @Override
     public void record(VersionEvent event) {
         switch (event) {
-            case VersionEvent.Heard heard -> record(heard);
+            case VersionEvent.Heard heard -> tracker.recordNews(heard.origin(), heard.version(), 0);
             case VersionEvent.StoreRead _ -> tracker.recordStoreRead();
             case VersionEvent.Offered offered -> record(offered);
             case VersionEvent.TransferFailed failed -> record(failed);
@@ -131,15 +131,7 @@
         }
     }
 
-    private void record(VersionEvent.Heard heard) {
-        if (heard.origin() instanceof VersionOrigin.Fetch) {
-            tracker.recordComparison();
-        }
-        tracker.recordNews(heard.origin(), heard.version(), 0);
-    }
-
     private void record(VersionEvent.Offered offered) {
-        tracker.recordComparison();
         switch (offered.result()) {
             case AdoptionResult.Adopted adopted -> recordAdoption(offered, adopted);
             case AdoptionResult.Rejected rejected -> recordRejection(offered, rejected);
@@ -203,7 +195,6 @@
     }
 
     private void record(VersionEvent.FetchDeferred deferred) {
-        tracker.recordComparison();
         failedTransfers.labelValues("fetch", "Busy").inc();
         Map<String, Object> fields = line("FetchDeferred");
         fields.put("peer", peerNames.apply(deferred.peer()));
