--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -47,6 +47,7 @@
     private final FrameCaller caller;
     private final Executor executor;
     private final Address self;
+    private final ConfigurationTraffic traffic = new ConfigurationTraffic();
 
     private ControlChannel(FrameCaller caller, Executor executor, Address self) {
         this.caller = caller;
@@ -67,6 +68,11 @@
         return new ControlChannel(caller, executor, self);
     }
 
+    /** Returns the counts of this channel's messages about configurations, and of the answers to them. */
+    ConfigurationTraffic traffic() {
+        return traffic;
+    }
+
     // -- membership
 
     @Override
@@ -243,10 +249,12 @@
 
     private Either<ControlFailure, ControlMessage> call(Address peer, ControlMessage message, Duration timeout) {
         byte[] payload = Codec.messagePack().encode(message);
+        traffic.addSent(message, payload.length);
         return caller.call(peer, Frame.of(FRAME_KIND, payload), timeout)
                 .mapLeft(ControlChannel::controlFailure)
                 .flatMap(frame -> Codec.messagePack()
                         .decode(frame.payload(), ControlMessage.class)
+                        .peek(answer -> traffic.addReceived(answer, frame.payload().length))
                         .mapLeft(failure -> new ControlFailure.Malformed(failure.toString())));
     }
 
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -24,6 +24,7 @@
     private final DrainController drainController;
     private final CrashQuarantine quarantine;
     private final UnaryOperator<ControlMessage> otherMessages;
+    private final ConfigurationTraffic traffic = new ConfigurationTraffic();
 
     ControlHandler(
             NodeId self,
@@ -44,12 +45,20 @@
                 self, disseminator, recovery, requester -> gossip.table().highestKnownVersion(requester), milliseconds);
     }
 
+    /** Returns the counts of other nodes' messages about configurations, and of the answers to them. */
+    ConfigurationTraffic traffic() {
+        return traffic;
+    }
+
     @Override
     public Frame handle(Frame request) {
         ControlMessage answer = Codec.messagePack()
                 .decode(request.payload(), ControlMessage.class)
+                .peek(message -> traffic.addReceived(message, request.payload().length))
                 .fold(failure -> new ControlMessage.NotUnderstood(failure.toString()), this::answer);
-        return Frame.of(ControlChannel.FRAME_KIND, Codec.messagePack().encode(answer));
+        byte[] payload = Codec.messagePack().encode(answer);
+        traffic.addSent(answer, payload.length);
+        return Frame.of(ControlChannel.FRAME_KIND, payload);
     }
 
     private ControlMessage answer(ControlMessage message) {
--- a/node/src/main/java/org/oleanderturn/node/MeshGauges.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshGauges.java
@@ -52,6 +52,18 @@
         registerTrafficGauges();
     }
 
+    /** Registers the bytes of messages about configurations that the node exchanged as a client and as a server. */
+    void registerTraffic(ConfigurationTraffic client, ConfigurationTraffic server) {
+        metrics.counter(
+                "oleanderturn_configuration_sent_bytes_total",
+                "Bytes of messages about versions of the configuration sent to other nodes.",
+                () -> client.sentBytes() + server.sentBytes());
+        metrics.counter(
+                "oleanderturn_configuration_received_bytes_total",
+                "Bytes of messages about versions of the configuration received from other nodes.",
+                () -> client.receivedBytes() + server.receivedBytes());
+    }
+
     private void registerNodeGauges(BooleanSupplier isServing) {
         metrics.gauge(
                 "oleanderturn_ready",
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -86,6 +86,7 @@
     private final PeerReview peerReview;
     private final LoadAnnouncer loadAnnouncer;
     private final TargetMessages targetMessages;
+    private final ControlHandler controlHandler;
     private final List<HttpListener> listeners = new ArrayList<>();
     private FrameServer controlServer;
 
@@ -128,6 +129,7 @@
                 new PeerReview(() -> control.gossip().table().reachablePeers(), this::hasLeft, data, this::compareWith);
         this.loadAnnouncer = loadAnnouncer();
         this.targetMessages = new TargetMessages(data);
+        this.controlHandler = controlHandler();
     }
 
     private MeshConfiguration meshConfiguration() {
@@ -302,7 +304,7 @@
 
     private Either<NodeFailure, MeshNode> listen() {
         Address address = settings.listen().control();
-        return FrameServer.start(ListenAddress.of(address), controlHandler(), WireLimits.defaults())
+        return FrameServer.start(ListenAddress.of(address), controlHandler, WireLimits.defaults())
                 .peek(server -> controlServer = server)
                 .mapLeft(failure -> (NodeFailure) new NodeFailure.BindFailed(address.toString(), failure.toString()))
                 .flatMap(_ -> listenHttp());
@@ -350,7 +352,9 @@
 
     private void run() {
         data.target().onStateChange(control.gossip()::announceState);
-        MeshGauges.of(metrics, control, configuration.watcher(), data, writer).register(configuration::isServing);
+        MeshGauges gauges = MeshGauges.of(metrics, control, configuration.watcher(), data, writer);
+        gauges.register(configuration::isServing);
+        gauges.registerTraffic(channel.traffic(), controlHandler.traffic());
         data.crashMonitor().onChange(suspicions::publish);
         data.crashMonitor().onAgreedTrial(suspicionStore::claimTrial);
         data.crashMonitor().onTrial(new SuspicionReplicator(suspicions, suspicionStore));
--- a/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -21,11 +21,13 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.distribution.VersionOrigin;
 import org.oleanderturn.mesh.Decision;
 import org.oleanderturn.mesh.GuardReply;
 import org.oleanderturn.mesh.LocalTarget;
 import org.oleanderturn.mesh.TargetReport;
 import org.oleanderturn.mesh.TargetStart;
+import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RouteName;
@@ -100,6 +102,35 @@
         assertThat(writtenLines()).hasSize(2);
     }
 
+    @Test
+    void shouldWriteWhatTheNodeKnewWhenItDeniesARequest() {
+        versions.recordHeld(VERSION);
+        versions.recordNews(
+                new VersionOrigin.Advertisement(Address.of("127.0.0.1", 1)), ConfigurationVersion.of(6), 250);
+        decisions.record(new Decision.Answered(
+                "a1",
+                503,
+                "CONFIGURATION_BEHIND",
+                0,
+                Duration.ofMillis(12),
+                Optional.of(Duration.ofMillis(400)),
+                VERSION));
+        writer.close(CLOSE_TIMEOUT_MILLISECONDS);
+        assertThat(output.toString(StandardCharsets.UTF_8))
+                .isEqualTo(
+                        "{\"attempts\":0,\"behindMilliseconds\":250,\"configuration\":4,\"confirmedMilliseconds\":300,"
+                                + "\"event\":\"Answered\",\"newest\":6,\"node\":\"node\",\"reason\":\"CONFIGURATION_BEHIND\","
+                                + "\"request\":\"a1\",\"retryAfterMilliseconds\":400,\"status\":503,\"takenMilliseconds\":12,"
+                                + "\"time\":1}\n");
+    }
+
+    @Test
+    void shouldLeaveOutWhatTheNodeKnewWhenTheTargetAnswered() throws IOException {
+        decisions.record(new Decision.Answered("a1", 404, "DELIVERED", 1, Duration.ZERO, Optional.empty(), VERSION));
+        assertThat(fields(writtenLines().getFirst()))
+                .containsExactly("status", "reason", "attempts", "takenMilliseconds", "configuration");
+    }
+
     // -- helpers
 
     /** Returns an id that is sampled, or one that is not. */
