--- a/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
@@ -36,6 +36,11 @@
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
     }
 
+    /** Returns the responses to the same request when it is routed by another version. */
+    ClientResponses withVersion(ConfigurationVersion other) {
+        return new ClientResponses(attemptId, receivedNanoseconds, other, dependencies);
+    }
+
     /** Returns a target's response to pass on to the client. */
     Response delivered(BufferedResponse response, int attempts) {
         logResponse(response.status(), Decision.Answered.DELIVERED, attempts, Optional.empty());
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -96,6 +96,7 @@
             VersionStatus status = versionCheck.check(index.snapshot().version());
             // The check may have brought a newer version.
             index = routes.get();
+            responses = responses.withVersion(index.snapshot().version());
             match = index.find(client.host(), request.method(), request.path());
             if (match.isEmpty()) {
                 return deny(status, responses);
--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -50,6 +50,8 @@
     /** The peers whose last answer said that they read compressed frames; one entry for each peer that was called. */
     private final Set<Address> compressionReaders = ConcurrentHashMap.newKeySet();
 
+    private final ConfigurationTraffic traffic = new ConfigurationTraffic();
+
     private ControlChannel(FrameCaller caller, Executor executor, Address self) {
         this.caller = caller;
         this.executor = executor;
@@ -74,6 +76,11 @@
         return executor;
     }
 
+    /** Returns the counts of this channel's messages about configurations, and of the answers to them. */
+    ConfigurationTraffic traffic() {
+        return traffic;
+    }
+
     // -- membership
 
     @Override
@@ -250,10 +257,12 @@
 
     private Either<ControlFailure, ControlMessage> call(Address peer, ControlMessage message, Duration timeout) {
         Frame request = frames.encode(message, compressionReaders.contains(peer));
+        traffic.addSent(message, request.payload().length);
         return caller.call(peer, request, timeout)
                 .mapLeft(ControlChannel::controlFailure)
                 .peek(answer -> recordReader(peer, answer))
-                .flatMap(answer -> ControlFrames.decode(answer)
+                .flatMap(frame -> ControlFrames.decode(frame)
+                        .peek(answer -> traffic.addReceived(answer, frame.payload().length))
                         .mapLeft(failure -> new ControlFailure.Malformed(failure.toString())));
     }
 
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -24,6 +24,7 @@
     private final DrainController drainController;
     private final CrashQuarantine quarantine;
     private final UnaryOperator<ControlMessage> otherMessages;
+    private final ConfigurationTraffic traffic = new ConfigurationTraffic();
 
     ControlHandler(
             NodeId self,
@@ -44,11 +45,19 @@
                 self, disseminator, recovery, requester -> gossip.table().highestKnownVersion(requester), milliseconds);
     }
 
+    /** Returns the counts of other nodes' messages about configurations, and of the answers to them. */
+    ConfigurationTraffic traffic() {
+        return traffic;
+    }
+
     @Override
     public Frame handle(Frame request) {
         ControlMessage answer = ControlFrames.decode(request)
+                .peek(message -> traffic.addReceived(message, request.payload().length))
                 .fold(failure -> new ControlMessage.NotUnderstood(failure.toString()), this::answer);
-        return frames.encode(answer, ControlFrames.readsCompressed(request));
+        Frame frame = frames.encode(answer, ControlFrames.readsCompressed(request));
+        traffic.addSent(answer, frame.payload().length);
+        return frame;
     }
 
     private ControlMessage answer(ControlMessage message) {
--- a/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
+++ b/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.oleanderturn.mesh.Decision;
 import org.oleanderturn.mesh.DecisionLog;
 import org.oleanderturn.mesh.GuardReply;
@@ -33,13 +35,27 @@
     private final NodeId node;
     private final LogWriter writer;
     private final VersionTracker versions;
+    private final Supplier<Optional<Duration>> confirmationAge;
     private final LongSupplier milliseconds;
     private final ConcurrentHashMap<String, List<TimestampedDecision>> pending = new ConcurrentHashMap<>();
 
-    JsonDecisionLog(NodeId node, LogWriter writer, VersionTracker versions, LongSupplier milliseconds) {
+    /**
+     * Creates the log of a node.
+     *
+     * @param versions knows the versions that the node has heard of
+     * @param confirmationAge returns how long ago a version was last confirmed as the newest; empty before the first time
+     * @param milliseconds the time in milliseconds since the epoch
+     */
+    JsonDecisionLog(
+            NodeId node,
+            LogWriter writer,
+            VersionTracker versions,
+            Supplier<Optional<Duration>> confirmationAge,
+            LongSupplier milliseconds) {
         this.node = Objects.requireNonNull(node, "node is null");
         this.writer = Objects.requireNonNull(writer, "writer is null");
         this.versions = Objects.requireNonNull(versions, "versions is null");
+        this.confirmationAge = Objects.requireNonNull(confirmationAge, "confirmationAge is null");
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
     }
 
@@ -174,7 +190,7 @@
         if (!answered.isDelivered()) {
             fields.put("newest", versions.newest().number());
             fields.put("behindMilliseconds", versions.behindMilliseconds());
-            versions.knowledgeAgeMilliseconds().ifPresent(age -> fields.put("knowledgeAgeMilliseconds", age));
+            confirmationAge.get().map(Duration::toMillis).ifPresent(age -> fields.put("confirmedMilliseconds", age));
         }
     }
 
--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -1,6 +1,8 @@
 package org.oleanderturn.node;
 
+import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -65,6 +67,11 @@
         return confirmation;
     }
 
+    /** Returns how long ago a version was last confirmed as the newest; empty before the first time. */
+    Optional<Duration> confirmationAge() {
+        return confirmation.age();
+    }
+
     /** Answers a node that asks this one as the relay of its zone. */
     ControlMessage answer(ControlMessage.AskRelay question) {
         return new ControlMessage.RelayAnswer(confirmation.report(question.isConfirmationNeeded()));
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -89,6 +89,7 @@
     private final PeerReview peerReview;
     private final LoadAnnouncer loadAnnouncer;
     private final TargetMessages targetMessages;
+    private final ControlHandler controlHandler;
     private final List<HttpListener> listeners = new ArrayList<>();
     private FrameServer controlServer;
 
@@ -132,6 +133,19 @@
                 new PeerReview(() -> control.gossip().table().reachablePeers(), this::hasLeft, data, this::compareWith);
         this.loadAnnouncer = loadAnnouncer();
         this.targetMessages = new TargetMessages(data);
+        this.controlHandler = controlHandler();
+    }
+
+    private MeshConfiguration meshConfiguration() {
+        return new MeshConfiguration(
+                settings,
+                control.configuration(),
+                control.directory(),
+                control.role(),
+                rateLimitedStore,
+                channel,
+                System::nanoTime,
+                SharedRandom.create());
     }
 
     private MeshConfiguration meshConfiguration() {
@@ -153,7 +167,13 @@
 
     private DecisionLog decisionLog() {
         return MeshMetrics.of(
-                new JsonDecisionLog(settings.node(), writer, versions.tracker(), System::currentTimeMillis), metrics);
+                new JsonDecisionLog(
+                        settings.node(),
+                        writer,
+                        versions.tracker(),
+                        configuration::confirmationAge,
+                        System::currentTimeMillis),
+                metrics);
     }
 
     private SuspicionExchange suspicionExchange() {
@@ -300,7 +320,7 @@
 
     private Either<NodeFailure, MeshNode> listen() {
         Address address = settings.listen().control();
-        return FrameServer.start(ListenAddress.of(address), controlHandler(), WireLimits.defaults())
+        return FrameServer.start(ListenAddress.of(address), controlHandler, WireLimits.defaults())
                 .peek(server -> controlServer = server)
                 .mapLeft(failure -> (NodeFailure) new NodeFailure.BindFailed(address.toString(), failure.toString()))
                 .flatMap(_ -> listenHttp());
@@ -348,7 +368,9 @@
 
     private void run() {
         data.target().onStateChange(control.gossip()::announceState);
-        MeshGauges.of(metrics, control, configuration.watcher(), data, writer).register(configuration::isServing);
+        MeshGauges gauges = MeshGauges.of(metrics, control, configuration.watcher(), data, writer);
+        gauges.register(configuration::isServing);
+        gauges.registerTraffic(channel.traffic(), controlHandler.traffic());
         data.crashMonitor().onChange(suspicions::publish);
         data.crashMonitor().onAgreedTrial(suspicionStore::claimTrial);
         data.crashMonitor().onTrial(new SuspicionReplicator(suspicions, suspicionStore));
--- a/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
@@ -93,6 +93,11 @@
         return new RelayReport(held, watcher.isReading(), age);
     }
 
+    /** Returns how long ago a version was last confirmed as the newest; empty before the first time. */
+    Optional<Duration> age() {
+        return last.get().map(confirmed -> Duration.ofNanos(clockNanoseconds.getAsLong() - confirmed.nanoseconds()));
+    }
+
     private Optional<Confirmation> confirmation() {
         long oldest = clockNanoseconds.getAsLong() - VALIDITY.toNanos();
         return last.get().filter(confirmed -> confirmed.nanoseconds() - oldest > 0);
--- a/node/src/main/java/org/oleanderturn/node/VersionTracker.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionTracker.java
@@ -24,7 +24,6 @@
     private ConfigurationVersion held = ConfigurationVersion.none();
     private ConfigurationVersion newest = ConfigurationVersion.none();
     private OptionalLong storeReadMilliseconds = OptionalLong.empty();
-    private OptionalLong comparedMilliseconds = OptionalLong.empty();
 
     VersionTracker(LongSupplier milliseconds) {
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
@@ -48,19 +47,9 @@
 
     /** Returns the time since the last read of the platform's store, in milliseconds; empty before the first. */
     synchronized OptionalLong storeReadAgeMilliseconds() {
-        return age(storeReadMilliseconds);
-    }
-
-    /**
-     * Returns the time since the node last read the store or compared its version with that of a peer, in milliseconds;
-     * empty before the first.
-     */
-    synchronized OptionalLong knowledgeAgeMilliseconds() {
-        return age(comparedMilliseconds);
-    }
-
-    private OptionalLong age(OptionalLong time) {
-        return time.isEmpty() ? time : OptionalLong.of(milliseconds.getAsLong() - time.getAsLong());
+        return storeReadMilliseconds.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(milliseconds.getAsLong() - storeReadMilliseconds.getAsLong());
     }
 
     // -- commands
@@ -68,12 +57,6 @@
     /** Records that the platform's store was read. */
     synchronized void recordStoreRead() {
         storeReadMilliseconds = OptionalLong.of(milliseconds.getAsLong());
-        comparedMilliseconds = storeReadMilliseconds;
-    }
-
-    /** Records that the node compared its version with that of a peer. */
-    synchronized void recordComparison() {
-        comparedMilliseconds = OptionalLong.of(milliseconds.getAsLong());
     }
 
     /** Records the news of a version that came the given time ago. */
