Hold the whole response of an exchange to its time limit

Callers saw: a target that sends a byte now and then kept an exchange busy for as long as it sent, as the read timeout began anew with every byte. The entry's deadline ends such a request, but the health check of a target and the rehearsal have none. Cause: the response timeout was the timeout of each read. Change: the reads of an exchange share one deadline, by the client's clock; a streamed body keeps its timeout for each read. EndlessResponseTest, HttpExchangeTest, GuardTest, EntryTest and RequestFaultMatrixTest pass.

--- a/proxy/src/main/java/org/oleanderturn/proxy/OutboundRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/OutboundRequest.java
@@ -15,7 +15,8 @@
  * @param body the whole body; empty if there is none
  * @param sendPolicy which connection is used, and whether the body waits for 100 (Continue)
  * @param connectTimeout the maximum wait for a pooled connection, and again for opening a new one
- * @param responseTimeout the maximum wait for the response headers, and then for each read of the body
+ * @param responseTimeout the time limit of the whole response if it is read whole; if its body is streamed, that of its
+ *     headers, and then of each read of the body
  */
 @SuppressWarnings("ArrayRecordComponent")
 public record OutboundRequest(
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
@@ -54,9 +55,11 @@
     private static final int SKIPPED_RESPONSE_LIMIT = 3;
 
     private final LaxConnPool<Address, UpstreamConnection> pool;
+    private final LongSupplier clockNanoseconds;
 
-    private UpstreamClient(LaxConnPool<Address, UpstreamConnection> pool) {
+    private UpstreamClient(LaxConnPool<Address, UpstreamConnection> pool, LongSupplier clockNanoseconds) {
         this.pool = pool;
+        this.clockNanoseconds = clockNanoseconds;
     }
 
     /**
@@ -65,8 +68,15 @@
      * @param connectionsPerPeer the maximum number of connections to one peer
      */
     public static UpstreamClient of(int connectionsPerPeer) {
+        return of(connectionsPerPeer, System::nanoTime);
+    }
+
+    /** Returns a client with an empty pool that measures the time limits of exchanges by the given clock. */
+    static UpstreamClient of(int connectionsPerPeer, LongSupplier clockNanoseconds) {
+        Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
         return new UpstreamClient(
-                new LaxConnPool<>(connectionsPerPeer, CONNECTION_TIME_TO_LIVE, PoolReusePolicy.LIFO, null, null));
+                new LaxConnPool<>(connectionsPerPeer, CONNECTION_TIME_TO_LIVE, PoolReusePolicy.LIFO, null, null),
+                clockNanoseconds);
     }
 
     // -- commands
@@ -79,7 +89,8 @@
         Objects.requireNonNull(cancellation, "cancellation is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
         return connect(peer, request)
-                .flatMap(connection -> exchange(connection, message, request, ResponseMatcher.framed(), cancellation));
+                .flatMap(connection -> exchange(connection, message, request, ResponseMatcher.framed(), cancellation))
+                .peek(response -> response.removeReadLimits(request.responseTimeout()));
     }
 
     @Override
@@ -190,7 +201,7 @@
 
     // -- exchange
 
-    private static Either<UpstreamFailure, UpstreamResponse> exchange(
+    private Either<UpstreamFailure, UpstreamResponse> exchange(
             LeasedConnection leased,
             BasicClassicHttpRequest message,
             OutboundRequest request,
@@ -199,6 +210,7 @@
         cancellation.onCancel(leased::abort);
         ExchangeProgress progress = new ExchangeProgress();
         try {
+            leased.connection().limitReads(ReceiveLimits.startingNow(request.responseTimeout(), clockNanoseconds));
             ClassicHttpResponse response = transfer(leased.connection(), message, request, matcher, progress);
             if (!ConnectionReuse.isKeepAlive(response, false) || !ResponseFraming.isFramed(response)) {
                 leased.disableReuse();
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -9,6 +9,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import java.util.Optional;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
@@ -25,6 +26,7 @@
     private static final Timeout PROBE_TIMEOUT = Timeout.ofMilliseconds(1);
 
     private final SocketChannel channel;
+    private Optional<ReceiveLimits> limits = Optional.empty();
     private volatile boolean isProbing;
     private volatile long lastUsedNanoseconds = System.nanoTime();
 
@@ -49,6 +51,17 @@
         }
     }
 
+    /** Applies the limits to all reads until they are replaced or removed. */
+    void limitReads(ReceiveLimits readLimits) {
+        limits = Optional.of(readLimits);
+    }
+
+    /** Removes the limits; the timeout then applies to each read. */
+    void removeReadLimits(Timeout readTimeout) {
+        limits = Optional.empty();
+        setSocketTimeout(readTimeout);
+    }
+
     /** Records the current time as the time of the last use. */
     void markUsed() {
         lastUsedNanoseconds = System.nanoTime();
@@ -90,6 +103,11 @@
         return count != 0;
     }
 
+    /** Rounds up, as 0 stands for no timeout. */
+    private static int timeoutMilliseconds(Duration timeout) {
+        return (int) Math.min(Integer.MAX_VALUE, timeout.plusNanos(999_999).toMillis());
+    }
+
     /** Makes reads from the socket time out immediately while the buffer is probed. */
     private final class ProbedSocketHolder extends SocketHolder {
         ProbedSocketHolder(Socket socket) {
@@ -98,13 +116,16 @@
 
         @Override
         protected InputStream getInputStream(Socket socket) throws IOException {
-            return new ProbedInputStream(super.getInputStream(socket));
+            return new ProbedInputStream(super.getInputStream(socket), socket);
         }
     }
 
     private final class ProbedInputStream extends FilterInputStream {
-        ProbedInputStream(InputStream source) {
+        private final Socket socket;
+
+        ProbedInputStream(InputStream source, Socket socket) {
             super(source);
+            this.socket = socket;
         }
 
         @Override
@@ -112,6 +133,9 @@
             if (isProbing) {
                 throw new EmptyBufferException();
             }
+            if (limits.isPresent()) {
+                socket.setSoTimeout(timeoutMilliseconds(limits.get().remaining()));
+            }
             return in.read(bytes, offset, length);
         }
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.util.Timeout;
 
 /**
  * A response from another node or from a target, whose body has not been read yet.
@@ -99,6 +101,11 @@
         connection.markResponseRead();
     }
 
+    /** Lets the body take any time, as long as each read of it ends within the timeout. */
+    void removeReadLimits(Duration readTimeout) {
+        connection.connection().removeReadLimits(Timeout.of(readTimeout));
+    }
+
     /** Closes the connection immediately unless the response has been closed. May be called by any thread. */
     void abort() {
         connection.abort();
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
@@ -0,0 +1,85 @@
+package org.oleanderturn.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests the client against targets whose bytes do not end. */
+@Timeout(60)
+class EndlessResponseTest {
+    private static final int LIMIT_BYTES = 1_000_000;
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+    private final List<AutoCloseable> closeables = new ArrayList<>();
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final AtomicLong clockNanoseconds = new AtomicLong();
+    private final UpstreamClient client = UpstreamClient.of(10, clockNanoseconds::get);
+
+    @AfterEach
+    void closeAll() throws Exception {
+        client.close();
+        for (AutoCloseable closeable : closeables) {
+            closeable.close();
+        }
+        executor.shutdownNow();
+    }
+
+    @Test
+    void shouldTimeOutWhenABodyTricklesBeyondTheTimeLimit() throws Exception {
+        EndlessTarget target = startTrickle("HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n");
+
+        assertThat(exchange(target).getLeft()).isInstanceOf(UpstreamFailure.TimedOut.class);
+        assertThat(target.awaitClosedByPeer()).isTrue();
+    }
+
+    @Test
+    void shouldTimeOutWhenAHeadTricklesBeyondTheTimeLimit() throws Exception {
+        EndlessTarget target = startTrickle("HTTP/1.1 200 OK\r\nName: ");
+
+        assertThat(exchange(target).getLeft()).isInstanceOf(UpstreamFailure.TimedOut.class);
+        assertThat(target.awaitClosedByPeer()).isTrue();
+    }
+
+    // -- helpers
+
+    private Either<UpstreamFailure, BufferedResponse> exchange(EndlessTarget target) {
+        OutboundRequest request =
+                new OutboundRequest("GET", "/path", List.of(), new byte[0], SendPolicy.POOLED, TIMEOUT, TIMEOUT);
+        ResponseMatcher matcher = ResponseMatcher.matching(headers ->
+                HeaderField.find(headers, "Id").filter(id -> !id.equals("own")).isEmpty());
+        return client.exchange(target.address(), request, matcher, LIMIT_BYTES, Cancellation.create());
+    }
+
+    /** Starts a target that sends the start, and then a byte in each second of the client's clock. */
+    private EndlessTarget startTrickle(String start) throws IOException {
+        return closeLater(EndlessTarget.start(
+                executor,
+                bytes(start),
+                () -> {
+                    clockNanoseconds.addAndGet(TimeUnit.SECONDS.toNanos(1));
+                    return new byte[] {'a'};
+                },
+                LIMIT_BYTES));
+    }
+
+    private EndlessTarget closeLater(EndlessTarget target) {
+        closeables.add(target);
+        return target;
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+}
