End an exchange whose response does not leave its head

Callers saw: informational responses without end kept an exchange busy until its client's deadline, and header lines without end were kept in memory until then; other heads without end were told as a lost answer. Cause: the headers of one head were to be limited, but HttpCore's default parser factory ignores the settings' limit on their number; nothing limited the heads of one exchange. Change: the parser gets the settings; at most 131,072 bytes are received without a byte of a body, over all heads of an exchange, and over chunk extensions and trailers. A body over its limit is ANSWER_LIMIT_BODY.

--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
@@ -120,6 +120,8 @@
                 loads.avoid(node, AVOIDANCE.toNanos());
                 yield new GuardReply.Unknown(GuardReply.Cause.GUARD_LOST, "GUARD_LOST: " + lost.reason());
             }
+            case UpstreamFailure.LimitExceeded exceeded ->
+                GuardReply.Unknown.of("GUARD_ANSWER_LIMIT_" + exceeded.limit());
             case UpstreamFailure.TimedOut _ -> new GuardReply.Unknown(GuardReply.Cause.TIMED_OUT, "GUARD_TIMED_OUT");
             case UpstreamFailure.Cancelled _ -> new GuardReply.Abandoned();
         };
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -350,6 +350,7 @@
             case UpstreamFailure.NotSent notSent ->
                 new GuardReply.NotRun(TARGET_PREFIX + notSent.cause(), false, Duration.ZERO);
             case UpstreamFailure.ResponseLost lost -> GuardReply.Unknown.of("ANSWER_LOST: " + lost.reason());
+            case UpstreamFailure.LimitExceeded exceeded -> GuardReply.Unknown.of("ANSWER_LIMIT_" + exceeded.limit());
             case UpstreamFailure.TimedOut _ -> GuardReply.Unknown.of("TIMED_OUT");
             case UpstreamFailure.Cancelled _ -> new GuardReply.Abandoned();
         };
--- a/proxy/src/main/java/org/oleanderturn/proxy/AttemptTask.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AttemptTask.java
@@ -128,7 +128,7 @@
     private static AttemptOutcome outcomeOf(UpstreamFailure failure) {
         return switch (failure) {
             case UpstreamFailure.NotSent _ -> new AttemptOutcome.NotRun(NotRunReason.CONNECT_FAILED, Duration.ZERO);
-            case UpstreamFailure.ResponseLost _ -> new AttemptOutcome.Unknown();
+            case UpstreamFailure.ResponseLost _, UpstreamFailure.LimitExceeded _ -> new AttemptOutcome.Unknown();
             case UpstreamFailure.TimedOut _ -> new AttemptOutcome.Unknown();
             case UpstreamFailure.Cancelled _ -> new AttemptOutcome.Cancelled();
         };
--- a/proxy/src/main/java/org/oleanderturn/proxy/Guard.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Guard.java
@@ -229,6 +229,10 @@
                 UnknownReason reason = hasTargetCrashed ? UnknownReason.TARGET_DIED : UnknownReason.ANSWER_LOST;
                 yield LocalReplies.unknown(reason, Optional.empty());
             }
+            case UpstreamFailure.LimitExceeded _ -> {
+                execution.end(RunOutcome.FAILED);
+                yield LocalReplies.unknown(UnknownReason.ANSWER_LOST, Optional.empty());
+            }
             case UpstreamFailure.TimedOut _ -> {
                 execution.end(RunOutcome.CANCELLED);
                 yield LocalReplies.unknown(UnknownReason.TIMED_OUT, Optional.empty());
--- a/proxy/src/main/java/org/oleanderturn/proxy/ReceiveLimits.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ReceiveLimits.java
@@ -7,11 +7,16 @@
 /**
  * Limits what is received from a peer during one exchange.
  *
- * <p>Invariant: the time limit applies to all reads together, however few bytes each of them brings. Not thread safe.
+ * <p>Invariants: the time limit applies to all reads together, however few bytes each of them brings; the bytes received
+ * without a byte of a body exceed their limit by no more than one read. Not thread safe.
  */
 final class ReceiveLimits {
+    /** Proper heads have a few thousand bytes. */
+    private static final int MAXIMUM_HEAD_BYTES = 131_072;
+
     private final LongSupplier clockNanoseconds;
     private final long deadlineNanoseconds;
+    private int bytesWithoutBody;
 
     private ReceiveLimits(LongSupplier clockNanoseconds, long deadlineNanoseconds) {
         this.clockNanoseconds = clockNanoseconds;
@@ -35,4 +40,21 @@
         }
         return Duration.ofNanos(remaining);
     }
+
+    /**
+     * Records a read of bytes, which may belong to a head, to a body or to the framing of a body.
+     *
+     * @throws ResponseLimitException if too many bytes were received since the last byte of a body
+     */
+    void recordRead(int bytes) throws ResponseLimitException {
+        bytesWithoutBody += bytes;
+        if (bytesWithoutBody > MAXIMUM_HEAD_BYTES) {
+            throw new ResponseLimitException(UpstreamFailure.Limit.HEAD);
+        }
+    }
+
+    /** Records that part of a body has been decoded. */
+    void recordBodyRead() {
+        bytesWithoutBody = 0;
+    }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/TargetMonitor.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/TargetMonitor.java
@@ -161,7 +161,8 @@
                 case UpstreamFailure.NotSent(UpstreamFailure.Cause cause, String _) ->
                     cause == UpstreamFailure.Cause.REFUSED ? ProbeResult.CONNECTION_REFUSED : ProbeResult.UNHEALTHY;
                 case UpstreamFailure.ResponseLost _ -> ProbeResult.CONNECTION_LOST;
-                case UpstreamFailure.TimedOut _, UpstreamFailure.Cancelled _ -> ProbeResult.UNHEALTHY;
+                case UpstreamFailure.LimitExceeded _, UpstreamFailure.TimedOut _, UpstreamFailure.Cancelled _ ->
+                    ProbeResult.UNHEALTHY;
             };
         }
         try (UpstreamResponse response = result.get()) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.ConnectException;
-import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
@@ -16,6 +15,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -112,14 +112,9 @@
             Optional<byte[]> body = response.readBody(limitBytes);
             return body.isPresent()
                     ? Either.right(new BufferedResponse(response.status(), response.headers(), body.get()))
-                    : Either.left(
-                            new UpstreamFailure.ResponseLost("the answer is longer than " + limitBytes + " bytes"));
-        } catch (SocketTimeoutException late) {
-            return Either.left(new UpstreamFailure.TimedOut());
+                    : Either.left(new UpstreamFailure.LimitExceeded(UpstreamFailure.Limit.BODY));
         } catch (IOException cause) {
-            return cancellation.isCancelled()
-                    ? Either.left(new UpstreamFailure.Cancelled())
-                    : Either.left(new UpstreamFailure.ResponseLost(String.valueOf(cause.getMessage())));
+            return Either.left(failureAfterSend(cause, cancellation));
         }
     }
 
@@ -282,6 +277,18 @@
         return new UpstreamFailure.NotSent(cause, String.valueOf(exception.getMessage()));
     }
 
+    private static UpstreamFailure failureAfterSend(Exception cause, Cancellation cancellation) {
+        if (cancellation.isCancelled()) {
+            return new UpstreamFailure.Cancelled();
+        }
+        return switch (cause) {
+            case InterruptedIOException _ -> new UpstreamFailure.TimedOut();
+            case ResponseLimitException exceeded -> new UpstreamFailure.LimitExceeded(exceeded.limit());
+            case MessageConstraintException _ -> new UpstreamFailure.LimitExceeded(UpstreamFailure.Limit.HEAD);
+            default -> new UpstreamFailure.ResponseLost(String.valueOf(cause.getMessage()));
+        };
+    }
+
     /** Tracks whether the peer may already have run the request. */
     private static final class ExchangeProgress {
         private boolean mayHaveRun;
@@ -290,14 +297,7 @@
             if (!mayHaveRun) {
                 return notSent(UpstreamFailure.Cause.FAILED, cause);
             }
-            if (cancellation.isCancelled()) {
-                return new UpstreamFailure.Cancelled();
-            }
-            return switch (cause) {
-                case SocketTimeoutException _ -> new UpstreamFailure.TimedOut();
-                case InterruptedIOException _ -> new UpstreamFailure.TimedOut();
-                default -> new UpstreamFailure.ResponseLost(String.valueOf(cause.getMessage()));
-            };
+            return failureAfterSend(cause, cancellation);
         }
     }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
 import org.apache.hc.core5.util.Timeout;
 import org.oleanderturn.model.Address;
@@ -31,7 +32,8 @@
     private volatile long lastUsedNanoseconds = System.nanoTime();
 
     private UpstreamConnection(Http1Config settings, SocketChannel channel) {
-        super(settings);
+        // The default parser factory ignores the limit of the settings on the number of headers.
+        super(settings, null, null, null, null, null, new DefaultHttpResponseParserFactory(settings));
         this.channel = channel;
     }
 
@@ -56,6 +58,11 @@
         limits = Optional.of(readLimits);
     }
 
+    /** Records that part of the response's body has been decoded. */
+    void recordBodyRead() {
+        limits.ifPresent(ReceiveLimits::recordBodyRead);
+    }
+
     /** Removes the limits; the timeout then applies to each read. */
     void removeReadLimits(Timeout readTimeout) {
         limits = Optional.empty();
@@ -136,7 +143,11 @@
             if (limits.isPresent()) {
                 socket.setSoTimeout(timeoutMilliseconds(limits.get().remaining()));
             }
-            return in.read(bytes, offset, length);
+            int count = in.read(bytes, offset, length);
+            if (limits.isPresent() && count > 0) {
+                limits.get().recordRead(count);
+            }
+            return count;
         }
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamExchange.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamExchange.java
@@ -16,7 +16,8 @@
      * Sends a request and reads the whole response.
      *
      * @param matcher distinguishes the response from late responses to earlier requests on the connection
-     * @param limitBytes the maximum length of the body; a response with a longer body counts as lost
+     * @param limitBytes the maximum length of the body; a longer body ends the exchange with a {@link
+     *     UpstreamFailure.LimitExceeded}
      */
     Either<UpstreamFailure, BufferedResponse> exchange(
             Address peer, OutboundRequest request, ResponseMatcher matcher, int limitBytes, Cancellation cancellation);
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
@@ -18,6 +18,17 @@
     /** The request was cancelled and may have run. */
     record Cancelled() implements UpstreamFailure {}
 
+    /** The request was sent and may have run; its response exceeded a limit, and the connection was closed. */
+    record LimitExceeded(Limit limit) implements UpstreamFailure {}
+
+    /** Which limit a response exceeded. */
+    enum Limit {
+        /** The length of a line, the number of headers, or the bytes that carry no body. */
+        HEAD,
+        /** The length of the body. */
+        BODY
+    }
+
     /** Why a request was not sent. */
     enum Cause {
         /** The connection to the peer's address was refused. */
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.proxy;
 
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -84,7 +85,7 @@
             connection.markResponseRead();
             return Optional.of(new byte[0]);
         }
-        byte[] bytes = entity.getContent().readNBytes(limitBytes + 1);
+        byte[] bytes = new RecordedInputStream(entity.getContent(), connection.connection()).readNBytes(limitBytes + 1);
         if (bytes.length > limitBytes) {
             return Optional.empty();
         }
@@ -134,4 +135,23 @@
         hasReadFailed = false;
         return count;
     }
+
+    /** Tells the connection of each read of the body, so that what comes without a body is limited. */
+    private static final class RecordedInputStream extends FilterInputStream {
+        private final UpstreamConnection connection;
+
+        RecordedInputStream(InputStream source, UpstreamConnection connection) {
+            super(source);
+            this.connection = connection;
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            int count = in.read(bytes, offset, length);
+            if (count > 0) {
+                connection.recordBodyRead();
+            }
+            return count;
+        }
+    }
 }
--- a/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
@@ -20,6 +20,7 @@
 @Timeout(60)
 class EndlessResponseTest {
     private static final int LIMIT_BYTES = 1_000_000;
+    private static final int BLOCK_BYTES = 16_384;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
     private final List<AutoCloseable> closeables = new ArrayList<>();
@@ -52,8 +53,46 @@
         assertThat(target.awaitClosedByPeer()).isTrue();
     }
 
+    @Test
+    void shouldCloseTheConnectionWhenAHeadDoesNotEnd() throws Exception {
+        String name = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+        assertHeadLimit("HTTP/1.1 200 ", "a");
+        assertHeadLimit("", "a");
+        assertHeadLimit("", "\r\n");
+        assertHeadLimit(name + "Name: ", "a");
+        assertHeadLimit(name, "Name: value\r\n");
+        assertHeadLimit(name + "Name: value\r\n", " folded\r\n");
+        assertHeadLimit(name, "Name: " + "a".repeat(7_000) + "\r\n");
+    }
+
+    @Test
+    void shouldCloseTheConnectionWhenInformationalResponsesDoNotEnd() throws Exception {
+        assertHeadLimit("", "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n");
+        assertHeadLimit("", "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    @Test
+    void shouldCloseTheConnectionWhenTheFramingOfABodyDoesNotEnd() throws Exception {
+        String chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        assertHeadLimit(chunked + "2;", "extension");
+        assertHeadLimit(chunked + "2\r\nok\r\n0\r\n", "Name: value\r\n");
+        assertHeadLimit(chunked + "2\r\nok\r\n0\r\n", "Name: " + "a".repeat(7_000) + "\r\n");
+    }
+
     // -- helpers
 
+    private void assertHeadLimit(String start, String next) throws Exception {
+        EndlessTarget target = startRepeating(start, next);
+        assertThat(exchange(target).getLeft()).isEqualTo(new UpstreamFailure.LimitExceeded(UpstreamFailure.Limit.HEAD));
+        assertThat(target.awaitClosedByPeer()).isTrue();
+    }
+
+    /** Starts a target that sends the start and then the next text again and again. */
+    private EndlessTarget startRepeating(String start, String next) throws IOException {
+        byte[] repeated = bytes(next.repeat(Math.max(1, BLOCK_BYTES / next.length())));
+        return closeLater(EndlessTarget.start(executor, bytes(start), () -> repeated));
+    }
+
     private Either<UpstreamFailure, BufferedResponse> exchange(EndlessTarget target) {
         OutboundRequest request =
                 new OutboundRequest("GET", "/path", List.of(), new byte[0], SendPolicy.POOLED, TIMEOUT, TIMEOUT);
