Limit the bytes of answers to other requests that an exchange skips

Callers saw: an answer to an earlier request whose body does not end kept the next exchange on the connection reading; since the limit on bytes without a body, a late answer of more than 131,072 bytes ended the exchange instead of being skipped. Cause: skipped answers were read to their end, whatever their length. Change: three answers and 4,000,000 bytes of bodies are skipped; more ends the exchange with LimitExceeded.SKIPPED. Measured: before, shouldCloseTheConnectionWhenTheAnswerToAnotherRequestDoesNotEnd failed with LimitExceeded[limit=HEAD]; now it passes, and so does an answer behind a late one of 600,000 bytes. EndlessResponseTest, HttpExchangeTest and RequestFaultMatrixTest pass.

--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InterruptedIOException;
 import java.net.ConnectException;
 import java.time.Duration;
@@ -18,7 +19,6 @@
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.LaxConnPool;
@@ -54,6 +54,9 @@
     /** How many responses to earlier requests are skipped before the connection is given up. */
     private static final int SKIPPED_RESPONSE_LIMIT = 3;
 
+    /** How many bytes of their bodies are skipped before the connection is given up. */
+    private static final long SKIPPED_BYTES_LIMIT = 4_000_000;
+
     private final LaxConnPool<Address, UpstreamConnection> pool;
     private final LongSupplier clockNanoseconds;
 
@@ -244,6 +247,7 @@
             UpstreamConnection connection, BasicClassicHttpRequest message, ResponseMatcher matcher)
             throws IOException, HttpException {
         int skipped = 0;
+        long skippedBytes = 0;
         while (skipped <= SKIPPED_RESPONSE_LIMIT) {
             ClassicHttpResponse response = receive(connection, message, matcher);
             if (response.getCode() < HttpStatus.SC_OK) {
@@ -252,12 +256,32 @@
             if (matcher.isMatch(response)) {
                 return response;
             }
-            EntityUtils.consume(response.getEntity());
+            skippedBytes += skipBody(connection, response, SKIPPED_BYTES_LIMIT - skippedBytes);
             skipped++;
         }
         throw new ProtocolException("only answers to other requests came");
     }
 
+    private static long skipBody(UpstreamConnection connection, ClassicHttpResponse response, long limitBytes)
+            throws IOException {
+        if (response.getEntity() == null) {
+            return 0;
+        }
+        InputStream input = response.getEntity().getContent();
+        byte[] buffer = new byte[BUFFER_BYTES];
+        long bytes = 0;
+        int count = input.read(buffer);
+        while (count >= 0) {
+            connection.recordBodyRead();
+            bytes += count;
+            if (bytes > limitBytes) {
+                throw new ResponseLimitException(UpstreamFailure.Limit.SKIPPED);
+            }
+            count = input.read(buffer);
+        }
+        return bytes;
+    }
+
     private static ClassicHttpResponse receive(
             UpstreamConnection connection, BasicClassicHttpRequest message, ResponseMatcher matcher)
             throws IOException, HttpException {
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
@@ -25,6 +25,8 @@
     enum Limit {
         /** The length of a line, the number of headers, or the bytes that carry no body. */
         HEAD,
+        /** The bytes of responses to other requests on the connection. */
+        SKIPPED,
         /** The length of the body. */
         BODY
     }
--- a/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
@@ -79,6 +79,25 @@
         assertHeadLimit(chunked + "2\r\nok\r\n0\r\n", "Name: " + "a".repeat(7_000) + "\r\n");
     }
 
+    @Test
+    void shouldCloseTheConnectionWhenTheAnswerToAnotherRequestDoesNotEnd() throws Exception {
+        EndlessTarget target =
+                startRepeating("HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n");
+
+        assertThat(exchange(target).getLeft())
+                .isEqualTo(new UpstreamFailure.LimitExceeded(UpstreamFailure.Limit.SKIPPED));
+        assertThat(target.awaitClosedByPeer()).isTrue();
+    }
+
+    @Test
+    void shouldSkipALongAnswerToAnotherRequestWhenTheOwnAnswerFollows() throws Exception {
+        int length = 600_000;
+        String late = "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: " + length + "\r\n\r\n" + "a".repeat(length);
+        EndlessTarget target = startRepeating(late + "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok", "a");
+
+        assertThat(exchange(target).get().body()).isEqualTo(bytes("ok"));
+    }
+
     // -- helpers
 
     private void assertHeadLimit(String start, String next) throws Exception {
