Hold the responses of all requests of a node to one memory budget

Callers saw: each exchange could buffer 64 MB of a body that does not end, at the guard and again at the entry, and nothing limited them together; a few at once exceed the heap of a node. Cause: the limit was that of one body. Change: the listeners for clients and for nodes share one BodyMemoryBudget, a quarter of the heap. Each request has a BodyReservation, closed after its response is written; its exchanges reserve heads and bodies before they allocate, a request a quarter of the budget at most (a whole body takes its length twice while it is joined). The gauge oleanderturn_response_bytes_held shows what is held. Bodies of requests are not in this budget.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -250,6 +250,7 @@
                 request.client(),
                 metadata,
                 remaining,
+                request.bodies(),
                 cancellation);
     }
 
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
@@ -9,6 +9,7 @@
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.proxy.BodyAllowance;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.OutboundRequest;
@@ -100,7 +101,7 @@
                 address,
                 outboundRequest(request),
                 ResponseMatcher.framed(),
-                MeshGuard.BODY_LIMIT_BYTES,
+                new BodyAllowance(MeshGuard.BODY_LIMIT_BYTES, request.bodies()),
                 request.cancellation());
         if (response.isLeft()) {
             return replyForFailure(node, response.getLeft());
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardRequest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import org.oleanderturn.proxy.BodyReservation;
 import org.oleanderturn.proxy.Cancellation;
 import org.oleanderturn.proxy.HeaderField;
 
@@ -16,6 +17,7 @@
  * @param client what the client states about its request
  * @param metadata what the entry states about the attempt
  * @param timeout how long the entry waits for the reply
+ * @param bodies what the response is reserved from
  * @param cancellation cancelled when the reply is no longer needed
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -28,6 +30,7 @@
         ClientRequestMetadata client,
         GuardRequestMetadata metadata,
         Duration timeout,
+        BodyReservation bodies,
         Cancellation cancellation) {
 
     GuardRequest {
@@ -38,6 +41,7 @@
         Objects.requireNonNull(client, "client is null");
         Objects.requireNonNull(metadata, "metadata is null");
         Objects.requireNonNull(timeout, "timeout is null");
+        Objects.requireNonNull(bodies, "bodies is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
         headers = List.copyOf(headers);
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -123,6 +123,7 @@
                 index.snapshot().version(),
                 receivedNanoseconds,
                 receivedNanoseconds + limit.toNanos(),
-                earlierWait);
+                earlierWait,
+                request.bodyReservation());
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -11,6 +11,7 @@
 import java.util.function.LongSupplier;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.RequestKind;
+import org.oleanderturn.proxy.BodyAllowance;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Cancellation;
 import org.oleanderturn.proxy.HeaderField;
@@ -174,6 +175,7 @@
                 adapter.clientMetadata(request),
                 metadata.get(),
                 metadata.get().remaining(),
+                request.bodyReservation(),
                 Cancellation.create());
         request.onPeerDisconnect(guardRequest.cancellation()::cancel);
         return GuardReplyCodec.encode(execute(guardRequest), load(), condition());
@@ -328,8 +330,9 @@
         OutboundRequest outbound = new OutboundRequest(
                 request.method(), request.path(), headers, request.body(), sendPolicy, CONNECT_TIMEOUT, remaining);
         ResponseMatcher matcher = ResponseMatcher.matching(fields -> isForAttempt(fields, request.client()));
+        BodyAllowance allowance = new BodyAllowance(BODY_LIMIT_BYTES, request.bodies());
         Either<UpstreamFailure, BufferedResponse> response =
-                client.exchange(address, outbound, matcher, BODY_LIMIT_BYTES, request.cancellation());
+                client.exchange(address, outbound, matcher, allowance, request.cancellation());
         Duration runTime = Duration.ofNanos(clockNanoseconds.getAsLong() - sentNanoseconds);
         return response.fold(this::replyForFailure, received -> {
             TargetResponseMetadata metadata = adapter.responseMetadata(received.headers());
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.proxy.BodyReservation;
 import org.oleanderturn.proxy.HeaderField;
 
 /**
@@ -19,6 +20,7 @@
  * @param receivedNanoseconds when the request arrived
  * @param deadlineNanoseconds when the client's or the route's timeout ends, whichever is first
  * @param earlierWait how long the client spent on earlier attempts
+ * @param bodies what the responses of all attempts are reserved from
  */
 @SuppressWarnings("ArrayRecordComponent")
 record MeshRequest(
@@ -33,7 +35,8 @@
         ConfigurationVersion version,
         long receivedNanoseconds,
         long deadlineNanoseconds,
-        Duration earlierWait) {
+        Duration earlierWait,
+        BodyReservation bodies) {
 
     MeshRequest {
         Objects.requireNonNull(method, "method is null");
@@ -44,6 +47,7 @@
         Objects.requireNonNull(match, "match is null");
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(version, "version is null");
+        Objects.requireNonNull(bodies, "bodies is null");
         headers = List.copyOf(headers);
     }
 
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -15,6 +15,7 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.proxy.BodyReservation;
 import org.oleanderturn.proxy.Cancellation;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.HttpListener;
@@ -150,6 +151,7 @@
                 new ClientRequestMetadata("id-1", Optional.of(TIMEOUT), "host.example"),
                 metadata,
                 TIMEOUT,
+                BodyReservation.unlimited(),
                 Cancellation.create());
     }
 }
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -27,6 +27,7 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.platform.PlatformProtocolAdapter;
+import org.oleanderturn.proxy.BodyMemoryBudget;
 import org.oleanderturn.proxy.HttpListener;
 import org.oleanderturn.proxy.ListenerFailure;
 import org.oleanderturn.proxy.ListenerLimits;
@@ -72,6 +73,7 @@
     private final IntSupplier fleetSize;
     private final DataPlaneRuntime runtime;
     private final ConcurrentHashMap<ServiceName, WindowedRetryBudget> retryBudgets = new ConcurrentHashMap<>();
+    private final BodyMemoryBudget bodyBudget = BodyMemoryBudget.ofHeapShare();
     private final TargetLoadTracker loadTracker;
     private final TargetConditions conditions = TargetConditions.empty();
     private final CrashLedger crashLedger;
@@ -171,6 +173,11 @@
         return guard.load();
     }
 
+    /** Returns the bytes that the responses of all requests, of clients and of other nodes, hold now. */
+    long heldResponseBytes() {
+        return bodyBudget.reservedBytes();
+    }
+
     /** Returns what this node has used of the retry budgets of all services together. */
     WindowedRetryBudget.Usage retryUsage() {
         int retries = 0;
@@ -219,9 +226,9 @@
                 MAXIMUM_CLIENT_LINE_BYTES,
                 MAXIMUM_CLIENT_HEADERS,
                 DISCONNECT_WATCH_DELAY);
-        return HttpListener.start(caller.host(), caller.port(), clientHandler, limits)
+        return HttpListener.start(caller.host(), caller.port(), clientHandler, limits, bodyBudget)
                 .peek(listener -> callerListener = listener)
-                .flatMap(_ -> HttpListener.start(peer.host(), peer.port(), guard, limits))
+                .flatMap(_ -> HttpListener.start(peer.host(), peer.port(), guard, limits, bodyBudget))
                 .peek(listener -> peerListener = listener)
                 .map(_ -> this);
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshGauges.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshGauges.java
@@ -117,6 +117,10 @@
                 "Retries that this node may grant in the current window, over all services.",
                 () -> data.retryUsage().limit());
         registerConditionGauges();
+        metrics.gauge(
+                "oleanderturn_response_bytes_held",
+                "Bytes of responses that are being read or written, a quarter of the heap at most.",
+                data::heldResponseBytes);
         metrics.gauge(
                 "oleanderturn_suspect_requests",
                 "Requests under which targets have ended and that have not completed since.",
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.oleanderturn.model.Address;
+import org.oleanderturn.proxy.BodyAllowance;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Cancellation;
 import org.oleanderturn.proxy.OutboundRequest;
@@ -37,7 +38,11 @@
 
     @Override
     public Either<UpstreamFailure, BufferedResponse> exchange(
-            Address peer, OutboundRequest request, ResponseMatcher matcher, int limitBytes, Cancellation cancellation) {
+            Address peer,
+            OutboundRequest request,
+            ResponseMatcher matcher,
+            BodyAllowance allowance,
+            Cancellation cancellation) {
         SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response =
                 fleet.time().pending();
         SimulatedRequest received =
--- a/proxy/src/main/java/org/oleanderturn/proxy/BodyMemoryBudget.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/BodyMemoryBudget.java
@@ -3,11 +3,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Limits the memory that the request bodies buffered by an entry take together.
+ * Limits the memory that the buffered bodies of many requests take together.
  *
  * <p>Invariant: the reserved bytes never exceed the limit. Thread safe.
  */
-final class BodyMemoryBudget {
+public final class BodyMemoryBudget {
     private static final int HEAP_DIVISOR = 4;
 
     private final long limitBytes;
@@ -18,12 +18,12 @@
     }
 
     /** Returns an unused budget with the given limit in bytes. */
-    static BodyMemoryBudget of(long limitBytes) {
+    public static BodyMemoryBudget of(long limitBytes) {
         return new BodyMemoryBudget(limitBytes);
     }
 
     /** Returns an unused budget of a quarter of the maximum heap size. */
-    static BodyMemoryBudget ofHeapShare() {
+    public static BodyMemoryBudget ofHeapShare() {
         return new BodyMemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
     }
 
@@ -33,7 +33,8 @@
         return limitBytes;
     }
 
-    long reservedBytes() {
+    /** Returns the bytes that are reserved now. */
+    public long reservedBytes() {
         return reservedBytes.get();
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -59,13 +60,18 @@
     private volatile boolean isClosed;
     private final AtomicBoolean isDraining = new AtomicBoolean();
 
-    private HttpListener(ServerSocket server, ExecutorService executor, RequestHandler handler, ListenerLimits limits) {
+    private HttpListener(
+            ServerSocket server,
+            ExecutorService executor,
+            RequestHandler handler,
+            ListenerLimits limits,
+            Supplier<BodyReservation> reservations) {
         this.server = server;
         this.executor = executor;
         this.limits = limits;
         this.service = new HttpService(
                 HttpProcessors.server(SERVER_NAME),
-                RequestHandlerAdapter.of(handler, isDraining::get),
+                RequestHandlerAdapter.of(handler, isDraining::get, reservations),
                 (request, response, context) -> ConnectionReuse.isKeepAlive(response, isDraining.get()),
                 null);
     }
@@ -78,6 +84,26 @@
      */
     public static Either<ListenerFailure, HttpListener> start(
             String host, int port, RequestHandler handler, ListenerLimits limits) {
+        return start(host, port, handler, limits, BodyReservation::unlimited);
+    }
+
+    /**
+     * Binds a socket and starts to accept connections.
+     *
+     * @param budget what the responses to all requests of the listener are reserved from
+     */
+    public static Either<ListenerFailure, HttpListener> start(
+            String host, int port, RequestHandler handler, ListenerLimits limits, BodyMemoryBudget budget) {
+        Objects.requireNonNull(budget, "budget is null");
+        return start(host, port, handler, limits, () -> BodyReservation.of(budget));
+    }
+
+    private static Either<ListenerFailure, HttpListener> start(
+            String host,
+            int port,
+            RequestHandler handler,
+            ListenerLimits limits,
+            Supplier<BodyReservation> reservations) {
         Objects.requireNonNull(handler, "handler is null");
         Objects.requireNonNull(limits, "limits is null");
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
@@ -91,7 +117,7 @@
             executor.shutdown();
             return Either.left(new ListenerFailure.BindFailed(host + ":" + port, String.valueOf(cause.getMessage())));
         }
-        HttpListener listener = new HttpListener(server, executor, handler, limits);
+        HttpListener listener = new HttpListener(server, executor, handler, limits, reservations);
         listener.executor.execute(listener::runAcceptLoop);
         if (limits.disconnectWatchDelay().isPositive()) {
             listener.executor.execute(listener::runWatchLoop);
--- a/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
@@ -41,6 +41,11 @@
      */
     Optional<byte[]> readBody(int limitBytes, Duration timeout) throws IOException;
 
+    /** Returns what the responses to this request are reserved from until its own response has been written. */
+    default BodyReservation bodyReservation() {
+        return BodyReservation.unlimited();
+    }
+
     /**
      * Runs the action once if the peer disconnects before the response has been written.
      *
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
@@ -31,16 +32,21 @@
 
     private final RequestHandler handler;
     private final BooleanSupplier isDraining;
+    private final Supplier<BodyReservation> reservations;
 
-    private RequestHandlerAdapter(RequestHandler handler, BooleanSupplier isDraining) {
+    private RequestHandlerAdapter(
+            RequestHandler handler, BooleanSupplier isDraining, Supplier<BodyReservation> reservations) {
         this.handler = handler;
         this.isDraining = isDraining;
+        this.reservations = reservations;
     }
 
-    static RequestHandlerAdapter of(RequestHandler handler, BooleanSupplier isDraining) {
+    static RequestHandlerAdapter of(
+            RequestHandler handler, BooleanSupplier isDraining, Supplier<BodyReservation> reservations) {
         Objects.requireNonNull(handler, "handler is null");
         Objects.requireNonNull(isDraining, "isDraining is null");
-        return new RequestHandlerAdapter(handler, isDraining);
+        Objects.requireNonNull(reservations, "reservations is null");
+        return new RequestHandlerAdapter(handler, isDraining, reservations);
     }
 
     @Override
@@ -48,7 +54,13 @@
             throws HttpException, IOException {
         ServerConnection serverConnection = (ServerConnection) context.getAttribute(ServerConnection.ATTRIBUTE);
         serverConnection.beginRequest();
-        HttpCoreRequest inboundRequest = new HttpCoreRequest(request, trigger, serverConnection);
+        try (BodyReservation reservation = reservations.get()) {
+            respond(new HttpCoreRequest(request, trigger, serverConnection, reservation), trigger, serverConnection);
+        }
+    }
+
+    private void respond(HttpCoreRequest inboundRequest, ResponseTrigger trigger, ServerConnection serverConnection)
+            throws HttpException, IOException {
         Response response = callHandler(inboundRequest);
         try {
             submit(response, inboundRequest, trigger, serverConnection);
@@ -118,14 +130,20 @@
         private final ClassicHttpRequest request;
         private final ResponseTrigger trigger;
         private final ServerConnection serverConnection;
+        private final BodyReservation reservation;
         private final List<HeaderField> headers;
         private boolean isContinuePending;
         private boolean isBodyRead;
 
-        HttpCoreRequest(ClassicHttpRequest request, ResponseTrigger trigger, ServerConnection serverConnection) {
+        HttpCoreRequest(
+                ClassicHttpRequest request,
+                ResponseTrigger trigger,
+                ServerConnection serverConnection,
+                BodyReservation reservation) {
             this.request = request;
             this.trigger = trigger;
             this.serverConnection = serverConnection;
+            this.reservation = reservation;
             this.headers = HeaderValues.fromMessage(request);
             Header expectation = request.getFirstHeader(HttpHeaders.EXPECT);
             this.isContinuePending =
@@ -171,6 +189,11 @@
             return body;
         }
 
+        @Override
+        public BodyReservation bodyReservation() {
+            return reservation;
+        }
+
         @Override
         public void onPeerDisconnect(Runnable action) throws IOException {
             if (!isBodyUnread()) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -7,7 +7,6 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -92,30 +91,46 @@
         Objects.requireNonNull(cancellation, "cancellation is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
         return connect(peer, request)
-                .flatMap(connection -> exchange(connection, message, request, ResponseMatcher.framed(), cancellation))
+                .flatMap(connection -> exchange(
+                        connection,
+                        message,
+                        request,
+                        ResponseMatcher.framed(),
+                        limits(request, BodyReservation.unlimited()),
+                        cancellation))
                 .peek(response -> response.removeReadLimits(request.responseTimeout()));
     }
 
     @Override
     public Either<UpstreamFailure, BufferedResponse> exchange(
-            Address peer, OutboundRequest request, ResponseMatcher matcher, int limitBytes, Cancellation cancellation) {
+            Address peer,
+            OutboundRequest request,
+            ResponseMatcher matcher,
+            BodyAllowance allowance,
+            Cancellation cancellation) {
         Objects.requireNonNull(peer, "peer is null");
         Objects.requireNonNull(request, "request is null");
         Objects.requireNonNull(matcher, "matcher is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
+        Objects.requireNonNull(allowance, "allowance is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
-        return connect(peer, request)
-                .flatMap(connection -> exchange(connection, message, request, matcher, cancellation))
-                .flatMap(response -> bufferBody(response, limitBytes, cancellation));
+        return connect(peer, request).flatMap(connection -> {
+            try (ReceiveLimits limits = limits(request, allowance.reservation())) {
+                return exchange(connection, message, request, matcher, limits, cancellation)
+                        .flatMap(response -> bufferBody(response, allowance, cancellation));
+            }
+        });
+    }
+
+    private ReceiveLimits limits(OutboundRequest request, BodyReservation reservation) {
+        return ReceiveLimits.startingNow(request.responseTimeout(), clockNanoseconds, reservation);
     }
 
     private static Either<UpstreamFailure, BufferedResponse> bufferBody(
-            UpstreamResponse response, int limitBytes, Cancellation cancellation) {
+            UpstreamResponse response, BodyAllowance allowance, Cancellation cancellation) {
         try (response) {
-            Optional<byte[]> body = response.readBody(limitBytes);
-            return body.isPresent()
-                    ? Either.right(new BufferedResponse(response.status(), response.headers(), body.get()))
-                    : Either.left(new UpstreamFailure.LimitExceeded(UpstreamFailure.Limit.BODY));
+            byte[] body = response.readBody(allowance);
+            return Either.right(new BufferedResponse(response.status(), response.headers(), body));
         } catch (IOException cause) {
             return Either.left(failureAfterSend(cause, cancellation));
         }
@@ -199,16 +214,17 @@
 
     // -- exchange
 
-    private Either<UpstreamFailure, UpstreamResponse> exchange(
+    private static Either<UpstreamFailure, UpstreamResponse> exchange(
             LeasedConnection leased,
             BasicClassicHttpRequest message,
             OutboundRequest request,
             ResponseMatcher matcher,
+            ReceiveLimits limits,
             Cancellation cancellation) {
         cancellation.onCancel(leased::abort);
         ExchangeProgress progress = new ExchangeProgress();
         try {
-            leased.connection().limitReads(ReceiveLimits.startingNow(request.responseTimeout(), clockNanoseconds));
+            leased.connection().limitReads(limits);
             ClassicHttpResponse response = transfer(leased.connection(), message, request, matcher, progress);
             if (!ConnectionReuse.isKeepAlive(response, false) || !ResponseFraming.isFramed(response)) {
                 leased.disableReuse();
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -65,6 +65,7 @@
 
     /** Removes the limits; the timeout then applies to each read. */
     void removeReadLimits(Timeout readTimeout) {
+        limits.ifPresent(ReceiveLimits::close);
         limits = Optional.empty();
         setSocketTimeout(readTimeout);
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
@@ -28,7 +28,9 @@
         /** The bytes of responses to other requests on the connection. */
         SKIPPED,
         /** The length of the body. */
-        BODY
+        BODY,
+        /** The share of one request in the memory for bodies, or that memory as a whole. */
+        MEMORY
     }
 
     /** Why a request was not sent. */
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
@@ -85,7 +85,7 @@
             connection.markResponseRead();
             return Optional.of(new byte[0]);
         }
-        byte[] bytes = new RecordedInputStream(entity.getContent(), connection.connection()).readNBytes(limitBytes + 1);
+        byte[] bytes = entity.getContent().readNBytes(limitBytes + 1);
         if (bytes.length > limitBytes) {
             return Optional.empty();
         }
@@ -93,6 +93,24 @@
         return Optional.of(bytes);
     }
 
+    /**
+     * Reads the whole body into memory that stays reserved.
+     *
+     * @throws IOException if the body ends early, a read times out or the body exceeds its allowance
+     */
+    byte[] readBody(BodyAllowance allowance) throws IOException {
+        HttpEntity entity = response.getEntity();
+        byte[] body = entity == null
+                ? new byte[0]
+                : BodyReader.read(
+                        new RecordedInputStream(entity.getContent(), connection.connection()),
+                        entity.getContentLength(),
+                        allowance.limitBytes(),
+                        allowance.reservation());
+        connection.markResponseRead();
+        return body;
+    }
+
     @Override
     public void writeTo(OutputStream output) throws IOException {
         HttpEntity entity = response.getEntity();
@@ -145,6 +163,15 @@
             this.connection = connection;
         }
 
+        @Override
+        public int read() throws IOException {
+            int next = in.read();
+            if (next >= 0) {
+                connection.recordBodyRead();
+            }
+            return next;
+        }
+
         @Override
         public int read(byte[] bytes, int offset, int length) throws IOException {
             int count = in.read(bytes, offset, length);
--- a/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -19,7 +20,8 @@
 /** Tests the client against targets whose bytes do not end. */
 @Timeout(60)
 class EndlessResponseTest {
-    private static final int LIMIT_BYTES = 1_000_000;
+    private static final int LIMIT_BYTES = 64_000_000;
+    private static final int BUDGET_BYTES = 8_000_000;
     private static final int BLOCK_BYTES = 16_384;
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
@@ -98,6 +100,60 @@
         assertThat(exchange(target).get().body()).isEqualTo(bytes("ok"));
     }
 
+    @Test
+    void shouldHoldAllExchangesToOneBudgetWhenTheirBodiesDoNotEnd() throws Exception {
+        BodyMemoryBudget budget = BodyMemoryBudget.of(BUDGET_BYTES);
+        AtomicLong highest = new AtomicLong();
+        byte[] repeated = bytes("a".repeat(BLOCK_BYTES));
+        EndlessTarget target = closeLater(EndlessTarget.start(executor, bytes("HTTP/1.1 200 OK\r\n\r\n"), () -> {
+            highest.accumulateAndGet(budget.reservedBytes(), Math::max);
+            return repeated;
+        }));
+        List<BodyReservation> reservations = new ArrayList<>();
+        List<Future<Either<UpstreamFailure, BufferedResponse>>> exchanges = new ArrayList<>();
+        for (int index = 0; index < 8; index++) {
+            BodyReservation reservation = BodyReservation.of(budget);
+            reservations.add(reservation);
+            exchanges.add(executor.submit(() -> exchange(target, reservation)));
+        }
+        for (Future<Either<UpstreamFailure, BufferedResponse>> exchange : exchanges) {
+            assertThat(exchange.get().getLeft())
+                    .isEqualTo(new UpstreamFailure.LimitExceeded(UpstreamFailure.Limit.MEMORY));
+        }
+
+        assertThat(highest.get()).isGreaterThan(0);
+        assertThat(highest.get()).isAtMost(BUDGET_BYTES);
+        assertThat(budget.reservedBytes()).isEqualTo(0);
+        assertThat(target.awaitClosedByPeer()).isTrue();
+        reservations.forEach(BodyReservation::close);
+    }
+
+    @Test
+    void shouldKeepTheBodyReservedUntilTheReservationIsClosedWhenTheAnswerIsWhole() throws Exception {
+        int length = BUDGET_BYTES / 8 - BLOCK_BYTES;
+        String body = "a".repeat(length);
+        EndlessTarget target =
+                startRepeating("HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: " + length + "\r\n\r\n" + body, "b");
+        BodyMemoryBudget budget = BodyMemoryBudget.of(BUDGET_BYTES);
+        BodyReservation reservation = BodyReservation.of(budget);
+
+        assertThat(exchange(target, reservation).get().body()).isEqualTo(bytes(body));
+        assertThat(budget.reservedBytes()).isEqualTo(length);
+        reservation.close();
+        assertThat(budget.reservedBytes()).isEqualTo(0);
+    }
+
+    @Test
+    void shouldRefuseAnAnswerAtOnceWhenNoMemoryIsLeft() throws Exception {
+        EndlessTarget target = startRepeating("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n", "a");
+        BodyMemoryBudget budget = BodyMemoryBudget.of(BUDGET_BYTES);
+        assertThat(budget.tryReserve(BUDGET_BYTES)).isTrue();
+
+        assertThat(exchange(target, BodyReservation.of(budget)).getLeft())
+                .isEqualTo(new UpstreamFailure.LimitExceeded(UpstreamFailure.Limit.MEMORY));
+        assertThat(target.awaitClosedByPeer()).isTrue();
+    }
+
     // -- helpers
 
     private void assertHeadLimit(String start, String next) throws Exception {
@@ -113,11 +169,16 @@
     }
 
     private Either<UpstreamFailure, BufferedResponse> exchange(EndlessTarget target) {
+        return exchange(target, BodyReservation.unlimited());
+    }
+
+    private Either<UpstreamFailure, BufferedResponse> exchange(EndlessTarget target, BodyReservation reservation) {
         OutboundRequest request =
                 new OutboundRequest("GET", "/path", List.of(), new byte[0], SendPolicy.POOLED, TIMEOUT, TIMEOUT);
         ResponseMatcher matcher = ResponseMatcher.matching(headers ->
                 HeaderField.find(headers, "Id").filter(id -> !id.equals("own")).isEmpty());
-        return client.exchange(target.address(), request, matcher, LIMIT_BYTES, Cancellation.create());
+        BodyAllowance allowance = new BodyAllowance(LIMIT_BYTES, reservation);
+        return client.exchange(target.address(), request, matcher, allowance, Cancellation.create());
     }
 
     /** Starts a target that sends the start, and then a byte in each second of the client's clock. */
@@ -129,7 +190,7 @@
                     clockNanoseconds.addAndGet(TimeUnit.SECONDS.toNanos(1));
                     return new byte[] {'a'};
                 },
-                LIMIT_BYTES));
+                1_000_000));
     }
 
     private EndlessTarget closeLater(EndlessTarget target) {
