Close a connection at once when bytes follow a complete answer

Callers saw: a connection whose target went on sending after a complete answer stayed in the pool, and its target blocked, until its next use or until it was idle for 8 s. Cause: bytes that were received with the answer were looked for only before the next request. Change: they are looked for when the connection is released; before the next request only the socket is checked. Measured: before, shouldCloseTheConnectionWhenBytesFollowACompleteAnswer failed, as the connection was open after 30 s; now EndlessResponseTest and RequestFaultMatrixTest pass.

--- a/proxy/src/main/java/org/oleanderturn/proxy/LeasedConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LeasedConnection.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.proxy;
 
+import java.io.IOException;
 import java.util.Objects;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.ManagedConnPool;
@@ -53,12 +54,21 @@
         }
     }
 
+    /** Returns whether no byte that belongs to no response was received after the response. */
+    private boolean isInputUsedUp() {
+        try {
+            return !connection().hasBufferedInput();
+        } catch (IOException closed) {
+            return false;
+        }
+    }
+
     @Override
     public synchronized void close() {
         if (!isOpen) {
             return;
         }
-        boolean isReusable = isReuseAllowed && isResponseRead && entry.hasConnection();
+        boolean isReusable = isReuseAllowed && isResponseRead && entry.hasConnection() && isInputUsedUp();
         if (!isReusable) {
             abort();
         }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -209,7 +209,7 @@
         UpstreamConnection connection = entry.getConnection();
         boolean isCheckSkipped =
                 sendPolicy == SendPolicy.POOLED_UNCHECKED && !connection.isIdleFor(UNCHECKED_REUSE_WINDOW);
-        return !connection.isOpen() || connection.isStale(!isCheckSkipped);
+        return !connection.isOpen() || (!isCheckSkipped && connection.hasChannelInput());
     }
 
     // -- exchange
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -80,16 +80,8 @@
         return System.nanoTime() - lastUsedNanoseconds > duration.toNanos();
     }
 
-    /**
-     * Returns whether the peer has closed the connection or sent bytes that belong to no expected response.
-     *
-     * @param checksChannel whether to check the socket channel too, and not only the bytes buffered by HttpCore
-     */
-    boolean isStale(boolean checksChannel) throws IOException {
-        return hasBufferedInput() || (checksChannel && hasChannelInput());
-    }
-
-    private boolean hasBufferedInput() throws IOException {
+    /** Returns whether bytes that have been received are buffered and unread. */
+    boolean hasBufferedInput() throws IOException {
         isProbing = true;
         try {
             return isDataAvailable(PROBE_TIMEOUT);
@@ -99,10 +91,10 @@
     }
 
     /**
-     * Returns whether the channel has input or has ended. A byte that is read is lost, but the connection is then
-     * discarded.
+     * Returns whether the peer has closed the connection or sent bytes that belong to no expected response. A byte that is
+     * read is lost, but the connection is then discarded.
      */
-    private boolean hasChannelInput() throws IOException {
+    boolean hasChannelInput() throws IOException {
         channel.configureBlocking(false);
         int count = channel.read(ByteBuffer.allocate(1));
         if (count == 0) {
--- a/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/EndlessResponseTest.java
@@ -154,6 +154,15 @@
         assertThat(target.awaitClosedByPeer()).isTrue();
     }
 
+    @Test
+    void shouldCloseTheConnectionWhenBytesFollowACompleteAnswer() throws Exception {
+        String answer = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 2\r\n\r\nok";
+        EndlessTarget target = startRepeating(answer + "a".repeat(100), "a");
+
+        assertThat(exchange(target).get().body()).isEqualTo(bytes("ok"));
+        assertThat(target.awaitClosedByPeer()).isTrue();
+    }
+
     // -- helpers
 
     private void assertHeadLimit(String start, String next) throws Exception {
