--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -2,22 +2,22 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InterruptedIOException;
 import java.net.ConnectException;
-import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.LongSupplier;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.LaxConnPool;
@@ -53,10 +53,15 @@
     /** How many responses to earlier requests are skipped before the connection is given up. */
     private static final int SKIPPED_RESPONSE_LIMIT = 3;
 
+    /** How many bytes of their bodies are skipped before the connection is given up. */
+    private static final long SKIPPED_BYTES_LIMIT = 4_000_000;
+
     private final LaxConnPool<Address, UpstreamConnection> pool;
+    private final LongSupplier clockNanoseconds;
 
-    private UpstreamClient(LaxConnPool<Address, UpstreamConnection> pool) {
+    private UpstreamClient(LaxConnPool<Address, UpstreamConnection> pool, LongSupplier clockNanoseconds) {
         this.pool = pool;
+        this.clockNanoseconds = clockNanoseconds;
     }
 
     /**
@@ -65,8 +70,15 @@
      * @param connectionsPerPeer the maximum number of connections to one peer
      */
     public static UpstreamClient of(int connectionsPerPeer) {
+        return of(connectionsPerPeer, System::nanoTime);
+    }
+
+    /** Returns a client with an empty pool that measures the time limits of exchanges by the given clock. */
+    static UpstreamClient of(int connectionsPerPeer, LongSupplier clockNanoseconds) {
+        Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
         return new UpstreamClient(
-                new LaxConnPool<>(connectionsPerPeer, CONNECTION_TIME_TO_LIVE, PoolReusePolicy.LIFO, null, null));
+                new LaxConnPool<>(connectionsPerPeer, CONNECTION_TIME_TO_LIVE, PoolReusePolicy.LIFO, null, null),
+                clockNanoseconds);
     }
 
     // -- commands
@@ -79,36 +91,48 @@
         Objects.requireNonNull(cancellation, "cancellation is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
         return connect(peer, request)
-                .flatMap(connection -> exchange(connection, message, request, ResponseMatcher.framed(), cancellation));
+                .flatMap(connection -> exchange(
+                        connection,
+                        message,
+                        request,
+                        ResponseMatcher.framed(),
+                        limits(request, BodyReservation.unlimited()),
+                        cancellation))
+                .peek(response -> response.removeReadLimits(request.responseTimeout()));
     }
 
     @Override
     public Either<UpstreamFailure, BufferedResponse> exchange(
-            Address peer, OutboundRequest request, ResponseMatcher matcher, int limitBytes, Cancellation cancellation) {
+            Address peer,
+            OutboundRequest request,
+            ResponseMatcher matcher,
+            BodyAllowance allowance,
+            Cancellation cancellation) {
         Objects.requireNonNull(peer, "peer is null");
         Objects.requireNonNull(request, "request is null");
         Objects.requireNonNull(matcher, "matcher is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
+        Objects.requireNonNull(allowance, "allowance is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
-        return connect(peer, request)
-                .flatMap(connection -> exchange(connection, message, request, matcher, cancellation))
-                .flatMap(response -> bufferBody(response, limitBytes, cancellation));
+        return connect(peer, request).flatMap(connection -> {
+            try (ReceiveLimits limits = limits(request, allowance.reservation())) {
+                return exchange(connection, message, request, matcher, limits, cancellation)
+                        .flatMap(response -> bufferBody(response, allowance, cancellation));
+            }
+        });
+    }
+
+    private ReceiveLimits limits(OutboundRequest request, BodyReservation reservation) {
+        return ReceiveLimits.startingNow(request.responseTimeout(), clockNanoseconds, reservation);
     }
 
     private static Either<UpstreamFailure, BufferedResponse> bufferBody(
-            UpstreamResponse response, int limitBytes, Cancellation cancellation) {
+            UpstreamResponse response, BodyAllowance allowance, Cancellation cancellation) {
         try (response) {
-            Optional<byte[]> body = response.readBody(limitBytes);
-            return body.isPresent()
-                    ? Either.right(new BufferedResponse(response.status(), response.headers(), body.get()))
-                    : Either.left(
-                            new UpstreamFailure.ResponseLost("the answer is longer than " + limitBytes + " bytes"));
-        } catch (SocketTimeoutException late) {
-            return Either.left(new UpstreamFailure.TimedOut());
+            byte[] body = response.readBody(allowance);
+            return Either.right(new BufferedResponse(response.status(), response.headers(), body));
         } catch (IOException cause) {
-            return cancellation.isCancelled()
-                    ? Either.left(new UpstreamFailure.Cancelled())
-                    : Either.left(new UpstreamFailure.ResponseLost(String.valueOf(cause.getMessage())));
+            return Either.left(failureAfterSend(cause, cancellation));
         }
     }
 
@@ -185,7 +209,7 @@
         UpstreamConnection connection = entry.getConnection();
         boolean isCheckSkipped =
                 sendPolicy == SendPolicy.POOLED_UNCHECKED && !connection.isIdleFor(UNCHECKED_REUSE_WINDOW);
-        return !connection.isOpen() || connection.isStale(!isCheckSkipped);
+        return !connection.isOpen() || (!isCheckSkipped && connection.hasChannelInput());
     }
 
     // -- exchange
@@ -195,10 +219,12 @@
             BasicClassicHttpRequest message,
             OutboundRequest request,
             ResponseMatcher matcher,
+            ReceiveLimits limits,
             Cancellation cancellation) {
         cancellation.onCancel(leased::abort);
         ExchangeProgress progress = new ExchangeProgress();
         try {
+            leased.connection().limitReads(limits);
             ClassicHttpResponse response = transfer(leased.connection(), message, request, matcher, progress);
             if (!ConnectionReuse.isKeepAlive(response, false) || !ResponseFraming.isFramed(response)) {
                 leased.disableReuse();
@@ -237,6 +263,7 @@
             UpstreamConnection connection, BasicClassicHttpRequest message, ResponseMatcher matcher)
             throws IOException, HttpException {
         int skipped = 0;
+        long skippedBytes = 0;
         while (skipped <= SKIPPED_RESPONSE_LIMIT) {
             ClassicHttpResponse response = receive(connection, message, matcher);
             if (response.getCode() < HttpStatus.SC_OK) {
@@ -245,12 +272,32 @@
             if (matcher.isMatch(response)) {
                 return response;
             }
-            EntityUtils.consume(response.getEntity());
+            skippedBytes += skipBody(connection, response, SKIPPED_BYTES_LIMIT - skippedBytes);
             skipped++;
         }
         throw new ProtocolException("only answers to other requests came");
     }
 
+    private static long skipBody(UpstreamConnection connection, ClassicHttpResponse response, long limitBytes)
+            throws IOException {
+        if (response.getEntity() == null) {
+            return 0;
+        }
+        InputStream input = response.getEntity().getContent();
+        byte[] buffer = new byte[BUFFER_BYTES];
+        long bytes = 0;
+        int count = input.read(buffer);
+        while (count >= 0) {
+            connection.recordBodyRead();
+            bytes += count;
+            if (bytes > limitBytes) {
+                throw new ResponseLimitException(UpstreamFailure.Limit.SKIPPED);
+            }
+            count = input.read(buffer);
+        }
+        return bytes;
+    }
+
     private static ClassicHttpResponse receive(
             UpstreamConnection connection, BasicClassicHttpRequest message, ResponseMatcher matcher)
             throws IOException, HttpException {
@@ -270,6 +317,18 @@
         return new UpstreamFailure.NotSent(cause, String.valueOf(exception.getMessage()));
     }
 
+    private static UpstreamFailure failureAfterSend(Exception cause, Cancellation cancellation) {
+        if (cancellation.isCancelled()) {
+            return new UpstreamFailure.Cancelled();
+        }
+        return switch (cause) {
+            case InterruptedIOException _ -> new UpstreamFailure.TimedOut();
+            case ResponseLimitException exceeded -> new UpstreamFailure.LimitExceeded(exceeded.limit());
+            case MessageConstraintException _ -> new UpstreamFailure.LimitExceeded(UpstreamFailure.Limit.HEAD);
+            default -> new UpstreamFailure.ResponseLost(String.valueOf(cause.getMessage()));
+        };
+    }
+
     /** Tracks whether the peer may already have run the request. */
     private static final class ExchangeProgress {
         private boolean mayHaveRun;
@@ -278,14 +337,7 @@
             if (!mayHaveRun) {
                 return notSent(UpstreamFailure.Cause.FAILED, cause);
             }
-            if (cancellation.isCancelled()) {
-                return new UpstreamFailure.Cancelled();
-            }
-            return switch (cause) {
-                case SocketTimeoutException _ -> new UpstreamFailure.TimedOut();
-                case InterruptedIOException _ -> new UpstreamFailure.TimedOut();
-                default -> new UpstreamFailure.ResponseLost(String.valueOf(cause.getMessage()));
-            };
+            return failureAfterSend(cause, cancellation);
         }
     }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -9,8 +9,10 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import java.util.Optional;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
 import org.apache.hc.core5.util.Timeout;
 import org.oleanderturn.model.Address;
@@ -25,11 +27,13 @@
     private static final Timeout PROBE_TIMEOUT = Timeout.ofMilliseconds(1);
 
     private final SocketChannel channel;
+    private Optional<ReceiveLimits> limits = Optional.empty();
     private volatile boolean isProbing;
     private volatile long lastUsedNanoseconds = System.nanoTime();
 
     private UpstreamConnection(Http1Config settings, SocketChannel channel) {
-        super(settings);
+        // The default parser factory ignores the limit of the settings on the number of headers.
+        super(settings, null, null, null, null, null, new DefaultHttpResponseParserFactory(settings));
         this.channel = channel;
     }
 
@@ -49,6 +53,23 @@
         }
     }
 
+    /** Applies the limits to all reads until they are replaced or removed. */
+    void limitReads(ReceiveLimits readLimits) {
+        limits = Optional.of(readLimits);
+    }
+
+    /** Records that part of the response's body has been decoded. */
+    void recordBodyRead() {
+        limits.ifPresent(ReceiveLimits::recordBodyRead);
+    }
+
+    /** Removes the limits; the timeout then applies to each read. */
+    void removeReadLimits(Timeout readTimeout) {
+        limits.ifPresent(ReceiveLimits::close);
+        limits = Optional.empty();
+        setSocketTimeout(readTimeout);
+    }
+
     /** Records the current time as the time of the last use. */
     void markUsed() {
         lastUsedNanoseconds = System.nanoTime();
@@ -59,16 +80,8 @@
         return System.nanoTime() - lastUsedNanoseconds > duration.toNanos();
     }
 
-    /**
-     * Returns whether the peer has closed the connection or sent bytes that belong to no expected response.
-     *
-     * @param checksChannel whether to check the socket channel too, and not only the bytes buffered by HttpCore
-     */
-    boolean isStale(boolean checksChannel) throws IOException {
-        return hasBufferedInput() || (checksChannel && hasChannelInput());
-    }
-
-    private boolean hasBufferedInput() throws IOException {
+    /** Returns whether bytes that have been received are buffered and unread. */
+    boolean hasBufferedInput() throws IOException {
         isProbing = true;
         try {
             return isDataAvailable(PROBE_TIMEOUT);
@@ -78,10 +91,10 @@
     }
 
     /**
-     * Returns whether the channel has input or has ended. A byte that is read is lost, but the connection is then
-     * discarded.
+     * Returns whether the peer has closed the connection or sent bytes that belong to no expected response. A byte that is
+     * read is lost, but the connection is then discarded.
      */
-    private boolean hasChannelInput() throws IOException {
+    boolean hasChannelInput() throws IOException {
         channel.configureBlocking(false);
         int count = channel.read(ByteBuffer.allocate(1));
         if (count == 0) {
@@ -90,6 +103,11 @@
         return count != 0;
     }
 
+    /** Rounds up, as 0 stands for no timeout. */
+    private static int timeoutMilliseconds(Duration timeout) {
+        return (int) Math.min(Integer.MAX_VALUE, timeout.plusNanos(999_999).toMillis());
+    }
+
     /** Makes reads from the socket time out immediately while the buffer is probed. */
     private final class ProbedSocketHolder extends SocketHolder {
         ProbedSocketHolder(Socket socket) {
@@ -98,13 +116,16 @@
 
         @Override
         protected InputStream getInputStream(Socket socket) throws IOException {
-            return new ProbedInputStream(super.getInputStream(socket));
+            return new ProbedInputStream(super.getInputStream(socket), socket);
         }
     }
 
     private final class ProbedInputStream extends FilterInputStream {
-        ProbedInputStream(InputStream source) {
+        private final Socket socket;
+
+        ProbedInputStream(InputStream source, Socket socket) {
             super(source);
+            this.socket = socket;
         }
 
         @Override
@@ -112,7 +133,14 @@
             if (isProbing) {
                 throw new EmptyBufferException();
             }
-            return in.read(bytes, offset, length);
+            if (limits.isPresent()) {
+                socket.setSoTimeout(timeoutMilliseconds(limits.get().remaining()));
+            }
+            int count = in.read(bytes, offset, length);
+            if (limits.isPresent() && count > 0) {
+                limits.get().recordRead(count);
+            }
+            return count;
         }
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
@@ -18,6 +18,21 @@
     /** The request was cancelled and may have run. */
     record Cancelled() implements UpstreamFailure {}
 
+    /** The request was sent and may have run; its response exceeded a limit, and the connection was closed. */
+    record LimitExceeded(Limit limit) implements UpstreamFailure {}
+
+    /** Which limit a response exceeded. */
+    enum Limit {
+        /** The length of a line, the number of headers, or the bytes that carry no body. */
+        HEAD,
+        /** The bytes of responses to other requests on the connection. */
+        SKIPPED,
+        /** The length of the body. */
+        BODY,
+        /** The share of one request in the memory for bodies, or that memory as a whole. */
+        MEMORY
+    }
+
     /** Why a request was not sent. */
     enum Cause {
         /** The connection to the peer's address was refused. */
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
@@ -1,14 +1,17 @@
 package org.oleanderturn.proxy;
 
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.util.Timeout;
 
 /**
  * A response from another node or from a target, whose body has not been read yet.
@@ -90,6 +93,24 @@
         return Optional.of(bytes);
     }
 
+    /**
+     * Reads the whole body into memory that stays reserved.
+     *
+     * @throws IOException if the body ends early, a read times out or the body exceeds its allowance
+     */
+    byte[] readBody(BodyAllowance allowance) throws IOException {
+        HttpEntity entity = response.getEntity();
+        byte[] body = entity == null
+                ? new byte[0]
+                : BodyReader.read(
+                        new RecordedInputStream(entity.getContent(), connection.connection()),
+                        entity.getContentLength(),
+                        allowance.limitBytes(),
+                        allowance.reservation());
+        connection.markResponseRead();
+        return body;
+    }
+
     @Override
     public void writeTo(OutputStream output) throws IOException {
         HttpEntity entity = response.getEntity();
@@ -99,6 +120,11 @@
         connection.markResponseRead();
     }
 
+    /** Lets the body take any time, as long as each read of it ends within the timeout. */
+    void removeReadLimits(Duration readTimeout) {
+        connection.connection().removeReadLimits(Timeout.of(readTimeout));
+    }
+
     /** Closes the connection immediately unless the response has been closed. May be called by any thread. */
     void abort() {
         connection.abort();
@@ -127,4 +153,32 @@
         hasReadFailed = false;
         return count;
     }
+
+    /** Tells the connection of each read of the body, so that what comes without a body is limited. */
+    private static final class RecordedInputStream extends FilterInputStream {
+        private final UpstreamConnection connection;
+
+        RecordedInputStream(InputStream source, UpstreamConnection connection) {
+            super(source);
+            this.connection = connection;
+        }
+
+        @Override
+        public int read() throws IOException {
+            int next = in.read();
+            if (next >= 0) {
+                connection.recordBodyRead();
+            }
+            return next;
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            int count = in.read(bytes, offset, length);
+            if (count > 0) {
+                connection.recordBodyRead();
+            }
+            return count;
+        }
+    }
 }
