Measure what one version of the configuration costs at a node

Cause: nobody could say what a version of some thousand routes costs a relay or another node, in processor time or bytes.

--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchExperiments.java
@@ -14,6 +14,8 @@
             new BenchStoreCalls(),
             new BenchPaidLink(),
             new BenchControlCost(),
+            new BenchVersionCost(),
+            new BenchVersionMessages(),
             new TwoHopBenchmark(),
             new TrafficOverloadBenchmark(),
             new TrafficDownloadBenchmark(),
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchFleet.java
@@ -158,13 +158,22 @@
     }
 
     /**
-     * Proposes the next change at a node, repeats the proposal while it is refused, and returns the accepted version.
+     * Proposes the next change at a node and returns the accepted version.
      *
      * @throws IllegalStateException if the change was not accepted
      */
     ConfigurationVersion proposeChange(ControlNode node) {
         Proposal proposal = BenchConfiguration.proposal(changes);
         changes++;
+        return propose(node, proposal);
+    }
+
+    /**
+     * Sends a proposal to a node, repeats it while it is refused, and returns the accepted version.
+     *
+     * @throws IllegalStateException if the proposal was not accepted
+     */
+    ConfigurationVersion propose(ControlNode node, Proposal proposal) {
         ChangeOutcome outcome = node.propose(proposal);
         for (int attempt = 1; attempt < PROPOSAL_ATTEMPTS && outcome instanceof ChangeOutcome.Refused; attempt++) {
             BenchClock.pause(PROPOSAL_RETRY_DELAY_MILLISECONDS);
@@ -234,7 +243,7 @@
         StoreSettings storeSettings = StoreSettings.of(store.address())
                 .withTimeouts(Duration.ofMillis(500), Duration.ofMillis(STORE_TIMEOUT_MILLISECONDS));
         BenchStore nodeStore = new BenchStore(HttpStore.of(storeSettings), settings.locality(), network);
-        return ControlNode.start(settings, nodeStore, caller -> network.callerFrom(settings.locality(), caller))
+        return ControlNode.start(settings, nodeStore, caller -> network.callerFrom(addresses.get(index), caller))
                 .map(node -> new Member(node, nodeStore, true))
                 .peekLeft(_ -> nodeStore.close());
     }
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchNetwork.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchNetwork.java
@@ -28,6 +28,7 @@
     private final LongAdder crossRegionDeltas = new LongAdder();
     private final LongAdder crossRegionSnapshots = new LongAdder();
     private final LongAdder snapshots = new LongAdder();
+    private final BenchVersionTraffic versionTraffic = new BenchVersionTraffic();
 
     void setLocality(Address address, Locality locality) {
         localities.put(address, locality);
@@ -51,6 +52,10 @@
         return crossRegionSnapshots.sum();
     }
 
+    BenchVersionTraffic versionTraffic() {
+        return versionTraffic;
+    }
+
     /** Returns the number of whole configurations sent between nodes, within and across regions. */
     long snapshots() {
         return snapshots.sum();
@@ -66,13 +71,14 @@
         isolated.set(Optional.empty());
     }
 
-    /** Wraps the calls of a node in the given locality. */
-    FrameCaller callerFrom(Locality self, FrameCaller caller) {
+    /** Wraps the calls of the node with the given address. */
+    FrameCaller callerFrom(Address self, FrameCaller caller) {
         return (peer, request, timeout) -> call(self, caller, peer, request, timeout);
     }
 
     private Either<WireFailure, Frame> call(
-            Locality self, FrameCaller caller, Address peer, Frame request, Duration timeout) {
+            Address address, FrameCaller caller, Address peer, Frame request, Duration timeout) {
+        Locality self = localities.get(address);
         Locality other = localities.get(peer);
         if (isPartitioned(self, other)) {
             BenchClock.pause((double) timeout.toMillis());
@@ -81,8 +87,12 @@
         double oneWay = BenchLocalities.oneWayDelayMilliseconds(self, other);
         BenchClock.pause(oneWay);
         count(self, other, request);
+        versionTraffic.record(address, peer, request);
         Either<WireFailure, Frame> response = caller.call(peer, request, timeout);
-        response.peek(frame -> count(self, other, frame));
+        response.peek(frame -> {
+            count(self, other, frame);
+            versionTraffic.record(peer, address, frame);
+        });
         BenchClock.pause(oneWay);
         if (isPartitioned(self, other)) {
             return Either.left(new WireFailure.AnswerLost(peer, "locality is isolated"));
