Compute deltas by walking lists that are sorted by name

Cause: a delta hashed every object and every name of both versions, for each peer that it was pushed to.

--- a/model/src/main/java/org/oleanderturn/model/ConfigurationDelta.java
+++ b/model/src/main/java/org/oleanderturn/model/ConfigurationDelta.java
@@ -3,11 +3,9 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.function.Function;
 
 /**
@@ -52,9 +50,9 @@
         Configuration before = from.configuration();
         Configuration after = to.configuration();
         Configuration changed = Configuration.of(
-                added(before.services(), after.services()),
-                added(before.routes(), after.routes()),
-                added(before.trafficPolicies(), after.trafficPolicies()));
+                added(before.services(), after.services(), Service::name),
+                added(before.routes(), after.routes(), Route::name),
+                added(before.trafficPolicies(), after.trafficPolicies(), TrafficPolicy::name));
         return new ConfigurationDelta(
                 from.version(),
                 from.digest(),
@@ -92,14 +90,55 @@
         return base.equals(result);
     }
 
-    private static <T> List<T> added(List<T> before, List<T> after) {
-        Set<T> existing = new HashSet<>(before);
-        return after.stream().filter(object -> !existing.contains(object)).toList();
+    /** Returns the objects of the second list that the first does not contain; both lists are sorted by name. */
+    private static <T, N extends Comparable<N>> List<T> added(List<T> before, List<T> after, Function<T, N> nameOf) {
+        List<T> added = new ArrayList<>();
+        int position = 0;
+        for (T object : after) {
+            N name = nameOf.apply(object);
+            position = firstFrom(before, position, name, nameOf);
+            if (!containsFrom(before, position, object, nameOf)) {
+                added.add(object);
+            }
+        }
+        return added;
+    }
+
+    /** Returns whether a list that is sorted by name contains an object, of whose name the first is at the position. */
+    private static <T, N> boolean containsFrom(List<T> sorted, int position, T object, Function<T, N> nameOf) {
+        N name = nameOf.apply(object);
+        for (int index = position;
+                index < sorted.size() && nameOf.apply(sorted.get(index)).equals(name);
+                index++) {
+            if (sorted.get(index).equals(object)) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    private static <T, N> List<N> removed(List<T> before, List<T> after, Function<T, N> nameOf) {
-        Set<N> kept = new HashSet<>(after.stream().map(nameOf).toList());
-        return before.stream().map(nameOf).filter(name -> !kept.contains(name)).toList();
+    /** Returns the names in the first list that the second does not contain; both lists are sorted by name. */
+    private static <T, N extends Comparable<N>> List<N> removed(List<T> before, List<T> after, Function<T, N> nameOf) {
+        List<N> removed = new ArrayList<>();
+        int position = 0;
+        for (T object : before) {
+            N name = nameOf.apply(object);
+            position = firstFrom(after, position, name, nameOf);
+            if (position == after.size() || !nameOf.apply(after.get(position)).equals(name)) {
+                removed.add(name);
+            }
+        }
+        return removed;
+    }
+
+    /** Returns the first position, at or after the given one, of an object whose name is not less than the given one. */
+    private static <T, N extends Comparable<N>> int firstFrom(
+            List<T> sorted, int position, N name, Function<T, N> nameOf) {
+        int first = position;
+        while (first < sorted.size() && nameOf.apply(sorted.get(first)).compareTo(name) < 0) {
+            first++;
+        }
+        return first;
     }
 
     private static <T, N> List<T> merge(List<T> before, List<T> changed, List<N> removed, Function<T, N> nameOf) {
--- a/model/src/test/java/org/oleanderturn/model/ConfigurationDeltaTest.java
+++ b/model/src/test/java/org/oleanderturn/model/ConfigurationDeltaTest.java
@@ -4,8 +4,12 @@
 
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationDeltaTest {
@@ -24,6 +28,24 @@
         assertThat(delta.removedServices()).containsExactly(DOCS.name());
     }
 
+    @Test
+    void shouldListExactlyTheChangedObjectsWhenManyAreAddedReplacedAndRemoved() {
+        for (int seed = 0; seed < 50; seed++) {
+            Random random = new Random(seed);
+            ConfigurationSnapshot before = snapshot(1, services(random));
+            ConfigurationSnapshot after = snapshot(2, services(random));
+            ConfigurationDelta delta = ConfigurationDelta.between(before, after);
+
+            Set<Service> kept = new HashSet<>(before.configuration().services());
+            assertThat(delta.changed().services())
+                    .containsExactlyElementsIn(after.configuration().services().stream()
+                            .filter(service -> !kept.contains(service))
+                            .toList())
+                    .inOrder();
+            assertThat(delta.applyTo(before)).isEqualTo(Either.right(after));
+        }
+    }
+
     @Test
     void shouldReportAMismatchWhenTheBaseDiffers() {
         ConfigurationDelta delta = ConfigurationDelta.between(FIRST, SECOND);
@@ -74,6 +96,14 @@
                 .startsWith("services[0]");
     }
 
+    private static Configuration services(Random random) {
+        List<Service> services = IntStream.range(0, 40)
+                .filter(_ -> random.nextInt(3) > 0)
+                .mapToObj(number -> Service.of("service-" + number, 1 + random.nextInt(2), 120))
+                .toList();
+        return Configuration.of(services, List.of(), List.of());
+    }
+
     private static ConfigurationSnapshot snapshot(long version, Configuration configuration) {
         return ConfigurationSnapshot.of(ConfigurationVersion.of(version), configuration);
     }
