--- a/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
@@ -3,6 +3,8 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -111,7 +113,11 @@
     private static StoreResponse readResponse(ClassicHttpResponse response) throws IOException {
         HttpEntity entity = response.getEntity();
         byte[] body = entity == null ? new byte[0] : EntityUtils.toByteArray(entity);
-        return new StoreResponse(response.getCode(), retryAfter(response), body);
+        Map<String, String> headers = new HashMap<>();
+        for (Header header : response.getHeaders()) {
+            headers.putIfAbsent(header.getName(), header.getValue());
+        }
+        return new StoreResponse(response.getCode(), retryAfter(response), headers, body);
     }
 
     private static Duration retryAfter(ClassicHttpResponse response) {
