--- a/command/src/test/java/org/oleanderturn/command/ExplainQueryTest.java
+++ b/command/src/test/java/org/oleanderturn/command/ExplainQueryTest.java
@@ -60,6 +60,27 @@
         assertThat(guarded.getLast().timeMilliseconds()).isEqualTo(1030);
     }
 
+    @Test
+    void shouldShowTheVersionsOfTheEntryWhenTheyAreNearTheRequest() {
+        String denied = """
+                {"time":50000,"node":"entry","event":"Answered","request":"id-2","status":503,"attempts":0}
+                {"time":39999,"node":"entry","event":"VersionAdopted","configuration":3}
+                {"time":40000,"node":"entry","event":"VersionAdopted","configuration":4}
+                {"time":50200,"node":"entry","event":"VersionAdopted","configuration":5,"heardMilliseconds":900}
+                {"time":49800,"node":"entry","event":"TransferFailed","peer":"VersionAdopted"}
+                {"time":49900,"node":"other","event":"VersionAdopted","configuration":5}
+                {"time":60001,"node":"entry","event":"VersionAdopted","configuration":6}
+                """;
+        RequestTimeline timeline = RequestTimeline.of("id-2", denied.lines().toList());
+        assertThat(timeline.steps().stream().map(RequestTimeline.Step::event).toList())
+                .containsExactly("VersionAdopted", "TransferFailed", "Answered", "VersionAdopted")
+                .inOrder();
+        assertThat(timeline.describe().lines().skip(1).map(line -> line.split(" +", 2)[0]))
+                .containsExactly("-10000", "-200", "0", "200")
+                .inOrder();
+        assertThat(timeline.describe()).contains("configuration=5 heardMilliseconds=900");
+    }
+
     @Test
     void shouldReadStandardInputWhenNoFileIsGiven() {
         CommandRun run = CommandRun.of(ENTRY, List.of(), "query", "explain", "id-12", "--output", "json");
