Apply the listener's limit on the number of headers

Callers saw: a listener read any number of headers of a request into memory, although its limits name a maximum. Cause: that of the heads of responses: HttpCore's default parser factory ignores the settings' limit. Change: the server connections' parser gets the settings; a request over the limit is rejected with a 4xx and does not run. Measured: before, shouldRejectARequestWhenItHasMoreHeadersThanTheListenerAllows got HTTP/1.1 2xx; now it passes, with the other cases of HttpExchangeTest, EndlessResponseTest, EndlessAnswerTest, GuardTest, EntryTest, GuardClientTest, MeshEntryTest and TargetCallHandlerTest.

--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -23,6 +23,7 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpService;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
@@ -241,7 +242,16 @@
                 .setMaxLineLength(limits.maximumLineBytes())
                 .setMaxHeaderCount(limits.maximumHeaders())
                 .build();
-        DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection("http", httpSettings);
+        DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection(
+                "http",
+                httpSettings,
+                null,
+                null,
+                null,
+                null,
+                // The default parser factory ignores the limit of the settings on the number of headers.
+                new DefaultHttpRequestParserFactory(httpSettings),
+                null);
         ServerConnection serverConnection = ServerConnection.of((WatchedSocket) socket, connection, limits);
         connections.add(serverConnection);
         try {
--- a/proxy/src/test/java/org/oleanderturn/proxy/HttpExchangeTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/HttpExchangeTest.java
@@ -295,6 +295,26 @@
         assertThat(text(send(server, "GET", "", SendPolicy.POOLED).get())).isEqualTo("well");
     }
 
+    @Test
+    void shouldRejectARequestWhenItHasMoreHeadersThanTheListenerAllows() throws IOException {
+        AtomicInteger runs = new AtomicInteger();
+        Address server = startServer(_ -> {
+            runs.incrementAndGet();
+            return Response.text(200, "text/plain", "");
+        });
+        String headers = "Name: value\r\n".repeat(ListenerLimits.defaults().maximumHeaders() + 1);
+        try (Socket socket = new Socket(server.host(), server.port())) {
+            socket.getOutputStream()
+                    .write(("GET / HTTP/1.1\r\nHost: host.example\r\n" + headers + "\r\n")
+                            .getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().flush();
+            byte[] start = socket.getInputStream().readNBytes("HTTP/1.1 4".length());
+
+            assertThat(new String(start, StandardCharsets.UTF_8)).isEqualTo("HTTP/1.1 4");
+            assertThat(runs.get()).isEqualTo(0);
+        }
+    }
+
     // -- helpers
 
     private Either<UpstreamFailure, UpstreamResponse> send(
