Check the syntax of names without a regular expression

Cause: each decoded route checks three names or more, by a pattern that the deployment's compiler level runs slowly.

--- a/model/src/main/java/org/oleanderturn/model/Names.java
+++ b/model/src/main/java/org/oleanderturn/model/Names.java
@@ -1,7 +1,6 @@
 package org.oleanderturn.model;
 
 import java.util.Objects;
-import java.util.regex.Pattern;
 
 /**
  * Syntax of names: 1 to 63 lower-case letters, digits, dots, underscores and hyphens, starting with a letter or digit.
@@ -9,13 +8,26 @@
  * <p>Stateless and thread safe.
  */
 public final class Names {
-    private static final Pattern WELL_FORMED = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
+    private static final int MAXIMUM_LENGTH = 63;
+    private static final String PUNCTUATION = "._-";
 
     private Names() {}
 
     /** Returns whether the value is a well-formed name. */
     public static boolean isWellFormed(String value) {
-        return WELL_FORMED.matcher(value).matches();
+        if (value.isEmpty() || value.length() > MAXIMUM_LENGTH || !isLetterOrDigit(value.charAt(0))) {
+            return false;
+        }
+        for (int index = 1; index < value.length(); index++) {
+            if (!isLetterOrDigit(value.charAt(index)) && PUNCTUATION.indexOf(value.charAt(index)) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isLetterOrDigit(char character) {
+        return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
     }
 
     /**
