Write frames without a deadline task, a parser or an encoding for each receiver

Cause: a node under traffic handles some 100 frames a second, most of them loads. Each write scheduled a task that closes the connection, which wakes the deadline thread, and was cancelled at once; the envelope of each frame went through Jackson, four times for each call; a load was encoded anew for each receiver. Change: a write takes what the connection accepts at once and schedules a deadline only for the rest. FrameCodec reads and writes the usual encoding directly and leaves any other to the codec; the bytes are the same. Broadcasts are encoded once.

--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -170,18 +170,18 @@
 
     /** Sends a target's load to the given nodes without waiting; a lost message is superseded by the next one. */
     void sendLoad(List<Address> peers, NodeId node, LoadReport report) {
-        ControlMessage message = new ControlMessage.Load(node, report);
+        Frame frame = frame(new ControlMessage.Load(node, report));
         for (Address peer : peers) {
-            executor.execute(() -> call(peer, message, PROBE_TIMEOUT)
+            executor.execute(() -> call(peer, frame, PROBE_TIMEOUT)
                     .peekLeft(failure -> log.atFine().log("load was not sent to %s: %s", peer, failure)));
         }
     }
 
     /** Sends what is known of requests under which targets have ended to the given nodes without waiting. */
     void sendSuspicions(List<Address> peers, List<CrashSuspicion> suspicions) {
-        ControlMessage message = new ControlMessage.Suspicions(suspicions);
+        Frame frame = frame(new ControlMessage.Suspicions(suspicions));
         for (Address peer : peers) {
-            executor.execute(() -> call(peer, message, PROBE_TIMEOUT)
+            executor.execute(() -> call(peer, frame, PROBE_TIMEOUT)
                     .peekLeft(failure -> log.atFine().log("suspicions were not sent to %s: %s", peer, failure)));
         }
     }
@@ -211,9 +211,9 @@
 
     /** Sends what is known of what targets ask of the nodes to the given nodes without waiting. */
     void sendConditions(List<Address> peers, List<TargetCondition> conditions) {
-        ControlMessage message = new ControlMessage.Conditions(conditions);
+        Frame frame = frame(new ControlMessage.Conditions(conditions));
         for (Address peer : peers) {
-            executor.execute(() -> call(peer, message, PROBE_TIMEOUT)
+            executor.execute(() -> call(peer, frame, PROBE_TIMEOUT)
                     .peekLeft(failure -> log.atFine().log("conditions were not sent to %s: %s", peer, failure)));
         }
     }
@@ -242,8 +242,15 @@
     // -- frames
 
     private Either<ControlFailure, ControlMessage> call(Address peer, ControlMessage message, Duration timeout) {
-        byte[] payload = Codec.messagePack().encode(message);
-        return caller.call(peer, Frame.of(FRAME_KIND, payload), timeout)
+        return call(peer, frame(message), timeout);
+    }
+
+    private static Frame frame(ControlMessage message) {
+        return Frame.of(FRAME_KIND, Codec.messagePack().encode(message));
+    }
+
+    private Either<ControlFailure, ControlMessage> call(Address peer, Frame request, Duration timeout) {
+        return caller.call(peer, request, timeout)
                 .mapLeft(ControlChannel::controlFailure)
                 .flatMap(frame -> Codec.messagePack()
                         .decode(frame.payload(), ControlMessage.class)
--- a/wire/src/main/java/org/oleanderturn/wire/FrameChannel.java
+++ b/wire/src/main/java/org/oleanderturn/wire/FrameChannel.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.oleanderturn.model.Address;
-import org.oleanderturn.model.Codec;
 
 /**
  * Reads and writes frames on one connection. A frame is encoded as its length, four bytes in big-endian order, followed
@@ -57,7 +56,7 @@
     // -- encoding
 
     static byte[] encode(Frame frame) {
-        byte[] body = Codec.messagePack().encode(frame);
+        byte[] body = FrameCodec.encode(frame);
         return ByteBuffer.allocate(PREFIX_BYTES + body.length)
                 .putInt(body.length)
                 .put(body)
@@ -72,9 +71,26 @@
 
     /** Writes an encoded frame; an exception means that it was not written completely. */
     void write(byte[] encoded, Duration timeout) throws IOException {
+        ByteBuffer buffer = ByteBuffer.wrap(encoded);
+        writeAvailable(buffer);
+        if (buffer.hasRemaining()) {
+            writeRemaining(buffer, timeout);
+        }
+    }
+
+    /** Writes what the connection takes at once; a frame that it takes whole needs no deadline. */
+    private void writeAvailable(ByteBuffer buffer) throws IOException {
+        channel.configureBlocking(false);
+        try {
+            channel.write(buffer);
+        } finally {
+            channel.configureBlocking(true);
+        }
+    }
+
+    private void writeRemaining(ByteBuffer buffer, Duration timeout) throws IOException {
         Future<?> deadline = closeAfter(timeout);
         try {
-            ByteBuffer buffer = ByteBuffer.wrap(encoded);
             while (buffer.hasRemaining()) {
                 channel.write(buffer);
             }
@@ -134,8 +150,7 @@
         if (!readFully(body, bodyBytes, 0, progress)) {
             return new FrameReadResult.Truncated("closed by the peer during the frame");
         }
-        return Codec.messagePack()
-                .decode(body, Frame.class)
+        return FrameCodec.decode(body)
                 .fold(
                         failure -> new FrameReadResult.Malformed(failure.reason()),
                         frame -> new FrameReadResult.Complete(frame, PREFIX_BYTES + (long) bodyBytes));
--- a/wire/src/test/java/org/oleanderturn/wire/FrameExchangeTest.java
+++ b/wire/src/test/java/org/oleanderturn/wire/FrameExchangeTest.java
@@ -21,6 +21,7 @@
     private static final Duration LONG_TIMEOUT = Duration.ofSeconds(20);
     private static final Duration SHORT_TIMEOUT = Duration.ofMillis(150);
     private static final int FRAME_BYTES = 4096;
+    private static final int LARGE_FRAME_BYTES = 32 * 1024 * 1024;
     private static final Frame REQUEST = Frame.of("echo", "request".getBytes(UTF_8));
 
     private final WireLimits limits =
@@ -154,6 +155,31 @@
         }
     }
 
+    @Test
+    void shouldReportUnreachableWhenPeerTakesOnlyPartOfFrame() throws IOException {
+        WireLimits largeLimits = limits.withMaximumFrameBytes(2 * LARGE_FRAME_BYTES);
+        try (ServerSocket silentPeer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                FrameClient largeClient = FrameClient.of(largeLimits)) {
+            Address address = Address.of("127.0.0.1", silentPeer.getLocalPort());
+            Frame large = Frame.of("echo", new byte[LARGE_FRAME_BYTES]);
+            assertThat(largeClient.call(address, large, SHORT_TIMEOUT).getLeft())
+                    .isInstanceOf(WireFailure.Unreachable.class);
+        }
+    }
+
+    @Test
+    void shouldAnswerWhenFrameExceedsTheBuffersOfTheConnection() {
+        WireLimits largeLimits =
+                limits.withMaximumFrameBytes(2 * LARGE_FRAME_BYTES).withTimeouts(LONG_TIMEOUT, LONG_TIMEOUT);
+        try (FrameServer largeServer = start(largeLimits);
+                FrameClient largeClient = FrameClient.of(largeLimits)) {
+            Frame large = Frame.of("echo", new byte[LARGE_FRAME_BYTES]);
+            Frame answer =
+                    largeClient.call(largeServer.address(), large, LONG_TIMEOUT).get();
+            assertThat(answer.payload()).isEqualTo(large.payload());
+        }
+    }
+
     @Test
     void shouldReportTimedOutWhenPeerIsSlow() throws Exception {
         byte[] answer = FrameChannel.encode(REQUEST);
