Write out the equality of names, addresses and starts of targets

Cause: the generated equals and hashCode of records go through method handles. Localities, regions, zones, node ids and starts of targets are compared for each endpoint and request. Change: these methods are written out, with the same hashes, so no order of iteration changes.

--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetStart.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetStart.java
@@ -24,4 +24,19 @@
     public boolean isAfter(TargetStart other) {
         return bornMilliseconds > other.bornMilliseconds;
     }
+
+    // Written out: the generated methods go through method handles, which are slow until they are compiled.
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || (other instanceof TargetStart that
+                        && instance.equals(that.instance)
+                        && bornMilliseconds == that.bornMilliseconds);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * instance.hashCode() + Long.hashCode(bornMilliseconds);
+    }
 }
--- a/model/src/main/java/org/oleanderturn/model/Address.java
+++ b/model/src/main/java/org/oleanderturn/model/Address.java
@@ -56,4 +56,16 @@
     public String toString() {
         return host + ":" + port;
     }
+
+    // Written out: the generated methods go through method handles, which are slow until they are compiled.
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other || (other instanceof Address that && host.equals(that.host) && port == that.port);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
 }
--- a/model/src/main/java/org/oleanderturn/model/Locality.java
+++ b/model/src/main/java/org/oleanderturn/model/Locality.java
@@ -28,6 +28,19 @@
         return zone.equals(other.zone) ? Distance.SAME_ZONE : Distance.SAME_REGION;
     }
 
+    // Written out: the generated methods go through method handles, which are slow until they are compiled.
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other
+                || (other instanceof Locality that && region.equals(that.region) && zone.equals(that.zone));
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * region.hashCode() + zone.hashCode();
+    }
+
     /** The distance between two localities. The constants are ordered from nearest to farthest. */
     public enum Distance {
         SAME_ZONE,
--- a/model/src/main/java/org/oleanderturn/model/NodeId.java
+++ b/model/src/main/java/org/oleanderturn/model/NodeId.java
@@ -30,6 +30,18 @@
         return value.compareTo(other.value);
     }
 
+    // Written out: the generated methods go through method handles, which are slow until they are compiled.
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other || (other instanceof NodeId that && value.equals(that.value));
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/model/src/main/java/org/oleanderturn/model/Region.java
+++ b/model/src/main/java/org/oleanderturn/model/Region.java
@@ -30,6 +30,18 @@
         return value.compareTo(other.value);
     }
 
+    // Written out: the generated methods go through method handles, which are slow until they are compiled.
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other || (other instanceof Region that && value.equals(that.value));
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
