Record no exemplars with metrics

Cause: the metrics library may attach an exemplar, the id of a trace, to a value; to limit their rate it schedules a task after a value, though nodes have no traces. The task runs on a thread of its own. Change: counters and histograms have no exemplars. The text of the metrics has none and is the same.

--- a/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
@@ -32,6 +32,7 @@
         this.decisions = Counter.builder()
                 .name("oleanderturn_decisions_total")
                 .help("Decisions on requests by kind and outcome.")
+                .withoutExemplars()
                 .labelNames("decision", "outcome")
                 .register(metrics.registry());
         this.responseLatency =
@@ -99,6 +100,7 @@
                 .name(name)
                 .help(help)
                 .classicOnly()
+                .withoutExemplars()
                 .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
                 .register(metrics.registry());
     }
--- a/node/src/main/java/org/oleanderturn/node/NodeMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeMetrics.java
@@ -31,12 +31,14 @@
     private final Counter requests = Counter.builder()
             .name("oleanderturn_requests_total")
             .help("Callers' requests by outcome and reason.")
+            .withoutExemplars()
             .labelNames("outcome", "reason")
             .register(registry);
     private final Histogram latency = Histogram.builder()
             .name("oleanderturn_request_seconds")
             .help("Seconds from a caller's request to the headers of its response.")
             .classicOnly()
+            .withoutExemplars()
             .classicUpperBounds(0.0005, 0.001, 0.0017, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
             .register(registry);
 
