--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -148,18 +148,6 @@
                 SharedRandom.create());
     }
 
-    private MeshConfiguration meshConfiguration() {
-        return new MeshConfiguration(
-                settings,
-                control.configuration(),
-                control.directory(),
-                control.role(),
-                rateLimitedStore,
-                channel,
-                System::nanoTime,
-                SharedRandom.create());
-    }
-
     private VersionJournal versionJournal(LongSupplier milliseconds) {
         return new VersionJournal(
                 settings.node(), writer, metrics, this::nameOf, System::currentTimeMillis, milliseconds);
