--- a/node/src/test/java/org/oleanderturn/node/ConfigurationHost.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationHost.java
@@ -5,7 +5,6 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.IdentityHashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.logging.Level;
@@ -40,7 +39,7 @@
     private final ControlFrames frames = new ControlFrames();
 
     /** Frames that need not be encoded again, as the product keeps them. */
-    private final Map<Frame, Boolean> encodedFrames = new IdentityHashMap<>();
+    private final IdentityHashMap<Frame, Boolean> encodedFrames = new IdentityHashMap<>();
 
     private final ConfigurationFleet fleet;
     private final int number;
