--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchVersionNode.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchVersionNode.java
@@ -55,7 +55,7 @@
         List<Locality> zones = BenchLocalities.zones(BenchLocalities.ZONES);
         RelayRole role = _ -> isRelay ? OptionalInt.of(0) : OptionalInt.empty();
         SnapshotHistory history = SnapshotHistory.of(holder);
-        holder.addListener(snapshot -> routes.set(RouteIndex.of(snapshot)));
+        holder.addPreparation(snapshot -> routes.set(RouteIndex.of(snapshot)));
         this.disseminator = Disseminator.of(
                 holder,
                 UpdateSource.of(holder, history),
