--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -50,8 +50,14 @@
     /** How long after a response of the store this node still counts as reading it: a watch, a pause and some more. */
     private static final Duration READING_PERIOD = Duration.ofMillis(4_500);
 
-    /** A version with the revision of the store at which this node read it. */
-    record ReadVersion(long revision, ConfigurationVersion version) {}
+    /** The wait of a watch while confirmations are wanted, so that the store often says that nothing has changed. */
+    private static final Duration CONFIRMING_WATCH_TIMEOUT = Duration.ofMillis(500);
+
+    /** For how long confirmations are wanted after they were requested. */
+    private static final Duration CONFIRMING_PERIOD = Duration.ofSeconds(20);
+
+    /** A version that was the newest in the store at a time. */
+    record Confirmation(ConfigurationVersion version, long nanoseconds) {}
 
     private final Store store;
     private final ConfigurationHolder holder;
@@ -61,7 +67,8 @@
     private final LongSupplier clockNanoseconds;
     private final Backoff backoff;
     private final AtomicReference<Optional<StoreFailure>> failure = new AtomicReference<>(Optional.empty());
-    private final AtomicReference<Optional<ReadVersion>> lastRead = new AtomicReference<>(Optional.empty());
+    private final AtomicReference<Optional<Confirmation>> confirmation = new AtomicReference<>(Optional.empty());
+    private volatile long confirmingUntilNanoseconds;
     private volatile long lastResponseNanoseconds;
     private volatile boolean hasRead;
     private long seenRevision = StoredValue.ABSENT;
@@ -80,6 +87,7 @@
         this.role = Objects.requireNonNull(role, "role is null");
         this.isSupplied = Objects.requireNonNull(isSupplied, "isSupplied is null");
         this.clockNanoseconds = Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
+        this.confirmingUntilNanoseconds = clockNanoseconds.getAsLong();
         this.readinessGate = Objects.requireNonNull(readinessGate, "readinessGate is null");
         this.backoff = Backoff.of(MINIMUM_BACKOFF, MAXIMUM_BACKOFF, random);
     }
@@ -89,9 +97,14 @@
         return failure.get();
     }
 
-    /** Returns the version that this node read from the store last; empty before it has read one. */
-    Optional<ReadVersion> lastRead() {
-        return lastRead.get();
+    /** Returns the last version that this node knows to have been the newest, and when; empty before the first. */
+    Optional<Confirmation> confirmation() {
+        return confirmation.get();
+    }
+
+    /** Lets the store be asked more often for a while whether there is a newer version. */
+    void requestConfirmations() {
+        confirmingUntilNanoseconds = clockNanoseconds.getAsLong() + CONFIRMING_PERIOD.toNanos();
     }
 
     /** Returns whether this node reads the store, so that it notices a new version soon. */
@@ -114,8 +127,10 @@
     }
 
     private long read() {
+        long sent = clockNanoseconds.getAsLong();
+        Duration wait = confirmingUntilNanoseconds - sent > 0 ? CONFIRMING_WATCH_TIMEOUT : WATCH_TIMEOUT;
         Either<StoreFailure, Optional<StoredValue>> read = hasRead
-                ? store.watch(OperatorConfiguration.KEY, seenRevision, WATCH_TIMEOUT)
+                ? store.watch(OperatorConfiguration.KEY, seenRevision, wait)
                 : store.get(OperatorConfiguration.KEY);
         if (read.isLeft()) {
             if (failure.getAndSet(Optional.of(read.getLeft())).isEmpty()) {
@@ -131,15 +146,26 @@
         lastResponseNanoseconds = clockNanoseconds.getAsLong();
         hasRead = true;
         holder.record(new VersionEvent.StoreRead());
+        if (read.get().isEmpty()) {
+            confirmUnchanged(sent, wait);
+        }
         if (read.get().isPresent()) {
-            observe(read.get().get());
+            observe(read.get().get(), sent);
         } else if (holder.version().equals(ConfigurationVersion.none())) {
             readinessGate.observeHead(ConfigurationVersion.none());
         }
         return READ_DELAY_MILLISECONDS;
     }
 
-    private void observe(StoredValue stored) {
+    /** Only a watch that lasted its whole wait proves that nothing changed meanwhile; it also ends early without news. */
+    private void confirmUnchanged(long sentNanoseconds, Duration wait) {
+        long end = sentNanoseconds + wait.toNanos();
+        if (clockNanoseconds.getAsLong() - end >= 0) {
+            confirmation.updateAndGet(known -> known.map(last -> new Confirmation(last.version(), end)));
+        }
+    }
+
+    private void observe(StoredValue stored, long sentNanoseconds) {
         seenRevision = stored.revision();
         Either<DecodeFailure, ConfigurationSnapshot> decoded = OperatorConfiguration.decode(stored.value());
         if (decoded.isLeft()) {
@@ -148,8 +174,7 @@
             return;
         }
         readinessGate.observeHead(decoded.get().version());
-        lastRead.set(
-                Optional.of(new ReadVersion(stored.revision(), decoded.get().version())));
+        confirmation.set(Optional.of(new Confirmation(decoded.get().version(), sentNanoseconds)));
         AdoptionResult result = holder.adopt(decoded.get());
         log.atInfo().log("configuration at revision %s: %s", stored.revision(), result);
     }
--- a/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
@@ -13,47 +13,40 @@
 import org.oleanderturn.mesh.VersionCheck;
 import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.ConfigurationVersion;
-import org.oleanderturn.platform.OperatorConfiguration;
-import org.oleanderturn.store.Store;
-import org.oleanderturn.store.StoreFailure;
+import org.oleanderturn.node.OperatorConfigurationWatcher.Confirmation;
 
 /**
- * Confirms with the relay of the zone, or with the platform's store, that a version is the newest in force.
+ * Confirms that a version is the newest in force: by what this node itself reads from the platform's store, or by the word of
+ * the relay of its zone.
  *
- * <p>Invariants: a confirmation is never dated later than the request to the store that it comes from; the calls under way
- * at once are bounded, and so is the rate of calls to the store, as a confirmation serves all requests for a while. Thread
- * safe.
+ * <p>Invariants: a confirmation is never dated later than the store's answer that it comes from; the calls under way at once
+ * are bounded, and so is their rate, as a confirmation serves all requests for a while; no call carries the content of a
+ * configuration. Thread safe.
  */
 final class VersionConfirmation implements VersionCheck {
     /** For how long a confirmation holds; within the time in which a new version has to be in force. */
-    private static final Duration VALIDITY = Duration.ofSeconds(1);
+    private static final Duration VALIDITY = Duration.ofMillis(1_200);
 
     /** How long no further confirmation is tried after one failed; clients are told to come back later than that. */
     private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(250);
 
     private static final int MAXIMUM_CALLS = 4;
 
-    /** A version that was the newest at a time. */
-    private record Confirmation(ConfigurationVersion version, long nanoseconds) {}
-
-    private final Store store;
     private final Disseminator disseminator;
     private final OperatorConfigurationWatcher watcher;
     private final RelayCheck relayCheck;
     private final RelayTransport transport;
     private final LongSupplier clockNanoseconds;
     private final Semaphore permits = new Semaphore(MAXIMUM_CALLS);
-    private final AtomicReference<Optional<Confirmation>> last = new AtomicReference<>(Optional.empty());
+    private final AtomicReference<Optional<Confirmation>> fromRelay = new AtomicReference<>(Optional.empty());
     private volatile long notBeforeNanoseconds;
 
     VersionConfirmation(
-            Store store,
             Disseminator disseminator,
             OperatorConfigurationWatcher watcher,
             RelayCheck relayCheck,
             RelayTransport transport,
             LongSupplier clockNanoseconds) {
-        this.store = Objects.requireNonNull(store, "store is null");
         this.disseminator = Objects.requireNonNull(disseminator, "disseminator is null");
         this.watcher = Objects.requireNonNull(watcher, "watcher is null");
         this.relayCheck = Objects.requireNonNull(relayCheck, "relayCheck is null");
@@ -67,7 +60,7 @@
     @Override
     public VersionStatus check(ConfigurationVersion version) {
         if (confirmation().isEmpty()) {
-            confirm(relayCheck.supplier());
+            confirm();
         }
         ConfigurationVersion newestKnown = disseminator.newestKnown();
         if (newestKnown.isAfter(version)) {
@@ -81,13 +74,13 @@
 
     /** Answers a node of this node's zone. */
     RelayReport report(boolean isConfirmationNeeded) {
-        if (isConfirmationNeeded && confirmation().isEmpty()) {
-            // Not forwarded to another relay, so that nodes with different views never ask each other in turn.
-            confirm(Optional.empty());
+        if (isConfirmationNeeded) {
+            watcher.requestConfirmations();
         }
         ConfigurationVersion held = disseminator.heldVersion();
         long now = clockNanoseconds.getAsLong();
-        Optional<Long> age = confirmation()
+        // Only what this node reads itself, so that the word of nodes with different views never goes round.
+        Optional<Long> age = recent(watcher.confirmation())
                 .filter(confirmed -> !confirmed.version().isAfter(held))
                 .map(confirmed -> TimeUnit.NANOSECONDS.toMillis(now - confirmed.nanoseconds()));
         return new RelayReport(held, watcher.isReading(), age);
@@ -99,19 +92,27 @@
     }
 
     private Optional<Confirmation> confirmation() {
+        return recent(watcher.confirmation()).or(() -> recent(fromRelay.get()));
+    }
+
+    private Optional<Confirmation> recent(Optional<Confirmation> confirmation) {
         long oldest = clockNanoseconds.getAsLong() - VALIDITY.toNanos();
-        return last.get().filter(confirmed -> confirmed.nanoseconds() - oldest > 0);
+        return confirmation.filter(confirmed -> confirmed.nanoseconds() - oldest > 0);
     }
 
     // -- commands
 
-    private void confirm(Optional<Peer> relay) {
+    private void confirm() {
+        Optional<Peer> relay = relayCheck.supplier();
+        if (relay.isEmpty()) {
+            watcher.requestConfirmations();
+            return;
+        }
         if (clockNanoseconds.getAsLong() - notBeforeNanoseconds < 0 || !permits.tryAcquire()) {
             return;
         }
         try {
-            boolean isConfirmed = relay.filter(this::confirmByRelay).isPresent() || confirmByStore();
-            if (!isConfirmed) {
+            if (!confirmByRelay(relay.get())) {
                 notBeforeNanoseconds = clockNanoseconds.getAsLong() + PAUSE_AFTER_FAILURE.toNanos();
             }
         } finally {
@@ -131,23 +132,8 @@
         return age.isPresent();
     }
 
-    private boolean confirmByStore() {
-        Optional<OperatorConfigurationWatcher.ReadVersion> read = watcher.lastRead();
-        if (read.isEmpty()) {
-            return false;
-        }
-        long asked = clockNanoseconds.getAsLong();
-        Either<StoreFailure, Boolean> unchanged =
-                store.isUnchanged(OperatorConfiguration.KEY, read.get().revision());
-        if (!unchanged.getOrElse(false)) {
-            return false;
-        }
-        record(read.get().version(), asked);
-        return true;
-    }
-
     private void record(ConfigurationVersion version, long nanoseconds) {
-        last.updateAndGet(before -> before.filter(known -> known.nanoseconds() - nanoseconds > 0)
+        fromRelay.updateAndGet(before -> before.filter(known -> known.nanoseconds() - nanoseconds > 0)
                 .or(() -> Optional.of(new Confirmation(version, nanoseconds))));
     }
 }
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchVersionCost.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchVersionCost.java
@@ -12,6 +12,7 @@
 import org.oleanderturn.distribution.ConfigurationHolder;
 import org.oleanderturn.distribution.ConfigurationUpdate;
 import org.oleanderturn.distribution.SnapshotHistory;
+import org.oleanderturn.distribution.VersionOrigin;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationDelta;
@@ -298,7 +299,7 @@
             ConfigurationSnapshot next = BenchOperator.snapshot(BASE + change, routes);
             var _ = isReadFromStore
                     ? holder.adopt(next)
-                    : holder.adopt(ConfigurationDelta.between(holder.held(), next));
+                    : holder.adopt(ConfigurationDelta.between(holder.held(), next), new VersionOrigin.Store());
         }
         return history;
     }
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchVersionNode.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchVersionNode.java
@@ -64,6 +64,7 @@
                 role,
                 zones.getFirst(),
                 BenchLocalities.PLATFORM_REGION,
+                Runnable::run,
                 new SplittableRandom(SEED));
     }
 
