Confirm a version by the watches of the store, without its content

Change: the relay of a zone confirms by its own reads and by watches that lasted their whole wait, which are shorter while requests have to be denied; other nodes ask the relay. A read of a key is also the position of the next watch, so a new relay reads the value once.

--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -43,8 +43,7 @@
         this.watcher = new OperatorConfigurationWatcher(
                 store, plane.holder(), plane.readinessGate(), role, relayCheck::isSupplied, clockNanoseconds, random);
         this.confirmation =
-                new VersionConfirmation(
-                plane.disseminator(), watcher, relayCheck, transport, clockNanoseconds);
+                new VersionConfirmation(plane.disseminator(), watcher, relayCheck, transport, clockNanoseconds);
     }
 
     // -- queries
--- a/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
@@ -2,12 +2,14 @@
 
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.oleanderturn.distribution.Disseminator;
 import org.oleanderturn.distribution.Peer;
 import org.oleanderturn.mesh.VersionCheck;
@@ -88,7 +90,11 @@
 
     /** Returns how long ago a version was last confirmed as the newest; empty before the first time. */
     Optional<Duration> age() {
-        return last.get().map(confirmed -> Duration.ofNanos(clockNanoseconds.getAsLong() - confirmed.nanoseconds()));
+        long now = clockNanoseconds.getAsLong();
+        return Stream.of(watcher.confirmation(), fromRelay.get())
+                .flatMap(Optional::stream)
+                .map(confirmed -> Duration.ofNanos(now - confirmed.nanoseconds()))
+                .min(Comparator.naturalOrder());
     }
 
     private Optional<Confirmation> confirmation() {
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationFleetTest.java
@@ -55,6 +55,7 @@
     /** Of the requests for no route, this share is denied by nodes in touch that can know all versions. */
     private static final int DENIED_PERCENT = 95;
 
+    private static final List<Fault> FAULTS = List.of(Fault.values());
     private static final List<Day> DAYS = new ArrayList<>();
 
     /** What happens while the versions spread. */
@@ -125,11 +126,11 @@
     private static List<Day> days(Fault fault) {
         synchronized (DAYS) {
             if (DAYS.isEmpty()) {
-                DAYS.addAll(IntStream.range(0, SEEDS * Fault.values().length)
+                DAYS.addAll(IntStream.range(0, SEEDS * FAULTS.size())
                         .parallel()
                         .mapToObj(number -> play(
-                                Fault.values()[number % Fault.values().length],
-                                FIRST_SEED + number / Fault.values().length))
+                                FAULTS.get(number % FAULTS.size()),
+                                FIRST_SEED + number / FAULTS.size()))
                         .toList());
             }
             return DAYS.stream().filter(day -> day.fault() == fault).toList();
@@ -139,7 +140,7 @@
     private static Day play(Fault fault, int seed) {
         List<Day> played = new ArrayList<>();
         SimulatedTime.simulate(() -> {
-            ConfigurationFleet fleet = start(REDUCED.get((fault.ordinal() + seed) % REDUCED.size()), seed);
+            ConfigurationFleet fleet = start(REDUCED.get((FAULTS.indexOf(fault) + seed) % REDUCED.size()), seed);
             writeVersions(fleet);
             cause(fault, fleet);
             fleet.time().run(DAY);
@@ -214,7 +215,7 @@
             case FRAMES_LOST ->
                 fleet.disturb(delay, duration, () -> fleet.setLosingFrames(true), () -> fleet.setLosingFrames(false));
             case SEVERAL -> {
-                List<Fault> single = List.of(Fault.values()).subList(1, Fault.SEVERAL.ordinal());
+                List<Fault> single = FAULTS.subList(1, FAULTS.indexOf(Fault.SEVERAL));
                 cause(Fault.GROUPS_RESTART, fleet);
                 cause(single.get(random.nextInt(single.size())), fleet);
                 cause(single.get(random.nextInt(single.size())), fleet);
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
@@ -101,7 +101,6 @@
     private final ConfigurationHost host;
     private final Content content;
     private long seenRevision = UNKNOWN_POSITION;
-    private long confirmedRevision = UNKNOWN_POSITION;
     private long watchedFrom = UNKNOWN_POSITION;
 
     ConfigurationStore(ConfigurationFleet fleet, ConfigurationHost host) {
@@ -115,7 +114,10 @@
     @Override
     public Either<StoreFailure, Optional<StoredValue>> get(String key) {
         return call(OptionalLong.empty(), Duration.ZERO)
-                .map(events -> events.stream().findFirst().map(event -> value(key, event)));
+                .map(events -> events.stream().findFirst().map(event -> {
+                    confirm(event.revision(), event.revision());
+                    return value(key, event);
+                }));
     }
 
     @Override
@@ -147,7 +149,6 @@
 
     private void confirm(long knownRevision, long storeRevision) {
         seenRevision = knownRevision;
-        confirmedRevision = storeRevision;
         watchedFrom = storeRevision;
     }
 
--- a/node/src/test/java/org/oleanderturn/node/VersionConfirmationTest.java
+++ b/node/src/test/java/org/oleanderturn/node/VersionConfirmationTest.java
@@ -82,7 +82,9 @@
         time.run(Duration.ofSeconds(2));
         confirmation.check(FIRST);
         watcher.runOnce();
-        assertThat(store.waits).containsExactly(Duration.ofSeconds(3), Duration.ofMillis(500)).inOrder();
+        assertThat(store.waits)
+                .containsExactly(Duration.ofSeconds(3), Duration.ofMillis(500))
+                .inOrder();
     }
 
     @Test
