Date a confirmation back to its request, and ask the store more often

Cause: found by the review: a watch's end dated the confirmation, also when the answer came late or the history was dropped, so a version could count as newest without evidence; a rejected version ended all denials; updates asked for at the same time were computed and encoded several times; a silent connection of the store was noticed after 4.5 s.

--- a/distribution/src/main/java/org/oleanderturn/distribution/UpdateSource.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/UpdateSource.java
@@ -86,15 +86,14 @@
 
     private Optional<ConfigurationUpdate.Delta> delta(
             ConfigurationVersion held, Digest heldDigest, ConfigurationSnapshot current) {
-        ConcurrentHashMap<Digest, ConfigurationUpdate.Delta> computed = updatesTo(current).deltas;
-        ConfigurationUpdate.Delta known = computed.get(heldDigest);
-        if (known != null && known.delta().from().equals(held)) {
-            return Optional.of(known);
-        }
-        Optional<ConfigurationUpdate.Delta> delta =
-                history.delta(held, heldDigest, current).map(ConfigurationUpdate.Delta::new);
-        delta.ifPresent(update -> computed.put(heldDigest, update));
-        return delta;
+        ConfigurationUpdate.Delta delta = updatesTo(current)
+                .deltas
+                .computeIfAbsent(
+                        heldDigest,
+                        base -> history.delta(held, base, current)
+                                .map(ConfigurationUpdate.Delta::new)
+                                .orElse(null));
+        return Optional.ofNullable(delta).filter(known -> known.delta().from().equals(held));
     }
 
     private Updates updatesTo(ConfigurationSnapshot current) {
--- a/node/src/main/java/org/oleanderturn/node/ControlFrames.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlFrames.java
@@ -1,10 +1,9 @@
 package org.oleanderturn.node;
 
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
 import org.oleanderturn.distribution.ConfigurationUpdate;
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.DecodeFailure;
@@ -30,7 +29,7 @@
     /** A compressed frame and the update that its message carries. */
     private record EncodedUpdate(Class<?> message, ConfigurationUpdate update, Frame frame) {}
 
-    private final AtomicReference<List<EncodedUpdate>> encoded = new AtomicReference<>(List.of());
+    private final Deque<EncodedUpdate> encoded = new ArrayDeque<>();
 
     /** Returns whether the sender of a frame reads compressed frames. */
     static boolean readsCompressed(Frame frame) {
@@ -56,18 +55,18 @@
                 : Frame.of(READS_COMPRESSED_KIND, Codec.messagePack().encode(message));
     }
 
-    private Frame encodeContent(ControlMessage message, ConfigurationUpdate content) {
-        for (EncodedUpdate known : encoded.get()) {
+    /** Locks, so that nodes that ask at the same time don't each cost an encoding. */
+    private synchronized Frame encodeContent(ControlMessage message, ConfigurationUpdate content) {
+        for (EncodedUpdate known : encoded) {
             if (known.update().equals(content) && known.message().equals(message.getClass())) {
                 return known.frame();
             }
         }
         Frame frame = Frame.of(COMPRESSED_KIND, Codec.messagePack().encodeCompressedFast(message));
-        encoded.updateAndGet(before -> {
-            List<EncodedUpdate> kept = new ArrayList<>(before);
-            kept.addFirst(new EncodedUpdate(message.getClass(), content, frame));
-            return List.copyOf(kept.subList(0, Math.min(KEPT_FRAMES, kept.size())));
-        });
+        encoded.addFirst(new EncodedUpdate(message.getClass(), content, frame));
+        if (encoded.size() > KEPT_FRAMES) {
+            encoded.removeLast();
+        }
         return frame;
     }
 
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -48,8 +48,8 @@
 
     private static final Duration STORE_RESPONSE_TIMEOUT = Duration.ofSeconds(1);
 
-    /** Longer than any watch of this node; a connection that is silent for longer is given up. */
-    private static final Duration MAXIMUM_WATCH = Duration.ofSeconds(3);
+    /** Short, as a connection that stays silent is given up only after this and the timeout of a response. */
+    private static final Duration MAXIMUM_WATCH = Duration.ofMillis(1_500);
 
     /** Size of a burst of store calls, in seconds of the permitted rate. */
     private static final int STORE_BURST_SECONDS = 2;
--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -34,7 +34,7 @@
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
     /** Short enough that a dead connection is detected soon. */
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(1);
 
     /** Delay between two calls, so that versions in quick succession cost one call instead of one each. */
     private static final long READ_DELAY_MILLISECONDS = 300;
@@ -48,10 +48,10 @@
     private static final Duration MAXIMUM_BACKOFF = Duration.ofMillis(600);
 
     /** How long after a response of the store this node still counts as reading it: a watch, a pause and some more. */
-    private static final Duration READING_PERIOD = Duration.ofMillis(4_500);
+    private static final Duration READING_PERIOD = Duration.ofMillis(2_500);
 
     /** The wait of a watch while confirmations are wanted, so that the store often says that nothing has changed. */
-    private static final Duration CONFIRMING_WATCH_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration CONFIRMING_WATCH_TIMEOUT = Duration.ofMillis(300);
 
     /** For how long confirmations are wanted after they were requested. */
     private static final Duration CONFIRMING_PERIOD = Duration.ofSeconds(20);
@@ -157,11 +157,11 @@
         return READ_DELAY_MILLISECONDS;
     }
 
-    /** Only a watch that lasted its whole wait proves that nothing changed meanwhile; it also ends early without news. */
+    /** Dates the confirmation back to the request, as the answer may have taken long on its way. */
     private void confirmUnchanged(long sentNanoseconds, Duration wait) {
-        long end = sentNanoseconds + wait.toNanos();
-        if (clockNanoseconds.getAsLong() - end >= 0) {
-            confirmation.updateAndGet(known -> known.map(last -> new Confirmation(last.version(), end)));
+        boolean isWholeWait = clockNanoseconds.getAsLong() - sentNanoseconds >= wait.toNanos();
+        if (isWholeWait) {
+            confirmation.updateAndGet(known -> known.map(last -> new Confirmation(last.version(), sentNanoseconds)));
         }
     }
 
@@ -174,8 +174,12 @@
             return;
         }
         readinessGate.observeHead(decoded.get().version());
-        confirmation.set(Optional.of(new Confirmation(decoded.get().version(), sentNanoseconds)));
         AdoptionResult result = holder.adopt(decoded.get());
+        // A rejected version never gets in force, so the one before it still is.
+        ConfigurationVersion newest = result instanceof AdoptionResult.Rejected
+                ? holder.version()
+                : decoded.get().version();
+        confirmation.set(Optional.of(new Confirmation(newest, sentNanoseconds)));
         log.atInfo().log("configuration at revision %s: %s", stored.revision(), result);
     }
 }
--- a/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
@@ -27,7 +27,7 @@
  */
 final class VersionConfirmation implements VersionCheck {
     /** For how long a confirmation holds; within the time in which a new version has to be in force. */
-    private static final Duration VALIDITY = Duration.ofMillis(1_200);
+    private static final Duration VALIDITY = Duration.ofMillis(1_500);
 
     /** How long no further confirmation is tried after one failed; clients are told to come back later than that. */
     private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(250);
