--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchVersionCost.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchVersionCost.java
@@ -111,6 +111,7 @@
      * @param frame the push of the next version, as a delta
      * @param routes the number of routes of the next version
      */
+    @SuppressWarnings("ArrayRecordComponent")
     private record Input(ConfigurationSnapshot base, byte[] value, byte[] frame, int routes) {
 
         static Input of(Change change, int routes) {
