--- a/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
@@ -4,7 +4,9 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -31,7 +33,9 @@
     /** How long after its last disturbance a node counts as undisturbed. */
     static final Duration STABLE_WINDOW = Duration.ofSeconds(3);
 
-    private static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(3);
+    /** How long clients say that they wait. */
+    static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(3);
+
     private static final Duration CLIENT_PAUSE = Duration.ofMillis(200);
     private static final Duration JOIN_TIME = Duration.ofSeconds(4);
     private static final int LONGEST_LOSS_DETECTION_MILLISECONDS = 1_500;
@@ -44,6 +48,9 @@
     record Arrival(
             long milliseconds, int host, String process, Sending sending, String path, boolean isEntryUndisturbed) {}
 
+    /** A request that a target ran, and when the run ended, in milliseconds. */
+    record Run(Arrival arrival, long endMilliseconds) {}
+
     /**
      * What a client got.
      *
@@ -72,6 +79,8 @@
     private final List<SimulatedHost> hosts = new ArrayList<>();
     private final List<Sending> sendings = new ArrayList<>();
     private final List<Arrival> arrivals = new ArrayList<>();
+    private final List<Run> runs = new ArrayList<>();
+    private final Map<Sending, Long> departures = new HashMap<>();
     private final List<Decision> decisions = new ArrayList<>();
     private final List<Exchange> exchanges = new ArrayList<>();
     private Duration shortestWork = Duration.ofMillis(50);
@@ -114,6 +123,16 @@
         return arrivals;
     }
 
+    /** Returns the runs at targets that have ended, in order. */
+    List<Run> runs() {
+        return runs;
+    }
+
+    /** Returns when the client of a request left or had its answer, in milliseconds; the largest value before that. */
+    long departure(Sending sending) {
+        return departures.getOrDefault(sending, Long.MAX_VALUE / 2);
+    }
+
     /** Returns the exchanges of clients that have ended, in order. */
     List<Exchange> exchanges() {
         return exchanges;
@@ -181,6 +200,13 @@
         });
     }
 
+    /** Sends a request once, after a delay, to a node that is drawn then; its client leaves when its patience ends. */
+    void sendAndLeave(Duration delay, String path, Duration patience) {
+        time.start(delay, clients, () -> {
+            var _ = exchange(random.nextInt(hosts.size()), path, patience);
+        });
+    }
+
     /** Sends a request once, after a delay, to a given node. */
     void sendOnceAt(Duration delay, int entry, String path) {
         time.start(delay, clients, () -> {
@@ -203,6 +229,10 @@
 
     /** Sends a request to a node and reports what its client gets; blocks the calling task. */
     Answer exchange(int entry, String path) {
+        return exchange(entry, path, CLIENT_TIMEOUT);
+    }
+
+    private Answer exchange(int entry, String path, Duration patience) {
         SimulatedHost host = hosts.get(entry);
         if (!host.isNodeUp()) {
             return Answer.none();
@@ -217,9 +247,10 @@
                 new byte[0]);
         SimulatedTime.Pending<Answer> answer = time.pending();
         host.handleClient(request, answer);
-        Optional<Answer> received = answer.await(CLIENT_TIMEOUT);
+        Optional<Answer> received = answer.await(patience);
+        departures.put(sending, time.milliseconds());
         if (received.isEmpty()) {
-            request.disconnect();
+            host.disconnect(request);
         }
         exchanges.add(new Exchange(sending, path, received.orElse(Answer.none()), time.milliseconds()));
         return exchanges.getLast().answer();
@@ -337,16 +368,23 @@
         return Duration.ofMillis(random.nextInt(SHORTEST_RESTART_MILLISECONDS, LONGEST_RESTART_MILLISECONDS));
     }
 
-    void recordArrival(SimulatedHost host, String process, String attemptId, String path) {
+    /** Records that a run has ended. */
+    void recordRun(Arrival arrival) {
+        runs.add(new Run(arrival, time.milliseconds()));
+    }
+
+    Arrival recordArrival(SimulatedHost host, String process, String attemptId, String path) {
         Sending sending = sendings.get(Integer.parseInt(attemptId.substring(1)));
         SimulatedHost entry = hosts.get(sending.entry());
-        arrivals.add(new Arrival(
+        Arrival arrival = new Arrival(
                 time.milliseconds(),
                 host.number(),
                 process,
                 sending,
                 path,
-                entry.life() == sending.entryLife() && entry.isUndisturbed()));
+                entry.life() == sending.entryLife() && entry.isUndisturbed() && host.isUndisturbed());
+        arrivals.add(arrival);
+        return arrival;
     }
 
     /** Calls a handler; a simulated connection doesn't fail while a request is read. */
--- a/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
@@ -26,6 +26,9 @@
 final class SimulatedHost {
     private static final Logger LOGGER = Logger.getLogger("org.oleanderturn");
 
+    /** How often a node looks at the connections of the requests that it serves. */
+    private static final Duration WATCH_PERIOD = Duration.ofMillis(100);
+
     static {
         // Thousands of simulated nodes would each log what they learn.
         LOGGER.setLevel(Level.OFF);
@@ -40,6 +43,8 @@
     private final Map<SimulatedRequest, SimulatedNetwork.Exchange> guarded = new LinkedHashMap<>();
     private final List<SimulatedTime.Pending<SimulatedFleet.Answer>> clients = new ArrayList<>();
     private Optional<SimulatedNode> node = Optional.empty();
+    private Optional<SimulatedCore> core = Optional.empty();
+    private Duration readCost = Duration.ZERO;
     private int life;
     private boolean isCut;
     private long disturbedNanoseconds;
@@ -166,12 +171,37 @@
         node.ifPresent(present -> present.recordState(other.number, state));
     }
 
+    // -- core
+
+    /** Charges a share of a core for each request that the node reads, and for each time that it looks at its connections. */
+    void setCore(double share, Duration costOfReading) {
+        core = Optional.of(new SimulatedCore(share));
+        readCost = costOfReading;
+    }
+
+    /** Returns how long the core takes until it has done some work, with what it has to do before. */
+    private Duration workTime(Duration cost) {
+        long now = fleet.time().nanoseconds();
+        return core.map(present -> Duration.ofNanos(present.finish(now, cost.toNanos()) - now))
+                .orElse(Duration.ZERO);
+    }
+
+    /** Closes the connection of a request, which the node notices when it next looks at it. */
+    void disconnect(SimulatedRequest request) {
+        request.close();
+        Duration untilLook = core.isEmpty()
+                ? Duration.ZERO
+                : Duration.ofNanos(fleet.random().nextLong(WATCH_PERIOD.toNanos()))
+                        .plus(workTime(Duration.ZERO));
+        fleet.time().at(untilLook, request::disconnect);
+    }
+
     // -- requests
 
     void handleClient(SimulatedRequest request, SimulatedTime.Pending<SimulatedFleet.Answer> answer) {
         SimulatedNode present = node.orElseThrow();
         clients.add(answer);
-        fleet.time().start(Duration.ZERO, present.life(), () -> {
+        fleet.time().start(workTime(readCost), present.life(), () -> {
             Response response = SimulatedFleet.handle(present.clientHandler(), request);
             clients.remove(answer);
             answer.complete(SimulatedFleet.answer(response));
@@ -187,7 +217,7 @@
     void handlePeer(SimulatedRequest request, SimulatedNetwork.Exchange exchange) {
         SimulatedNode present = node.orElseThrow();
         guarded.put(request, exchange);
-        fleet.time().start(Duration.ZERO, present.life(), () -> {
+        fleet.time().start(workTime(readCost), present.life(), () -> {
             Response response = SimulatedFleet.handle(present.data().guard(), request);
             guarded.remove(request);
             reply(exchange, Either.right(buffered(response)));
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
@@ -50,7 +50,7 @@
         SimulatedHost receiver = fleet.hostOf(peer);
         cancellation.onCancel(() -> {
             response.complete(Either.left(new UpstreamFailure.Cancelled()));
-            fleet.time().at(fleet.delay(host, receiver), received::disconnect);
+            close(peer, receiver, received, response);
         });
         if (peer.port() == SimulatedSettings.TARGET_PORT) {
             fleet.time().at(TARGET_DELAY, () -> receiver.target().receive(request, response));
@@ -60,11 +60,23 @@
         Optional<Either<UpstreamFailure, BufferedResponse>> result = response.await(request.responseTimeout());
         cancellation.clear();
         if (result.isEmpty()) {
-            received.disconnect();
+            close(peer, receiver, received, response);
         }
         return result.orElseGet(() -> Either.left(new UpstreamFailure.TimedOut()));
     }
 
+    private void close(
+            Address peer,
+            SimulatedHost receiver,
+            SimulatedRequest received,
+            SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response) {
+        if (peer.port() == SimulatedSettings.TARGET_PORT) {
+            receiver.target().abandon(response);
+        } else {
+            fleet.time().at(fleet.delay(host, receiver), () -> receiver.disconnect(received));
+        }
+    }
+
     private void connect(
             SimulatedHost receiver, SimulatedRequest received, OutboundRequest request, Exchange exchange) {
         if (!fleet.isConnected(host, receiver)) {
--- a/node/src/test/java/org/oleanderturn/node/SimulatedRequest.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedRequest.java
@@ -13,6 +13,7 @@
     private final List<HeaderField> headers;
     private final byte[] body;
     private Runnable onDisconnect = () -> {};
+    private boolean isDisconnected;
 
     SimulatedRequest(String method, String path, List<HeaderField> headers, byte[] body) {
         this.method = method;
@@ -21,11 +22,22 @@
         this.body = body;
     }
 
-    /** Acts as if the peer had closed its connection. */
+    /** Acts as if the peer had closed its connection, which nobody has noticed. */
+    void close() {
+        isDisconnected = true;
+    }
+
+    /** Acts as if the peer had closed its connection, and the node had noticed it. */
     void disconnect() {
+        isDisconnected = true;
         onDisconnect.run();
     }
 
+    /** Returns whether the peer has closed its connection. */
+    public boolean isPeerDisconnected() {
+        return isDisconnected;
+    }
+
     @Override
     public String method() {
         return method;
--- a/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
@@ -44,6 +44,7 @@
     private final List<Crash> crashes = new ArrayList<>();
     private final List<Named> named = new ArrayList<>();
     private final Set<SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>>> open = new LinkedHashSet<>();
+    private double speed = 1;
     private int nodeEndsPercent;
     private boolean isInstanceKept;
     private boolean isUp;
@@ -87,6 +88,11 @@
 
     // -- commands
 
+    /** Sets how fast the target runs requests; 1 is usual. */
+    void setSpeed(double factor) {
+        speed = factor;
+    }
+
     /** Lets later processes keep the instance id. */
     void keepInstance() {
         isInstanceKept = true;
@@ -107,6 +113,11 @@
         }
     }
 
+    /** Ends the run of a request whose connection the node has closed. */
+    void abandon(SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response) {
+        open.remove(response);
+    }
+
     private void recordTold() {
         if (isLimitUntold) {
             isLimitUntold = false;
@@ -162,21 +173,26 @@
             response.complete(Either.right(FakeTargetMessages.misdirected(instance)));
             return;
         }
-        fleet.recordArrival(host, process(), attemptId, request.path());
+        SimulatedFleet.Arrival arrival = fleet.recordArrival(host, process(), attemptId, request.path());
         open.add(response);
         if (request.path().contains("crash")) {
             crashSoon(request.path(), fleet.sender(attemptId));
             return;
         }
         String ran = process();
-        fleet.time().at(fleet.workTime(), () -> {
+        fleet.time().at(workTime(), () -> {
             if (open.remove(response)) {
+                fleet.recordRun(arrival);
                 recordTold();
                 response.complete(Either.right(FakeTargetMessages.ran(attemptId, ran, limit, isLeaving)));
             }
         });
     }
 
+    private Duration workTime() {
+        return Duration.ofNanos(Math.round(fleet.workTime().toNanos() / speed));
+    }
+
     private void crashSoon(String path, SimulatedHost sender) {
         boolean isSuspect = host.isSuspect(path);
         String crashing = process();
