Choose a guard among a few targets drawn at random

Callers saw: stock-check answered after 612 ms in the median at a third of the targets' slots, with nothing disturbed. Cause: each entry took the cheapest of all targets by reports up to seconds old, so 79 entries chose the same ones; class of fault: a decision of many by the same stale fact. Change: two targets of the nearest distance and one of each further one are drawn, and the cheapest of these is taken; requests that are still out count even when a report has forgotten them. Beside it, fewer costs are computed for each request.

--- a/traffic/src/main/java/org/oleanderturn/traffic/LeastLatencyBalancer.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LeastLatencyBalancer.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.traffic;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -11,12 +12,13 @@
 import org.oleanderturn.model.NodeId;
 
 /**
- * Load balancer that chooses the target with the lowest expected latency.
+ * Load balancer that chooses the target with the lowest expected latency of a few that it draws at random.
+ *
+ * <p>Reports are old by the time they are used, and many entries have the same ones. If each entry took the best target of
+ * all, they would choose the same one until the next report.
  *
  * <p>The expected latency is that of the target's recent requests, increased with its load; more distant targets are
- * charged for the network latency and for what the users pay to transfer the bytes. Random jitter keeps entries that
- * have the same reports from all choosing the same target. All costs are in percent of the target latency of a
- * request. Thread safe if the random generator is.
+ * charged for the network latency and for what the users pay to transfer the bytes. All costs are in percent of the target latency of a request. Thread safe if the random generator is.
  */
 public final class LeastLatencyBalancer {
     /** Latency assumed for a target without a report, in percent of the target latency; a typical value. */
@@ -57,9 +59,22 @@
      */
     private static final double UTILIZATION_COST = 0.1;
 
+    /** How many targets of the nearest distance are compared; entries with the same old reports then choose different ones. */
+    private static final int NEAREST_CANDIDATES = 2;
+
+    /** How many targets of each further distance are compared. */
+    private static final int DISTANT_CANDIDATES = 1;
+
     /** Added for a target that is avoided or accepts no requests; higher than any cost by load. */
     private static final double AVOIDED_COST = 10_000;
 
+    /** An endpoint and its cost. */
+    private record Choice(Endpoint endpoint, double cost) {
+        boolean isAvoided() {
+            return cost >= AVOIDED_COST;
+        }
+    }
+
     private final TargetLoadTracker loads;
     private final Locality locality;
     private final LongSupplier nanoseconds;
@@ -84,21 +99,53 @@
     }
 
     /**
-     * Returns the endpoint with the lowest expected latency; empty if all are excluded.
+     * Returns the endpoint with the lowest expected latency among some that are drawn at random, or among all if none of
+     * the drawn ones accepts requests; empty if all are excluded.
      *
      * @param bytes expected bytes of the request and its response
      */
     public Optional<Endpoint> choose(List<Endpoint> endpoints, Set<NodeId> excluded, double bytes) {
-        Optional<Endpoint> best = Optional.empty();
-        double lowest = Double.MAX_VALUE;
-        for (Endpoint endpoint : endpoints) {
-            if (excluded.contains(endpoint.node())) {
-                continue;
+        List<Endpoint> candidates = endpoints.stream()
+                .filter(endpoint -> !excluded.contains(endpoint.node()))
+                .toList();
+        Optional<Choice> drawn = cheapest(draw(candidates), bytes);
+        if (drawn.filter(Choice::isAvoided).isPresent()) {
+            return cheapest(candidates, bytes).map(Choice::endpoint);
+        }
+        return drawn.map(Choice::endpoint);
+    }
+
+    /** Draws candidates of each distance, more of the nearest, so that requests stay near while there is room. */
+    private List<Endpoint> draw(List<Endpoint> candidates) {
+        List<Endpoint> drawn = new ArrayList<>();
+        int count = NEAREST_CANDIDATES;
+        for (Locality.Distance distance : Locality.Distance.values()) {
+            List<Endpoint> level = candidates.stream()
+                    .filter(endpoint -> locality.distanceTo(endpoint.locality()) == distance)
+                    .toList();
+            if (!level.isEmpty()) {
+                drawInto(drawn, level, count);
+                count = DISTANT_CANDIDATES;
             }
+        }
+        return drawn;
+    }
+
+    /** Adds distinct endpoints of a level: a random one and those that follow a random step apart. */
+    private void drawInto(List<Endpoint> drawn, List<Endpoint> level, int count) {
+        int first = random.nextInt(level.size());
+        drawn.add(level.get(first));
+        if (count > 1 && level.size() > 1) {
+            drawn.add(level.get((first + 1 + random.nextInt(level.size() - 1)) % level.size()));
+        }
+    }
+
+    private Optional<Choice> cheapest(List<Endpoint> candidates, double bytes) {
+        Optional<Choice> best = Optional.empty();
+        for (Endpoint endpoint : candidates) {
             double cost = cost(endpoint, bytes) * (1 + JITTER_FRACTION * random.nextDouble());
-            if (cost < lowest) {
-                lowest = cost;
-                best = Optional.of(endpoint);
+            if (best.isEmpty() || cost < best.get().cost()) {
+                best = Optional.of(new Choice(endpoint, cost));
             }
         }
         return best;
@@ -119,7 +166,8 @@
             return AVOIDED_COST;
         }
         double latency = report.slownessPercent() == 0 ? DEFAULT_SLOWNESS_PERCENT : report.slownessPercent();
-        double load = report.running() + report.waiting() + target.sentSinceReport();
+        int reported = report.running() + report.waiting() + target.sentSinceReport();
+        double load = Math.max(reported, target.outstanding());
         double utilization = load / report.slots();
         double queueing = Math.max(0, load + 1 - report.slots()) / report.slots();
         double contention = CONTENTION_COST
