Begin nothing for clients that have left, and count their time from its start

Cause: three, of one class, a fact about a client that is looked at only while a request is served. A close was found by a thread that read ahead, begun 150 to 350 ms after the request was read, and never behind a byte of the next request; nothing looked at the connection before work was begun. Time was counted from the reading of a request, so each node added what the request had waited for its core. Leasing and opening a connection went on after the client had left. Change: connections are checked every 100 ms, without a thread each, and at once before a request is sent to a guard or a target, also before a second attempt; a client's cancellation ends the wait for a connection, and what was not sent counts as not run. A node measures how late its core runs its own periodic task, and counts that as time that a request has spent. A run is not begun with less than half of its likely time left.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
@@ -54,6 +55,7 @@
     private static final int DEFAULT_TARGET_LATENCY_MILLISECONDS = 1_000;
 
     private final MeshRequest request;
+    private final BooleanSupplier hasClientLeft;
     private final MeshEntryDependencies dependencies;
     private final ClientResponses responses;
     private final ConcurrentMap<NodeId, Set<Cancellation>> cancellationsByNode;
@@ -67,12 +69,15 @@
     private boolean mayHaveRun;
     private Optional<Duration> soonestRetry = Optional.empty();
 
+    /** Creates a dispatch; {@code hasClientLeft} asks the client's connection, on the thread that runs the dispatch. */
     EntryDispatch(
             MeshRequest request,
+            BooleanSupplier hasClientLeft,
             MeshEntryDependencies dependencies,
             ClientResponses responses,
             ConcurrentMap<NodeId, Set<Cancellation>> cancellationsByNode) {
         this.request = Objects.requireNonNull(request, "request is null");
+        this.hasClientLeft = Objects.requireNonNull(hasClientLeft, "hasClientLeft is null");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
         this.responses = Objects.requireNonNull(responses, "responses is null");
         this.cancellationsByNode = Objects.requireNonNull(cancellationsByNode, "cancellationsByNode is null");
@@ -96,6 +101,14 @@
         }
     }
 
+    /** Asks the client's connection whether the client has left; for the thread that runs the dispatch. */
+    private boolean isClientGone() {
+        if (hasClientLeft.getAsBoolean()) {
+            isClientDisconnected = true;
+        }
+        return isClientDisconnected;
+    }
+
     private void onDeadline() {
         isTimedOut = true;
         currentCancellation.get().cancel();
@@ -160,7 +173,7 @@
         attempts++;
         NodeId node = endpoint.node();
         logPlacement(node);
-        Cancellation cancellation = Cancellation.create();
+        Cancellation cancellation = Cancellation.create(this::isClientGone);
         currentCancellation.set(cancellation);
         Set<Cancellation> cancellations = cancellationsByNode.computeIfAbsent(node, _ -> ConcurrentHashMap.newKeySet());
         cancellations.add(cancellation);
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
@@ -113,6 +113,9 @@
 
     private GuardReply replyForFailure(NodeId node, UpstreamFailure failure) {
         return switch (failure) {
+            case UpstreamFailure.NotSent notSent
+            when notSent.cause() == UpstreamFailure.Cause.CANCELLED ->
+                new GuardReply.NotRun("CANCELLED", false, Duration.ZERO);
             case UpstreamFailure.NotSent notSent -> {
                 loads.avoid(node, AVOIDANCE.toNanos());
                 yield new GuardReply.NotRun("GUARD_" + notSent.cause(), false, Duration.ZERO);
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardRequestMetadata.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardRequestMetadata.java
@@ -92,6 +92,22 @@
                 HeaderField.find(headers, ProxyHeaders.TARGET_CONDITION)));
     }
 
+    /** Returns the metadata after some time, which the request has spent. */
+    GuardRequestMetadata after(Duration spent) {
+        return new GuardRequestMetadata(
+                service,
+                caller,
+                kind,
+                rank,
+                remaining.minus(spent),
+                targetLatency,
+                elapsed.plus(spent),
+                attempt,
+                isRepeat,
+                suspicion,
+                condition);
+    }
+
     /** Encodes the metadata as headers. */
     List<HeaderField> headers() {
         List<HeaderField> headers = new ArrayList<>();
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -77,7 +77,9 @@
 
     @Override
     public Response handle(InboundRequest request) throws IOException {
-        long receivedNanoseconds = dependencies.clockNanoseconds().getAsLong();
+        // The client's time has run since the request arrived, not since it was read.
+        long receivedNanoseconds = dependencies.clockNanoseconds().getAsLong()
+                - request.readDelay().toNanos();
         ClientRequestMetadata client = adapter.clientMetadata(request);
         Optional<byte[]> body = request.readBody(MeshGuard.BODY_LIMIT_BYTES);
         boolean isServing = isReady.getAsBoolean();
@@ -103,7 +105,8 @@
             }
         }
         MeshRequest routed = routedRequest(request, client, body.get(), match.get(), index, receivedNanoseconds);
-        EntryDispatch dispatch = new EntryDispatch(routed, dependencies, responses, cancellationsByNode);
+        EntryDispatch dispatch =
+                new EntryDispatch(routed, request::hasPeerLeft, dependencies, responses, cancellationsByNode);
         request.onPeerDisconnect(dispatch::onClientDisconnect);
         return dispatch.run();
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -62,6 +62,9 @@
     /** Keeps a waiting request from looking again and again. */
     private static final Duration SHORTEST_TURN = Duration.ofMillis(1);
 
+    /** A request with less time left is never begun, as its response would come too late for anyone. */
+    private static final Duration SHORTEST_RUN = Duration.ofMillis(30);
+
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
     /** How long a target may take to accept the connection that shows that it lives; the client may be waiting. */
@@ -160,7 +163,9 @@
 
     @Override
     public Response handle(InboundRequest request) throws IOException {
-        Either<String, GuardRequestMetadata> metadata = GuardRequestMetadata.decode(request);
+        // The entry's time has run since the request arrived, not since it was read.
+        Either<String, GuardRequestMetadata> metadata =
+                GuardRequestMetadata.decode(request).map(decoded -> decoded.after(request.readDelay()));
         Optional<byte[]> body = request.readBody(BODY_LIMIT_BYTES);
         if (metadata.isLeft() || body.isEmpty()) {
             return GuardReplyCodec.encode(
@@ -176,7 +181,7 @@
                 metadata.get(),
                 metadata.get().remaining(),
                 request.bodyReservation(),
-                Cancellation.create());
+                Cancellation.create(request::hasPeerLeft));
         request.onPeerDisconnect(guardRequest.cancellation()::cancel);
         return GuardReplyCodec.encode(execute(guardRequest), load(), condition());
     }
@@ -319,7 +324,7 @@
     private GuardReply send(GuardRequest request, TargetStart start, long started) {
         long sentNanoseconds = clockNanoseconds.getAsLong();
         Duration remaining = request.metadata().remaining().minusNanos(sentNanoseconds - started);
-        if (!remaining.isPositive()) {
+        if (remaining.compareTo(shortestRun(request.metadata())) < 0) {
             return new GuardReply.NotRun("DEADLINE", false, Duration.ZERO);
         }
         List<HeaderField> headers = adapter.targetHeaders(
@@ -343,6 +348,13 @@
         });
     }
 
+    /** Returns how much time must be left for a run that may end in time, as targets run some requests faster than usual. */
+    private Duration shortestRun(GuardRequestMetadata metadata) {
+        Duration likely =
+                latencyRatio.expectedDuration(metadata.targetLatency()).dividedBy(2);
+        return likely.compareTo(SHORTEST_RUN) > 0 ? likely : SHORTEST_RUN;
+    }
+
     private boolean isForAttempt(List<HeaderField> headers, ClientRequestMetadata client) {
         Optional<String> echoed = adapter.responseMetadata(headers).attemptId();
         return echoed.isEmpty() || echoed.get().equals(client.attemptId());
--- a/node/src/test/java/org/oleanderturn/node/AbandonedRequestFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/AbandonedRequestFleetTest.java
@@ -21,7 +21,8 @@
     private static final int FIRST_SEED = Integer.getInteger("oleanderturn.firstSeed", 0);
     private static final int SEEDS = Integer.getInteger("oleanderturn.seeds", 2);
     private static final double CORE_SHARE = 0.3;
-    private static final Duration READ_COST = Duration.ofMillis(2);
+    private static final Duration READ_COST = Duration.ofMillis(1);
+    private static final Duration SEND_COST = Duration.ofMillis(3);
 
     /** How long after its client has left a request may still reach a target, or run there. */
     private static final long NOTICE_MILLISECONDS = 500;
@@ -39,9 +40,10 @@
             this.factor = factor;
         }
 
-        /** Returns the requests of a day; each is read at two nodes, and answered there. */
+        /** Returns the requests of a day; each is read and sent on at two nodes. */
         private long requests() {
-            double perSecond = FLEET_SIZE * CORE_SHARE / (2 * READ_COST.toNanos() / 1e9);
+            double perSecond =
+                    FLEET_SIZE * CORE_SHARE / (2 * READ_COST.plus(SEND_COST).toNanos() / 1e9);
             return Math.round(perSecond * factor * DAY.toSeconds());
         }
     }
@@ -128,7 +130,7 @@
 
     private static SimulatedFleet play(Load load, Play play) {
         SimulatedFleet fleet = new SimulatedFleet(FLEET_SIZE, SLOTS, MAXIMUM_ATTEMPTS, play.seed());
-        fleet.hosts().forEach(host -> host.setCore(CORE_SHARE, READ_COST));
+        fleet.hosts().forEach(host -> host.setCore(CORE_SHARE, READ_COST, SEND_COST));
         for (long request = 0; request < load.requests(); request++) {
             Duration delay = Duration.ofMillis(fleet.random().nextLong(DAY.toMillis()));
             // A third of the clients leave early, at any stage.
--- a/node/src/test/java/org/oleanderturn/node/SimulatedCore.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedCore.java
@@ -9,6 +9,13 @@
         this.share = share;
     }
 
+    /** Returns how long the work that runs now takes to do more, all times in nanoseconds; what waits is done later. */
+    long extend(long now, long processorTime) {
+        long duration = Math.round(processorTime / share);
+        freeNanoseconds = Math.max(now, freeNanoseconds) + duration;
+        return duration;
+    }
+
     /** Returns when work that arrives at the given moment is done, all times in nanoseconds. */
     long finish(long arrival, long processorTime) {
         freeNanoseconds = Math.max(arrival, freeNanoseconds) + Math.round(processorTime / share);
--- a/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
@@ -19,6 +19,7 @@
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamFailure;
+import org.oleanderturn.traffic.CoreLag;
 import org.oleanderturn.traffic.Fingerprint;
 import org.oleanderturn.wire.Frame;
 
@@ -40,11 +41,13 @@
     private final NodeSettings settings;
     private final RouteIndex routes;
     private final SimulatedTarget target;
+    private final CoreLag lag;
     private final Map<SimulatedRequest, SimulatedNetwork.Exchange> guarded = new LinkedHashMap<>();
     private final List<SimulatedTime.Pending<SimulatedFleet.Answer>> clients = new ArrayList<>();
     private Optional<SimulatedNode> node = Optional.empty();
     private Optional<SimulatedCore> core = Optional.empty();
     private Duration readCost = Duration.ZERO;
+    private Duration sendCost = Duration.ZERO;
     private int life;
     private boolean isCut;
     private long disturbedNanoseconds;
@@ -56,6 +59,7 @@
                 number, "node-" + number, SimulatedFleet.ZONES, ServiceName.of(SimulatedFleet.SERVICE));
         this.routes = RouteIndex.of(configuration);
         this.target = new SimulatedTarget(fleet, this, slots);
+        this.lag = CoreLag.of(fleet.time()::nanoseconds);
     }
 
     // -- queries
@@ -128,6 +132,7 @@
             disturb();
             node = Optional.of(new SimulatedNode(fleet, this, settings, routes));
             node.get().start();
+            measureLag(node.get().life());
             fleet.reviewLater(this);
         }
     }
@@ -173,10 +178,31 @@
 
     // -- core
 
-    /** Charges a share of a core for each request that the node reads, and for each time that it looks at its connections. */
-    void setCore(double share, Duration costOfReading) {
+    /** Charges a share of a core for each request that the node reads or sends on. */
+    void setCore(double share, Duration costOfReading, Duration costOfSending) {
         core = Optional.of(new SimulatedCore(share));
         readCost = costOfReading;
+        sendCost = costOfSending;
+    }
+
+    /** Blocks the calling task, which has the core, until it has sent a request on. */
+    void chargeSending() {
+        core.ifPresent(present ->
+                fleet.time().sleep(Duration.ofNanos(present.extend(fleet.time().nanoseconds(), sendCost.toNanos()))));
+    }
+
+    /** Measures the lag of the core as the loop of a listener does. */
+    private void measureLag(SimulatedTime.Life nodeLife) {
+        lag.recordWait(WATCH_PERIOD);
+        fleet.time()
+                .at(
+                        WATCH_PERIOD,
+                        () -> fleet.time().at(workTime(Duration.ZERO), () -> {
+                            lag.recordWake();
+                            if (!nodeLife.isOver()) {
+                                measureLag(nodeLife);
+                            }
+                        }));
     }
 
     /** Returns how long the core takes until it has done some work, with what it has to do before. */
@@ -186,6 +212,11 @@
                 .orElse(Duration.ZERO);
     }
 
+    /** Returns how late the core is by the node's own measure. */
+    Duration lag() {
+        return lag.current();
+    }
+
     /** Closes the connection of a request, which the node notices when it next looks at it. */
     void disconnect(SimulatedRequest request) {
         request.close();
@@ -202,6 +233,7 @@
         SimulatedNode present = node.orElseThrow();
         clients.add(answer);
         fleet.time().start(workTime(readCost), present.life(), () -> {
+            request.setReadDelay(lag.current());
             Response response = SimulatedFleet.handle(present.clientHandler(), request);
             clients.remove(answer);
             answer.complete(SimulatedFleet.answer(response));
@@ -218,6 +250,7 @@
         SimulatedNode present = node.orElseThrow();
         guarded.put(request, exchange);
         fleet.time().start(workTime(readCost), present.life(), () -> {
+            request.setReadDelay(lag.current());
             Response response = SimulatedFleet.handle(present.data().guard(), request);
             guarded.remove(request);
             reply(exchange, Either.right(buffered(response)));
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
@@ -48,6 +48,11 @@
         SimulatedRequest received =
                 new SimulatedRequest(request.method(), request.path(), request.headers(), request.body());
         SimulatedHost receiver = fleet.hostOf(peer);
+        host.chargeSending();
+        cancellation.check();
+        if (cancellation.isCancelled()) {
+            return Either.left(new UpstreamFailure.NotSent(UpstreamFailure.Cause.CANCELLED, "the caller has left"));
+        }
         cancellation.onCancel(() -> {
             response.complete(Either.left(new UpstreamFailure.Cancelled()));
             close(peer, receiver, received, response);
--- a/node/src/test/java/org/oleanderturn/node/SimulatedRequest.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedRequest.java
@@ -13,6 +13,7 @@
     private final List<HeaderField> headers;
     private final byte[] body;
     private Runnable onDisconnect = () -> {};
+    private Duration readDelay = Duration.ZERO;
     private boolean isDisconnected;
 
     SimulatedRequest(String method, String path, List<HeaderField> headers, byte[] body) {
@@ -33,9 +34,9 @@
         onDisconnect.run();
     }
 
-    /** Returns whether the peer has closed its connection. */
-    public boolean isPeerDisconnected() {
-        return isDisconnected;
+    /** Sets the node's estimate of how long the request waited before it is read. */
+    void setReadDelay(Duration delay) {
+        readDelay = delay;
     }
 
     @Override
@@ -63,6 +64,16 @@
         return Optional.of(body);
     }
 
+    @Override
+    public Duration readDelay() {
+        return readDelay;
+    }
+
+    @Override
+    public boolean hasPeerLeft() {
+        return isDisconnected;
+    }
+
     @Override
     public void onPeerDisconnect(Runnable action) {
         onDisconnect = action;
--- a/proxy/src/main/java/org/oleanderturn/proxy/Cancellation.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/Cancellation.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 
 /**
  * Signals that the caller of a request no longer waits for the response.
@@ -23,11 +24,27 @@
 
     private final AtomicReference<State> state = new AtomicReference<>(new State.Pending(() -> {}));
 
-    private Cancellation() {}
+    private final BooleanSupplier hasCallerLeft;
+
+    private Cancellation(BooleanSupplier hasCallerLeft) {
+        this.hasCallerLeft = hasCallerLeft;
+    }
 
     /** Returns a cancellation that has not been triggered. */
     public static Cancellation create() {
-        return new Cancellation();
+        return new Cancellation(() -> false);
+    }
+
+    /** Returns a cancellation that has not been triggered; {@link #check} asks whether the caller has left. */
+    public static Cancellation create(BooleanSupplier hasCallerLeft) {
+        return new Cancellation(Objects.requireNonNull(hasCallerLeft, "hasCallerLeft is null"));
+    }
+
+    /** Asks whether the caller has left, and cancels the request if so; to be called before work is begun for it. */
+    public void check() {
+        if (!isCancelled() && hasCallerLeft.getAsBoolean()) {
+            cancel();
+        }
     }
 
     /** Cancels the request and runs the current action; later calls have no effect. */
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -3,9 +3,12 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Set;
@@ -25,10 +28,12 @@
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.io.HttpService;
+import org.apache.hc.core5.http.impl.io.SocketHolder;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 import org.oleanderturn.model.Address;
+import org.oleanderturn.traffic.CoreLag;
 
 /**
  * An HTTP/1.1 server with one accept loop and one virtual thread per connection.
@@ -46,15 +51,17 @@
     private static final long DRAIN_POLL_MILLISECONDS = 10;
 
     /**
-     * How often delayed disconnect watches are started. Work must end within half a second of a disconnect, so the
-     * period is shorter than that.
+     * How often connections are checked for a disconnect. Work at two nodes and a target must end within half a second of a
+     * disconnect, so the period is shorter than a quarter of that.
      */
-    private static final long WATCH_POLL_MILLISECONDS = 200;
+    private static final Duration WATCH_PERIOD = Duration.ofMillis(100);
 
-    private final ServerSocket server;
+    private final ServerSocketChannel server;
+    private final Address address;
     private final HttpService service;
     private final ListenerLimits limits;
     private final ExecutorService executor;
+    private final CoreLag lag = CoreLag.of(System::nanoTime);
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
     private final CountDownLatch acceptLoopEnded = new CountDownLatch(1);
     private final AtomicInteger openConnections = new AtomicInteger();
@@ -62,17 +69,19 @@
     private final AtomicBoolean isDraining = new AtomicBoolean();
 
     private HttpListener(
-            ServerSocket server,
+            ServerSocketChannel server,
+            Address address,
             ExecutorService executor,
             RequestHandler handler,
             ListenerLimits limits,
             Supplier<BodyReservation> reservations) {
         this.server = server;
+        this.address = address;
         this.executor = executor;
         this.limits = limits;
         this.service = new HttpService(
                 HttpProcessors.server(SERVER_NAME),
-                RequestHandlerAdapter.of(handler, isDraining::get, reservations),
+                RequestHandlerAdapter.of(handler, isDraining::get, lag::current, reservations),
                 (request, response, context) -> ConnectionReuse.isKeepAlive(response, isDraining.get()),
                 null);
     }
@@ -108,21 +117,21 @@
         Objects.requireNonNull(handler, "handler is null");
         Objects.requireNonNull(limits, "limits is null");
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-        ServerSocket server = null;
+        ServerSocketChannel server = null;
+        Address address;
         try {
-            server = new WatchedServerSocket(executor);
-            server.setReuseAddress(true);
+            server = ServerSocketChannel.open();
+            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             server.bind(new InetSocketAddress(host, port), ACCEPT_BACKLOG);
+            address = Address.of(host, server.socket().getLocalPort());
         } catch (IOException cause) {
             IoUtilities.closeQuietly(server);
             executor.shutdown();
             return Either.left(new ListenerFailure.BindFailed(host + ":" + port, String.valueOf(cause.getMessage())));
         }
-        HttpListener listener = new HttpListener(server, executor, handler, limits, reservations);
+        HttpListener listener = new HttpListener(server, address, executor, handler, limits, reservations);
         listener.executor.execute(listener::runAcceptLoop);
-        if (limits.disconnectWatchDelay().isPositive()) {
-            listener.executor.execute(listener::runWatchLoop);
-        }
+        listener.executor.execute(listener::runWatchLoop);
         return Either.right(listener);
     }
 
@@ -130,7 +139,7 @@
 
     /** Returns the bound address. */
     public Address address() {
-        return Address.of(server.getInetAddress().getHostAddress(), server.getLocalPort());
+        return address;
     }
 
     /** Returns the number of requests that are being served or have arrived and not yet been read. */
@@ -200,20 +209,35 @@
         }
     }
 
-    /** Starts the delayed disconnect watches that are due. */
+    /** Checks connections for a disconnect, and measures how late the core runs this. */
     private void runWatchLoop() {
-        while (!isClosed && IoUtilities.sleep(WATCH_POLL_MILLISECONDS)) {
+        lag.recordWait(WATCH_PERIOD);
+        while (!isClosed && IoUtilities.sleep(WATCH_PERIOD.toMillis())) {
+            lag.recordWake();
             long now = System.nanoTime();
-            connections.forEach(connection -> connection.startWatchIfDue(now));
+            connections.forEach(connection -> checkPeer(connection, now));
+            lag.recordWait(WATCH_PERIOD);
+        }
+    }
+
+    private void checkPeer(ServerConnection connection, long now) {
+        if (!connection.isStreaming()) {
+            connection.checkPeer(now);
+            return;
+        }
+        try {
+            executor.execute(() -> connection.checkPeer(now));
+        } catch (RejectedExecutionException executorClosed) {
+            log.atFinest().withCause(executorClosed).log("the listener is closed");
         }
     }
 
     private void acceptUntilClosed() {
-        while (!server.isClosed()) {
+        while (server.isOpen()) {
             try {
                 startServing(server.accept());
             } catch (IOException cause) {
-                if (server.isClosed()) {
+                if (!server.isOpen()) {
                     return;
                 }
                 log.atWarning().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log("accept failed");
@@ -222,41 +246,42 @@
         }
     }
 
-    private void startServing(Socket socket) {
+    private void startServing(SocketChannel channel) {
         if (openConnections.incrementAndGet() > limits.maximumConnections()) {
             openConnections.decrementAndGet();
-            IoUtilities.closeQuietly(socket);
+            IoUtilities.closeQuietly(channel);
             return;
         }
         try {
-            executor.execute(() -> serveConnection(socket));
+            executor.execute(() -> serveConnection(channel));
         } catch (RejectedExecutionException executorClosed) {
             openConnections.decrementAndGet();
-            IoUtilities.closeQuietly(socket);
+            IoUtilities.closeQuietly(channel);
+        }
+    }
+
+    private void serveConnection(SocketChannel channel) {
+        try {
+            serve(AcceptedChannel.of(channel));
+        } catch (IOException cause) {
+            log.atFine().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log("connection failed");
+        } finally {
+            IoUtilities.closeQuietly(channel);
+            openConnections.decrementAndGet();
         }
     }
 
-    private void serveConnection(Socket socket) {
+    private void serve(AcceptedChannel channel) {
         Http1Config httpSettings = Http1Config.custom()
                 .setBufferSize(BUFFER_BYTES)
                 .setMaxLineLength(limits.maximumLineBytes())
                 .setMaxHeaderCount(limits.maximumHeaders())
                 .build();
-        DefaultBHttpServerConnection connection = new DefaultBHttpServerConnection(
-                "http",
-                httpSettings,
-                null,
-                null,
-                null,
-                null,
-                // The default parser factory ignores the limit of the settings on the number of headers.
-                new DefaultHttpRequestParserFactory(httpSettings),
-                null);
-        ServerConnection serverConnection = ServerConnection.of((WatchedSocket) socket, connection, limits);
+        WatchedConnection connection = new WatchedConnection(httpSettings);
+        ServerConnection serverConnection = ServerConnection.of(channel, connection, limits);
         connections.add(serverConnection);
         try {
-            socket.setTcpNoDelay(true);
-            connection.bind(socket);
+            connection.bind(channel);
             connection.setSocketTimeout(Timeout.of(limits.idleTimeout()));
             serveRequests(connection, serverConnection);
         } catch (ConnectionClosedException cause) {
@@ -266,7 +291,6 @@
         } finally {
             connections.remove(serverConnection);
             connection.close(CloseMode.IMMEDIATE);
-            openConnections.decrementAndGet();
         }
     }
 
@@ -280,20 +304,20 @@
         }
     }
 
-    /** Accepts {@link WatchedSocket}s. */
-    private static final class WatchedServerSocket extends ServerSocket {
-        private final ExecutorService executor;
-
-        WatchedServerSocket(ExecutorService executor) throws IOException {
-            super();
-            this.executor = executor;
+    /** A connection that reads through the stream that looks ahead. */
+    private static final class WatchedConnection extends DefaultBHttpServerConnection {
+        WatchedConnection(Http1Config settings) {
+            // The default parser factory ignores the limit of the settings on the number of headers.
+            super("http", settings, null, null, null, null, new DefaultHttpRequestParserFactory(settings), null);
         }
 
-        @Override
-        public Socket accept() throws IOException {
-            Socket socket = new WatchedSocket(executor);
-            implAccept(socket);
-            return socket;
+        void bind(AcceptedChannel channel) throws IOException {
+            bind(new SocketHolder(channel.socket()) {
+                @Override
+                protected InputStream getInputStream(Socket socket) {
+                    return channel.input();
+                }
+            });
         }
     }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
@@ -46,6 +46,16 @@
         return BodyReservation.unlimited();
     }
 
+    /** Returns an estimate of how long the request had waited for the core before it was read. */
+    default Duration readDelay() {
+        return Duration.ZERO;
+    }
+
+    /** Returns whether the peer has disconnected; asks the connection, and runs the action that waits for that. */
+    default boolean hasPeerLeft() {
+        return false;
+    }
+
     /**
      * Runs the action once if the peer disconnects before the response has been written.
      *
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -2,69 +2,67 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.Executor;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * A socket's input stream that detects a disconnect of the peer while nobody reads from it.
+ * A connection's input stream that detects the end of the input while nobody reads from it.
  *
- * <p>Watching reads one byte ahead on another thread. A later read waits for that byte and returns it first, so no byte
- * is lost. Invariant: at most one thread reads from the source at any time. Thread safe.
+ * <p>A check reads what has arrived, without waiting; later reads return it first, so no byte is lost. Invariant: the end is
+ * found behind at most {@value #LIMIT_BYTES} unread bytes. A check must not run while a read waits for the source. Thread
+ * safe otherwise.
  */
 final class LookaheadInputStream extends InputStream {
+    /** The longest input that is read ahead; a client that sends its next request early sends a short one. */
+    private static final int LIMIT_BYTES = 1_024;
 
-    /** The state of the byte that is read ahead. */
-    private enum LookaheadState {
-        NONE,
-        READING,
-        BUFFERED,
-        ENDED
+    /** Reads bytes that have arrived, without waiting for more. */
+    @FunctionalInterface
+    interface ArrivedBytes {
+
+        /** Adds bytes to the buffer and returns how many; negative at the end of the input. */
+        int readInto(ByteBuffer buffer) throws IOException;
     }
 
     private final InputStream source;
-    private final Executor executor;
+    private final ArrivedBytes arrived;
     private final ReentrantLock lock = new ReentrantLock();
-    private final Condition readCompleted = lock.newCondition();
-    private LookaheadState state = LookaheadState.NONE;
-    private byte bufferedByte;
+    private ByteBuffer ahead = ByteBuffer.allocate(0);
+    private boolean hasEnded;
     private Optional<Runnable> onEnd = Optional.empty();
 
-    private LookaheadInputStream(InputStream source, Executor executor) {
+    private LookaheadInputStream(InputStream source, ArrivedBytes arrived) {
         this.source = source;
-        this.executor = executor;
+        this.arrived = arrived;
     }
 
-    static LookaheadInputStream of(InputStream source, Executor executor) {
+    /** Returns a stream that reads from a source, and looks ahead with what reads the same bytes without waiting. */
+    static LookaheadInputStream of(InputStream source, ArrivedBytes arrived) {
         Objects.requireNonNull(source, "source is null");
-        Objects.requireNonNull(executor, "executor is null");
-        return new LookaheadInputStream(source, executor);
+        Objects.requireNonNull(arrived, "arrived is null");
+        return new LookaheadInputStream(source, arrived);
     }
 
-    /** Starts to watch; runs the action once if the input ends before {@link #unwatch} is called. */
+    // -- checks
+
+    /** Sets the action that the check that finds the end runs; runs it at once if the end has been found. */
     void watch(Runnable action) {
-        boolean hasEnded = false;
+        boolean isEndKnown;
         lock.lock();
         try {
-            onEnd = Optional.of(action);
-            switch (state) {
-                case NONE -> startReading();
-                case ENDED -> hasEnded = true;
-                case READING, BUFFERED -> {}
-            }
+            isEndKnown = hasEnded;
+            onEnd = isEndKnown ? Optional.empty() : Optional.of(action);
         } finally {
             lock.unlock();
         }
-        if (hasEnded) {
+        if (isEndKnown) {
             action.run();
         }
     }
 
-    /** Stops watching; a byte that was read ahead is kept for the next read. */
+    /** Removes the action; what was read ahead is kept for the next read. */
     void unwatch() {
         lock.lock();
         try {
@@ -74,58 +72,55 @@
         }
     }
 
-    /** Starts the read ahead; if the executor has been shut down, a disconnect stays undetected. */
-    private void startReading() {
-        try {
-            executor.execute(this::readAhead);
-            state = LookaheadState.READING;
-        } catch (RejectedExecutionException rejected) {
-            onEnd = Optional.empty();
-        }
+    /** Looks for the end if there is an action to run. */
+    void checkWatched() {
+        check(true);
     }
 
-    private void readAhead() {
-        while (true) {
-            try {
-                completeRead(source.read());
-                return;
-            } catch (SocketTimeoutException cause) {
-                if (!isWatched()) {
-                    completeRead(-1);
-                    return;
-                }
-            } catch (IOException cause) {
-                completeRead(-1);
-                return;
-            }
-        }
+    /** Returns whether the input has ended. */
+    boolean hasEnded() {
+        return check(false);
     }
 
-    private boolean isWatched() {
+    private boolean check(boolean isForAction) {
+        Optional<Runnable> action = Optional.empty();
+        boolean isEnd;
         lock.lock();
         try {
-            return onEnd.isPresent();
+            if (isForAction && onEnd.isEmpty()) {
+                return hasEnded;
+            }
+            hasEnded = hasEnded || readAhead();
+            isEnd = hasEnded;
+            if (isEnd) {
+                action = onEnd;
+                onEnd = Optional.empty();
+            }
         } finally {
             lock.unlock();
         }
+        action.ifPresent(Runnable::run);
+        return isEnd;
     }
 
-    private void completeRead(int nextByte) {
-        Optional<Runnable> action = Optional.empty();
-        lock.lock();
+    /** Reads what has arrived; returns whether the input ends behind it. */
+    private boolean readAhead() {
+        if (ahead.capacity() == 0) {
+            ahead = ByteBuffer.allocate(LIMIT_BYTES);
+        }
         try {
-            state = nextByte < 0 ? LookaheadState.ENDED : LookaheadState.BUFFERED;
-            bufferedByte = (byte) nextByte;
-            if (nextByte < 0) {
-                action = onEnd;
+            int count = 1;
+            while (count > 0 && ahead.hasRemaining()) {
+                count = arrived.readInto(ahead);
             }
-            readCompleted.signalAll();
-        } finally {
-            lock.unlock();
+            return count < 0;
+        } catch (IOException broken) {
+            return true;
         }
-        action.ifPresent(Runnable::run);
     }
 
+    // -- reads
+
     @Override
     public int read() throws IOException {
         byte[] singleByte = new byte[1];
@@ -140,28 +135,31 @@
         }
         lock.lock();
         try {
-            while (state == LookaheadState.READING) {
-                readCompleted.awaitUninterruptibly();
+            if (ahead.position() > 0) {
+                return takeAhead(bytes, offset, length);
             }
-            if (state == LookaheadState.ENDED) {
+            if (hasEnded) {
                 return -1;
             }
-            if (state == LookaheadState.BUFFERED) {
-                state = LookaheadState.NONE;
-                bytes[offset] = bufferedByte;
-                return 1;
-            }
         } finally {
             lock.unlock();
         }
         return source.read(bytes, offset, length);
     }
 
+    private int takeAhead(byte[] bytes, int offset, int length) {
+        ahead.flip();
+        int count = Math.min(length, ahead.remaining());
+        ahead.get(bytes, offset, count);
+        ahead.compact();
+        return count;
+    }
+
     @Override
     public int available() throws IOException {
         lock.lock();
         try {
-            return state == LookaheadState.BUFFERED ? 1 : source.available();
+            return ahead.position() > 0 ? ahead.position() : source.available();
         } finally {
             lock.unlock();
         }
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
@@ -32,21 +32,31 @@
 
     private final RequestHandler handler;
     private final BooleanSupplier isDraining;
+    private final Supplier<Duration> readDelay;
     private final Supplier<BodyReservation> reservations;
 
     private RequestHandlerAdapter(
-            RequestHandler handler, BooleanSupplier isDraining, Supplier<BodyReservation> reservations) {
+            RequestHandler handler,
+            BooleanSupplier isDraining,
+            Supplier<Duration> readDelay,
+            Supplier<BodyReservation> reservations) {
         this.handler = handler;
         this.isDraining = isDraining;
+        this.readDelay = readDelay;
         this.reservations = reservations;
     }
 
+    /** Returns an adapter; {@code readDelay} estimates how long what is read now has waited. */
     static RequestHandlerAdapter of(
-            RequestHandler handler, BooleanSupplier isDraining, Supplier<BodyReservation> reservations) {
+            RequestHandler handler,
+            BooleanSupplier isDraining,
+            Supplier<Duration> readDelay,
+            Supplier<BodyReservation> reservations) {
         Objects.requireNonNull(handler, "handler is null");
         Objects.requireNonNull(isDraining, "isDraining is null");
+        Objects.requireNonNull(readDelay, "readDelay is null");
         Objects.requireNonNull(reservations, "reservations is null");
-        return new RequestHandlerAdapter(handler, isDraining, reservations);
+        return new RequestHandlerAdapter(handler, isDraining, readDelay, reservations);
     }
 
     @Override
@@ -55,13 +65,21 @@
         ServerConnection serverConnection = (ServerConnection) context.getAttribute(ServerConnection.ATTRIBUTE);
         serverConnection.beginRequest();
         try (BodyReservation reservation = reservations.get()) {
-            respond(new HttpCoreRequest(request, trigger, serverConnection, reservation), trigger, serverConnection);
+            respond(
+                    new HttpCoreRequest(request, trigger, serverConnection, reservation, readDelay.get()),
+                    trigger,
+                    serverConnection);
         }
     }
 
     private void respond(HttpCoreRequest inboundRequest, ResponseTrigger trigger, ServerConnection serverConnection)
             throws HttpException, IOException {
         Response response = callHandler(inboundRequest);
+        if (response.body() instanceof Response.Body.Streamed) {
+            serverConnection.markStreaming();
+        } else {
+            serverConnection.unwatch();
+        }
         try {
             submit(response, inboundRequest, trigger, serverConnection);
         } finally {
@@ -132,6 +150,7 @@
         private final ServerConnection serverConnection;
         private final BodyReservation reservation;
         private final List<HeaderField> headers;
+        private final Duration readDelay;
         private boolean isContinuePending;
         private boolean isBodyRead;
 
@@ -139,8 +158,10 @@
                 ClassicHttpRequest request,
                 ResponseTrigger trigger,
                 ServerConnection serverConnection,
-                BodyReservation reservation) {
+                BodyReservation reservation,
+                Duration readDelay) {
             this.request = request;
+            this.readDelay = readDelay;
             this.trigger = trigger;
             this.serverConnection = serverConnection;
             this.reservation = reservation;
@@ -194,6 +215,16 @@
             return reservation;
         }
 
+        @Override
+        public Duration readDelay() {
+            return readDelay;
+        }
+
+        @Override
+        public boolean hasPeerLeft() {
+            return !isBodyUnread() && serverConnection.hasPeerLeft();
+        }
+
         @Override
         public void onPeerDisconnect(Runnable action) throws IOException {
             if (!isBodyUnread()) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Objects;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
@@ -18,9 +17,6 @@
  * run. Thread safe.
  */
 final class ServerConnection {
-    /** A disconnect watch that starts when its request has run for the watch delay. */
-    private record PendingWatch(Runnable action, long dueNanoseconds) {}
-
     /** The state of the connection. */
     private enum Phase {
         IDLE,
@@ -31,25 +27,30 @@
     private static final Duration MINIMUM_READ_TIMEOUT = Duration.ofMillis(1);
     static final String ATTRIBUTE = "oleanderturn.server-connection";
 
-    private final WatchedSocket socket;
+    private final AcceptedChannel channel;
     private final DefaultBHttpServerConnection connection;
     private final Duration idleTimeout;
     private final Duration watchDelay;
-    private Optional<PendingWatch> pendingWatch = Optional.empty();
+    private volatile long watchDueNanoseconds;
+    private volatile boolean isStreaming;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.IDLE);
 
     private ServerConnection(
-            WatchedSocket socket, DefaultBHttpServerConnection connection, Duration idleTimeout, Duration watchDelay) {
-        this.socket = socket;
+            AcceptedChannel channel,
+            DefaultBHttpServerConnection connection,
+            Duration idleTimeout,
+            Duration watchDelay) {
+        this.channel = channel;
         this.connection = connection;
         this.idleTimeout = idleTimeout;
         this.watchDelay = watchDelay;
     }
 
-    static ServerConnection of(WatchedSocket socket, DefaultBHttpServerConnection connection, ListenerLimits limits) {
-        Objects.requireNonNull(socket, "socket is null");
+    static ServerConnection of(
+            AcceptedChannel channel, DefaultBHttpServerConnection connection, ListenerLimits limits) {
+        Objects.requireNonNull(channel, "channel is null");
         Objects.requireNonNull(connection, "connection is null");
-        return new ServerConnection(socket, connection, limits.idleTimeout(), limits.disconnectWatchDelay());
+        return new ServerConnection(channel, connection, limits.idleTimeout(), limits.disconnectWatchDelay());
     }
 
     boolean isBusy() {
@@ -59,7 +60,7 @@
     /** Returns whether bytes of a further request have arrived. */
     boolean hasInput() {
         try {
-            return connection.isOpen() && socket.hasInput();
+            return connection.isOpen() && channel.hasInput();
         } catch (IOException failed) {
             return false;
         }
@@ -80,31 +81,36 @@
         phase.compareAndSet(Phase.BUSY, Phase.IDLE);
     }
 
-    synchronized void watch(Runnable onDisconnect) throws IOException {
-        if (watchDelay.isZero()) {
-            socket.watch(onDisconnect);
-            return;
-        }
-        pendingWatch = Optional.of(new PendingWatch(onDisconnect, System.nanoTime() + watchDelay.toNanos()));
+    /** Sets the action to run when the peer is found to have disconnected, after the watch delay or by {@link #hasPeerLeft}. */
+    void watch(Runnable onDisconnect) {
+        watchDueNanoseconds = System.nanoTime() + watchDelay.toNanos();
+        channel.input().watch(onDisconnect);
     }
 
-    /** Starts the delayed watch if its request has run for the watch delay. */
-    synchronized void startWatchIfDue(long nowNanoseconds) {
-        if (pendingWatch.isEmpty() || nowNanoseconds - pendingWatch.get().dueNanoseconds() < 0) {
-            return;
-        }
-        Runnable action = pendingWatch.get().action();
-        pendingWatch = Optional.empty();
-        try {
-            socket.watch(action);
-        } catch (IOException failed) {
-            action.run();
+    void unwatch() {
+        channel.input().unwatch();
+        isStreaming = false;
+    }
+
+    /** Looks for a disconnect if the watch delay of the request has passed; may wait for a write while streaming. */
+    void checkPeer(long nowNanoseconds) {
+        if (nowNanoseconds - watchDueNanoseconds >= 0) {
+            channel.input().checkWatched();
         }
     }
 
-    synchronized void unwatch() throws IOException {
-        pendingWatch = Optional.empty();
-        socket.unwatch();
+    /** Returns whether the peer has disconnected; for the thread that serves the request. */
+    boolean hasPeerLeft() {
+        return channel.input().hasEnded();
+    }
+
+    /** Records that the response is written while it arrives, so that checks may have to wait for writes. */
+    void markStreaming() {
+        isStreaming = true;
+    }
+
+    boolean isStreaming() {
+        return isStreaming;
     }
 
     /** Lowers the read timeout; after a failed read it need not be restored, because the connection is then closed. */
@@ -124,13 +130,13 @@
     void closeIfIdle() {
         boolean isClosedHere = !hasInput() && phase.compareAndSet(Phase.IDLE, Phase.CLOSING);
         if (isClosedHere) {
-            IoUtilities.closeQuietly(socket);
+            channel.close();
         }
     }
 
     /** Closes the connection immediately, so that the peer cannot mistake a truncated response for a complete one. */
     void abort() {
         connection.close(CloseMode.IMMEDIATE);
-        IoUtilities.closeQuietly(socket);
+        channel.close();
     }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -7,6 +7,7 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -90,7 +91,7 @@
         Objects.requireNonNull(request, "request is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
-        return connect(peer, request)
+        return connect(peer, request, cancellation)
                 .flatMap(connection -> exchange(
                         connection,
                         message,
@@ -114,7 +115,7 @@
         Objects.requireNonNull(cancellation, "cancellation is null");
         Objects.requireNonNull(allowance, "allowance is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
-        return connect(peer, request).flatMap(connection -> {
+        return connect(peer, request, cancellation).flatMap(connection -> {
             try (ReceiveLimits limits = limits(request, allowance.reservation())) {
                 return exchange(connection, message, request, matcher, limits, cancellation)
                         .flatMap(response -> bufferBody(response, allowance, cancellation));
@@ -155,12 +156,16 @@
 
     // -- connections
 
-    private Either<UpstreamFailure, LeasedConnection> connect(Address peer, OutboundRequest request) {
+    private Either<UpstreamFailure, LeasedConnection> connect(
+            Address peer, OutboundRequest request, Cancellation cancellation) {
         Timeout timeout = Timeout.of(request.connectTimeout());
         Future<PoolEntry<Address, UpstreamConnection>> lease = pool.lease(peer, null, timeout, null);
+        cancellation.onCancel(() -> lease.cancel(true));
         try {
             PoolEntry<Address, UpstreamConnection> entry = lease.get(timeout.toMilliseconds(), TimeUnit.MILLISECONDS);
-            return open(peer, entry, request);
+            return open(peer, entry, request, cancellation);
+        } catch (CancellationException cause) {
+            return Either.left(notSent(UpstreamFailure.Cause.CANCELLED, cause));
         } catch (TimeoutException cause) {
             lease.cancel(true);
             return Either.left(notSent(UpstreamFailure.Cause.NO_CONNECTION, cause));
@@ -174,7 +179,10 @@
     }
 
     private Either<UpstreamFailure, LeasedConnection> open(
-            Address peer, PoolEntry<Address, UpstreamConnection> entry, OutboundRequest request) {
+            Address peer,
+            PoolEntry<Address, UpstreamConnection> entry,
+            OutboundRequest request,
+            Cancellation cancellation) {
         LeasedConnection leased = LeasedConnection.of(pool, entry);
         try {
             if (entry.hasConnection()
@@ -182,7 +190,8 @@
                 entry.discardConnection(CloseMode.IMMEDIATE);
             }
             if (!entry.hasConnection()) {
-                entry.assignConnection(UpstreamConnection.connect(peer, request.connectTimeout(), HTTP_SETTINGS));
+                entry.assignConnection(
+                        UpstreamConnection.connect(peer, request.connectTimeout(), HTTP_SETTINGS, cancellation));
             }
             entry.getConnection().markUsed();
             return Either.right(leased);
@@ -191,7 +200,9 @@
             return Either.left(notSent(UpstreamFailure.Cause.REFUSED, cause));
         } catch (IOException cause) {
             leased.close();
-            return Either.left(notSent(UpstreamFailure.Cause.FAILED, cause));
+            UpstreamFailure.Cause reason =
+                    cancellation.isCancelled() ? UpstreamFailure.Cause.CANCELLED : UpstreamFailure.Cause.FAILED;
+            return Either.left(notSent(reason, cause));
         }
     }
 
@@ -221,6 +232,12 @@
             ResponseMatcher matcher,
             ReceiveLimits limits,
             Cancellation cancellation) {
+        cancellation.check();
+        if (cancellation.isCancelled()) {
+            leased.markResponseRead();
+            leased.close();
+            return Either.left(new UpstreamFailure.NotSent(UpstreamFailure.Cause.CANCELLED, "the caller has left"));
+        }
         cancellation.onCancel(leased::abort);
         ExchangeProgress progress = new ExchangeProgress();
         try {
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -37,9 +37,11 @@
         this.channel = channel;
     }
 
-    /** Opens a connection to a peer; the timeout applies to the TCP handshake. */
-    static UpstreamConnection connect(Address peer, Duration timeout, Http1Config settings) throws IOException {
+    /** Opens a connection to a peer; the timeout applies to the TCP handshake, which a cancellation ends. */
+    static UpstreamConnection connect(Address peer, Duration timeout, Http1Config settings, Cancellation cancellation)
+            throws IOException {
         SocketChannel channel = SocketChannel.open();
+        cancellation.onCancel(() -> IoUtilities.closeQuietly(channel));
         try {
             Socket socket = channel.socket();
             socket.setTcpNoDelay(true);
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamFailure.java
@@ -40,6 +40,8 @@
         /** No pooled connection became free in time. */
         NO_CONNECTION,
         /** The connection failed, or the peer did not send 100 (Continue). */
-        FAILED
+        FAILED,
+        /** The caller left, or its time ended, before the request was sent. */
+        CANCELLED
     }
 }
--- a/proxy/src/test/java/org/oleanderturn/proxy/LookaheadInputStreamTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/LookaheadInputStreamTest.java
@@ -3,77 +3,127 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.io.PipedInputStream;
-import java.io.PipedOutputStream;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 class LookaheadInputStreamTest {
-    private final PipedOutputStream peer = new PipedOutputStream();
-    private final Deque<Runnable> tasks = new ArrayDeque<>();
-    private final Executor executor = tasks::add;
+    private final Connection connection = new Connection();
     private final AtomicInteger disconnects = new AtomicInteger();
-    private final LookaheadInputStream input;
-
-    LookaheadInputStreamTest() throws IOException {
-        input = LookaheadInputStream.of(new PipedInputStream(peer), executor);
-    }
+    private final LookaheadInputStream input = LookaheadInputStream.of(connection, connection::readArrived);
 
     @Test
-    void shouldReturnTheBufferedByteFirstWhenReadAfterAWatch() throws IOException {
+    void shouldReturnTheBytesReadAheadFirstWhenReadAfterACheck() throws IOException {
         input.watch(disconnects::incrementAndGet);
-        peer.write(new byte[] {1, 2, 3});
-        tasks.remove().run();
+        connection.receive(1, 2, 3);
+        input.checkWatched();
         input.unwatch();
+        connection.receive(4);
 
-        assertThat(input.available()).isEqualTo(1);
+        assertThat(input.available()).isEqualTo(3);
         assertThat(input.read()).isEqualTo(1);
-        assertThat(input.readNBytes(2)).isEqualTo(new byte[] {2, 3});
+        assertThat(input.readNBytes(3)).isEqualTo(new byte[] {2, 3, 4});
         assertThat(disconnects.get()).isEqualTo(0);
     }
 
     @Test
     void shouldRunTheActionOnceWhenThePeerDisconnects() throws IOException {
         input.watch(disconnects::incrementAndGet);
-        peer.close();
-        tasks.remove().run();
+        connection.end();
+        input.checkWatched();
+        input.checkWatched();
 
         assertThat(disconnects.get()).isEqualTo(1);
         assertThat(input.read()).isEqualTo(-1);
     }
 
     @Test
-    void shouldRunALaterActionImmediatelyWhenThePeerHasDisconnected() throws IOException {
-        input.watch(() -> {});
-        input.unwatch();
-        peer.close();
-        tasks.remove().run();
+    void shouldRunALaterActionImmediatelyWhenThePeerHasDisconnected() {
+        connection.end();
+        assertThat(input.hasEnded()).isTrue();
         input.watch(disconnects::incrementAndGet);
 
         assertThat(disconnects.get()).isEqualTo(1);
     }
 
     @Test
-    void shouldNotRunTheActionWhenWatchingHasStopped() throws IOException {
+    void shouldNotRunTheActionWhenWatchingHasStopped() {
         input.watch(disconnects::incrementAndGet);
         input.unwatch();
-        peer.close();
-        tasks.remove().run();
+        connection.end();
+        input.checkWatched();
 
         assertThat(disconnects.get()).isEqualTo(0);
     }
 
     @Test
-    void shouldReadAheadOnceWhenWatchedTwice() throws IOException {
-        input.watch(() -> {});
+    void shouldFindTheEndBehindBytesOfAFurtherRequest() throws IOException {
         input.watch(disconnects::incrementAndGet);
-        peer.write(7);
-        tasks.remove().run();
+        connection.receive(7);
+        input.checkWatched();
+        assertThat(disconnects.get()).isEqualTo(0);
+        connection.end();
+        input.checkWatched();
 
-        assertThat(tasks).isEmpty();
+        assertThat(disconnects.get()).isEqualTo(1);
         assertThat(input.read()).isEqualTo(7);
+        assertThat(input.read()).isEqualTo(-1);
+    }
+
+    @Test
+    void shouldFindTheEndWithoutAnActionWhenAskedForIt() {
+        assertThat(input.hasEnded()).isFalse();
+        connection.end();
+        assertThat(input.hasEnded()).isTrue();
+    }
+
+    /** A connection whose bytes arrive when the test says so. */
+    private static final class Connection extends InputStream {
+        private final Deque<Byte> arrived = new ArrayDeque<>();
+        private boolean hasEnded;
+
+        private void receive(int... bytes) {
+            for (int value : bytes) {
+                arrived.add((byte) value);
+            }
+        }
+
+        private void end() {
+            hasEnded = true;
+        }
+
+        private int readArrived(ByteBuffer buffer) {
+            if (arrived.isEmpty()) {
+                return hasEnded ? -1 : 0;
+            }
+            int count = 0;
+            while (!arrived.isEmpty() && buffer.hasRemaining()) {
+                buffer.put(arrived.remove());
+                count++;
+            }
+            return count;
+        }
+
+        @Override
+        public int read() {
+            return arrived.isEmpty() ? -1 : Byte.toUnsignedInt(arrived.remove());
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) {
+            if (arrived.isEmpty()) {
+                return -1;
+            }
+            bytes[offset] = arrived.remove();
+            return 1;
+        }
+
+        @Override
+        public int available() {
+            return arrived.size();
+        }
     }
 }
