Refuse new requests while the node's own core is late

Callers saw: answers late by seconds and work done for clients that had left, on nodes that had read more than they could serve. Cause: a node knew its target's slots but not its own core; it read every request and began it. Class of fault: admission that knows one of several bottlenecks. Change: CoreAdmission lowers the share of new requests that an entry takes while its core is late, the urgent last, and raises it again; the others hear at once that they have not run and when to come back.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -104,6 +104,11 @@
                 return deny(status, responses);
             }
         }
+        if (!dependencies
+                .admission()
+                .tryAdmit(request.readDelay(), match.get().route().effectivePriority())) {
+            return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(request.readDelay()));
+        }
         MeshRequest routed = routedRequest(request, client, body.get(), match.get(), index, receivedNanoseconds);
         EntryDispatch dispatch =
                 new EntryDispatch(routed, request::hasPeerLeft, dependencies, responses, cancellationsByNode);
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGenerator;
 import org.oleanderturn.model.EndpointView;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.RepeatShare;
@@ -29,6 +30,7 @@
  * @param guardClient sends requests to guards
  * @param crashMonitor knows the requests under which targets have ended
  * @param repeatShare the share of retries among the runs of the local target, whose calls this entry may serve
+ * @param admission decides which requests the node's own core has time for
  * @param scheduler cancels attempts at their deadline
  * @param clockNanoseconds a clock that never goes back
  * @param random draws the jitter of retry times
@@ -44,6 +46,7 @@
         GuardClient guardClient,
         CrashMonitor crashMonitor,
         RepeatShare repeatShare,
+        CoreAdmission admission,
         ScheduledExecutorService scheduler,
         DecisionLog decisionLog,
         LongSupplier clockNanoseconds,
@@ -61,6 +64,7 @@
         Objects.requireNonNull(guardClient, "guardClient is null");
         Objects.requireNonNull(crashMonitor, "crashMonitor is null");
         Objects.requireNonNull(repeatShare, "repeatShare is null");
+        Objects.requireNonNull(admission, "admission is null");
         Objects.requireNonNull(scheduler, "scheduler is null");
         Objects.requireNonNull(decisionLog, "decisionLog is null");
         Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -29,6 +29,7 @@
 import org.oleanderturn.proxy.ListenerLimits;
 import org.oleanderturn.proxy.RequestHandler;
 import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.CrashLedger;
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
@@ -112,6 +113,7 @@
                         decisions::add,
                         System::nanoTime),
                 RepeatShare.create(),
+                CoreAdmission.of(System::nanoTime, new SplittableRandom(3)),
                 scheduler,
                 decisions::add,
                 System::nanoTime,
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -33,6 +33,7 @@
 import org.oleanderturn.proxy.ListenerFailure;
 import org.oleanderturn.proxy.ListenerLimits;
 import org.oleanderturn.proxy.RequestHandler;
+import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.CrashLedger;
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
@@ -132,6 +133,7 @@
                 GuardClient.of(settings.node(), guard, runtime.peers(), loadTracker, conditions),
                 crashMonitor,
                 guard.repeatShare(),
+                CoreAdmission.of(nanoseconds, runtime.random()),
                 runtime.timers(),
                 decisions,
                 nanoseconds,
