Let what can't be in time give way while more arrives than a target can run

Callers saw: with more requests than the targets' slots can run, fewer answers in time than at the peak. Class of fault: an order that is best below capacity and worst above it. Change: while more arrives than the slots can run, a request counts as in time only with twice its expected run left, and late ones wait only as far as they keep the slots busy; the others are refused at once.

--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -17,7 +17,8 @@
  * capacity. This queue serves requests that can still meet their soft deadline first, by rank and then by the
  * earliest soft deadline, and late ones afterwards in the same order. A request that is not expected to get a slot
  * within its maximum wait is refused on arrival, or as soon as others overtake it, so that its caller can try another
- * target. A target may limit the rate of its requests as well; they then pass at that rate, in the same order.
+ * target. While more requests arrive than the slots can run, those that can't meet their soft deadline with some certainty
+ * give way to the others, and only as many of them wait as keep the slots busy. A target may limit the rate of its requests as well; they then pass at that rate, in the same order.
  *
  * <p>Invariants: no more requests hold a slot than the target has, and no more are granted one than its rate allows; a
  * refused request never holds one; each ticket is settled exactly once. Thread safe.
@@ -31,14 +32,26 @@
     /** Average before the first run, in nanoseconds; near the service times that the users state. */
     private static final double INITIAL_AVERAGE_NANOSECONDS = 150e6;
 
+    /** How many times the expected run must fit before the soft deadline while more requests arrive than the slots can run. */
+    private static final double OVERLOAD_RUN_FACTOR = 2;
+
+    /** Weight of the newest interval between arrivals in the moving average. */
+    private static final double INTERVAL_SMOOTHING_FACTOR = 0.05;
+
+    /** Average interval between arrivals before the first one, in nanoseconds. */
+    private static final double INITIAL_INTERVAL_NANOSECONDS = 1e9;
+
     private final LongSupplier nanoseconds;
     private final List<SlotTicket> waiting = new ArrayList<>();
     private SlotState state = new SlotState(0, false, 0, 0, INITIAL_AVERAGE_NANOSECONDS);
     private Optional<RequestPacer> pacer = Optional.empty();
     private long nextSequence;
+    private double averageIntervalNanoseconds = INITIAL_INTERVAL_NANOSECONDS;
+    private long lastArrivalNanoseconds;
 
     private SlotQueue(LongSupplier nanoseconds) {
         this.nanoseconds = nanoseconds;
+        this.lastArrivalNanoseconds = nanoseconds.getAsLong();
     }
 
     /** Returns a closed queue without slots; the clock is in nanoseconds. */
@@ -104,6 +117,7 @@
     /** Requests a slot; the returned ticket is already settled if a slot was free or the request was refused. */
     public synchronized SlotTicket request(SlotRequest request) {
         long now = nanoseconds.getAsLong();
+        recordArrival(now);
         SlotTicket ticket = new SlotTicket(request, nextSequence++, now);
         if (!state.isOpen()) {
             ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
@@ -136,6 +150,27 @@
 
     // -- queue
 
+    private void recordArrival(long now) {
+        long interval = now - lastArrivalNanoseconds;
+        averageIntervalNanoseconds = averageIntervalNanoseconds * (1 - INTERVAL_SMOOTHING_FACTOR)
+                + Math.min((double) interval, INITIAL_INTERVAL_NANOSECONDS) * INTERVAL_SMOOTHING_FACTOR;
+        lastArrivalNanoseconds = now;
+    }
+
+    /** Returns whether more requests arrive than the slots can run. */
+    private boolean isOverloaded() {
+        return state.averageRunNanoseconds() > averageIntervalNanoseconds * Math.max(1, state.slots());
+    }
+
+    private boolean isLate(SlotTicket ticket, long now) {
+        return ticket.isLateAt(now, isOverloaded() ? OVERLOAD_RUN_FACTOR : 1);
+    }
+
+    /** Returns whether a late request would wait behind more than the slots run next, and others keep coming. */
+    private boolean isHopeless(SlotTicket ticket, Duration slotWait, long now) {
+        return isOverloaded() && slotWait.toNanos() > state.averageRunNanoseconds() && isLate(ticket, now);
+    }
+
     /** Estimates the wait of a request behind those that are served before it. */
     private Duration expectedWait(SlotTicket ticket, long now) {
         int position = position(ticket, now);
@@ -178,7 +213,7 @@
             Duration slotWait = slotWait(ahead + 1);
             Duration pacingWait = pacingWait(ahead + 1, now);
             Duration wait = longer(slotWait, pacingWait);
-            if (wait.compareTo(ticket.remainingWaitAt(now)) > 0) {
+            if (wait.compareTo(ticket.remainingWaitAt(now)) > 0 || isHopeless(ticket, slotWait, now)) {
                 boolean isRateLimited = pacingWait.compareTo(slotWait) > 0;
                 waiting.remove(ticket);
                 ticket.settle(new SlotDecision.Refused(
@@ -189,8 +224,8 @@
         }
     }
 
-    private static Comparator<SlotTicket> servingOrder(long now) {
-        return Comparator.comparing((SlotTicket ticket) -> ticket.isLateAt(now))
+    private Comparator<SlotTicket> servingOrder(long now) {
+        return Comparator.comparing((SlotTicket ticket) -> isLate(ticket, now))
                 .thenComparingInt(SlotTicket::rank)
                 .thenComparingLong(SlotTicket::softDeadlineNanoseconds)
                 .thenComparingLong(SlotTicket::sequence);
