Write large responses to other nodes one after another at the rate of the link

Cause: a node's slots are free when the target has answered, however many bytes wait on the node's link, so that small responses and new connections waited behind several downloads at once.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -53,6 +53,9 @@
     /** The share of the remaining time that a request may wait for a slot; the rest is left for the run. */
     private static final double MAXIMUM_WAIT_SHARE = 0.6;
 
+    /** The share of the remaining time that a large response may wait for the link; it has to cross two links then. */
+    private static final double MAXIMUM_LINK_WAIT_SHARE = 0.3;
+
     /** Short, as the target runs on the same host. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
@@ -80,6 +83,7 @@
     private final ProtocolAdapter adapter;
     private final CrashMonitor crashMonitor;
     private final DecisionLog decisionLog;
+    private final ResponsePacer pacer;
     private final LongSupplier clockNanoseconds;
 
     private MeshGuard(
@@ -91,6 +95,7 @@
             ProtocolAdapter adapter,
             CrashMonitor crashMonitor,
             DecisionLog decisionLog,
+            ResponsePacer pacer,
             LongSupplier clockNanoseconds) {
         this.address = address;
         this.target = target;
@@ -102,6 +107,7 @@
         this.adapter = adapter;
         this.crashMonitor = crashMonitor;
         this.decisionLog = decisionLog;
+        this.pacer = pacer;
         this.clockNanoseconds = clockNanoseconds;
     }
 
@@ -115,6 +121,7 @@
             ProtocolAdapter adapter,
             CrashMonitor crashMonitor,
             DecisionLog decisionLog,
+            ResponsePacer pacer,
             LongSupplier clockNanoseconds) {
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(target, "target is null");
@@ -124,9 +131,10 @@
         Objects.requireNonNull(adapter, "adapter is null");
         Objects.requireNonNull(crashMonitor, "crashMonitor is null");
         Objects.requireNonNull(decisionLog, "decisionLog is null");
+        Objects.requireNonNull(pacer, "pacer is null");
         Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
         return new MeshGuard(
-                address, target, slots, client, slotWait, adapter, crashMonitor, decisionLog, clockNanoseconds);
+                address, target, slots, client, slotWait, adapter, crashMonitor, decisionLog, pacer, clockNanoseconds);
     }
 
     // -- queries
@@ -137,12 +145,12 @@
         int open = state.isOpen() ? state.slots() : 0;
         LoadReport report = new LoadReport(open, state.running(), state.waiting(), latencyRatio.percent());
         OptionalDouble limit = requestLimit();
+        double runSeconds = state.averageRunNanoseconds() / NANOSECONDS_PER_SECOND;
+        report = report.delayed(pacer.backlog().toNanos() / NANOSECONDS_PER_SECOND, runSeconds);
         return open == 0 || limit.isEmpty()
                 ? report
                 : report.paced(
-                        limit.getAsDouble(),
-                        state.averageRunNanoseconds() / NANOSECONDS_PER_SECOND,
-                        slots.pacingWait().toNanos() / NANOSECONDS_PER_SECOND);
+                        limit.getAsDouble(), runSeconds, slots.pacingWait().toNanos() / NANOSECONDS_PER_SECOND);
     }
 
     /** Returns the condition of the target to tell an entry; empty if the target never asked anything. */
@@ -183,7 +191,26 @@
                 request.bodyReservation(),
                 Cancellation.create(request::hasPeerLeft));
         request.onPeerDisconnect(guardRequest.cancellation()::cancel);
-        return GuardReplyCodec.encode(execute(guardRequest), load(), condition());
+        GuardReply reply = executeForNode(guardRequest);
+        return GuardReplyCodec.encode(reply, load(), condition());
+    }
+
+    /** Runs a request of another node, to which its response crosses this node's link. */
+    private GuardReply executeForNode(GuardRequest request) {
+        Duration backlog = pacer.backlog();
+        boolean isLarge = request.metadata().kind() == RequestKind.DOWNLOAD;
+        if (isLarge && backlog.compareTo(maximumLinkWait(request.metadata())) > 0) {
+            return new GuardReply.NotRun("LINK_FULL", false, backlog);
+        }
+        GuardReply reply = execute(request);
+        if (reply instanceof GuardReply.Ran ran && !request.cancellation().isCancelled()) {
+            pacer.awaitTurn(ran.response().body().length);
+        }
+        return reply;
+    }
+
+    private static Duration maximumLinkWait(GuardRequestMetadata metadata) {
+        return Duration.ofNanos((long) (metadata.remaining().toNanos() * MAXIMUM_LINK_WAIT_SHARE));
     }
 
     /** Runs a request if the target has a slot for it in time, and returns the outcome; blocks. */
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -23,6 +23,7 @@
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.traffic.CrashLedger;
+import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.SlotTicket;
@@ -51,6 +52,7 @@
             new FakeProtocolAdapter(Optional.empty()),
             CrashMonitor.of(LOCAL_NODE, CrashLedger.of(() -> 0), _ -> {}, System::nanoTime),
             _ -> {},
+            ResponsePacer.of(LinkSchedule.unlimited(System::nanoTime), Thread::sleep),
             System::nanoTime);
     private final HttpListener peers =
             HttpListener.start("127.0.0.1", 0, guard, ListenerLimits.defaults()).get();
--- a/node/src/main/java/org/oleanderturn/node/DataPlaneRuntime.java
+++ b/node/src/main/java/org/oleanderturn/node/DataPlaneRuntime.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.proxy.UpstreamExchange;
+import org.oleanderturn.traffic.Pause;
 import org.oleanderturn.traffic.SlotTicket;
 import org.oleanderturn.traffic.SlotWait;
 
@@ -19,6 +20,7 @@
  * @param target exchanges requests with the local target
  * @param timers cancels attempts at their deadline
  * @param slotWait how a request waits for a slot
+ * @param pause how a response waits for the link
  * @param nanoseconds a clock that never goes back
  * @param random draws jitter
  */
@@ -27,6 +29,7 @@
         UpstreamExchange target,
         ScheduledExecutorService timers,
         SlotWait slotWait,
+        Pause pause,
         LongSupplier nanoseconds,
         RandomGenerator random) {
     private static final int CONNECTIONS_PER_PEER = 512;
@@ -36,6 +39,7 @@
         Objects.requireNonNull(target, "target is null");
         Objects.requireNonNull(timers, "timers is null");
         Objects.requireNonNull(slotWait, "slotWait is null");
+        Objects.requireNonNull(pause, "pause is null");
         Objects.requireNonNull(nanoseconds, "nanoseconds is null");
         Objects.requireNonNull(random, "random is null");
     }
@@ -51,6 +55,7 @@
                 UpstreamClient.of(CONNECTIONS_PER_PEER),
                 timers,
                 SlotTicket::await,
+                Thread::sleep,
                 System::nanoTime,
                 SharedRandom.create());
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -17,6 +17,7 @@
 import org.oleanderturn.mesh.MeshEntry;
 import org.oleanderturn.mesh.MeshEntryDependencies;
 import org.oleanderturn.mesh.MeshGuard;
+import org.oleanderturn.mesh.ResponsePacer;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.TargetCallHandler;
 import org.oleanderturn.mesh.TargetCondition;
@@ -37,6 +38,7 @@
 import org.oleanderturn.traffic.CrashLedger;
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
+import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.TargetLoadTracker;
@@ -120,6 +122,7 @@
                 PlatformProtocolAdapter.instance(),
                 crashMonitor,
                 decisions,
+                ResponsePacer.of(linkSchedule(mesh, nanoseconds), runtime.pause()),
                 nanoseconds);
         this.loadTracker = TargetLoadTracker.of(nanoseconds);
         this.entryDependencies = new MeshEntryDependencies(
@@ -140,6 +143,12 @@
                 runtime.random());
     }
 
+    private static LinkSchedule linkSchedule(NodeSettings.Mesh mesh, LongSupplier nanoseconds) {
+        return mesh.linkMegabitsPerSecond()
+                .map(rate -> LinkSchedule.of(rate, nanoseconds))
+                .orElseGet(() -> LinkSchedule.unlimited(nanoseconds));
+    }
+
     // -- components
 
     /** Returns what is known of requests under which targets have ended. */
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -85,9 +85,15 @@
      * @param heartbeat the interval of the target's heartbeats
      * @param stopTime the time between SIGTERM and the platform's SIGKILL
      * @param repeats the limit on retries
+     * @param linkMegabitsPerSecond the rate of the host's link in each direction; unknown if absent
      */
     public record Mesh(
-            Address targetCalls, Address metrics, DurationText heartbeat, DurationText stopTime, RetryLimit repeats) {}
+            Address targetCalls,
+            Address metrics,
+            DurationText heartbeat,
+            DurationText stopTime,
+            RetryLimit repeats,
+            Optional<Double> linkMegabitsPerSecond) {}
 
     /**
      * The limit on the retries of requests to a service.
--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -143,7 +143,12 @@
     private NodeSettings settings() throws IOException {
         NodeSettings.RetryLimit retryLimit = new NodeSettings.RetryLimit(0, 0, DurationText.of("10s"));
         NodeSettings.Mesh mesh = new NodeSettings.Mesh(
-                freeAddress(), freeAddress(), DurationText.of("60s"), DurationText.of("5s"), retryLimit);
+                freeAddress(),
+                freeAddress(),
+                DurationText.of("60s"),
+                DurationText.of("5s"),
+                retryLimit,
+                Optional.empty());
         return new NodeSettings(
                 NodeId.of(NAME),
                 Region.of(NAME),
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -47,7 +47,8 @@
             SettingsField.requiredIn("mesh", "repeats", SECTION),
             SettingsField.requiredIn("mesh.repeats", "ratio", decimal("retries per request", 0, 1)),
             SettingsField.requiredIn("mesh.repeats", "floor", decimal("retries per window", 0, 100_000)),
-            SettingsField.requiredIn("mesh.repeats", "window", TIME_SPAN));
+            SettingsField.requiredIn("mesh.repeats", "window", TIME_SPAN),
+            SettingsField.optional("mesh.linkMegabitsPerSecond", decimal("megabits per second", 0, 1_000_000)));
 
     private SettingsSchema() {}
 
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
@@ -104,7 +104,13 @@
                 () -> 1 + reachable.size(),
                 this::recordDecision,
                 new DataPlaneRuntime(
-                        NO_TARGETS, NO_TARGETS, timers, (_, _) -> Optional.empty(), fleet.time()::nanoseconds, random));
+                        NO_TARGETS,
+                        NO_TARGETS,
+                        timers,
+                        (_, _) -> Optional.empty(),
+                        fleet.time()::sleep,
+                        fleet.time()::nanoseconds,
+                        random));
         this.clientHandler = data.serve(configuration::routes, configuration::isServing, configuration.versionCheck());
     }
 
--- a/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
@@ -30,6 +30,9 @@
     /** How often a node looks at the connections of the requests that it serves. */
     private static final Duration WATCH_PERIOD = Duration.ofMillis(100);
 
+    private static final long HEADER_BYTES = 500;
+    private static final long PART_BYTES = 16_000;
+
     static {
         // Thousands of simulated nodes would each log what they learn.
         LOGGER.setLevel(Level.OFF);
@@ -42,6 +45,7 @@
     private final RouteIndex routes;
     private final SimulatedTarget target;
     private final CoreLag lag;
+    private final Optional<SimulatedLink> uplink;
     private final Map<SimulatedRequest, SimulatedNetwork.Exchange> guarded = new LinkedHashMap<>();
     private final List<SimulatedTime.Pending<SimulatedFleet.Answer>> clients = new ArrayList<>();
     private Optional<SimulatedNode> node = Optional.empty();
@@ -52,11 +56,17 @@
     private boolean isCut;
     private long disturbedNanoseconds;
 
-    SimulatedHost(SimulatedFleet fleet, int number, int slots, ConfigurationSnapshot configuration) {
+    SimulatedHost(
+            SimulatedFleet fleet,
+            int number,
+            int slots,
+            ConfigurationSnapshot configuration,
+            Optional<Double> linkRate) {
         this.fleet = fleet;
         this.number = number;
         this.settings = SimulatedSettings.of(
-                number, "node-" + number, SimulatedFleet.ZONES, ServiceName.of(SimulatedFleet.SERVICE));
+                number, "node-" + number, SimulatedFleet.ZONES, ServiceName.of(SimulatedFleet.SERVICE), linkRate);
+        this.uplink = linkRate.map(SimulatedLink::new);
         this.routes = RouteIndex.of(configuration);
         this.target = new SimulatedTarget(fleet, this, slots);
         this.lag = CoreLag.of(fleet.time()::nanoseconds);
@@ -258,7 +268,16 @@
     }
 
     private void reply(SimulatedNetwork.Exchange exchange, Either<UpstreamFailure, BufferedResponse> response) {
-        if (fleet.isConnected(this, exchange.sender())) {
+        if (!fleet.isConnected(this, exchange.sender())) {
+            return;
+        }
+        if (uplink.isPresent() && response.isRight()) {
+            SimulatedTransfer.Hop hop = new SimulatedTransfer.Hop(uplink.get(), fleet.delay(this, exchange.sender()));
+            SimulatedTransfer.Receiver receiver = new SimulatedTransfer.Receiver(
+                    () -> true, () -> {}, () -> exchange.response().complete(response));
+            long bytes = response.get().body().length + HEADER_BYTES;
+            new SimulatedTransfer(fleet.time(), List.of(hop), bytes, PART_BYTES, receiver).send();
+        } else {
             fleet.time()
                     .at(
                             fleet.delay(this, exchange.sender()),
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
@@ -54,7 +54,13 @@
                 () -> 1 + seen.size(),
                 fleet.decisions()::add,
                 new DataPlaneRuntime(
-                        network, network, timers, this::awaitSlot, fleet.time()::nanoseconds, fleet.random()));
+                        network,
+                        network,
+                        timers,
+                        this::awaitSlot,
+                        fleet.time()::sleep,
+                        fleet.time()::nanoseconds,
+                        fleet.random()));
         this.clientHandler = data.serve(() -> routes, () -> true, _ -> new VersionStatus.Newest());
         this.targetCalls = data.targetCallHandler();
         ControlChannel channel =
--- a/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
@@ -22,6 +22,11 @@
 
     /** Returns the settings of a node, which tells its number by its addresses. */
     static NodeSettings of(int number, String node, int zones, ServiceName service) {
+        return of(number, node, zones, service, Optional.empty());
+    }
+
+    /** Returns the settings of a node that knows the rate of its link, in megabits per second. */
+    static NodeSettings of(int number, String node, int zones, ServiceName service, Optional<Double> linkRate) {
         String address = "10.0.0." + number;
         Address other = Address.of(address, OTHER_PORT);
         NodeSettings.Mesh mesh = new NodeSettings.Mesh(
@@ -29,7 +34,8 @@
                 other,
                 DurationText.of("1500ms"),
                 DurationText.of("5s"),
-                new NodeSettings.RetryLimit(0.2, 60, DurationText.of("10s")));
+                new NodeSettings.RetryLimit(0.2, 60, DurationText.of("10s")),
+                linkRate);
         return new NodeSettings(
                 NodeId.of(node),
                 Region.of(number % 2 == 0 ? PLATFORM_REGION : "north"),
--- a/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
@@ -22,6 +22,7 @@
     private static final int LONGEST_DOWN_MILLISECONDS = 4_000;
     private static final int SHORTEST_DOWN_MILLISECONDS = 1_000;
     private static final int PERCENT = 100;
+    private static final int DOWNLOAD_BYTES = 60_000;
     private static final long TELLING_MILLISECONDS = 500;
 
     /**
@@ -184,11 +185,21 @@
             if (open.remove(response)) {
                 fleet.recordRun(arrival);
                 recordTold();
-                response.complete(Either.right(FakeTargetMessages.ran(attemptId, ran, limit, isLeaving)));
+                BufferedResponse answer = FakeTargetMessages.ran(attemptId, ran, limit, isLeaving);
+                response.complete(Either.right(
+                        new BufferedResponse(answer.status(), answer.headers(), new byte[bodyBytes(request.path())])));
             }
         });
     }
 
+    /** Returns the size of the body of a response: downloads are large, a tenth of them six times as large as the others. */
+    private int bodyBytes(String path) {
+        if (!path.startsWith("/download/")) {
+            return 0;
+        }
+        return fleet.random().nextInt(10) == 0 ? 6 * DOWNLOAD_BYTES : DOWNLOAD_BYTES;
+    }
+
     private Duration workTime() {
         return Duration.ofNanos(Math.round(fleet.workTime().toNanos() / speed));
     }
