Close the other idle connections to a peer when one has gone silent

Cause: only a request's own end showed that its connection was silent; the others stayed in the pool. Class of fault: what one failure shows of others is not used. Change: a request that got no byte for half a second or more, and ended without an answer, closes the idle connections to that peer on which nothing has come since it was sent.

--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -45,6 +45,9 @@
      */
     private static final Duration RECENT_USE_WINDOW = Duration.ofSeconds(3);
 
+    /** A request that was given up earlier tells nothing about its connection. */
+    private static final Duration SILENCE_LIMIT = Duration.ofMillis(500);
+
     private static final Http1Config HTTP_SETTINGS = Http1Config.custom()
             .setBufferSize(BUFFER_BYTES)
             .setMaxLineLength(BUFFER_BYTES)
@@ -116,9 +119,12 @@
         Objects.requireNonNull(allowance, "allowance is null");
         BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
         return connect(peer, request, cancellation).flatMap(connection -> {
+            UpstreamConnection used = connection.connection();
+            long sentNanoseconds = System.nanoTime();
             try (ReceiveLimits limits = limits(request, allowance.reservation())) {
                 return exchange(connection, message, request, matcher, limits, cancellation)
-                        .flatMap(response -> bufferBody(response, allowance, cancellation));
+                        .flatMap(response -> bufferBody(response, allowance, cancellation))
+                        .peekLeft(failure -> discardIfSilent(peer, used, sentNanoseconds, failure));
             }
         });
     }
@@ -223,6 +229,24 @@
         return !connection.isOpen() || (!isCheckSkipped && connection.hasChannelInput());
     }
 
+    /**
+     * Closes the idle connections to a peer that may have gone silent together with one that brought no byte for a request:
+     * those that have brought none since either.
+     */
+    private void discardIfSilent(Address peer, UpstreamConnection used, long sentNanoseconds, UpstreamFailure failure) {
+        boolean isUnanswered =
+                failure instanceof UpstreamFailure.TimedOut || failure instanceof UpstreamFailure.Cancelled;
+        boolean isLong = System.nanoTime() - sentNanoseconds > SILENCE_LIMIT.toNanos();
+        if (!isUnanswered || !isLong || used.hasReceivedSince(sentNanoseconds)) {
+            return;
+        }
+        pool.enumAvailable(entry -> {
+            if (entry.getRoute().equals(peer) && !entry.getConnection().hasReceivedSince(sentNanoseconds)) {
+                entry.discardConnection(CloseMode.IMMEDIATE);
+            }
+        });
+    }
+
     // -- exchange
 
     private static Either<UpstreamFailure, UpstreamResponse> exchange(
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -30,6 +30,7 @@
     private Optional<ReceiveLimits> limits = Optional.empty();
     private volatile boolean isProbing;
     private volatile long lastUsedNanoseconds = System.nanoTime();
+    private volatile long lastReceivedNanoseconds = System.nanoTime();
 
     private UpstreamConnection(Http1Config settings, SocketChannel channel) {
         // The default parser factory ignores the limit of the settings on the number of headers.
@@ -82,6 +83,11 @@
         return System.nanoTime() - lastUsedNanoseconds > duration.toNanos();
     }
 
+    /** Returns whether bytes have been received, or the connection has been opened, after a moment of {@link System#nanoTime}. */
+    boolean hasReceivedSince(long momentNanoseconds) {
+        return lastReceivedNanoseconds - momentNanoseconds > 0;
+    }
+
     /** Returns whether bytes that have been received are buffered and unread. */
     boolean hasBufferedInput() throws IOException {
         isProbing = true;
@@ -139,6 +145,7 @@
                 socket.setSoTimeout(timeoutMilliseconds(limits.get().remaining()));
             }
             int count = in.read(bytes, offset, length);
+            lastReceivedNanoseconds = System.nanoTime();
             if (limits.isPresent() && count > 0) {
                 limits.get().recordRead(count);
             }
