Log how long a request waited to be read and how long it ran

Cause: neither logs nor metrics told the time before a node read a request, nor the time at the target, so that a late request could not be laid to a stage.

--- a/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
@@ -21,16 +21,19 @@
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
     private final String attemptId;
+    private final Duration readDelay;
     private final long receivedNanoseconds;
     private final ConfigurationVersion version;
     private final MeshEntryDependencies dependencies;
 
     ClientResponses(
             String attemptId,
+            Duration readDelay,
             long receivedNanoseconds,
             ConfigurationVersion version,
             MeshEntryDependencies dependencies) {
         this.attemptId = Objects.requireNonNull(attemptId, "attemptId is null");
+        this.readDelay = Objects.requireNonNull(readDelay, "readDelay is null");
         this.receivedNanoseconds = receivedNanoseconds;
         this.version = Objects.requireNonNull(version, "version is null");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
@@ -38,7 +41,7 @@
 
     /** Returns the responses to the same request when it is routed by another version. */
     ClientResponses withVersion(ConfigurationVersion other) {
-        return new ClientResponses(attemptId, receivedNanoseconds, other, dependencies);
+        return new ClientResponses(attemptId, readDelay, receivedNanoseconds, other, dependencies);
     }
 
     /** Returns a target's response to pass on to the client. */
@@ -70,7 +73,8 @@
         Duration duration = Duration.ofNanos(dependencies.clockNanoseconds().getAsLong() - receivedNanoseconds);
         dependencies
                 .decisionLog()
-                .record(new Decision.Answered(attemptId, status, reason, attempts, duration, retryAfter, version));
+                .record(new Decision.Answered(
+                        attemptId, status, reason, attempts, readDelay, duration, retryAfter, version));
     }
 
     private static Response textResponse(int status, String reason) {
--- a/mesh/src/main/java/org/oleanderturn/mesh/Decision.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/Decision.java
@@ -67,7 +67,7 @@
     /**
      * A guard ran an attempt or refused it.
      *
-     * @param slotWait how long the attempt waited for a slot of the target
+     * @param stages how long the attempt spent in each stage
      * @param load the target's load after the attempt
      * @param requestsPerSecond the rate that the target takes; empty if it doesn't limit it
      */
@@ -75,7 +75,7 @@
             String attemptId,
             int attempt,
             GuardReply reply,
-            Duration slotWait,
+            GuardStages stages,
             LoadReport load,
             TargetStatus target,
             OptionalDouble requestsPerSecond)
@@ -85,7 +85,7 @@
         public Guarded {
             Objects.requireNonNull(attemptId, "attemptId is null");
             Objects.requireNonNull(reply, "reply is null");
-            Objects.requireNonNull(slotWait, "slotWait is null");
+            Objects.requireNonNull(stages, "stages is null");
             Objects.requireNonNull(load, "load is null");
             Objects.requireNonNull(target, "target is null");
             Objects.requireNonNull(requestsPerSecond, "requestsPerSecond is null");
@@ -205,6 +205,7 @@
      * An entry responds to the client.
      *
      * @param attempts the number of attempts sent to guards
+     * @param readDelay the estimated time from the arrival of the request until the node read it
      * @param duration from the arrival of the request
      * @param retryAfter when the client is asked to retry
      */
@@ -213,6 +214,7 @@
             int status,
             String reason,
             int attempts,
+            Duration readDelay,
             Duration duration,
             Optional<Duration> retryAfter,
             ConfigurationVersion version)
@@ -224,6 +226,7 @@
         public Answered {
             Objects.requireNonNull(attemptId, "attemptId is null");
             Objects.requireNonNull(reason, "reason is null");
+            Objects.requireNonNull(readDelay, "readDelay is null");
             Objects.requireNonNull(duration, "duration is null");
             Objects.requireNonNull(retryAfter, "retryAfter is null");
             Objects.requireNonNull(version, "version is null");
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -265,6 +265,7 @@
                 request.identity(),
                 request.client(),
                 metadata,
+                Duration.ZERO,
                 remaining,
                 request.bodies(),
                 cancellation);
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardRequest.java
@@ -16,6 +16,7 @@
  * @param headers the client's headers without hop-by-hop and mesh-internal headers
  * @param client what the client states about its request
  * @param metadata what the entry states about the attempt
+ * @param readDelay the estimated time from the arrival of the request until the guard's node read it
  * @param timeout how long the entry waits for the reply
  * @param bodies what the response is reserved from
  * @param cancellation cancelled when the reply is no longer needed
@@ -29,6 +30,7 @@
         RequestIdentity identity,
         ClientRequestMetadata client,
         GuardRequestMetadata metadata,
+        Duration readDelay,
         Duration timeout,
         BodyReservation bodies,
         Cancellation cancellation) {
@@ -40,6 +42,7 @@
         Objects.requireNonNull(identity, "identity is null");
         Objects.requireNonNull(client, "client is null");
         Objects.requireNonNull(metadata, "metadata is null");
+        Objects.requireNonNull(readDelay, "readDelay is null");
         Objects.requireNonNull(timeout, "timeout is null");
         Objects.requireNonNull(bodies, "bodies is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -86,7 +86,11 @@
         // Read after the readiness, which may come with a newer index.
         RouteIndex index = routes.get();
         ClientResponses responses = new ClientResponses(
-                client.attemptId(), receivedNanoseconds, index.snapshot().version(), dependencies);
+                client.attemptId(),
+                request.readDelay(),
+                receivedNanoseconds,
+                index.snapshot().version(),
+                dependencies);
         if (!isServing || index.isEmpty()) {
             return responses.notRun("NOT_READY", 0, NOT_READY_RETRY_AFTER);
         }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -187,6 +187,7 @@
                 RequestIdentity.of(request.method(), request.path(), body.get()),
                 adapter.clientMetadata(request),
                 metadata.get(),
+                request.readDelay(),
                 metadata.get().remaining(),
                 request.bodyReservation(),
                 Cancellation.create(request::hasPeerLeft));
@@ -231,12 +232,16 @@
         SlotTicket ticket = slots.request(slotRequest(request.metadata(), maximumWait));
         try {
             SlotDecision decision = awaitSlot(request, ticket, maximumWait);
+            long decided = clockNanoseconds.getAsLong();
             GuardReply reply = replyForDecision(request, decision, started);
+            Duration run = decision instanceof SlotDecision.Granted
+                    ? Duration.ofNanos(clockNanoseconds.getAsLong() - decided)
+                    : Duration.ZERO;
             decisionLog.record(new Decision.Guarded(
                     request.client().attemptId(),
                     request.metadata().attempt(),
                     reply,
-                    ticket.waited(),
+                    new GuardStages(request.readDelay(), ticket.waited(), run),
                     load(),
                     target.status(),
                     requestLimit()));
--- a/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
@@ -154,6 +154,7 @@
                 RequestIdentity.of("GET", "/a/x", new byte[0]),
                 new ClientRequestMetadata("id-1", Optional.of(TIMEOUT), "host.example"),
                 metadata,
+                Duration.ZERO,
                 TIMEOUT,
                 BodyReservation.of(budget),
                 Cancellation.create());
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -152,6 +152,7 @@
                 RequestIdentity.of("GET", "/a/1", new byte[0]),
                 new ClientRequestMetadata("id-1", Optional.of(TIMEOUT), "host.example"),
                 metadata,
+                Duration.ZERO,
                 TIMEOUT,
                 BodyReservation.unlimited(),
                 Cancellation.create());
--- a/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
+++ b/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
@@ -142,7 +142,9 @@
     private static void add(Map<String, Object> fields, Decision.Guarded guarded) {
         fields.put("attempt", guarded.attempt());
         fields.put("outcome", outcome(guarded.reply()));
-        fields.put("waitedMilliseconds", guarded.slotWait().toMillis());
+        fields.put("readMilliseconds", guarded.stages().readDelay().toMillis());
+        fields.put("waitedMilliseconds", guarded.stages().slotWait().toMillis());
+        fields.put("ranMilliseconds", guarded.stages().run().toMillis());
         fields.put("load", guarded.load().headerValue());
         guarded.requestsPerSecond().ifPresent(limit -> fields.put("requestsPerSecond", limit));
         fields.put("target", guarded.target().state().name());
@@ -182,6 +184,7 @@
         fields.put("status", answered.status());
         fields.put("reason", answered.reason());
         fields.put("attempts", answered.attempts());
+        fields.put("readMilliseconds", answered.readDelay().toMillis());
         fields.put("takenMilliseconds", answered.duration().toMillis());
         answered.retryAfter()
                 .map(Duration::toMillis)
--- a/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
@@ -27,6 +27,7 @@
     private final Histogram responseLatency;
     private final Histogram failedAttemptLatency;
     private final Histogram slotWait;
+    private final Histogram readDelay;
 
     private MeshMetrics(DecisionLog delegate, NodeMetrics metrics) {
         this.delegate = delegate;
@@ -47,6 +48,10 @@
                 histogram(metrics, "oleanderturn_failed_attempt_seconds", "Seconds that a failed attempt took.");
         this.slotWait =
                 histogram(metrics, "oleanderturn_slot_wait_seconds", "Seconds that a request waited for a slot.");
+        this.readDelay = histogram(
+                metrics,
+                "oleanderturn_read_delay_seconds",
+                "Estimated seconds from the arrival of a request until the node read it.");
     }
 
     /** Returns a log that registers its metrics with those of the node and passes each decision to the delegate. */
@@ -63,7 +68,8 @@
             case Decision.Placed _ -> count(kind, "");
             case Decision.Guarded guarded -> {
                 count(kind, outcome(guarded.reply()));
-                slotWait.observe(seconds(guarded.slotWait()));
+                slotWait.observe(seconds(guarded.stages().slotWait()));
+                readDelay.observe(seconds(guarded.stages().readDelay()));
             }
             case Decision.AttemptFailed failed -> {
                 count(kind, outcome(failed.reply()));
@@ -82,6 +88,7 @@
                             .inc();
                 }
                 responseLatency.observe(seconds(answered.duration()));
+                readDelay.observe(seconds(answered.readDelay()));
             }
         }
         delegate.record(decision);
--- a/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -24,6 +24,7 @@
 import org.oleanderturn.distribution.VersionOrigin;
 import org.oleanderturn.mesh.Decision;
 import org.oleanderturn.mesh.GuardReply;
+import org.oleanderturn.mesh.GuardStages;
 import org.oleanderturn.mesh.LocalTarget;
 import org.oleanderturn.mesh.TargetReport;
 import org.oleanderturn.mesh.TargetStart;
@@ -52,6 +53,8 @@
     private static final Fingerprint FINGERPRINT = Fingerprint.ofRequest("GET", "/a/1", new byte[0]);
     private static final GuardReply FULL_REPLY = new GuardReply.NotRun("FULL", false, Duration.ZERO);
 
+    private static final GuardStages STAGES = new GuardStages(Duration.ZERO, Duration.ZERO, Duration.ZERO);
+
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private final LogWriter writer = LogWriter.start(output);
     private final VersionTracker versions = new VersionTracker(() -> 1);
@@ -64,8 +67,8 @@
         decisions.record(placed(id));
         decisions.record(new Decision.AttemptFailed(
                 id, 1, NODE, FULL_REPLY, FINGERPRINT, Duration.ZERO, false, new WindowedRetryBudget.Usage(2, 12.5)));
-        decisions.record(
-                new Decision.Answered(id, 503, "FULL", 1, Duration.ZERO, Optional.of(Duration.ofMillis(200)), VERSION));
+        decisions.record(new Decision.Answered(
+                id, 503, "FULL", 1, Duration.ZERO, Duration.ZERO, Optional.of(Duration.ofMillis(200)), VERSION));
         decisions.record(guarded(id, FULL_REPLY));
         decisions.record(new Decision.Suspected(id, FINGERPRINT, "target i-1 ended", 3, 1));
         decisions.record(new Decision.SuspectTried(id, FINGERPRINT, 2));
@@ -84,10 +87,12 @@
     void shouldWriteOnlyTheFailedRequestWhenNeitherIsSampled() throws IOException {
         String served = requestId(false);
         decisions.record(placed(served));
-        decisions.record(new Decision.Answered(served, 200, "", 1, Duration.ZERO, Optional.empty(), VERSION));
+        decisions.record(
+                new Decision.Answered(served, 200, "", 1, Duration.ZERO, Duration.ZERO, Optional.empty(), VERSION));
         String failed = served + "x".repeat(JsonDecisionLog.isSampled(served + "x") ? 2 : 1);
         decisions.record(placed(failed));
-        decisions.record(new Decision.Answered(failed, 504, "TIMED_OUT", 1, Duration.ZERO, Optional.empty(), VERSION));
+        decisions.record(new Decision.Answered(
+                failed, 504, "TIMED_OUT", 1, Duration.ZERO, Duration.ZERO, Optional.empty(), VERSION));
         assertThat(writtenLines().stream()
                         .map(line -> line.get("request").asText())
                         .toList())
@@ -98,7 +103,8 @@
     void shouldWriteEveryLineWhenTheRequestIsSampled() throws IOException {
         String id = requestId(true);
         decisions.record(placed(id));
-        decisions.record(new Decision.Answered(id, 200, "", 1, Duration.ZERO, Optional.empty(), VERSION));
+        decisions.record(
+                new Decision.Answered(id, 200, "", 1, Duration.ZERO, Duration.ZERO, Optional.empty(), VERSION));
         assertThat(writtenLines()).hasSize(2);
     }
 
@@ -112,6 +118,7 @@
                 503,
                 "CONFIGURATION_BEHIND",
                 0,
+                Duration.ofMillis(4),
                 Duration.ofMillis(12),
                 Optional.of(Duration.ofMillis(400)),
                 VERSION));
@@ -119,16 +126,18 @@
         assertThat(output.toString(StandardCharsets.UTF_8))
                 .isEqualTo(
                         "{\"attempts\":0,\"behindMilliseconds\":250,\"configuration\":4,\"confirmedMilliseconds\":300,"
-                                + "\"event\":\"Answered\",\"newest\":6,\"node\":\"node\",\"reason\":\"CONFIGURATION_BEHIND\","
+                                + "\"event\":\"Answered\",\"newest\":6,\"node\":\"node\",\"readMilliseconds\":4,\"reason\":\"CONFIGURATION_BEHIND\","
                                 + "\"request\":\"a1\",\"retryAfterMilliseconds\":400,\"status\":503,\"takenMilliseconds\":12,"
                                 + "\"time\":1}\n");
     }
 
     @Test
     void shouldLeaveOutWhatTheNodeKnewWhenTheTargetAnswered() throws IOException {
-        decisions.record(new Decision.Answered("a1", 404, "DELIVERED", 1, Duration.ZERO, Optional.empty(), VERSION));
+        decisions.record(new Decision.Answered(
+                "a1", 404, "DELIVERED", 1, Duration.ZERO, Duration.ZERO, Optional.empty(), VERSION));
         assertThat(fields(writtenLines().getFirst()))
-                .containsExactly("status", "reason", "attempts", "takenMilliseconds", "configuration");
+                .containsExactly(
+                        "status", "reason", "attempts", "readMilliseconds", "takenMilliseconds", "configuration");
     }
 
     // -- helpers
@@ -160,7 +169,7 @@
         LocalTarget target =
                 LocalTarget.of(NodeId.of("node-1"), service, SlotQueue.of(() -> 0), Duration.ofSeconds(5), () -> 0);
         target.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, service, 9, false));
-        return new Decision.Guarded(id, 1, reply, Duration.ZERO, LOAD, target.status(), OptionalDouble.of(8));
+        return new Decision.Guarded(id, 1, reply, STAGES, LOAD, target.status(), OptionalDouble.of(8));
     }
 
     private List<JsonNode> writtenLines() throws IOException {
