--- a/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -126,7 +126,8 @@
         assertThat(output.toString(StandardCharsets.UTF_8))
                 .isEqualTo(
                         "{\"attempts\":0,\"behindMilliseconds\":250,\"configuration\":4,\"confirmedMilliseconds\":300,"
-                                + "\"event\":\"Answered\",\"newest\":6,\"node\":\"node\",\"readMilliseconds\":4,\"reason\":\"CONFIGURATION_BEHIND\","
+                                + "\"event\":\"Answered\",\"newest\":6,\"node\":\"node\",\"readMilliseconds\":4,"
+                                + "\"reason\":\"CONFIGURATION_BEHIND\","
                                 + "\"request\":\"a1\",\"retryAfterMilliseconds\":400,\"status\":503,\"takenMilliseconds\":12,"
                                 + "\"time\":1}\n");
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/LeastLatencyBalancer.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LeastLatencyBalancer.java
@@ -18,7 +18,8 @@
  * all, they would choose the same one until the next report.
  *
  * <p>The expected latency is that of the target's recent requests, increased with its load; more distant targets are
- * charged for the network latency and for what the users pay to transfer the bytes. All costs are in percent of the target latency of a request. Thread safe if the random generator is.
+ * charged for the network latency and for what the users pay to transfer the bytes. All costs are in percent of the
+ * target latency of a request. Thread safe if the random generator is.
  */
 public final class LeastLatencyBalancer {
     /** Latency assumed for a target without a report, in percent of the target latency; a typical value. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -17,8 +17,10 @@
  * capacity. This queue serves requests that can still meet their soft deadline first, by rank and then by the
  * earliest soft deadline, and late ones afterwards in the same order. A request that is not expected to get a slot
  * within its maximum wait is refused on arrival, or as soon as others overtake it, so that its caller can try another
- * target. While more requests arrive than the slots can run, those that can't meet their soft deadline with some certainty
- * give way to the others, and only as many of them wait as keep the slots busy. A target may limit the rate of its requests as well; they then pass at that rate, in the same order.
+ * target. A target may limit the rate of its requests as well; they then pass at that rate, in the same order.
+ *
+ * <p>While more requests arrive than the slots can run, those that can't meet their soft deadline with some certainty
+ * give way to the others, and only as many of them wait as keep the slots busy.
  *
  * <p>Invariants: no more requests hold a slot than the target has, and no more are granted one than its rate allows; a
  * refused request never holds one; each ticket is settled exactly once. Thread safe.
