Keep calls of running targets and small requests from paying for full links and queues

Change: the backlog is no load; late requests wait for 220 ms at least before they give way; a download waits for the link for half of its target latency at most; four guards may refuse again.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -32,11 +32,8 @@
  * {@link #run} is for one thread, the other methods are thread safe.
  */
 final class EntryDispatch {
-    /**
-     * How many guards may refuse a request before the client is refused. Each refusal costs a round trip and the cores of two
-     * nodes, and a second one tells that there is little room anywhere.
-     */
-    private static final int MAXIMUM_REFUSALS = 2;
+    /** How many guards may refuse a request before the client is refused; each refusal costs a round trip. */
+    private static final int MAXIMUM_REFUSALS = 4;
 
     /** Subtracted from the time that a guard is given, so that its refusal arrives before the deadline of this node. */
     private static final Duration REPLY_MARGIN = Duration.ofMillis(25);
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -53,8 +53,8 @@
     /** The share of the remaining time that a request may wait for a slot; the rest is left for the run. */
     private static final double MAXIMUM_WAIT_SHARE = 0.6;
 
-    /** The share of the remaining time that a large response may wait for the link; it has to cross two links then. */
-    private static final double MAXIMUM_LINK_WAIT_SHARE = 0.3;
+    /** The share of its target latency that a large response may wait for the link; it has to cross two links then. */
+    private static final double MAXIMUM_LINK_WAIT_SHARE = 0.5;
 
     /** Short, as the target runs on the same host. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
@@ -146,7 +146,6 @@
         LoadReport report = new LoadReport(open, state.running(), state.waiting(), latencyRatio.percent());
         OptionalDouble limit = requestLimit();
         double runSeconds = state.averageRunNanoseconds() / NANOSECONDS_PER_SECOND;
-        report = report.delayed(pacer.backlog().toNanos() / NANOSECONDS_PER_SECOND, runSeconds);
         return open == 0 || limit.isEmpty()
                 ? report
                 : report.paced(
@@ -211,7 +210,7 @@
     }
 
     private static Duration maximumLinkWait(GuardRequestMetadata metadata) {
-        return Duration.ofNanos((long) (metadata.remaining().toNanos() * MAXIMUM_LINK_WAIT_SHARE));
+        return Duration.ofNanos((long) (metadata.targetLatency().toNanos() * MAXIMUM_LINK_WAIT_SHARE));
     }
 
     /** Runs a request if the target has a slot for it in time, and returns the outcome; blocks. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/LoadReport.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LoadReport.java
@@ -36,21 +36,6 @@
         return new LoadReport(usable, busy, total - busy, slownessPercent);
     }
 
-    /**
-     * Returns the report of a target whose responses are held back: as many more requests waiting as make up that time, so
-     * that balancers prefer others.
-     *
-     * @param delaySeconds how long a response is held back
-     * @param runSeconds how long a request takes on average
-     */
-    public LoadReport delayed(double delaySeconds, double runSeconds) {
-        if (delaySeconds <= 0 || runSeconds <= 0) {
-            return this;
-        }
-        double more = Math.floor(slots * delaySeconds / runSeconds);
-        return new LoadReport(slots, running, (int) Math.min(HIGHEST_NUMBER, waiting + more), slownessPercent);
-    }
-
     /** Returns whether another report is so similar that it need not be sent. */
     public boolean isSimilarTo(LoadReport other) {
         int difference = Math.abs(running + waiting - other.running - other.waiting);
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -37,6 +37,9 @@
     /** How many times the expected run must fit before the soft deadline while more requests arrive than the slots can run. */
     private static final double OVERLOAD_RUN_FACTOR = 2;
 
+    /** Late requests may wait this long, or for an average run if that is longer, while more arrive than the slots can run. */
+    private static final double LATE_WAIT_NANOSECONDS = 220e6;
+
     /** Weight of the newest interval between arrivals in the moving average. */
     private static final double INTERVAL_SMOOTHING_FACTOR = 0.05;
 
@@ -168,9 +171,10 @@
         return ticket.isLateAt(now, isOverloaded() ? OVERLOAD_RUN_FACTOR : 1);
     }
 
-    /** Returns whether a late request would wait behind more than the slots run next, and others keep coming. */
+    /** Returns whether a late request would wait for long, and others keep coming before it. */
     private boolean isHopeless(SlotTicket ticket, Duration slotWait, long now) {
-        return isOverloaded() && slotWait.toNanos() > state.averageRunNanoseconds() && isLate(ticket, now);
+        boolean isLong = slotWait.toNanos() > Math.max(state.averageRunNanoseconds(), LATE_WAIT_NANOSECONDS);
+        return isLong && isOverloaded() && isLate(ticket, now);
     }
 
     /** Estimates the wait of a request behind those that are served before it. */
