Tell the peer what is left of a request's time once there is a connection

Seen: by reading; a guard computed the time for its target, and an entry that for a guard, before it had a connection. Change: a request names the header that carries its time limit; it is shortened, with the limit on the response, once the connection is there, and the request isn't sent when nothing is left.

--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
@@ -13,6 +13,7 @@
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.OutboundRequest;
+import org.oleanderturn.proxy.ProxyHeaders;
 import org.oleanderturn.proxy.ResponseMatcher;
 import org.oleanderturn.proxy.SendPolicy;
 import org.oleanderturn.proxy.UpstreamExchange;
@@ -136,12 +137,13 @@
         headers.addAll(request.metadata().headers());
         boolean isShorterTimeout = request.timeout().compareTo(CONNECT_TIMEOUT) < 0;
         return new OutboundRequest(
-                request.method(),
-                request.path(),
-                headers,
-                request.body(),
-                request.metadata().kind().isIdempotent() ? SendPolicy.POOLED_UNCHECKED : SendPolicy.POOLED,
-                isShorterTimeout ? request.timeout() : CONNECT_TIMEOUT,
-                request.timeout());
+                        request.method(),
+                        request.path(),
+                        headers,
+                        request.body(),
+                        request.metadata().kind().isIdempotent() ? SendPolicy.POOLED_UNCHECKED : SendPolicy.POOLED,
+                        isShorterTimeout ? request.timeout() : CONNECT_TIMEOUT,
+                        request.timeout())
+                .withTimeLimitHeader(ProxyHeaders.DEADLINE);
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -364,7 +364,14 @@
                 ? SendPolicy.RECENT_CONNECTION
                 : SendPolicy.POOLED_UNCHECKED;
         OutboundRequest outbound = new OutboundRequest(
-                request.method(), request.path(), headers, request.body(), sendPolicy, CONNECT_TIMEOUT, remaining);
+                        request.method(),
+                        request.path(),
+                        headers,
+                        request.body(),
+                        sendPolicy,
+                        CONNECT_TIMEOUT,
+                        remaining)
+                .withTimeLimitHeader(adapter.timeLimitHeader());
         ResponseMatcher matcher = ResponseMatcher.matching(fields -> isForAttempt(fields, request.client()));
         BodyAllowance allowance = new BodyAllowance(BODY_LIMIT_BYTES, request.bodies());
         Either<UpstreamFailure, BufferedResponse> response =
--- a/mesh/src/main/java/org/oleanderturn/mesh/ProtocolAdapter.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ProtocolAdapter.java
@@ -24,6 +24,9 @@
             Duration remaining,
             String instance);
 
+    /** Returns the name of the header that tells a target how long its response is waited for, in milliseconds. */
+    String timeLimitHeader();
+
     /** Reads what a target's response states beside status and body. */
     TargetResponseMetadata responseMetadata(List<HeaderField> headers);
 
--- a/mesh/src/test/java/org/oleanderturn/mesh/FakeProtocolAdapter.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeProtocolAdapter.java
@@ -30,6 +30,11 @@
         return received;
     }
 
+    @Override
+    public String timeLimitHeader() {
+        return "Time-Limit";
+    }
+
     @Override
     public TargetResponseMetadata responseMetadata(List<HeaderField> headers) {
         return new TargetResponseMetadata(
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamClient.java
@@ -117,18 +117,36 @@
         Objects.requireNonNull(matcher, "matcher is null");
         Objects.requireNonNull(cancellation, "cancellation is null");
         Objects.requireNonNull(allowance, "allowance is null");
-        BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
+        long startedNanoseconds = clockNanoseconds.getAsLong();
         return connect(peer, request, cancellation).flatMap(connection -> {
-            UpstreamConnection used = connection.connection();
-            long sentNanoseconds = System.nanoTime();
-            try (ReceiveLimits limits = limits(request, allowance.reservation())) {
-                return exchange(connection, message, request, matcher, limits, cancellation)
-                        .flatMap(response -> bufferBody(response, allowance, cancellation))
-                        .peekLeft(failure -> discardIfSilent(peer, used, sentNanoseconds, failure));
-            }
+            Duration spent = Duration.ofNanos(clockNanoseconds.getAsLong() - startedNanoseconds);
+            return exchangeWhole(peer, connection, request.after(spent), matcher, allowance, cancellation);
         });
     }
 
+    private Either<UpstreamFailure, BufferedResponse> exchangeWhole(
+            Address peer,
+            LeasedConnection connection,
+            OutboundRequest request,
+            ResponseMatcher matcher,
+            BodyAllowance allowance,
+            Cancellation cancellation) {
+        if (request.isExpired()) {
+            connection.markResponseRead();
+            connection.close();
+            return Either.left(
+                    new UpstreamFailure.NotSent(UpstreamFailure.Cause.NO_CONNECTION, "the time limit has passed"));
+        }
+        UpstreamConnection used = connection.connection();
+        BasicClassicHttpRequest message = OutboundMessage.of(peer, request);
+        long sentNanoseconds = System.nanoTime();
+        try (ReceiveLimits limits = limits(request, allowance.reservation())) {
+            return exchange(connection, message, request, matcher, limits, cancellation)
+                    .flatMap(response -> bufferBody(response, allowance, cancellation))
+                    .peekLeft(failure -> discardIfSilent(peer, used, sentNanoseconds, failure));
+        }
+    }
+
     private ReceiveLimits limits(OutboundRequest request, BodyReservation reservation) {
         return ReceiveLimits.startingNow(request.responseTimeout(), clockNanoseconds, reservation);
     }
