Let the fake adapter of the calls of targets name the time limit, too

Cause: was built for wire and proxy only; this test's adapter didn't compile with it. Measured: all modules up to node compile, linters included.

--- a/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
@@ -49,6 +49,11 @@
             return received;
         }
 
+        @Override
+        public String timeLimitHeader() {
+            return delegate.timeLimitHeader();
+        }
+
         @Override
         public TargetResponseMetadata responseMetadata(List<HeaderField> headers) {
             return new TargetResponseMetadata(
