Let clients of the simulated fleet leave at each stage of their requests

Cause: AbandonedRequestFleetTest lets clients leave after random times, so that no stage is shown for itself; nodes accepted connections for nothing, opened none between each other, and targets made no calls. Change: the cores of simulated hosts are charged for accepting, a quarter of the exchanges need a new connection, hosts can stall and fall silent, and a run can make a call, which it leaves when it is given up. AbandonedStageFleetTest lets a third of the clients leave soon after their request reaches one stage: not accepted, not read, connecting, written to a guard, waiting for a slot, between attempts, running; beside nodes that restart, stall, or fall silent. Counted: arrivals over half a second after the leave, arrivals past the time limit, time handed on over half a second beyond it, runs that go on. SimulatedClients is taken out of SimulatedFleet.

--- /dev/null
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
@@ -0,0 +1,121 @@
+package org.oleanderturn.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.oleanderturn.platform.FakeOperator;
+
+/** The clients of a {@link SimulatedFleet}: what they have sent, when they left and what they got. Used by one task at a time. */
+final class SimulatedClients {
+    private final SimulatedFleet fleet;
+    private final SimulatedTime.Life life = new SimulatedTime.Life();
+    private final StageWatch stages;
+    private final List<SimulatedFleet.Sending> sendings = new ArrayList<>();
+    private final Map<SimulatedFleet.Sending, Long> departures = new HashMap<>();
+    private final List<SimulatedFleet.Exchange> exchanges = new ArrayList<>();
+
+    SimulatedClients(SimulatedFleet fleet) {
+        this.fleet = fleet;
+        this.stages = new StageWatch(fleet);
+    }
+
+    // -- queries
+
+    SimulatedTime.Life life() {
+        return life;
+    }
+
+    StageWatch stages() {
+        return stages;
+    }
+
+    /** Returns the request of an attempt. */
+    SimulatedFleet.Sending sending(String attemptId) {
+        return sendings.get(Integer.parseInt(attemptId.substring(1)));
+    }
+
+    /** Returns when the client of a request left or had its answer, in milliseconds; the largest value before that. */
+    long departure(SimulatedFleet.Sending sending) {
+        return departures.getOrDefault(sending, Long.MAX_VALUE / 2);
+    }
+
+    /** Returns the exchanges that have ended, in order. */
+    List<SimulatedFleet.Exchange> exchanges() {
+        return exchanges;
+    }
+
+    // -- commands
+
+    /** Sends a request once, after a delay, to a node that is drawn then; its client leaves when it reaches a stage. */
+    void sendAndLeaveAt(Duration delay, String path, RequestStage stage) {
+        fleet.time().start(delay, life, () -> {
+            var _ = exchange(
+                    fleet.random().nextInt(fleet.hosts().size()),
+                    path,
+                    SimulatedFleet.CLIENT_TIMEOUT,
+                    SimulatedFleet.CLIENT_TIMEOUT,
+                    Optional.of(stage),
+                    fleet.time().pending());
+        });
+    }
+
+    /**
+     * Sends a call of a target to the node on its host, as part of a run.
+     *
+     * @param limit how long the target waits
+     * @param answer is completed with the answer; completing it before lets the target leave
+     */
+    void call(int host, String path, Duration limit, SimulatedTime.Pending<SimulatedFleet.Answer> answer) {
+        fleet.time().start(Duration.ZERO, life, () -> {
+            var _ = exchange(host, path, limit, limit, Optional.empty(), answer);
+        });
+    }
+
+    /**
+     * Sends a request to a node and reports what its client gets; blocks the calling task.
+     *
+     * @param limit how long the client says that it waits
+     * @param patience after which time it leaves
+     * @param leavesAt the stage at which it leaves before that, if any
+     * @param answer is completed with the answer; completing it before lets the client leave
+     */
+    SimulatedFleet.Answer exchange(
+            int entry,
+            String path,
+            Duration limit,
+            Duration patience,
+            Optional<RequestStage> leavesAt,
+            SimulatedTime.Pending<SimulatedFleet.Answer> answer) {
+        SimulatedHost host = fleet.host(entry);
+        if (!host.isNodeUp()) {
+            answer.complete(SimulatedFleet.Answer.none());
+            return SimulatedFleet.Answer.none();
+        }
+        SimulatedFleet.Sending sending =
+                new SimulatedFleet.Sending(entry, host.life(), fleet.time().milliseconds(), limit.toMillis());
+        sendings.add(sending);
+        String attemptId = "s" + (sendings.size() - 1);
+        SimulatedRequest request = new SimulatedRequest(
+                path.startsWith("/single/") ? "POST" : "GET",
+                path,
+                FakeOperator.clientHeaders(attemptId, limit.toMillis()),
+                new byte[0]);
+        leavesAt.ifPresent(
+                stage -> stages.leaveAt(attemptId, stage, () -> answer.complete(SimulatedFleet.Answer.left())));
+        host.handleClient(request, answer);
+        Optional<SimulatedFleet.Answer> received = answer.await(patience).filter(result -> !result.isLeft());
+        departures.put(sending, fleet.time().milliseconds());
+        if (received.isEmpty()) {
+            host.disconnect(request);
+        }
+        exchanges.add(new SimulatedFleet.Exchange(
+                sending,
+                path,
+                received.orElse(SimulatedFleet.Answer.none()),
+                fleet.time().milliseconds()));
+        return exchanges.getLast().answer();
+    }
+}
--- a/node/src/test/java/org/oleanderturn/node/SimulatedCore.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedCore.java
@@ -16,6 +16,11 @@
         return duration;
     }
 
+    /** Keeps the core from all work for some time, all times in nanoseconds. */
+    void stall(long now, long duration) {
+        freeNanoseconds = Math.max(now, freeNanoseconds) + duration;
+    }
+
     /** Returns when work that arrives at the given moment is done, all times in nanoseconds. */
     long finish(long arrival, long processorTime) {
         freeNanoseconds = Math.max(arrival, freeNanoseconds) + Math.round(processorTime / share);
--- a/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
@@ -4,9 +4,7 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -44,12 +42,22 @@
     private static final int LONGEST_RESTART_MILLISECONDS = 3_000;
     private static final int SHORTEST_RESTART_MILLISECONDS = 1_000;
 
-    /** A request that arrived at a process of a target; the entry is the node that its client had sent it to. */
+    /**
+     * A request that arrived at a process of a target; the entry is the node that its client had sent it to.
+     *
+     * @param limitMilliseconds how long the target was told that its response is waited for
+     */
     record Arrival(
-            long milliseconds, int host, String process, Sending sending, String path, boolean isEntryUndisturbed) {}
+            long milliseconds,
+            int host,
+            String process,
+            Sending sending,
+            String path,
+            long limitMilliseconds,
+            boolean isEntryUndisturbed) {}
 
-    /** A request that a target ran, and when the run ended, in milliseconds. */
-    record Run(Arrival arrival, long endMilliseconds) {}
+    /** A request that a target ran, when the run ended, in milliseconds, and whether nothing disturbed its nodes by then. */
+    record Run(Arrival arrival, long endMilliseconds, boolean isUndisturbed) {}
 
     /**
      * What a client got.
@@ -60,6 +68,18 @@
     record Answer(int status, Optional<Duration> retryAfter, Optional<String> leavingProcess) {
         private static final Answer NONE = new Answer(0, Optional.empty(), Optional.empty());
 
+        /** What a client that leaves has instead of an answer. */
+        private static final Answer LEFT = new Answer(-1, Optional.empty(), Optional.empty());
+
+        /** Returns what lets a client that waits for its answer leave. */
+        static Answer left() {
+            return LEFT;
+        }
+
+        boolean isLeft() {
+            return equals(LEFT);
+        }
+
         /** Returns that of a client whose connection was closed. */
         static Answer none() {
             return NONE;
@@ -69,20 +89,18 @@
     /** An exchange of a client that has ended. */
     record Exchange(Sending sending, String path, Answer answer, long endMilliseconds) {}
 
-    /** A client's request on its way. */
-    record Sending(int entry, int entryLife, long milliseconds) {}
+    /** A client's request on its way, with the time that its client says that it waits. */
+    record Sending(int entry, int entryLife, long milliseconds, long limitMilliseconds) {}
 
     private final SimulatedTime time = new SimulatedTime();
-    private final SimulatedTime.Life clients = new SimulatedTime.Life();
+    private final SimulatedClients clients = new SimulatedClients(this);
     private final SimulatedStore.Content store = new SimulatedStore.Content();
     private final Random random;
     private final List<SimulatedHost> hosts = new ArrayList<>();
-    private final List<Sending> sendings = new ArrayList<>();
     private final List<Arrival> arrivals = new ArrayList<>();
     private final List<Run> runs = new ArrayList<>();
-    private final Map<Sending, Long> departures = new HashMap<>();
     private final List<Decision> decisions = new ArrayList<>();
-    private final List<Exchange> exchanges = new ArrayList<>();
+    private int newConnectionsPercent;
     private Duration shortestWork = Duration.ofMillis(50);
     private Duration longestWork = Duration.ofMillis(350);
 
@@ -136,17 +154,26 @@
 
     /** Returns when the client of a request left or had its answer, in milliseconds; the largest value before that. */
     long departure(Sending sending) {
-        return departures.getOrDefault(sending, Long.MAX_VALUE / 2);
+        return clients.departure(sending);
+    }
+
+    /** Returns the clients, and how they leave. */
+    SimulatedClients clients() {
+        return clients;
+    }
+
+    StageWatch stages() {
+        return clients.stages();
     }
 
     /** Returns the exchanges of clients that have ended, in order. */
     List<Exchange> exchanges() {
-        return exchanges;
+        return clients.exchanges();
     }
 
     /** Returns how many answers had a status. */
     int answers(int status) {
-        return Math.toIntExact(exchanges.stream()
+        return Math.toIntExact(clients.exchanges().stream()
                 .filter(exchange -> exchange.answer().status() == status)
                 .count());
     }
@@ -189,7 +216,7 @@
 
     /** Returns the host whose client sent an attempt. */
     SimulatedHost sender(String attemptId) {
-        return hosts.get(sendings.get(Integer.parseInt(attemptId.substring(1))).entry());
+        return hosts.get(clients.sending(attemptId).entry());
     }
 
     // -- clients
@@ -201,28 +228,28 @@
 
     /** Sends a request once, after a delay, to a node that is drawn then. */
     void sendOnce(Duration delay, String path) {
-        time.start(delay, clients, () -> {
+        time.start(delay, clients.life(), () -> {
             var _ = exchange(random.nextInt(hosts.size()), path);
         });
     }
 
     /** Sends a request once, after a delay, to a node that is drawn then; its client leaves when its patience ends. */
     void sendAndLeave(Duration delay, String path, Duration patience) {
-        time.start(delay, clients, () -> {
+        time.start(delay, clients.life(), () -> {
             var _ = exchange(random.nextInt(hosts.size()), path, patience);
         });
     }
 
     /** Sends a request once, after a delay, to a given node. */
     void sendOnceAt(Duration delay, int entry, String path) {
-        time.start(delay, clients, () -> {
+        time.start(delay, clients.life(), () -> {
             var _ = exchange(entry, path);
         });
     }
 
     /** Sends a request after a delay again and again until it is served; reports how long that took. */
     void sendUntilServed(Duration delay, String path, Consumer<Duration> served) {
-        time.start(delay, clients, () -> {
+        time.start(delay, clients.life(), () -> {
             long begin = time.nanoseconds();
             Answer answer = exchange(random.nextInt(hosts.size()), path);
             while (answer.status() != 200) {
@@ -239,27 +266,7 @@
     }
 
     private Answer exchange(int entry, String path, Duration patience) {
-        SimulatedHost host = hosts.get(entry);
-        if (!host.isNodeUp()) {
-            return Answer.none();
-        }
-        Sending sending = new Sending(entry, host.life(), time.milliseconds());
-        sendings.add(sending);
-        String attemptId = "s" + (sendings.size() - 1);
-        SimulatedRequest request = new SimulatedRequest(
-                path.startsWith("/single/") ? "POST" : "GET",
-                path,
-                FakeOperator.clientHeaders(attemptId, CLIENT_TIMEOUT.toMillis()),
-                new byte[0]);
-        SimulatedTime.Pending<Answer> answer = time.pending();
-        host.handleClient(request, answer);
-        Optional<Answer> received = answer.await(patience);
-        departures.put(sending, time.milliseconds());
-        if (received.isEmpty()) {
-            host.disconnect(request);
-        }
-        exchanges.add(new Exchange(sending, path, received.orElse(Answer.none()), time.milliseconds()));
-        return exchanges.getLast().answer();
+        return clients.exchange(entry, path, CLIENT_TIMEOUT, patience, Optional.empty(), time.pending());
     }
 
     static Answer answer(Response response) {
@@ -329,6 +336,20 @@
         return hosts.get(SimulatedSettings.number(address));
     }
 
+    /** Lets a share of the requests between hosts, and to targets, need a new connection. */
+    void setNewConnections(int percent) {
+        newConnectionsPercent = percent;
+    }
+
+    boolean isConnectionNew() {
+        return newConnectionsPercent > 0 && random.nextInt(100) < newConnectionsPercent;
+    }
+
+    /** Returns whether what one host sends to another is lost without a sign of it. */
+    boolean isSilent(SimulatedHost first, SimulatedHost second) {
+        return first != second && (first.isSilent() || second.isSilent());
+    }
+
     boolean isConnected(SimulatedHost first, SimulatedHost second) {
         boolean isSameZone = first.number() % ZONES == second.number() % ZONES;
         return isSameZone || (!first.isCut() && !second.isCut());
@@ -376,11 +397,15 @@
 
     /** Records that a run has ended. */
     void recordRun(Arrival arrival) {
-        runs.add(new Run(arrival, time.milliseconds()));
+        SimulatedHost entry = hosts.get(arrival.sending().entry());
+        boolean isUndisturbed = arrival.isEntryUndisturbed()
+                && entry.isUndisturbed()
+                && hosts.get(arrival.host()).isUndisturbed();
+        runs.add(new Run(arrival, time.milliseconds(), isUndisturbed));
     }
 
-    Arrival recordArrival(SimulatedHost host, String process, String attemptId, String path) {
-        Sending sending = sendings.get(Integer.parseInt(attemptId.substring(1)));
+    Arrival recordArrival(SimulatedHost host, String process, String attemptId, String path, Optional<Duration> limit) {
+        Sending sending = clients.sending(attemptId);
         SimulatedHost entry = hosts.get(sending.entry());
         Arrival arrival = new Arrival(
                 time.milliseconds(),
@@ -388,8 +413,10 @@
                 process,
                 sending,
                 path,
+                limit.map(Duration::toMillis).orElse(Long.MAX_VALUE / 2),
                 entry.life() == sending.entryLife() && entry.isUndisturbed() && host.isUndisturbed());
         arrivals.add(arrival);
+        clients.stages().reach(attemptId, RequestStage.RUN);
         return arrival;
     }
 
--- a/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
@@ -16,6 +16,7 @@
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.platform.FakeTargetMessages;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamFailure;
@@ -53,7 +54,9 @@
     private Duration readCost = Duration.ZERO;
     private Duration sendCost = Duration.ZERO;
     private int life;
+    private Duration acceptCost = Duration.ZERO;
     private boolean isCut;
+    private boolean isSilent;
     private long disturbedNanoseconds;
 
     SimulatedHost(
@@ -99,11 +102,16 @@
         return isCut;
     }
 
+    boolean isSilent() {
+        return isSilent;
+    }
+
     /** Returns whether the node has run, its links have held and the store has answered for a stable window. */
     boolean isUndisturbed() {
         long since = fleet.time().nanoseconds() - disturbedNanoseconds;
         return node.isPresent()
                 && !isCut
+                && !isSilent
                 && fleet.store().isAvailable()
                 && since >= SimulatedFleet.STABLE_WINDOW.toNanos();
     }
@@ -169,6 +177,18 @@
         disturb();
     }
 
+    /** Loses what the host sends to others and they to it, without a sign of it. */
+    void setSilent(boolean silent) {
+        isSilent = silent;
+        disturb();
+    }
+
+    /** Keeps the core from the node for some time. */
+    void stall(Duration duration) {
+        disturb();
+        core.ifPresent(present -> present.stall(fleet.time().nanoseconds(), duration.toNanos()));
+    }
+
     /** Records that the node or something it needs is disturbed. */
     void disturb() {
         disturbedNanoseconds = fleet.time().nanoseconds();
@@ -195,6 +215,11 @@
         sendCost = costOfSending;
     }
 
+    /** Charges the core for each connection of a client that the node accepts. */
+    void setAcceptCost(Duration cost) {
+        acceptCost = cost;
+    }
+
     /** Blocks the calling task, which has the core, until it has sent a request on. */
     void chargeSending() {
         core.ifPresent(present ->
@@ -242,7 +267,19 @@
     void handleClient(SimulatedRequest request, SimulatedTime.Pending<SimulatedFleet.Answer> answer) {
         SimulatedNode present = node.orElseThrow();
         clients.add(answer);
+        fleet.stages().reach(attemptId(request), RequestStage.ACCEPT);
+        if (acceptCost.isZero()) {
+            readClient(present, request, answer);
+        } else {
+            fleet.time().start(workTime(acceptCost), present.life(), () -> readClient(present, request, answer));
+        }
+    }
+
+    private void readClient(
+            SimulatedNode present, SimulatedRequest request, SimulatedTime.Pending<SimulatedFleet.Answer> answer) {
+        fleet.stages().reach(attemptId(request), RequestStage.READ);
         fleet.time().start(workTime(readCost), present.life(), () -> {
+            fleet.stages().handle(attemptId(request));
             request.setReadDelay(lag.current());
             Response response = SimulatedFleet.handle(present.clientHandler(), request);
             clients.remove(answer);
@@ -259,7 +296,9 @@
     void handlePeer(SimulatedRequest request, SimulatedNetwork.Exchange exchange) {
         SimulatedNode present = node.orElseThrow();
         guarded.put(request, exchange);
+        fleet.stages().reach(attemptId(request), RequestStage.SENT);
         fleet.time().start(workTime(readCost), present.life(), () -> {
+            fleet.stages().handle(attemptId(request));
             request.setReadDelay(lag.current());
             Response response = SimulatedFleet.handle(present.data().guard(), request);
             guarded.remove(request);
@@ -268,7 +307,7 @@
     }
 
     private void reply(SimulatedNetwork.Exchange exchange, Either<UpstreamFailure, BufferedResponse> response) {
-        if (!fleet.isConnected(this, exchange.sender())) {
+        if (!fleet.isConnected(this, exchange.sender()) || fleet.isSilent(this, exchange.sender())) {
             return;
         }
         if (uplink.isPresent() && response.isRight()) {
@@ -285,6 +324,10 @@
         }
     }
 
+    private static String attemptId(SimulatedRequest request) {
+        return FakeTargetMessages.attemptId(request.headers());
+    }
+
     private static BufferedResponse buffered(Response response) {
         return switch (response.body()) {
             case Response.Body.Buffered body ->
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNetwork.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.oleanderturn.model.Address;
+import org.oleanderturn.platform.FakeTargetMessages;
 import org.oleanderturn.proxy.BodyAllowance;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Cancellation;
@@ -43,16 +44,47 @@
             ResponseMatcher matcher,
             BodyAllowance allowance,
             Cancellation cancellation) {
-        SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response =
-                fleet.time().pending();
-        SimulatedRequest received =
-                new SimulatedRequest(request.method(), request.path(), request.headers(), request.body());
         SimulatedHost receiver = fleet.hostOf(peer);
+        recordStage(peer, request);
+        long started = fleet.time().nanoseconds();
+        connect(peer, receiver);
         host.chargeSending();
+        OutboundRequest sent = request.after(Duration.ofNanos(fleet.time().nanoseconds() - started));
         cancellation.check();
         if (cancellation.isCancelled()) {
             return Either.left(new UpstreamFailure.NotSent(UpstreamFailure.Cause.CANCELLED, "the caller has left"));
         }
+        if (sent.isExpired()) {
+            return Either.left(
+                    new UpstreamFailure.NotSent(UpstreamFailure.Cause.NO_CONNECTION, "the time limit has passed"));
+        }
+        return send(peer, receiver, sent, cancellation);
+    }
+
+    private void recordStage(Address peer, OutboundRequest request) {
+        String attemptId = FakeTargetMessages.attemptId(request.headers());
+        if (peer.port() == SimulatedSettings.TARGET_PORT) {
+            fleet.stages().reach(attemptId, RequestStage.CONNECT);
+        } else {
+            fleet.stages().sendToGuard(attemptId);
+        }
+    }
+
+    /** Blocks while a connection is opened, which some requests need. */
+    private void connect(Address peer, SimulatedHost receiver) {
+        if (fleet.isConnectionNew()) {
+            boolean isTarget = peer.port() == SimulatedSettings.TARGET_PORT;
+            fleet.time()
+                    .sleep(isTarget ? TARGET_DELAY : fleet.delay(host, receiver).multipliedBy(2));
+        }
+    }
+
+    private Either<UpstreamFailure, BufferedResponse> send(
+            Address peer, SimulatedHost receiver, OutboundRequest request, Cancellation cancellation) {
+        SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response =
+                fleet.time().pending();
+        SimulatedRequest received =
+                new SimulatedRequest(request.method(), request.path(), request.headers(), request.body());
         cancellation.onCancel(() -> {
             response.complete(Either.left(new UpstreamFailure.Cancelled()));
             close(peer, receiver, received, response);
@@ -60,7 +92,7 @@
         if (peer.port() == SimulatedSettings.TARGET_PORT) {
             fleet.time().at(TARGET_DELAY, () -> receiver.target().receive(request, response));
         } else {
-            connect(receiver, received, request, new Exchange(host, response));
+            deliver(receiver, received, request, new Exchange(host, response));
         }
         Optional<Either<UpstreamFailure, BufferedResponse>> result = response.await(request.responseTimeout());
         cancellation.clear();
@@ -77,13 +109,16 @@
             SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response) {
         if (peer.port() == SimulatedSettings.TARGET_PORT) {
             receiver.target().abandon(response);
-        } else {
+        } else if (!fleet.isSilent(host, receiver)) {
             fleet.time().at(fleet.delay(host, receiver), () -> receiver.disconnect(received));
         }
     }
 
-    private void connect(
+    private void deliver(
             SimulatedHost receiver, SimulatedRequest received, OutboundRequest request, Exchange exchange) {
+        if (fleet.isSilent(host, receiver)) {
+            return;
+        }
         if (!fleet.isConnected(host, receiver)) {
             fleet.time().at(request.connectTimeout(), () -> fail(exchange, UpstreamFailure.Cause.FAILED, "timed out"));
             return;
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
@@ -191,6 +191,9 @@
     }
 
     private Optional<SlotDecision> awaitSlot(SlotTicket ticket, Duration timeout) {
+        if (ticket.decision().isEmpty()) {
+            fleet.stages().reach(RequestStage.SLOT);
+        }
         SimulatedTime.Pending<SlotDecision> decision = fleet.time().pending();
         ticket.onDecision(decision::complete);
         return decision.await(timeout);
--- a/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
@@ -3,8 +3,11 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.oleanderturn.platform.FakeTargetMessages;
@@ -45,6 +48,10 @@
     private final List<Crash> crashes = new ArrayList<>();
     private final List<Named> named = new ArrayList<>();
     private final Set<SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>>> open = new LinkedHashSet<>();
+    private final Map<
+                    SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>>,
+                    SimulatedTime.Pending<SimulatedFleet.Answer>>
+            calls = new HashMap<>();
     private double speed = 1;
     private int nodeEndsPercent;
     private boolean isInstanceKept;
@@ -117,6 +124,7 @@
     /** Ends the run of a request whose connection the node has closed. */
     void abandon(SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response) {
         open.remove(response);
+        leaveCall(response);
     }
 
     private void recordTold() {
@@ -149,6 +157,7 @@
         }
         isUp = false;
         open.forEach(response -> response.complete(Either.left(new UpstreamFailure.ResponseLost("connection reset"))));
+        open.forEach(this::leaveCall);
         open.clear();
         Duration downTime =
                 Duration.ofMillis(fleet.random().nextInt(SHORTEST_DOWN_MILLISECONDS, LONGEST_DOWN_MILLISECONDS));
@@ -174,14 +183,19 @@
             response.complete(Either.right(FakeTargetMessages.misdirected(instance)));
             return;
         }
-        SimulatedFleet.Arrival arrival = fleet.recordArrival(host, process(), attemptId, request.path());
+        Optional<Duration> timeLimit = FakeTargetMessages.timeLimit(request.headers());
+        SimulatedFleet.Arrival arrival = fleet.recordArrival(host, process(), attemptId, request.path(), timeLimit);
         open.add(response);
         if (request.path().contains("crash")) {
             crashSoon(request.path(), fleet.sender(attemptId));
             return;
         }
         String ran = process();
+        if (request.path().contains("parent")) {
+            call(request.path(), timeLimit.orElse(SimulatedFleet.CLIENT_TIMEOUT), response);
+        }
         fleet.time().at(workTime(), () -> {
+            leaveCall(response);
             if (open.remove(response)) {
                 fleet.recordRun(arrival);
                 recordTold();
@@ -192,6 +206,23 @@
         });
     }
 
+    /** Makes a call that is part of a run, and leaves it when the run ends before. */
+    private void call(
+            String path,
+            Duration timeLimit,
+            SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response) {
+        SimulatedTime.Pending<SimulatedFleet.Answer> answer = fleet.time().pending();
+        calls.put(response, answer);
+        fleet.clients().call(host.number(), path.replace("parent", "call"), timeLimit, answer);
+    }
+
+    private void leaveCall(SimulatedTime.Pending<Either<UpstreamFailure, BufferedResponse>> response) {
+        SimulatedTime.Pending<SimulatedFleet.Answer> answer = calls.remove(response);
+        if (answer != null) {
+            answer.complete(SimulatedFleet.Answer.left());
+        }
+    }
+
     /** Returns the size of the body of a response: downloads are large, a tenth of them six times as large as the others. */
     private int bodyBytes(String path) {
         if (!path.startsWith("/download/")) {
