Ask no more of a request above capacity than its target latency leaves

A request counted as in time only with twice its expected run left; where a target is slow that is more than its whole target latency, so that every request was late on arrival, lost its place and was refused when it would have waited. Change: what a request needs then is its expected run and as long again, or half of what the target latency leaves beside the run if that is shorter. OverloadFleetTest also plays clients that come back when a refusal asks for it and state the time that they have left.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -259,7 +259,8 @@
     private SlotRequest slotRequest(GuardRequestMetadata metadata, Duration maximumWait) {
         Duration expectedRun = latencyRatio.expectedDuration(metadata.targetLatency());
         Duration untilTargetLatency = metadata.targetLatency().minus(metadata.elapsed());
-        return new SlotRequest(metadata.rank(), expectedRun, untilTargetLatency, maximumWait);
+        return SlotRequest.within(
+                metadata.targetLatency(), metadata.rank(), expectedRun, untilTargetLatency, maximumWait);
     }
 
     private SlotDecision awaitSlot(GuardRequest request, SlotTicket ticket, Duration maximumWait) {
--- a/node/src/test/java/org/oleanderturn/node/OverloadFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/OverloadFleetTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,10 @@
     private static final List<Double> LOADS = List.of(0.5, 0.8, 1.0, 1.3, 2.0, 3.0);
 
     /** As the routes of the fleet's configuration state it. */
-    private static final long TARGET_LATENCY_MILLISECONDS = 500;
+    private static final Duration TARGET_LATENCY = Duration.ofMillis(500);
+
+    /** How often a client sends that is refused and comes back. */
+    private static final int CLIENT_TRIES = 3;
 
     private static final double LOWEST_SHARE_OF_PEAK = 0.9;
     private static final int FIRST_SEED = Integer.getInteger("oleanderturn.firstSeed", 0);
@@ -47,20 +51,25 @@
 
     @Test
     void shouldKeepTheGoodputOfItsPeakWhenTargetsAreTheBottleneck() {
-        assertGoodputKept(Bottleneck.TARGETS);
+        assertGoodputKept(Bottleneck.TARGETS, 1);
+    }
+
+    @Test
+    void shouldKeepTheGoodputOfItsPeakWhenRefusedClientsComeBackToTheTargets() {
+        assertGoodputKept(Bottleneck.TARGETS, CLIENT_TRIES);
     }
 
     @Test
     void shouldKeepTheGoodputOfItsPeakWhenCoresAreTheBottleneck() {
-        assertGoodputKept(Bottleneck.CORES);
+        assertGoodputKept(Bottleneck.CORES, 1);
     }
 
-    private static void assertGoodputKept(Bottleneck bottleneck) {
+    private static void assertGoodputKept(Bottleneck bottleneck, int tries) {
         IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS).forEach(seed -> {
             Map<Double, Integer> goodput = Collections.synchronizedMap(new TreeMap<>());
             LOADS.parallelStream()
                     .forEach(load ->
-                            SimulatedTime.simulate(() -> goodput.put(load, inTime(play(bottleneck, load, seed)))));
+                            SimulatedTime.simulate(() -> goodput.put(load, inTime(bottleneck, load, tries, seed))));
             int peak = Collections.max(goodput.values());
             goodput.forEach((load, answers) -> {
                 if (load >= 1) {
@@ -72,24 +81,21 @@
         });
     }
 
-    private static int inTime(SimulatedFleet fleet) {
-        return Math.toIntExact(fleet.exchanges().stream()
-                .filter(exchange -> exchange.answer().status() == 200)
-                .filter(exchange ->
-                        exchange.endMilliseconds() - exchange.sending().milliseconds() <= TARGET_LATENCY_MILLISECONDS)
-                .count());
-    }
-
-    private static SimulatedFleet play(Bottleneck bottleneck, double load, int seed) {
+    /** Plays a day and returns how many requests were served in time, counted from when they were sent first. */
+    private static int inTime(Bottleneck bottleneck, double load, int tries, int seed) {
         SimulatedFleet fleet = new SimulatedFleet(FLEET_SIZE, SLOTS, MAXIMUM_ATTEMPTS, seed);
         if (bottleneck.isCoreCharged) {
             fleet.hosts().forEach(host -> host.setCore(CORE_SHARE, READ_COST, SEND_COST));
         }
+        List<Duration> served = new ArrayList<>();
         long requests = Math.round(FLEET_SIZE * bottleneck.requestsPerSecond * load * DAY.toSeconds());
         for (long request = 0; request < requests; request++) {
-            fleet.sendOnce(Duration.ofMillis(fleet.random().nextLong(DAY.toMillis())), "/lookup/" + request);
+            Duration delay = Duration.ofMillis(fleet.random().nextLong(DAY.toMillis()));
+            fleet.clients().sendAndReturn(delay, "/lookup/" + request, tries, served::add);
         }
         fleet.run(DAY.plus(SimulatedFleet.CLIENT_TIMEOUT).plusSeconds(1));
-        return fleet;
+        return Math.toIntExact(served.stream()
+                .filter(duration -> duration.compareTo(TARGET_LATENCY) <= 0)
+                .count());
     }
 }
--- a/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.oleanderturn.platform.FakeOperator;
 
 /** The clients of a {@link SimulatedFleet}: what they have sent, when they left and what they got. Used by one task at a time. */
@@ -62,6 +63,35 @@
         });
     }
 
+    /**
+     * Sends a request after a delay, and again when a refusal asks for it; reports how long it took if it is served.
+     *
+     * @param tries how often the client sends at most
+     */
+    void sendAndReturn(Duration delay, String path, int tries, Consumer<Duration> served) {
+        fleet.time().start(delay, life, () -> {
+            long begin = fleet.time().nanoseconds();
+            Optional<Duration> pause = Optional.of(Duration.ZERO);
+            for (int attempt = 0; attempt < tries && pause.isPresent(); attempt++) {
+                fleet.time().sleep(pause.get());
+                Duration left =
+                        SimulatedFleet.CLIENT_TIMEOUT.minusNanos(fleet.time().nanoseconds() - begin);
+                SimulatedFleet.Answer answer = exchange(
+                        fleet.random().nextInt(fleet.hosts().size()),
+                        path,
+                        left,
+                        left,
+                        Optional.empty(),
+                        fleet.time().pending());
+                pause = answer.retryAfter();
+                if (answer.status() == 200) {
+                    served.accept(Duration.ofNanos(fleet.time().nanoseconds() - begin));
+                    return;
+                }
+            }
+        });
+    }
+
     /**
      * Sends a call of a target to the node on its host, as part of a run.
      *
--- a/proxy/src/main/java/org/oleanderturn/proxy/ListenerLimits.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ListenerLimits.java
@@ -11,8 +11,8 @@
  * @param idleTimeout how long a connection may wait for the next bytes from its peer
  * @param maximumLineBytes the maximum length of a request line or header line
  * @param maximumHeaders the maximum number of headers of a request
- * @param disconnectWatchDelay how long a request runs before its connection is watched for a disconnect; a watch costs
- *     as much as a short request, so short requests should end before it starts
+ * @param disconnectWatchDelay how long a request runs before its connection is watched for a disconnect; each look costs
+ *     system calls, so short requests should end before the first
  */
 public record ListenerLimits(
         int maximumConnections,
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -34,9 +34,6 @@
     /** Average before the first run, in nanoseconds; near the service times that the users state. */
     private static final double INITIAL_AVERAGE_NANOSECONDS = 150e6;
 
-    /** How many times the expected run must fit before the soft deadline while more requests arrive than the slots can run. */
-    private static final double OVERLOAD_RUN_FACTOR = 2;
-
     /** Late requests may wait this long, or for an average run if that is longer, while more arrive than the slots can run. */
     private static final double LATE_WAIT_NANOSECONDS = 220e6;
 
@@ -168,7 +165,7 @@
     }
 
     private boolean isLate(SlotTicket ticket, long now) {
-        return ticket.isLateAt(now, isOverloaded() ? OVERLOAD_RUN_FACTOR : 1);
+        return isOverloaded() ? ticket.isUncertainAt(now) : ticket.isLateAt(now);
     }
 
     /** Returns whether a late request would wait for long, and others keep coming before it. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -39,13 +39,14 @@
         return requestedNanoseconds + request.untilSoftDeadline().toNanos();
     }
 
-    /**
-     * Returns whether the request misses its soft deadline even if it gets a slot now.
-     *
-     * @param runFactor how many times as long as expected its run may take
-     */
-    boolean isLateAt(long now, double runFactor) {
-        return now + Math.round(request.expectedRun().toNanos() * runFactor) - softDeadlineNanoseconds() > 0;
+    /** Returns whether the request is expected to miss its soft deadline even if it gets a slot now. */
+    boolean isLateAt(long now) {
+        return now + request.expectedRun().toNanos() - softDeadlineNanoseconds() > 0;
+    }
+
+    /** Returns whether the request may well miss its soft deadline even if it gets a slot now. */
+    boolean isUncertainAt(long now) {
+        return now + request.cautiousRun().toNanos() - softDeadlineNanoseconds() > 0;
     }
 
     /** Returns how much longer the request may wait; negative once its maximum wait has passed. */
