Tell simulated requests of the same millisecond apart

Cause, found while reading the diff: when clients left was kept by entry, life and millisecond of their requests, so that two requests sent to one entry in one millisecond shared the later departure, and a violation of the other could go uncounted. Change: a request has its number.

--- a/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
@@ -124,10 +124,10 @@
             answer.complete(SimulatedFleet.Answer.none());
             return SimulatedFleet.Answer.none();
         }
-        SimulatedFleet.Sending sending =
-                new SimulatedFleet.Sending(entry, host.life(), fleet.time().milliseconds(), limit.toMillis());
+        SimulatedFleet.Sending sending = new SimulatedFleet.Sending(
+                sendings.size(), entry, host.life(), fleet.time().milliseconds(), limit.toMillis());
         sendings.add(sending);
-        String attemptId = "s" + (sendings.size() - 1);
+        String attemptId = "s" + sending.number();
         SimulatedRequest request = new SimulatedRequest(
                 path.startsWith("/single/") ? "POST" : "GET",
                 path,
--- a/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
@@ -89,8 +89,8 @@
     /** An exchange of a client that has ended. */
     record Exchange(Sending sending, String path, Answer answer, long endMilliseconds) {}
 
-    /** A client's request on its way, with the time that its client says that it waits. */
-    record Sending(int entry, int entryLife, long milliseconds, long limitMilliseconds) {}
+    /** A client's request on its way, by its number among all, with the time that its client says that it waits. */
+    record Sending(int number, int entry, int entryLife, long milliseconds, long limitMilliseconds) {}
 
     private final SimulatedTime time = new SimulatedTime();
     private final SimulatedClients clients = new SimulatedClients(this);
