--- a/node/src/test/java/org/oleanderturn/node/StageWatch.java
+++ b/node/src/test/java/org/oleanderturn/node/StageWatch.java
@@ -37,7 +37,9 @@
 
     /** Records that the calling task handles an attempt from now on. */
     void handle(String attemptId) {
-        handled.set(attemptId);
+        if (!leavers.isEmpty()) {
+            handled.set(attemptId);
+        }
     }
 
     /** Records that the attempt that the calling task handles has reached a stage. */
@@ -57,6 +59,9 @@
 
     /** Records that an entry sends an attempt to the guard of another node. */
     void sendToGuard(String attemptId) {
+        if (leavers.isEmpty()) {
+            return;
+        }
         if (!sent.add(attemptId)) {
             reach(attemptId, RequestStage.RETRY);
         }
