Know uploads as a kind of request that runs at most once for each attempt

Measured: OperatorConfigurationTest.shouldRunAnUploadAtMostOncePerAttemptWhenARouteIsOfThatKind failed before and passes.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -361,7 +361,7 @@
         }
         List<HeaderField> headers = adapter.targetHeaders(
                 request.headers(), request.client(), request.metadata().caller(), remaining, start.instance());
-        SendPolicy sendPolicy = request.metadata().kind() == RequestKind.SINGLE
+        SendPolicy sendPolicy = request.metadata().kind().isOncePerAttempt()
                 ? SendPolicy.RECENT_CONNECTION
                 : SendPolicy.POOLED_UNCHECKED;
         OutboundRequest outbound = new OutboundRequest(
--- a/model/src/main/java/org/oleanderturn/model/RequestKind.java
+++ b/model/src/main/java/org/oleanderturn/model/RequestKind.java
@@ -11,7 +11,9 @@
     /** Not idempotent and without an idempotency key: each attempt of the client runs at most once. */
     SINGLE,
     /** Long and idempotent: may be retried before the first byte of the response, and is never hedged. */
-    DOWNLOAD;
+    DOWNLOAD,
+    /** Not idempotent, with a long body: each attempt of the client runs at most once, and no idempotency key is needed. */
+    UPLOAD;
 
     /** Returns the kind with the given constant name; empty when there is none. */
     public static Optional<RequestKind> parse(String name) {
@@ -25,6 +27,14 @@
 
     /** Returns whether a request of this kind may run more than once. */
     public boolean isIdempotent() {
-        return this != BOOKING && this != SINGLE;
+        return switch (this) {
+            case LOOKUP, DOWNLOAD -> true;
+            case BOOKING, SINGLE, UPLOAD -> false;
+        };
+    }
+
+    /** Returns whether each attempt of a client runs at most once, without an idempotency key that joins attempts. */
+    public boolean isOncePerAttempt() {
+        return this == SINGLE || this == UPLOAD;
     }
 }
--- a/traffic/src/main/java/org/oleanderturn/traffic/ExchangeSizes.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/ExchangeSizes.java
@@ -20,8 +20,8 @@
     /** Assumed for a route without samples, in bytes; near the sizes of lookups and bookings that the users state. */
     private static final double DEFAULT_BYTES = 4_000;
 
-    /** Assumed for a download route without samples, in bytes; near the sizes of documents that the users state. */
-    private static final double DEFAULT_DOWNLOAD_BYTES = 64_000;
+    /** Assumed for a route with long bodies and without samples, in bytes; near the sizes that the users state. */
+    private static final double DEFAULT_LONG_BYTES = 64_000;
 
     private final ConcurrentHashMap<RouteName, Double> averages = new ConcurrentHashMap<>();
 
@@ -36,7 +36,8 @@
 
     /** Returns the expected bytes of a request on the route and its response. */
     public double expectedBytes(RouteName route, RequestKind kind) {
-        double initial = kind == RequestKind.DOWNLOAD ? DEFAULT_DOWNLOAD_BYTES : DEFAULT_BYTES;
+        boolean isLong = kind == RequestKind.DOWNLOAD || kind == RequestKind.UPLOAD;
+        double initial = isLong ? DEFAULT_LONG_BYTES : DEFAULT_BYTES;
         return averages.getOrDefault(Objects.requireNonNull(route, "route is null"), initial);
     }
 
