Keep serving when a configuration holds a word that this release does not know

Cause: one unknown word failed the decoding of a version, and nothing but a log line said so; every node stayed without a configuration. A watch that found nothing newer then confirmed the older version as the newest, so that routes of the refused one would get 404. Change: an unknown kind of request is taken for the strictest (at most once for each attempt) and reported; a malformed value refuses the version as a whole, names the field and ends the confirmation; both stand in the log, two gauges and the state dump. A node that holds a version for three checks while others hold a newer one reads the store itself, and a relay that can't decode is no relay for others. Weighed and left: to refuse the one route, as requests for it would be denied or go to a shorter prefix.

--- a/node/src/main/java/org/oleanderturn/node/MeshGauges.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshGauges.java
@@ -85,6 +85,14 @@
                 "oleanderturn_store_lost",
                 "1 when the platform's store can't be read, else 0.",
                 () -> configurationWatcher.failure().isPresent() ? 1 : 0);
+        metrics.gauge(
+                "oleanderturn_configuration_unreadable",
+                "1 when the newest configuration in the store can't be decoded, else 0.",
+                () -> configurationWatcher.unreadable().isPresent() ? 1 : 0);
+        metrics.gauge(
+                "oleanderturn_configuration_unknown_words",
+                "Words of the newest configuration in the store that this release does not know.",
+                () -> configurationWatcher.unknownWords().size());
         metrics.gauge(
                 "oleanderturn_members_reachable",
                 "Reachable nodes, excluding this one.",
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -250,6 +250,8 @@
                 configuration.isServing(),
                 control.holder().status(),
                 configuration.watcher().failure().map(Object::toString),
+                configuration.watcher().unreadable(),
+                configuration.watcher().unknownWords(),
                 data.target().status(),
                 data.target().state(),
                 data.load(),
--- a/node/src/main/java/org/oleanderturn/node/MeshState.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshState.java
@@ -6,7 +6,9 @@
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.mesh.TargetCondition;
 import org.oleanderturn.mesh.TargetStatus;
+import org.oleanderturn.model.DecodeFailure;
 import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.platform.UnknownWord;
 import org.oleanderturn.traffic.CrashSuspicion;
 import org.oleanderturn.traffic.LoadReport;
 
@@ -18,6 +20,8 @@
  * @param isReady whether the node serves clients
  * @param configuration the active configuration and the last one that was rejected
  * @param storeFailure why the platform's store currently can't be read; empty when it can
+ * @param unreadableConfiguration why the newest configuration in the store can't be decoded, if this node reads the store
+ * @param unknownWords the words of the newest configuration that this release does not know, if this node reads the store
  * @param target the observed state of the local target
  * @param targetState the state that is announced to other nodes
  * @param load the load of the local target
@@ -30,6 +34,8 @@
         boolean isReady,
         AdoptionStatus configuration,
         Optional<String> storeFailure,
+        Optional<DecodeFailure> unreadableConfiguration,
+        List<UnknownWord> unknownWords,
         TargetStatus target,
         EndpointState targetState,
         LoadReport load,
@@ -39,6 +45,7 @@
         long droppedLogLines) {
 
     MeshState {
+        unknownWords = List.copyOf(unknownWords);
         members = List.copyOf(members);
         suspicions = List.copyOf(suspicions);
         conditions = List.copyOf(conditions);
--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -3,9 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -18,7 +18,9 @@
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.DecodeFailure;
+import org.oleanderturn.platform.DecodedConfiguration;
 import org.oleanderturn.platform.OperatorConfiguration;
+import org.oleanderturn.platform.UnknownWord;
 import org.oleanderturn.store.Backoff;
 import org.oleanderturn.store.Store;
 import org.oleanderturn.store.StoreFailure;
@@ -59,6 +61,13 @@
     /** A version that was the newest in the store at a time. */
     record Confirmation(ConfigurationVersion version, long nanoseconds) {}
 
+    /** What could not be understood in the last configuration that was read. */
+    private record LastRead(Optional<DecodeFailure> unreadable, List<UnknownWord> unknownWords) {
+        static LastRead understood() {
+            return new LastRead(Optional.empty(), List.of());
+        }
+    }
+
     private final Store store;
     private final ConfigurationHolder holder;
     private final ReadinessGate readinessGate;
@@ -68,6 +77,7 @@
     private final Backoff backoff;
     private final AtomicReference<Optional<StoreFailure>> failure = new AtomicReference<>(Optional.empty());
     private final AtomicReference<Optional<Confirmation>> confirmation = new AtomicReference<>(Optional.empty());
+    private final AtomicReference<LastRead> lastRead = new AtomicReference<>(LastRead.understood());
     private volatile long confirmingUntilNanoseconds;
     private volatile long lastResponseNanoseconds;
     private volatile boolean hasRead;
@@ -102,15 +112,26 @@
         return confirmation.get();
     }
 
+    /** Returns why the newest configuration in the store can't be decoded, so that an older one stays in force here. */
+    Optional<DecodeFailure> unreadable() {
+        return lastRead.get().unreadable();
+    }
+
+    /** Returns the words of the newest configuration in the store that this release does not know. */
+    List<UnknownWord> unknownWords() {
+        return lastRead.get().unknownWords();
+    }
+
     /** Lets the store be asked more often for a while whether there is a newer version. */
     void requestConfirmations() {
         confirmingUntilNanoseconds = clockNanoseconds.getAsLong() + CONFIRMING_PERIOD.toNanos();
     }
 
-    /** Returns whether this node reads the store, so that it notices a new version soon. */
+    /** Returns whether this node reads the store and understands what it reads, so that it has a new version soon. */
     boolean isReading() {
         return hasRead
                 && failure.get().isEmpty()
+                && unreadable().isEmpty()
                 && clockNanoseconds.getAsLong() - lastResponseNanoseconds < READING_PERIOD.toNanos();
     }
 
@@ -167,19 +188,38 @@
 
     private void observe(StoredValue stored, long sentNanoseconds) {
         seenRevision = stored.revision();
-        Either<DecodeFailure, ConfigurationSnapshot> decoded = OperatorConfiguration.decode(stored.value());
+        Either<DecodeFailure, DecodedConfiguration> decoded = OperatorConfiguration.decode(stored.value());
         if (decoded.isLeft()) {
-            log.atSevere().atMostEvery(1, TimeUnit.SECONDS).log(
-                    "configuration at revision %s can't be decoded: %s", stored.revision(), decoded.getLeft());
+            refuse(stored.revision(), decoded.getLeft());
             return;
         }
-        readinessGate.observeHead(decoded.get().version());
-        AdoptionResult result = holder.adopt(decoded.get());
+        lastRead.set(new LastRead(Optional.empty(), decoded.get().unknownWords()));
+        logUnknownWords(stored.revision(), decoded.get().unknownWords());
+        ConfigurationSnapshot snapshot = decoded.get().snapshot();
+        readinessGate.observeHead(snapshot.version());
+        AdoptionResult result = holder.adopt(snapshot);
         // A rejected version never gets in force, so the one before it still is.
-        ConfigurationVersion newest = result instanceof AdoptionResult.Rejected
-                ? holder.version()
-                : decoded.get().version();
+        ConfigurationVersion newest = result instanceof AdoptionResult.Rejected ? holder.version() : snapshot.version();
         confirmation.set(Optional.of(new Confirmation(newest, sentNanoseconds)));
         log.atInfo().log("configuration at revision %s: %s", stored.revision(), result);
     }
+
+    /** Keeps the configuration in force; which version is the newest is not known any more. */
+    private void refuse(long revision, DecodeFailure cause) {
+        lastRead.set(new LastRead(Optional.of(cause), List.of()));
+        confirmation.set(Optional.empty());
+        log.atSevere().log(
+                "configuration at revision %s refused, version %s stays in force: field \"%s\": %s",
+                revision, holder.version(), cause.path(), cause.reason());
+    }
+
+    private static void logUnknownWords(long revision, List<UnknownWord> unknownWords) {
+        if (unknownWords.isEmpty()) {
+            return;
+        }
+        UnknownWord first = unknownWords.getFirst();
+        log.atWarning().log(
+                "configuration at revision %s has %s unknown words; the first, \"%s\" in field \"%s\", is treated as %s",
+                revision, unknownWords.size(), first.word(), first.path(), first.treatedAs());
+    }
 }
--- a/node/src/test/java/org/oleanderturn/node/RelayCheckTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RelayCheckTest.java
@@ -81,6 +81,23 @@
         }
     }
 
+    @Test
+    void shouldReadTheStoreWhenTheRelaysNewerVersionNeverArrives() {
+        addRelay();
+        relayVersion = NEWER_VERSION;
+        long waited = check.runOnce();
+        assertThat(check.isSupplied()).isTrue();
+        while (check.isSupplied() && waited < 10_000) {
+            waited += check.runOnce();
+        }
+        assertThat(waited).isLessThan(2_500L);
+        plane.holder()
+                .adopt(ConfigurationSnapshot.of(
+                        ConfigurationVersion.of(NEWER_VERSION), Configuration.of(List.of(), List.of(), List.of())));
+        check.runOnce();
+        assertThat(check.isSupplied()).isTrue();
+    }
+
     @Test
     void shouldTrustTheRelayAgainWhenItAnswersAgain() {
         addRelay();
--- a/testbed/src/main/java/org/oleanderturn/testbed/BenchOperator.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/BenchOperator.java
@@ -43,7 +43,8 @@
     /** Decodes a stored value. */
     static ConfigurationSnapshot decode(byte[] value) {
         return OperatorConfiguration.decode(value)
-                .getOrElseThrow(failure -> new IllegalStateException(failure.toString()));
+                .getOrElseThrow(failure -> new IllegalStateException(failure.toString()))
+                .snapshot();
     }
 
     private static Map<String, Object> service(int number) {
