Take no message for whole whose connection ended within its head or its last chunk

Cause: the library takes the end of a connection for the end of a head, and a chunk size that breaks off for a shorter one. A signed 200 that stopped in its head reached the client as a whole, empty body, and a request that stopped in its head was run. Change: a connection remembers that a read has found its end; heads and chunked bodies that needed that read fail. Reads find the end only while something is missing, as the framing says where a message ends.

--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
+import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -277,11 +278,11 @@
                 .setMaxLineLength(limits.maximumLineBytes())
                 .setMaxHeaderCount(limits.maximumHeaders())
                 .build();
-        WatchedConnection connection = new WatchedConnection(httpSettings);
+        WatchedConnection connection = new WatchedConnection(httpSettings, channel);
         ServerConnection serverConnection = ServerConnection.of(channel, connection, limits);
         connections.add(serverConnection);
         try {
-            connection.bind(channel);
+            connection.bind();
             connection.setSocketTimeout(Timeout.of(limits.idleTimeout()));
             serveRequests(connection, serverConnection);
         } catch (ConnectionClosedException cause) {
@@ -306,12 +307,25 @@
 
     /** A connection that reads through the stream that looks ahead. */
     private static final class WatchedConnection extends DefaultBHttpServerConnection {
-        WatchedConnection(Http1Config settings) {
+        private final AcceptedChannel channel;
+
+        WatchedConnection(Http1Config settings, AcceptedChannel channel) {
             // The default parser factory ignores the limit of the settings on the number of headers.
             super("http", settings, null, null, null, null, new DefaultHttpRequestParserFactory(settings), null);
+            this.channel = channel;
+        }
+
+        /** Fails, unlike the library, when the connection ends before the empty line that closes the head. */
+        @Override
+        public ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
+            ClassicHttpRequest request = super.receiveRequestHeader();
+            if (request != null && channel.input().hasReadEnd()) {
+                throw new ConnectionClosedException("the connection ended within the head of a request");
+            }
+            return request;
         }
 
-        void bind(AcceptedChannel channel) throws IOException {
+        void bind() throws IOException {
             bind(new SocketHolder(channel.socket()) {
                 @Override
                 protected InputStream getInputStream(Socket socket) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -31,6 +31,7 @@
     private final ReentrantLock lock = new ReentrantLock();
     private ByteBuffer ahead = ByteBuffer.allocate(0);
     private boolean hasEnded;
+    private volatile boolean hasReadEnd;
     private Optional<Runnable> onEnd = Optional.empty();
 
     private LookaheadInputStream(InputStream source, ArrivedBytes arrived) {
@@ -119,6 +120,11 @@
         }
     }
 
+    /** Returns whether a read, as opposed to a check, has found the end of the input. */
+    boolean hasReadEnd() {
+        return hasReadEnd;
+    }
+
     // -- reads
 
     @Override
@@ -139,12 +145,15 @@
                 return takeAhead(bytes, offset, length);
             }
             if (hasEnded) {
+                hasReadEnd = true;
                 return -1;
             }
         } finally {
             lock.unlock();
         }
-        return source.read(bytes, offset, length);
+        int count = source.read(bytes, offset, length);
+        hasReadEnd = hasReadEnd || count < 0;
+        return count;
     }
 
     private int takeAhead(byte[] bytes, int offset, int length) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
@@ -198,6 +199,9 @@
             sendContinue();
             InputStream input = entity.getContent();
             byte[] bytes = input.readNBytes(limitBytes + 1);
+            if (entity.isChunked() && serverConnection.hasReadEnd()) {
+                throw new ConnectionClosedException("the connection ended within a chunked body");
+            }
             isBodyRead = bytes.length <= limitBytes;
             return isBodyRead ? Optional.of(bytes) : Optional.empty();
         }
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
@@ -104,6 +104,11 @@
         return channel.input().hasEnded();
     }
 
+    /** Returns whether the end of the connection was found by reading, as in a message that breaks off. */
+    boolean hasReadEnd() {
+        return channel.input().hasReadEnd();
+    }
+
     /** Records that the response is written while it arrives, so that checks may have to wait for writes. */
     void markStreaming() {
         isStreaming = true;
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -10,6 +10,9 @@
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.Optional;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
@@ -29,6 +32,7 @@
     private final SocketChannel channel;
     private Optional<ReceiveLimits> limits = Optional.empty();
     private volatile boolean isProbing;
+    private boolean hasReadEnd;
     private volatile long lastUsedNanoseconds = System.nanoTime();
     private volatile long lastReceivedNanoseconds = System.nanoTime();
 
@@ -56,6 +60,27 @@
         }
     }
 
+    /**
+     * Reads the head of a response; unlike the library, fails when the connection ends before the empty line that closes the
+     * head.
+     */
+    @Override
+    public ClassicHttpResponse receiveResponseHeader() throws HttpException, IOException {
+        ClassicHttpResponse response = super.receiveResponseHeader();
+        if (hasReadEnd) {
+            throw new ConnectionClosedException("the connection ended within the head of the response");
+        }
+        return response;
+    }
+
+    /**
+     * Returns whether a read has found the end of the connection. The end is not read while the framing of a message says
+     * where it is complete.
+     */
+    boolean hasReadEnd() {
+        return hasReadEnd;
+    }
+
     /** Applies the limits to all reads until they are replaced or removed. */
     void limitReads(ReceiveLimits readLimits) {
         limits = Optional.of(readLimits);
@@ -146,6 +171,7 @@
             }
             int count = in.read(bytes, offset, length);
             lastReceivedNanoseconds = System.nanoTime();
+            hasReadEnd = hasReadEnd || count < 0;
             if (limits.isPresent() && count > 0) {
                 limits.get().recordRead(count);
             }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.util.Timeout;
@@ -89,7 +90,7 @@
         if (bytes.length > limitBytes) {
             return Optional.empty();
         }
-        connection.markResponseRead();
+        endBody(entity);
         return Optional.of(bytes);
     }
 
@@ -107,7 +108,7 @@
                         entity.getContentLength(),
                         allowance.limitBytes(),
                         allowance.reservation());
-        connection.markResponseRead();
+        endBody(entity);
         return body;
     }
 
@@ -117,6 +118,15 @@
         if (entity != null) {
             copy(entity.getContent(), output);
         }
+        endBody(entity);
+    }
+
+    /** Checks that a chunked body ended with its last chunk: the library takes a size that breaks off for a shorter one. */
+    private void endBody(HttpEntity entity) throws IOException {
+        if (entity != null && entity.isChunked() && connection.connection().hasReadEnd()) {
+            hasReadFailed = true;
+            throw new ConnectionClosedException("the connection ended within a chunked body");
+        }
         connection.markResponseRead();
     }
 
