Believe no refusal and no success of a target that names no request

Cause: a response without the id of an attempt counted as the answer to the attempt, a refusal too. A faulty target that writes an earlier refusal once more makes the node say 'not run' of a request that may have run, or send it to a second target. Change: such a response is believed only where it promises nothing; otherwise the outcome is unknown. Measured: MisattributedAnswerTest over sockets; 2 of 5 cases failed before. The other three (a copy with the id of its own request, before and after the connection was used again) passed before and stay as proof.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -383,7 +383,12 @@
             if (received.status() != HttpStatuses.MISDIRECTED_REQUEST) {
                 metadata.signals().ifPresent(signals -> target.recordSignals(start, signals, sentNanoseconds));
             }
-            return replyForResponse(received, metadata, request.metadata(), runTime);
+            // A faulty target may write an earlier response once more; one that names no request may be such a copy.
+            boolean isIdentified = metadata.attemptId().isPresent()
+                    || request.client().attemptId().isEmpty();
+            return isIdentified
+                    ? replyForResponse(received, metadata, request.metadata(), runTime)
+                    : replyForUnidentified(received, metadata);
         });
     }
 
@@ -410,6 +415,18 @@
         };
     }
 
+    /** Believes a response that names no request only where it promises nothing. */
+    private static GuardReply replyForUnidentified(
+            BufferedResponse response, TargetResponseMetadata responseMetadata) {
+        boolean isPromise = responseMetadata.isNotExecuted()
+                || HttpStatuses.isSuccess(response.status())
+                || response.status() == HttpStatuses.MISDIRECTED_REQUEST
+                || HttpStatuses.isNotRunGuarantee(response.status());
+        return isPromise
+                ? GuardReply.Unknown.of("UNIDENTIFIED_" + response.status())
+                : new GuardReply.Ran(withoutHopHeaders(response));
+    }
+
     private GuardReply replyForResponse(
             BufferedResponse response,
             TargetResponseMetadata responseMetadata,
