Answer every request that reached a listener before it was drained

Cause, two: connections that the kernel had established and the accept loop had not taken were reset when the socket was closed; and a connection whose request had been read but not parsed, or that was accepted but not bound yet, counted as idle and was closed. Change: a connection of the listener's own, the last in the queue, tells when all before it are accepted; a connection counts as idle only if nothing has been read from it since its last response, at two looks in a row. Also: the loop that looks for peers that left, and the loop that accepts, go on after an unexpected exception or error.

--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -50,6 +50,10 @@
     private static final int BUFFER_BYTES = 8_192;
     private static final long ACCEPT_LOOP_STOP_TIMEOUT_SECONDS = 1;
     private static final long DRAIN_POLL_MILLISECONDS = 10;
+    private static final int MARKER_TIMEOUT_MILLISECONDS = 300;
+
+    /** No port of a connection. */
+    private static final int NO_PORT = -1;
 
     /**
      * How often connections are checked for a disconnect. Work at two nodes and a target must end within half a second of a
@@ -65,6 +69,8 @@
     private final CoreLag lag = CoreLag.of(System::nanoTime);
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
     private final CountDownLatch acceptLoopEnded = new CountDownLatch(1);
+    private final CountDownLatch markerAccepted = new CountDownLatch(1);
+    private volatile int markerPort = NO_PORT;
     private final AtomicInteger openConnections = new AtomicInteger();
     private volatile boolean isClosed;
     private final AtomicBoolean isDraining = new AtomicBoolean();
@@ -169,6 +175,7 @@
      */
     public boolean drain(Duration timeout) {
         isDraining.set(true);
+        awaitAcceptQueue();
         stopAccepting();
         long deadlineNanoseconds = System.nanoTime() + timeout.toNanos();
         connections.forEach(ServerConnection::closeIfIdle);
@@ -202,6 +209,31 @@
         var _ = IoUtilities.await(acceptLoopEnded, ACCEPT_LOOP_STOP_TIMEOUT_SECONDS);
     }
 
+    /**
+     * Waits until the accept loop has taken every connection that the kernel has established so far, as those that are
+     * queued when the socket is closed are reset. A connection of the listener's own, the last in the queue, marks its end.
+     */
+    private void awaitAcceptQueue() {
+        try (SocketChannel marker = SocketChannel.open()) {
+            marker.bind(null);
+            markerPort = ((InetSocketAddress) marker.getLocalAddress()).getPort();
+            marker.socket().connect(server.getLocalAddress(), MARKER_TIMEOUT_MILLISECONDS);
+            if (!markerAccepted.await(MARKER_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)) {
+                log.atWarning().log("the accept queue was not emptied in time");
+            }
+        } catch (IOException cause) {
+            log.atWarning().withCause(cause).log("the accept queue may not have been emptied");
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private boolean isMarker(SocketChannel accepted) throws IOException {
+        return accepted.getRemoteAddress() instanceof InetSocketAddress peer
+                && peer.getPort() == markerPort
+                && peer.getAddress().equals(accepted.socket().getLocalAddress());
+    }
+
     private void runAcceptLoop() {
         try {
             acceptUntilClosed();
@@ -216,11 +248,20 @@
         while (!isClosed && IoUtilities.sleep(WATCH_PERIOD.toMillis())) {
             lag.recordWake();
             long now = System.nanoTime();
-            connections.forEach(connection -> checkPeer(connection, now));
+            connections.forEach(connection -> checkPeerSafely(connection, now));
             lag.recordWait(WATCH_PERIOD);
         }
     }
 
+    /** Keeps the loop going for the other connections when the action for a peer that left fails. */
+    private void checkPeerSafely(ServerConnection connection, long now) {
+        try {
+            checkPeer(connection, now);
+        } catch (RuntimeException | Error defect) {
+            log.atSevere().atMostEvery(1, TimeUnit.SECONDS).withCause(defect).log("check of a connection failed");
+        }
+    }
+
     private void checkPeer(ServerConnection connection, long now) {
         if (!connection.isStreaming()) {
             connection.checkPeer(now);
@@ -236,11 +277,18 @@
     private void acceptUntilClosed() {
         while (server.isOpen()) {
             try {
-                startServing(server.accept());
-            } catch (IOException cause) {
+                SocketChannel accepted = server.accept();
+                if (isMarker(accepted)) {
+                    IoUtilities.closeQuietly(accepted);
+                    markerAccepted.countDown();
+                } else {
+                    startServing(accepted);
+                }
+            } catch (IOException | RuntimeException | Error cause) {
                 if (!server.isOpen()) {
                     return;
                 }
+                // Without this loop the process would run on and serve nobody.
                 log.atWarning().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log("accept failed");
                 IoUtilities.sleep(DRAIN_POLL_MILLISECONDS);
             }
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -32,6 +32,7 @@
     private ByteBuffer ahead = ByteBuffer.allocate(0);
     private boolean hasEnded;
     private volatile boolean hasReadEnd;
+    private volatile boolean hasReadBytes;
     private Optional<Runnable> onEnd = Optional.empty();
 
     private LookaheadInputStream(InputStream source, ArrivedBytes arrived) {
@@ -125,6 +126,15 @@
         return hasReadEnd;
     }
 
+    /** Returns whether bytes have been read since the start or the last call of {@link #forgetReadBytes}. */
+    boolean hasReadBytes() {
+        return hasReadBytes;
+    }
+
+    void forgetReadBytes() {
+        hasReadBytes = false;
+    }
+
     // -- reads
 
     @Override
@@ -142,6 +152,7 @@
         lock.lock();
         try {
             if (ahead.position() > 0) {
+                hasReadBytes = true;
                 return takeAhead(bytes, offset, length);
             }
             if (hasEnded) {
@@ -152,6 +163,7 @@
             lock.unlock();
         }
         int count = source.read(bytes, offset, length);
+        hasReadBytes = hasReadBytes || count > 0;
         hasReadEnd = hasReadEnd || count < 0;
         return count;
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
@@ -33,6 +33,7 @@
     private final Duration watchDelay;
     private volatile long watchDueNanoseconds;
     private volatile boolean isStreaming;
+    private boolean wasIdle;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.IDLE);
 
     private ServerConnection(
@@ -57,10 +58,10 @@
         return phase.get() == Phase.BUSY;
     }
 
-    /** Returns whether bytes of a further request have arrived. */
+    /** Returns whether bytes of a further request have arrived, read or not. */
     boolean hasInput() {
         try {
-            return connection.isOpen() && channel.hasInput();
+            return channel.input().hasReadBytes() || channel.hasInput();
         } catch (IOException failed) {
             return false;
         }
@@ -78,6 +79,7 @@
     }
 
     void finishRequest() {
+        channel.input().forgetReadBytes();
         phase.compareAndSet(Phase.BUSY, Phase.IDLE);
     }
 
@@ -130,10 +132,14 @@
     }
 
     /**
-     * Closes the connection, unless a request is being served or has arrived; written responses are still delivered.
+     * Closes the connection, unless a request is being served or has arrived; written responses are still delivered. It has
+     * to be idle at two calls in a row, so that a request on its way from the socket to its reader is not cut off. For one
+     * thread at a time.
      */
     void closeIfIdle() {
-        boolean isClosedHere = !hasInput() && phase.compareAndSet(Phase.IDLE, Phase.CLOSING);
+        boolean isIdle = phase.get() == Phase.IDLE && !hasInput();
+        boolean isClosedHere = isIdle && wasIdle && phase.compareAndSet(Phase.IDLE, Phase.CLOSING);
+        wasIdle = isIdle;
         if (isClosedHere) {
             channel.close();
         }
