Run periodic tasks and accept loops again after an error

Cause: an Error, as a stack overflow is, ended the loop of a periodic task or of accepting frames for good, while the process ran on and said nothing more: a node without gossip, or one that answers no other node. Change: errors are logged and the loop goes on, as after an exception.

--- a/node/src/main/java/org/oleanderturn/node/PeriodicTasks.java
+++ b/node/src/main/java/org/oleanderturn/node/PeriodicTasks.java
@@ -10,7 +10,8 @@
 /**
  * Runs the node's periodic tasks, each on its own virtual thread, until it is closed.
  *
- * <p>Invariant: a task that throws is logged and runs again after a delay. Thread safe.
+ * <p>Invariant: a task that throws, also an error such as a stack overflow, is logged and runs again after a delay. Thread
+ * safe.
  */
 final class PeriodicTasks implements TaskRunner, AutoCloseable {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
@@ -52,7 +53,7 @@
     private long runOnce(LongSupplier task) {
         try {
             return task.getAsLong();
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             if (!isRunning.get()) {
                 return 0;
             }
--- a/wire/src/main/java/org/oleanderturn/wire/FrameServer.java
+++ b/wire/src/main/java/org/oleanderturn/wire/FrameServer.java
@@ -97,7 +97,8 @@
                 admit(listener.accept());
             } catch (ClosedChannelException cause) {
                 return;
-            } catch (IOException cause) {
+            } catch (IOException | RuntimeException | Error cause) {
+                // Without this loop the process would run on and answer nobody.
                 log.atWarning().withCause(cause).atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
                         "failed to accept a connection");
                 pause();
