Take the bodies of requests out of the memory for bodies

Cause: the memory for bodies bounded responses together and requests one by one only, up to 64 MB each; a burst of uploads could use up the heap. Change: a request reserves its body as it arrives, at entry and guard. When the memory is used up the request is rejected as not run, with when to come back; its body is read over, as closing a connection with unread bytes would reset the answer too.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.mesh;
 
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Objects;
@@ -15,6 +16,7 @@
 import org.oleanderturn.proxy.InboundRequest;
 import org.oleanderturn.proxy.RequestHandler;
 import org.oleanderturn.proxy.Response;
+import org.oleanderturn.proxy.UpstreamFailure;
 import org.oleanderturn.traffic.TrafficSplitter;
 
 /**
@@ -32,6 +34,9 @@
     /** When a client may retry at a node that lacks a version or can't confirm its own; a transfer takes about as long. */
     private static final Duration VERSION_RETRY_AFTER = Duration.ofMillis(400);
 
+    /** When a client may retry at a node whose memory for bodies is used up; most requests end within this time. */
+    private static final Duration MEMORY_RETRY_AFTER = Duration.ofMillis(300);
+
     private final Supplier<RouteIndex> routes;
     private final BooleanSupplier isReady;
     private final VersionCheck versionCheck;
@@ -81,7 +86,7 @@
         long receivedNanoseconds = dependencies.clockNanoseconds().getAsLong()
                 - request.readDelay().toNanos();
         ClientRequestMetadata client = adapter.clientMetadata(request);
-        Optional<byte[]> body = request.readBody(MeshGuard.BODY_LIMIT_BYTES);
+        Either<UpstreamFailure.Limit, byte[]> body = request.readReservedBody(MeshGuard.BODY_LIMIT_BYTES);
         boolean isServing = isReady.getAsBoolean();
         // Read after the readiness, which may come with a newer index.
         RouteIndex index = routes.get();
@@ -94,8 +99,10 @@
         if (!isServing || index.isEmpty()) {
             return responses.notRun("NOT_READY", 0, NOT_READY_RETRY_AFTER);
         }
-        if (body.isEmpty()) {
-            return responses.refused(HttpStatuses.CONTENT_TOO_LARGE, "BODY_TOO_LARGE");
+        if (body.isLeft()) {
+            return body.getLeft() == UpstreamFailure.Limit.MEMORY
+                    ? responses.notRun("MEMORY_FULL", 0, MEMORY_RETRY_AFTER)
+                    : responses.refused(HttpStatuses.CONTENT_TOO_LARGE, "BODY_TOO_LARGE");
         }
         Optional<RouteIndex.Match> match = index.find(client.host(), request.method(), request.path());
         if (match.isEmpty()) {
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -173,10 +173,13 @@
         // The entry's time has run since the request arrived, not since it was read.
         Either<String, GuardRequestMetadata> metadata =
                 GuardRequestMetadata.decode(request).map(decoded -> decoded.after(request.readDelay()));
-        Optional<byte[]> body = request.readBody(BODY_LIMIT_BYTES);
-        if (metadata.isLeft() || body.isEmpty()) {
+        Either<UpstreamFailure.Limit, byte[]> body = request.readReservedBody(BODY_LIMIT_BYTES);
+        if (metadata.isLeft() || body.isLeft()) {
+            boolean isMemoryFull = body.isLeft() && body.getLeft() == UpstreamFailure.Limit.MEMORY;
             return GuardReplyCodec.encode(
-                    new GuardReply.NotRun("MALFORMED", false, Duration.ZERO), load(), condition());
+                    new GuardReply.NotRun(isMemoryFull ? "MEMORY_FULL" : "MALFORMED", false, Duration.ZERO),
+                    load(),
+                    condition());
         }
         GuardRequest guardRequest = new GuardRequest(
                 request.method(),
@@ -416,8 +419,7 @@
     }
 
     /** Believes a response that names no request only where it promises nothing. */
-    private static GuardReply replyForUnidentified(
-            BufferedResponse response, TargetResponseMetadata responseMetadata) {
+    private static GuardReply replyForUnidentified(BufferedResponse response, TargetResponseMetadata responseMetadata) {
         boolean isPromise = responseMetadata.isNotExecuted()
                 || HttpStatuses.isSuccess(response.status())
                 || response.status() == HttpStatuses.MISDIRECTED_REQUEST
--- a/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
@@ -57,7 +57,10 @@
 
     @Test
     void shouldDeliverEachOwnAnswerWhenEveryRefusalIsWrittenOnceMoreOnAKeptConnection() throws IOException {
-        assertThat(replies(id -> id.equals("a1") ? refusal("Id: a1\r\n") : refusal("Id: a1\r\n") + success(id), "a1", "a2"))
+        assertThat(replies(
+                        id -> id.equals("a1") ? refusal("Id: a1\r\n") : refusal("Id: a1\r\n") + success(id),
+                        "a1",
+                        "a2"))
                 .containsExactly("not run", "ran 200 run of a2")
                 .inOrder();
     }
@@ -90,7 +93,8 @@
 
     private static String success(String id) {
         String body = "run of " + id;
-        return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: i-1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: i-1\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body;
     }
 
     /** Sends requests one after another to a target that writes what is given for the id of each. */
--- a/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.proxy;
 
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -41,6 +42,20 @@
      */
     Optional<byte[]> readBody(int limitBytes, Duration timeout) throws IOException;
 
+    /**
+     * Reads the whole body into memory that stays reserved until the response to this request has been written. Sends 100
+     * (Continue) first if the peer waits for it.
+     *
+     * @param limitBytes the maximum length of the body
+     * @return the body; or the limit that it exceeds, after which a body of moderate length has been discarded
+     * @throws IOException if the connection fails before the end of the body
+     */
+    default Either<UpstreamFailure.Limit, byte[]> readReservedBody(int limitBytes) throws IOException {
+        return readBody(limitBytes)
+                .map(Either::<UpstreamFailure.Limit, byte[]>right)
+                .orElseGet(() -> Either.left(UpstreamFailure.Limit.BODY));
+    }
+
     /** Returns what the responses to this request are reserved from until its own response has been written. */
     default BodyReservation bodyReservation() {
         return BodyReservation.unlimited();
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
@@ -1,6 +1,7 @@
 package org.oleanderturn.proxy;
 
 import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -146,6 +147,11 @@
 
     /** A request that HttpCore's server received. */
     private static final class HttpCoreRequest implements InboundRequest {
+        private static final int DISCARD_BUFFER_BYTES = 8_192;
+
+        /** A longer body that is refused is not read to its end; its connection is closed. */
+        private static final int DISCARD_LIMIT_BYTES = 1_000_000;
+
         private final ClassicHttpRequest request;
         private final ResponseTrigger trigger;
         private final ServerConnection serverConnection;
@@ -199,11 +205,46 @@
             sendContinue();
             InputStream input = entity.getContent();
             byte[] bytes = input.readNBytes(limitBytes + 1);
+            requireWhole(entity);
+            isBodyRead = bytes.length <= limitBytes;
+            return isBodyRead ? Optional.of(bytes) : Optional.empty();
+        }
+
+        @Override
+        public Either<UpstreamFailure.Limit, byte[]> readReservedBody(int limitBytes) throws IOException {
+            HttpEntity entity = request.getEntity();
+            if (entity == null) {
+                return Either.right(new byte[0]);
+            }
+            sendContinue();
+            InputStream input = entity.getContent();
+            try {
+                byte[] body = BodyReader.read(input, entity.getContentLength(), limitBytes, reservation);
+                requireWhole(entity);
+                isBodyRead = true;
+                return Either.right(body);
+            } catch (ResponseLimitException exceeded) {
+                // A body that is not read would reset the connection, and the client might never see the answer.
+                isBodyRead = discard(input);
+                return Either.left(exceeded.limit());
+            }
+        }
+
+        private static boolean discard(InputStream input) throws IOException {
+            byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
+            int discarded = 0;
+            int count = input.read(buffer);
+            while (count >= 0 && discarded < DISCARD_LIMIT_BYTES) {
+                discarded += count;
+                count = input.read(buffer);
+            }
+            return count < 0;
+        }
+
+        private void requireWhole(HttpEntity entity) throws ConnectionClosedException {
             if (entity.isChunked() && serverConnection.hasReadEnd()) {
                 throw new ConnectionClosedException("the connection ended within a chunked body");
             }
-            isBodyRead = bytes.length <= limitBytes;
-            return isBodyRead ? Optional.of(bytes) : Optional.empty();
         }
 
         @Override
--- a/proxy/src/test/java/org/oleanderturn/proxy/HttpListenerTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/HttpListenerTest.java
@@ -57,8 +57,8 @@
         try (HttpListener listener = HttpListener.start("127.0.0.1", 0, handler, ListenerLimits.defaults())
                 .get()) {
             for (int connection = 0; connection < CONNECTIONS; connection++) {
-                Socket socket = new Socket(
-                        listener.address().host(), listener.address().port());
+                Socket socket =
+                        new Socket(listener.address().host(), listener.address().port());
                 sockets.add(socket);
                 socket.getOutputStream().write(request("/sent"));
             }
--- a/proxy/src/test/java/org/oleanderturn/proxy/TruncatedMessageTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/TruncatedMessageTest.java
@@ -73,7 +73,9 @@
     private void assertLostAtEachCut(String response, int excludedBytes) throws IOException {
         for (int length = 0; length < response.length() - excludedBytes; length++) {
             String sent = response.substring(0, length);
-            assertWithMessage("cut after %s", sent).that(exchange(sent).isLeft()).isTrue();
+            assertWithMessage("cut after %s", sent)
+                    .that(exchange(sent).isLeft())
+                    .isTrue();
         }
         assertWithMessage("whole").that(exchange(response).get().body()).hasLength(12);
     }
