Call the store when requests depend on it, not by the size of the fleet

Relays waited 1 s at a time, and 0.3 s for 20 s after each request without a route. Change: a node that starts looks for others before it reads or stands for relay; lists of relays and the first look at suspicions may be stale; waits take 4 s, with keep-alive probes on the connection; a version is confirmed on demand, once for all requests of a zone, by a call without the value; versions in quick succession are read every 0.7 s. Calls are counted by operation. A node reads the store itself when peers send what it can't decode, in place of after three checks behind: that made nodes on slow links read what was on its way.

--- a/distribution/src/main/java/org/oleanderturn/distribution/Disseminator.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Disseminator.java
@@ -115,6 +115,11 @@
         return ConfigurationVersion.newest(holder.version(), fetcher.newestAdvertised());
     }
 
+    /** Returns whether peers offer a newer version in a form that this release can't decode. */
+    public boolean isOfferUndecodable() {
+        return fetcher.isUndecodable();
+    }
+
     /** Returns the versions known to this node, for a restarted node that has to catch up. */
     public PeerVersionReport reportVersions(NodeId self, boolean isReady) {
         Objects.requireNonNull(self, "self is null");
--- a/distribution/src/main/java/org/oleanderturn/distribution/RelayElection.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/RelayElection.java
@@ -41,6 +41,7 @@
     private final Backoff backoff;
     private final AtomicReference<Optional<HeldSlot>> heldSlot = new AtomicReference<>(Optional.empty());
     private long nextCallMilliseconds;
+    private boolean areSlotsTaken;
 
     private RelayElection(
             Store store,
@@ -123,13 +124,16 @@
     }
 
     private void campaign(long nowMilliseconds) {
-        Either<StoreFailure, List<StoredValue>> registered = store.list(keyPrefix);
+        // A slot that has been taken mostly stays so; a stale answer only delays the next campaign.
+        Either<StoreFailure, List<StoredValue>> registered =
+                areSlotsTaken ? store.listStale(keyPrefix) : store.list(keyPrefix);
         if (registered.isLeft()) {
             nextCallMilliseconds = nowMilliseconds + backoff.nextDelayMilliseconds();
             return;
         }
         List<Integer> free = freeSlots(registered.get());
-        if (free.isEmpty()) {
+        areSlotsTaken = free.isEmpty();
+        if (areSlotsTaken) {
             backoff.reset();
             return;
         }
--- a/distribution/src/main/java/org/oleanderturn/distribution/UpdateFetcher.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/UpdateFetcher.java
@@ -42,6 +42,8 @@
             new AtomicReference<>(ConfigurationVersion.none());
     private final AtomicReference<ConfigurationVersion> newestVersion =
             new AtomicReference<>(ConfigurationVersion.none());
+    private final AtomicReference<ConfigurationVersion> undecodable =
+            new AtomicReference<>(ConfigurationVersion.none());
     private final Set<Address> fetchingFrom = new HashSet<>();
     private long lastFetchMilliseconds;
     private volatile long notBeforeMilliseconds = Long.MIN_VALUE;
@@ -78,6 +80,11 @@
         return newestVersion.get();
     }
 
+    /** Returns whether a peer sent something that could not be decoded when this node last asked for a newer version. */
+    boolean isUndecodable() {
+        return undecodable.get().isAfter(holder.version());
+    }
+
     /** Returns whether the given version is the newest that a peer of another region sent to this node. */
     boolean isFromOtherRegion(ConfigurationVersion version) {
         return newestFromOtherRegion.get().equals(version);
@@ -148,6 +155,7 @@
                 response = requestUpdate(peer, UNKNOWN_DIGEST);
                 response.forEach(update -> applyUpdate(peer, update, nowMilliseconds));
             }
+            response.peekLeft(this::recordFailure);
             boolean isDeferred = response.isRight() && response.get() instanceof ConfigurationUpdate.Busy;
             newestAdvertisement.updateAndGet(current -> current.filter(
                     advertised -> isDeferred || !advertised.peer().equals(peer)));
@@ -156,6 +164,12 @@
         }
     }
 
+    private void recordFailure(PeerFailure failure) {
+        if (failure instanceof PeerFailure.Malformed) {
+            undecodable.accumulateAndGet(newestVersion.get(), ConfigurationVersion::newest);
+        }
+    }
+
     private Either<PeerFailure, ConfigurationUpdate> requestUpdate(Address peer, Digest digest) {
         ConfigurationSnapshot held = holder.held();
         return transport.fetch(peer, held.version(), digest);
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -33,7 +33,10 @@
  */
 final class ControlPlane {
     private static final long GOSSIP_INTERVAL_MILLISECONDS = 200;
-    private static final long ELECTION_INTERVAL_MILLISECONDS = 1_000;
+    private static final long ELECTION_INTERVAL_MILLISECONDS = 300;
+
+    /** A whole fleet that starts would otherwise stand for relay at once. */
+    private static final long LONGEST_SOLO_CAMPAIGN_DELAY_MILLISECONDS = 4_000;
 
     /** Advertised until the configured number of slots is known. */
     private static final int PLACEHOLDER_SLOTS = 1;
@@ -54,6 +57,8 @@
     private final HeadWatcher headWatcher;
     private final ProposalAcceptor acceptor;
     private final LongSupplier milliseconds;
+    private final long startedMilliseconds;
+    private final long soloCampaignDelayMilliseconds;
 
     ControlPlane(
             NodeSettings settings,
@@ -94,6 +99,8 @@
                 settings.platformRegion(),
                 directory,
                 split(random));
+        this.startedMilliseconds = milliseconds.getAsLong();
+        this.soloCampaignDelayMilliseconds = soloCampaignDelayMilliseconds(random);
         this.acceptor = ProposalAcceptor.of(store, holder(), configuration.history(), this::newestVersion);
     }
 
@@ -161,10 +168,27 @@
     /** Starts the periodic tasks of the membership alone, where configurations come from another source. */
     void startMembership(PeriodicTasks tasks) {
         tasks.runEvery(GOSSIP_INTERVAL_MILLISECONDS, gossip::tick);
-        tasks.runEvery(ELECTION_INTERVAL_MILLISECONDS, () -> election.tick(milliseconds.getAsLong()));
+        tasks.runEvery(ELECTION_INTERVAL_MILLISECONDS, this::campaign);
         tasks.runRepeatedly(memberDiscovery::step);
     }
 
+    /** Takes part in the election once other nodes are known or had time to become known. */
+    private void campaign() {
+        long now = milliseconds.getAsLong();
+        if (now - startedMilliseconds >= soloCampaignDelayMilliseconds
+                || !gossip.table().reachablePeers().isEmpty()) {
+            election.tick(now);
+        }
+    }
+
+    /**
+     * Returns how long a node that knows nobody waits until it stands for relay. The delays of few nodes are short, so that
+     * the others find these registered when they look.
+     */
+    private static long soloCampaignDelayMilliseconds(RandomGenerator random) {
+        return Math.round(LONGEST_SOLO_CAMPAIGN_DELAY_MILLISECONDS * Math.sqrt(random.nextDouble()));
+    }
+
     /** Resigns from the relay election and announces the departure; blocks for one gossip interval. */
     void leave() {
         election.resign();
--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -7,12 +7,14 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.oleanderturn.distribution.Peer;
 import org.oleanderturn.distribution.PeerDirectory;
 import org.oleanderturn.distribution.RelayRole;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.VersionCheck;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.store.Store;
+import org.oleanderturn.traffic.Pause;
 
 /**
  * The configuration by which a node of the users' platform serves: read from the platform's store by the relay of each
@@ -35,13 +37,22 @@
             Store store,
             RelayTransport transport,
             LongSupplier clockNanoseconds,
+            Pause pause,
             RandomGenerator random) {
         this.plane = Objects.requireNonNull(plane, "plane is null");
         plane.holder().addPreparation(snapshot -> routes.set(RouteIndex.of(snapshot)));
         ZoneLeadership leadership = ZoneLeadership.of(settings.node(), settings.locality(), directory);
         this.relayCheck = new RelayCheck(leadership, transport, plane.disseminator());
         this.watcher = new OperatorConfigurationWatcher(
-                store, plane.holder(), plane.readinessGate(), role, relayCheck::isSupplied, clockNanoseconds, random);
+                store,
+                plane.holder(),
+                plane.readinessGate(),
+                role,
+                () -> directory.peers().stream().anyMatch(Peer::isReachable),
+                relayCheck::isSupplied,
+                clockNanoseconds,
+                pause,
+                random);
         this.confirmation =
                 new VersionConfirmation(plane.disseminator(), watcher, relayCheck, transport, clockNanoseconds);
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshGauges.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshGauges.java
@@ -1,9 +1,13 @@
 package org.oleanderturn.node;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalDouble;
+import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.oleanderturn.mesh.TargetCondition;
+import org.oleanderturn.store.StoreCounters;
 import org.oleanderturn.traffic.CrashVerdict;
 
 /**
@@ -64,6 +68,19 @@
                 () -> client.receivedBytes() + server.receivedBytes());
     }
 
+    /** Registers the calls to the platform's store by operation. */
+    void registerStoreCalls(Supplier<StoreCounters> counters) {
+        metrics.counters(
+                "oleanderturn_store_operations_total",
+                "Calls to the platform's store by operation; a watch counts as one, a stale read costs a tenth.",
+                "operation",
+                () -> {
+                    Map<String, Long> calls = new TreeMap<>();
+                    counters.get().calls().forEach((operation, count) -> calls.put(operation.name(), count));
+                    return calls;
+                });
+    }
+
     private void registerNodeGauges(BooleanSupplier isServing) {
         metrics.gauge(
                 "oleanderturn_ready",
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -48,8 +48,8 @@
 
     private static final Duration STORE_RESPONSE_TIMEOUT = Duration.ofSeconds(1);
 
-    /** Short, as a connection that stays silent is given up only after this and the timeout of a response. */
-    private static final Duration MAXIMUM_WATCH = Duration.ofMillis(1_500);
+    /** A connection that stays silent is given up after this and the timeout of a response at the latest. */
+    private static final Duration MAXIMUM_WATCH = Duration.ofSeconds(4);
 
     /** Size of a burst of store calls, in seconds of the permitted rate. */
     private static final int STORE_BURST_SECONDS = 2;
@@ -145,6 +145,7 @@
                 rateLimitedStore,
                 channel,
                 System::nanoTime,
+                Thread::sleep,
                 SharedRandom.create());
     }
 
@@ -360,6 +361,7 @@
         data.target().onStateChange(control.gossip()::announceState);
         MeshGauges gauges = MeshGauges.of(metrics, control, configuration.watcher(), data, writer);
         gauges.register(configuration::isServing);
+        gauges.registerStoreCalls(rateLimitedStore::counters);
         gauges.registerTraffic(channel.traffic(), controlHandler.traffic());
         data.crashMonitor().onChange(suspicions::publish);
         data.crashMonitor().onAgreedTrial(suspicionStore::claimTrial);
--- a/node/src/main/java/org/oleanderturn/node/NodeMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeMetrics.java
@@ -10,9 +10,11 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.ProxyHeaders;
 import org.oleanderturn.proxy.RequestHandler;
@@ -85,6 +87,16 @@
                 .register(registry);
     }
 
+    /** Adds a counter with one label, whose values are read on each scrape. */
+    void counters(String name, String help, String label, Supplier<Map<String, Long>> values) {
+        CounterWithCallback.builder()
+                .name(name)
+                .help(help)
+                .labelNames(label)
+                .callback(callback -> values.get().forEach((value, count) -> callback.call(count, value)))
+                .register(registry);
+    }
+
     /**
      * Returns every metric in the Prometheus text format.
      *
--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -25,6 +26,7 @@
 import org.oleanderturn.store.Store;
 import org.oleanderturn.store.StoreFailure;
 import org.oleanderturn.store.StoredValue;
+import org.oleanderturn.traffic.Pause;
 
 /**
  * Watches the operator's configuration in the platform's store and adopts each new version.
@@ -35,12 +37,32 @@
 final class OperatorConfigurationWatcher {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
-    /** Short enough that a dead connection is detected soon. */
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(1);
+    /** A dead connection is noticed by its keep-alive probes, and after this at the latest. */
+    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(4);
 
-    /** Delay between two calls, so that versions in quick succession cost one call instead of one each. */
+    /** Delay after a read, so that versions in quick succession cost one call instead of one each. */
     private static final long READ_DELAY_MILLISECONDS = 300;
 
+    /** The same after a second version within {@link #QUICK_SUCCESSION}; a version has two seconds to be in force. */
+    private static final long LONG_READ_DELAY_MILLISECONDS = 700;
+
+    private static final Duration QUICK_SUCCESSION = Duration.ofSeconds(1);
+
+    /** How long after its first contact a node that has just started knows most of its zone. */
+    private static final Duration SETTLING_TIME = Duration.ofMillis(300);
+
+    /** How often a request looks whether the confirmation that another one has asked for has come. */
+    private static final Duration CONFIRMATION_CHECK_INTERVAL = Duration.ofMillis(5);
+
+    /** How long a request waits for it. */
+    private static final Duration LONGEST_CONFIRMATION = Duration.ofMillis(500);
+
+    /** A store that is slow to all nodes answers within this time; longer, and another node had better ask. */
+    private static final Duration USUAL_CONFIRMATION = Duration.ofMillis(400);
+
+    /** How long a node that has just started looks for the relay of its zone before it takes itself for it. */
+    private static final Duration SEARCH_TIME = Duration.ofSeconds(2);
+
     /** How often a node that receives configurations from a relay checks whether it has become the relay itself. */
     private static final long ROLE_CHECK_DELAY_MILLISECONDS = 200;
 
@@ -50,16 +72,13 @@
     private static final Duration MAXIMUM_BACKOFF = Duration.ofMillis(600);
 
     /** How long after a response of the store this node still counts as reading it: a watch, a pause and some more. */
-    private static final Duration READING_PERIOD = Duration.ofMillis(2_500);
-
-    /** The wait of a watch while confirmations are wanted, so that the store often says that nothing has changed. */
-    private static final Duration CONFIRMING_WATCH_TIMEOUT = Duration.ofMillis(300);
+    private static final Duration READING_PERIOD = Duration.ofMillis(5_500);
 
-    /** For how long confirmations are wanted after they were requested. */
-    private static final Duration CONFIRMING_PERIOD = Duration.ofSeconds(20);
-
-    /** A version that was the newest in the store at a time. */
-    record Confirmation(ConfigurationVersion version, long nanoseconds) {}
+    /**
+     * A version that was the newest in the store at a time; the revision is {@link StoredValue#ABSENT} when another node read
+     * it.
+     */
+    record Confirmation(ConfigurationVersion version, long revision, long nanoseconds) {}
 
     /** What could not be understood in the last configuration that was read. */
     private record LastRead(Optional<DecodeFailure> unreadable, List<UnknownWord> unknownWords) {
@@ -72,16 +91,21 @@
     private final ConfigurationHolder holder;
     private final ReadinessGate readinessGate;
     private final RelayRole role;
+    private final BooleanSupplier hasPeers;
     private final BooleanSupplier isSupplied;
     private final LongSupplier clockNanoseconds;
     private final Backoff backoff;
     private final AtomicReference<Optional<StoreFailure>> failure = new AtomicReference<>(Optional.empty());
     private final AtomicReference<Optional<Confirmation>> confirmation = new AtomicReference<>(Optional.empty());
     private final AtomicReference<LastRead> lastRead = new AtomicReference<>(LastRead.understood());
-    private volatile long confirmingUntilNanoseconds;
+    private final Pause pause;
+    private final AtomicReference<OptionalLong> confirmingSince = new AtomicReference<>(OptionalLong.empty());
+    private final long createdNanoseconds;
     private volatile long lastResponseNanoseconds;
     private volatile boolean hasRead;
     private long seenRevision = StoredValue.ABSENT;
+    private OptionalLong firstPeerNanoseconds = OptionalLong.empty();
+    private long lastVersionNanoseconds;
     private int failures;
 
     OperatorConfigurationWatcher(
@@ -89,15 +113,20 @@
             ConfigurationHolder holder,
             ReadinessGate readinessGate,
             RelayRole role,
+            BooleanSupplier hasPeers,
             BooleanSupplier isSupplied,
             LongSupplier clockNanoseconds,
+            Pause pause,
             RandomGenerator random) {
+        this.pause = Objects.requireNonNull(pause, "pause is null");
+        this.hasPeers = Objects.requireNonNull(hasPeers, "hasPeers is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.holder = Objects.requireNonNull(holder, "holder is null");
         this.role = Objects.requireNonNull(role, "role is null");
         this.isSupplied = Objects.requireNonNull(isSupplied, "isSupplied is null");
         this.clockNanoseconds = Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
-        this.confirmingUntilNanoseconds = clockNanoseconds.getAsLong();
+        this.createdNanoseconds = clockNanoseconds.getAsLong();
+        this.lastVersionNanoseconds = createdNanoseconds - QUICK_SUCCESSION.toNanos();
         this.readinessGate = Objects.requireNonNull(readinessGate, "readinessGate is null");
         this.backoff = Backoff.of(MINIMUM_BACKOFF, MAXIMUM_BACKOFF, random);
     }
@@ -122,41 +151,85 @@
         return lastRead.get().unknownWords();
     }
 
-    /** Lets the store be asked more often for a while whether there is a newer version. */
-    void requestConfirmations() {
-        confirmingUntilNanoseconds = clockNanoseconds.getAsLong() + CONFIRMING_PERIOD.toNanos();
-    }
-
     /** Returns whether this node reads the store and understands what it reads, so that it has a new version soon. */
     boolean isReading() {
         return hasRead
                 && failure.get().isEmpty()
                 && unreadable().isEmpty()
+                && !isConfirmationOverdue()
                 && clockNanoseconds.getAsLong() - lastResponseNanoseconds < READING_PERIOD.toNanos();
     }
 
+    /** Returns whether the store takes unusually long to confirm a version; it may be silent to this node only. */
+    private boolean isConfirmationOverdue() {
+        OptionalLong since = confirmingSince.get();
+        return since.isPresent() && clockNanoseconds.getAsLong() - since.getAsLong() > USUAL_CONFIRMATION.toNanos();
+    }
+
     /**
      * Reads the configuration or waits until it changes, unless a relay of the zone does so and answers; returns the delay
      * before the next run, in milliseconds.
      */
     long runOnce() {
-        boolean isSuppliedByRelay = hasRead
-                && !holder.version().equals(ConfigurationVersion.none())
-                && !role.isRelay(0)
-                && isSupplied.getAsBoolean();
-        return isSuppliedByRelay ? ROLE_CHECK_DELAY_MILLISECONDS : read();
+        if (isSearchingRelay() || (!role.isRelay(0) && isSupplied.getAsBoolean())) {
+            return ROLE_CHECK_DELAY_MILLISECONDS;
+        }
+        return read();
+    }
+
+    /** Returns whether a node that has just started may still find the others, of which one reads for all. */
+    private boolean isSearchingRelay() {
+        long now = clockNanoseconds.getAsLong();
+        if (firstPeerNanoseconds.isEmpty() && hasPeers.getAsBoolean()) {
+            firstPeerNanoseconds = OptionalLong.of(now);
+        }
+        boolean isSettled =
+                firstPeerNanoseconds.isPresent() && now - firstPeerNanoseconds.getAsLong() >= SETTLING_TIME.toNanos();
+        return !isSettled && now - createdNanoseconds < SEARCH_TIME.toNanos();
+    }
+
+    /** Asks the store whether the version held is still the newest, or waits until another thread has asked. */
+    void confirm() {
+        Optional<Confirmation> last = confirmation.get();
+        if (last.isEmpty() || !isReading()) {
+            return;
+        }
+        long sent = clockNanoseconds.getAsLong();
+        OptionalLong idle = confirmingSince.get();
+        if (idle.isPresent() || !confirmingSince.compareAndSet(idle, OptionalLong.of(sent))) {
+            awaitConfirmation();
+            return;
+        }
+        try {
+            Either<StoreFailure, Boolean> unchanged =
+                    store.isUnchanged(OperatorConfiguration.KEY, last.get().revision());
+            unchanged.peekLeft(this::recordFailure);
+            if (unchanged.getOrElse(false)) {
+                confirmUnchanged(last.get(), sent);
+            }
+        } finally {
+            confirmingSince.set(OptionalLong.empty());
+        }
+    }
+
+    private void awaitConfirmation() {
+        long end = clockNanoseconds.getAsLong() + LONGEST_CONFIRMATION.toNanos();
+        try {
+            while (confirmingSince.get().isPresent() && clockNanoseconds.getAsLong() < end) {
+                pause.pass(CONFIRMATION_CHECK_INTERVAL);
+            }
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private long read() {
         long sent = clockNanoseconds.getAsLong();
-        Duration wait = confirmingUntilNanoseconds - sent > 0 ? CONFIRMING_WATCH_TIMEOUT : WATCH_TIMEOUT;
         Either<StoreFailure, Optional<StoredValue>> read = hasRead
-                ? store.watch(OperatorConfiguration.KEY, seenRevision, wait)
+                ? store.watch(OperatorConfiguration.KEY, seenRevision, WATCH_TIMEOUT)
                 : store.get(OperatorConfiguration.KEY);
         if (read.isLeft()) {
-            if (failure.getAndSet(Optional.of(read.getLeft())).isEmpty()) {
-                log.atWarning().log("platform store is unavailable: %s", read.getLeft());
-            }
+            recordFailure(read.getLeft());
             failures++;
             return backoff.delay(failures).toMillis();
         }
@@ -167,25 +240,41 @@
         lastResponseNanoseconds = clockNanoseconds.getAsLong();
         hasRead = true;
         holder.record(new VersionEvent.StoreRead());
-        if (read.get().isEmpty()) {
-            confirmUnchanged(sent, wait);
-        }
         if (read.get().isPresent()) {
             observe(read.get().get(), sent);
-        } else if (holder.version().equals(ConfigurationVersion.none())) {
+            return delayAfterVersion();
+        }
+        if (clockNanoseconds.getAsLong() - sent >= WATCH_TIMEOUT.toNanos()) {
+            // Dated back to the request, as the answer may have taken long on its way.
+            confirmation.get().ifPresent(last -> confirmUnchanged(last, sent));
+        }
+        if (holder.version().equals(ConfigurationVersion.none())) {
             readinessGate.observeHead(ConfigurationVersion.none());
         }
         return READ_DELAY_MILLISECONDS;
     }
 
-    /** Dates the confirmation back to the request, as the answer may have taken long on its way. */
-    private void confirmUnchanged(long sentNanoseconds, Duration wait) {
-        boolean isWholeWait = clockNanoseconds.getAsLong() - sentNanoseconds >= wait.toNanos();
-        if (isWholeWait) {
-            confirmation.updateAndGet(known -> known.map(last -> new Confirmation(last.version(), sentNanoseconds)));
+    private void recordFailure(StoreFailure cause) {
+        if (failure.getAndSet(Optional.of(cause)).isEmpty()) {
+            log.atWarning().log("platform store is unavailable: %s", cause);
         }
     }
 
+    private long delayAfterVersion() {
+        long now = clockNanoseconds.getAsLong();
+        boolean isQuickSuccession = now - lastVersionNanoseconds < QUICK_SUCCESSION.toNanos();
+        lastVersionNanoseconds = now;
+        return isQuickSuccession ? LONG_READ_DELAY_MILLISECONDS : READ_DELAY_MILLISECONDS;
+    }
+
+    /** Keeps a confirmation that is newer, or of another version that was read meanwhile. */
+    private void confirmUnchanged(Confirmation confirmed, long sentNanoseconds) {
+        confirmation.updateAndGet(known ->
+                known.map(last -> last.revision() == confirmed.revision() && sentNanoseconds - last.nanoseconds() > 0
+                        ? new Confirmation(last.version(), last.revision(), sentNanoseconds)
+                        : last));
+    }
+
     private void observe(StoredValue stored, long sentNanoseconds) {
         seenRevision = stored.revision();
         Either<DecodeFailure, DecodedConfiguration> decoded = OperatorConfiguration.decode(stored.value());
@@ -200,7 +289,7 @@
         AdoptionResult result = holder.adopt(snapshot);
         // A rejected version never gets in force, so the one before it still is.
         ConfigurationVersion newest = result instanceof AdoptionResult.Rejected ? holder.version() : snapshot.version();
-        confirmation.set(Optional.of(new Confirmation(newest, sentNanoseconds)));
+        confirmation.set(Optional.of(new Confirmation(newest, stored.revision(), sentNanoseconds)));
         log.atInfo().log("configuration at revision %s: %s", stored.revision(), result);
     }
 
--- a/node/src/main/java/org/oleanderturn/node/RelayCheck.java
+++ b/node/src/main/java/org/oleanderturn/node/RelayCheck.java
@@ -7,11 +7,10 @@
 import java.util.Optional;
 import org.oleanderturn.distribution.Disseminator;
 import org.oleanderturn.distribution.Peer;
-import org.oleanderturn.model.ConfigurationVersion;
 
 /**
  * Finds out whether a relay of this node's zone supplies it with configurations, which it does as long as it answers, reads
- * the platform's store, and this node gets the versions that it hears of. Membership would notice later: when many nodes end at once, their failures are detected one
+ * the platform's store, and sends what this release can decode. Membership would notice later: when many nodes end at once, their failures are detected one
  * after the other, and a node that the store turns away is reachable all the while.
  *
  * <p>Each answer also tells the version that the relay holds. {@link #runOnce} must be called by one thread at a time;
@@ -37,20 +36,12 @@
 
     private static final int HIGHEST_RANK = 3;
 
-    /**
-     * For how many checks in a row a node may hold the same version while peers hold a newer one, before it reads the store
-     * itself: the peers may send what this release can't decode.
-     */
-    private static final int TOLERATED_CHECKS_BEHIND = 2;
-
     private final ZoneLeadership leadership;
     private final RelayTransport transport;
     private final Disseminator disseminator;
     private volatile Optional<Peer> supplier = Optional.empty();
     private volatile boolean isSupplied = true;
     private int checksWithoutSupplier;
-    private int checksBehind;
-    private ConfigurationVersion heldBefore = ConfigurationVersion.none();
 
     RelayCheck(ZoneLeadership leadership, RelayTransport transport, Disseminator disseminator) {
         this.leadership = Objects.requireNonNull(leadership, "leadership is null");
@@ -76,7 +67,7 @@
         checksWithoutSupplier = supplier.isPresent() ? 0 : checksWithoutSupplier + 1;
         int rank = Math.min(HIGHEST_RANK, earlier.size());
         boolean isRelayTrusted = supplier.isPresent() || checksWithoutSupplier < rank * CHECKS_PER_RANK;
-        isSupplied = isRelayTrusted && countChecksBehind() <= TOLERATED_CHECKS_BEHIND;
+        isSupplied = isRelayTrusted && !disseminator.isOfferUndecodable();
         if (!supplier.map(Peer::nodeId).equals(before.map(Peer::nodeId))) {
             log.atInfo().log(
                     "supplied with configurations by: %s",
@@ -85,14 +76,6 @@
         return Math.max(SHORTEST_INTERVAL_MILLISECONDS, INTERVAL_MILLISECONDS_PER_NODE * leadership.zoneSize());
     }
 
-    private int countChecksBehind() {
-        ConfigurationVersion held = disseminator.heldVersion();
-        boolean isStuck = held.equals(heldBefore) && disseminator.newestKnown().isAfter(held);
-        checksBehind = isStuck ? checksBehind + 1 : 0;
-        heldBefore = held;
-        return checksBehind;
-    }
-
     private Optional<Peer> findSupplier(List<Peer> earlier) {
         for (Peer candidate : earlier.subList(0, Math.min(CANDIDATES, earlier.size()))) {
             Either<ControlFailure, RelayReport> report = transport.askRelay(candidate.address(), false);
--- a/node/src/main/java/org/oleanderturn/node/RelayDirectory.java
+++ b/node/src/main/java/org/oleanderturn/node/RelayDirectory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
 import org.oleanderturn.distribution.RelayRegistration;
 import org.oleanderturn.distribution.RelayRole;
@@ -22,9 +23,13 @@
 final class RelayDirectory {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
+    /** Registrations seconds ago mostly hold still; a fresh read costs ten times as much. */
+    private static final int READS_PER_FRESH_READ = 3;
+
     private final Store store;
     private final RelayRole role;
     private final LongSupplier milliseconds;
+    private final AtomicInteger reads = new AtomicInteger();
 
     RelayDirectory(Store store, RelayRole role, LongSupplier milliseconds) {
         this.store = Objects.requireNonNull(store, "store is null");
@@ -39,7 +44,10 @@
 
     /** Returns the control addresses of the relays; empty when the store can't be read. Malformed entries are skipped. */
     List<Address> relays() {
-        Either<StoreFailure, List<StoredValue>> entries = store.list(RelayRegistration.KEY_PREFIX);
+        boolean isStaleEnough = reads.getAndIncrement() % READS_PER_FRESH_READ != READS_PER_FRESH_READ - 1;
+        Either<StoreFailure, List<StoredValue>> entries = isStaleEnough
+                ? store.listStale(RelayRegistration.KEY_PREFIX)
+                : store.list(RelayRegistration.KEY_PREFIX);
         if (entries.isLeft()) {
             log.atFine().atMostEvery(1, TimeUnit.SECONDS).log("relays can't be read: %s", entries.getLeft());
             return List.of();
--- a/node/src/main/java/org/oleanderturn/node/SuspicionStore.java
+++ b/node/src/main/java/org/oleanderturn/node/SuspicionStore.java
@@ -40,7 +40,7 @@
     private static final Duration CLAIM_LIFETIME = Duration.ofMinutes(10);
 
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(4);
     private static final long READ_DELAY_MILLISECONDS = 300;
     private static final long RETRY_DELAY_MILLISECONDS = 1_000;
     private static final long ROLE_CHECK_DELAY_MILLISECONDS = 500;
@@ -95,7 +95,7 @@
             return ROLE_CHECK_DELAY_MILLISECONDS;
         }
         Either<StoreFailure, Optional<StoredValue>> read =
-                last.isPresent() ? store.watch(KEY, last.get().revision(), WATCH_TIMEOUT) : store.get(KEY);
+                last.isPresent() ? store.watch(KEY, last.get().revision(), WATCH_TIMEOUT) : readFirst();
         if (read.isLeft()) {
             log.atFine().atMostEvery(1, TimeUnit.SECONDS).log("suspicions can't be read: %s", read.getLeft());
             return RETRY_DELAY_MILLISECONDS;
@@ -108,6 +108,11 @@
         return READ_DELAY_MILLISECONDS;
     }
 
+    /** A relay reads the newest copy at its next run; the others are told by it what the first read did not have. */
+    private Either<StoreFailure, Optional<StoredValue>> readFirst() {
+        return store.getStale(KEY);
+    }
+
     /** Writes what the copy lacks, if this node is the relay; returns the delay before the next check, in milliseconds. */
     long write() {
         long delay = random.nextLong(SHORTEST_WRITE_DELAY_MILLISECONDS, LONGEST_WRITE_DELAY_MILLISECONDS);
--- a/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
@@ -16,6 +16,7 @@
 import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.node.OperatorConfigurationWatcher.Confirmation;
+import org.oleanderturn.store.StoredValue;
 
 /**
  * Confirms that a version is the newest in force: by what this node itself reads from the platform's store, or by the word of
@@ -23,7 +24,7 @@
  *
  * <p>Invariants: a confirmation is never dated later than the store's answer that it comes from; the calls under way at once
  * are bounded, and so is their rate, as a confirmation serves all requests for a while; no call carries the content of a
- * configuration. Thread safe.
+ * configuration. The store is asked only while requests depend on the answer. Thread safe.
  */
 final class VersionConfirmation implements VersionCheck {
     /** For how long a confirmation holds; within the time in which a new version has to be in force. */
@@ -76,8 +77,8 @@
 
     /** Answers a node of this node's zone. */
     RelayReport report(boolean isConfirmationNeeded) {
-        if (isConfirmationNeeded) {
-            watcher.requestConfirmations();
+        if (isConfirmationNeeded && recent(watcher.confirmation()).isEmpty()) {
+            watcher.confirm();
         }
         ConfigurationVersion held = disseminator.heldVersion();
         long now = clockNanoseconds.getAsLong();
@@ -111,7 +112,7 @@
     private void confirm() {
         Optional<Peer> relay = relayCheck.supplier();
         if (relay.isEmpty()) {
-            watcher.requestConfirmations();
+            watcher.confirm();
             return;
         }
         if (clockNanoseconds.getAsLong() - notBeforeNanoseconds < 0 || !permits.tryAcquire()) {
@@ -140,6 +141,6 @@
 
     private void record(ConfigurationVersion version, long nanoseconds) {
         fromRelay.updateAndGet(before -> before.filter(known -> known.nanoseconds() - nanoseconds > 0)
-                .or(() -> Optional.of(new Confirmation(version, nanoseconds))));
+                .or(() -> Optional.of(new Confirmation(version, StoredValue.ABSENT, nanoseconds))));
     }
 }
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationFleetTest.java
@@ -13,6 +13,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -120,6 +121,22 @@
                         .isAtLeast(day.absent() * DENIED_PERCENT));
     }
 
+    /** The load is a calm day: a fleet starts, and the operator writes five versions while requests without a route come. */
+    @ParameterizedTest
+    @CsvSource({"94, 300", "300, 600"})
+    void shouldCallTheStoreSeldomWhenTheFleetIsLargeAndTheDayCalm(int nodes, int maximumCalls) {
+        SimulatedTime.simulate(() -> {
+            ConfigurationFleet fleet = start(
+                    new ConfigurationFleet.Shape(
+                            nodes, 8, 24, LARGE, new ConfigurationFleet.Machine(0.3, 14), REDUCTION),
+                    0);
+            writeVersions(fleet);
+            fleet.time().run(DAY);
+            assertWithMessage(report(fleet)).that(late(fleet).size()).isEqualTo(0);
+            assertWithMessage(report(fleet)).that(fleet.store().calls()).isAtMost(maximumCalls);
+        });
+    }
+
     // -- days
 
     /** Plays all days at the first call. */
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
@@ -89,6 +89,7 @@
                         new ConfigurationStore(fleet, host), STORE_CALLS, STORE_CALLS * 2, fleet.time()::nanoseconds),
                 channel,
                 fleet.time()::nanoseconds,
+                fleet.time()::sleep,
                 random);
         this.messages = new ConfigurationMessages(
                 settings.node(),
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
@@ -15,7 +15,7 @@
 
 /**
  * The platform's store with the operator's configuration, as one life of a node of a {@link ConfigurationFleet} reads it:
- * over the links of the store and of the node. Used by one task at a time.
+ * over the links of the store and of the node. One task watches at a time; others may ask for the revision meanwhile.
  */
 final class ConfigurationStore implements Store {
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(1);
@@ -34,6 +34,12 @@
         private List<SimulatedTime.Pending<Boolean>> watches = new ArrayList<>();
         private Duration answerTime = ANSWER_TIME;
         private boolean isAbsent;
+        private int calls;
+
+        /** Returns how many calls all nodes have made. */
+        int calls() {
+            return calls;
+        }
 
         private long revision() {
             return events.isEmpty() ? StoredValue.ABSENT : events.getLast().revision();
@@ -102,6 +108,7 @@
     private final Content content;
     private long seenRevision = UNKNOWN_POSITION;
     private long watchedFrom = UNKNOWN_POSITION;
+    private long lastConfirmed = UNKNOWN_POSITION;
 
     ConfigurationStore(ConfigurationFleet fleet, ConfigurationHost host) {
         this.fleet = fleet;
@@ -147,9 +154,20 @@
         });
     }
 
+    /** Asks for the revision of the store alone, also while a watch waits. */
+    @Override
+    public Either<StoreFailure, Boolean> isUnchanged(String key, long knownRevision) {
+        long confirmed = lastConfirmed;
+        if (seenRevision != knownRevision) {
+            return Either.right(false);
+        }
+        return call(OptionalLong.of(Long.MAX_VALUE), Duration.ZERO).map(_ -> content.revision() == confirmed);
+    }
+
     private void confirm(long knownRevision, long storeRevision) {
         seenRevision = knownRevision;
         watchedFrom = storeRevision;
+        lastConfirmed = storeRevision;
     }
 
     /** Returns the value of an event once the host has read it. */
@@ -162,6 +180,7 @@
 
     /** Reads the key, or waits for what changed it after a revision. */
     private Either<StoreFailure, List<Content.Event>> call(OptionalLong after, Duration wait) {
+        content.calls++;
         SimulatedTime time = fleet.time();
         SimulatedTime.Pending<Either<StoreFailure, Answer>> begun = time.pending();
         SimulatedTime.Pending<Boolean> complete = time.pending();
--- a/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
@@ -84,6 +84,7 @@
                 new SimulatedStore(time, new SimulatedStore.Content()),
                 channel,
                 time::nanoseconds,
+                time::sleep,
                 new SplittableRandom(2));
     }
 
--- a/node/src/test/java/org/oleanderturn/node/OperatorConfigurationWatcherTest.java
+++ b/node/src/test/java/org/oleanderturn/node/OperatorConfigurationWatcherTest.java
@@ -4,9 +4,11 @@
 
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.distribution.PeerDirectory;
 import org.oleanderturn.distribution.VersionListener;
@@ -52,10 +54,17 @@
             plane.holder(),
             plane.readinessGate(),
             leadership,
+            () -> true,
             () -> false,
             time::nanoseconds,
+            time::sleep,
             new SplittableRandom(2));
 
+    @BeforeEach
+    void passSearchTime() {
+        time.run(Duration.ofSeconds(3));
+    }
+
     @AfterEach
     void close() {
         store.close();
--- a/node/src/test/java/org/oleanderturn/node/SimulatedStore.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedStore.java
@@ -63,6 +63,11 @@
                 .toList());
     }
 
+    @Override
+    public Either<StoreFailure, Boolean> isUnchanged(String key, long knownRevision) {
+        return call().map(_ -> !isChanged(key, knownRevision));
+    }
+
     @Override
     public Either<StoreFailure, Optional<StoredValue>> watch(String key, long knownRevision, Duration wait) {
         return call().flatMap(_ -> {
--- a/store/src/main/java/org/oleanderturn/store/RateLimitedStore.java
+++ b/store/src/main/java/org/oleanderturn/store/RateLimitedStore.java
@@ -64,6 +64,21 @@
         return limited(StoreOperation.LIST, () -> store.list(prefix));
     }
 
+    @Override
+    public Either<StoreFailure, List<StoredValue>> listStale(String prefix) {
+        return limited(StoreOperation.STALE_READ, () -> store.listStale(prefix));
+    }
+
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> getStale(String key) {
+        return limited(StoreOperation.STALE_READ, () -> store.getStale(key));
+    }
+
+    @Override
+    public Either<StoreFailure, Boolean> isUnchanged(String key, long knownRevision) {
+        return limited(StoreOperation.CHECK, () -> store.isUnchanged(key, knownRevision));
+    }
+
     @Override
     public Either<StoreFailure, Optional<StoredValue>> watch(String key, long knownRevision, Duration wait) {
         return limited(StoreOperation.WATCH, () -> store.watch(key, knownRevision, wait));
--- a/store/src/main/java/org/oleanderturn/store/Store.java
+++ b/store/src/main/java/org/oleanderturn/store/Store.java
@@ -21,6 +21,24 @@
     /** Reads every key that starts with the prefix, sorted by key. */
     Either<StoreFailure, List<StoredValue>> list(String prefix);
 
+    /**
+     * Reads every key that starts with the prefix as it was at a moment that may be seconds ago, at a lower cost than {@link
+     * #list} where the store offers that.
+     */
+    default Either<StoreFailure, List<StoredValue>> listStale(String prefix) {
+        return list(prefix);
+    }
+
+    /** Reads a key as it was at a moment that may be seconds ago, as {@link #listStale} does. */
+    default Either<StoreFailure, Optional<StoredValue>> getStale(String key) {
+        return get(key);
+    }
+
+    /** Returns whether a key is still at a revision that this client has read, without waiting and without its value. */
+    default Either<StoreFailure, Boolean> isUnchanged(String key, long knownRevision) {
+        return get(key).map(stored -> stored.map(StoredValue::revision).orElse(StoredValue.ABSENT) == knownRevision);
+    }
+
     /**
      * Waits until the key's revision differs from the known one and reads the key; empty when the wait ends first, and at once
      * when the key was removed since the known revision.
--- a/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
@@ -39,6 +39,12 @@
 public final class StoreHttpClient implements AutoCloseable {
     private static final String REQUEST_STARTED = "oleanderturn.written";
     private static final String USER_AGENT = "oleanderturn";
+    /** The idle time before a keep-alive probe and between two, so that a waiting watch notices a silent connection. */
+    private static final int KEEP_ALIVE_SECONDS = 1;
+
+    /** Unanswered keep-alive probes after which a connection counts as broken. */
+    private static final int KEEP_ALIVE_PROBES = 2;
+
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final HttpHost host;
@@ -52,6 +58,10 @@
         SocketConfig socketConfiguration = SocketConfig.custom()
                 .setSoTimeout(Timeout.of(socketTimeout))
                 .setTcpNoDelay(true)
+                .setSoKeepAlive(true)
+                .setTcpKeepIdle(KEEP_ALIVE_SECONDS)
+                .setTcpKeepInterval(KEEP_ALIVE_SECONDS)
+                .setTcpKeepCount(KEEP_ALIVE_PROBES)
                 .build();
         this.requester = RequesterBootstrap.bootstrap()
                 .setSocketConfig(socketConfiguration)
