Take no answer of the store for whole whose head broke off

The answer to the renewal of a lease is its status alone, so that a head that broke off renewed a lease that may have ended. Change: the parser of the store's answers fails where it needed the end of the connection.

--- /dev/null
+++ b/store/src/main/java/org/oleanderturn/store/CompleteHeadParser.java
@@ -0,0 +1,46 @@
+package org.oleanderturn.store;
+
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.io.HttpMessageParser;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+
+/**
+ * Parses the heads of responses, and fails when the connection ends before the empty line that closes a head; the library
+ * takes the end of the connection for that line.
+ *
+ * <p>Used by one connection; not thread safe.
+ */
+final class CompleteHeadParser implements HttpMessageParser<ClassicHttpResponse> {
+    private final DefaultHttpResponseParser parser = new DefaultHttpResponseParser();
+
+    @Override
+    public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream input) throws IOException, HttpException {
+        EndDetector detector = new EndDetector(input);
+        ClassicHttpResponse response = parser.parse(buffer, detector);
+        if (detector.hasEnded) {
+            throw new ConnectionClosedException("the connection ended within the head of the response");
+        }
+        return response;
+    }
+
+    private static final class EndDetector extends FilterInputStream {
+        private boolean hasEnded;
+
+        EndDetector(InputStream source) {
+            super(source);
+        }
+
+        @Override
+        public int read(byte[] bytes, int offset, int length) throws IOException {
+            int count = in.read(bytes, offset, length);
+            hasEnded = hasEnded || count < 0;
+            return count;
+        }
+    }
+}
--- a/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
@@ -20,6 +20,7 @@
 import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -71,6 +72,9 @@
                         .addLast((HttpRequestInterceptor)
                                 (request, entity, context) -> context.setAttribute(REQUEST_STARTED, true))
                         .build())
+                .setConnectionFactory(DefaultBHttpClientConnectionFactory.builder()
+                        .responseParserFactory(_ -> new CompleteHeadParser())
+                        .build())
                 .setDefaultMaxPerRoute(settings.maximumConnections())
                 .setMaxTotal(settings.maximumConnections())
                 .create();
