--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -59,9 +58,6 @@
     /** Short, as the target runs on the same host. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-    private static final String TARGET_PREFIX = "TARGET_";
-    private static final String TARGET_REFUSED = TARGET_PREFIX + UpstreamFailure.Cause.REFUSED;
-
     /** Keeps a waiting request from looking again and again. */
     private static final Duration SHORTEST_TURN = Duration.ofMillis(1);
 
@@ -329,7 +325,7 @@
             case GuardReply.Ran _ -> crashMonitor.completeRun(start, run.get());
             case GuardReply.NotRun notRun -> {
                 crashMonitor.cancelRun(start, run.get());
-                if (notRun.reason().equals(TARGET_REFUSED)) {
+                if (notRun.reason().equals(TargetReplies.REFUSED)) {
                     target.markDown(start);
                     crashMonitor.endTarget(start);
                 }
@@ -381,17 +377,18 @@
         Either<UpstreamFailure, BufferedResponse> response =
                 client.exchange(address, outbound, matcher, allowance, request.cancellation());
         Duration runTime = Duration.ofNanos(clockNanoseconds.getAsLong() - sentNanoseconds);
-        return response.fold(this::replyForFailure, received -> {
+        return response.fold(TargetReplies::forFailure, received -> {
             TargetResponseMetadata metadata = adapter.responseMetadata(received.headers());
             if (received.status() != HttpStatuses.MISDIRECTED_REQUEST) {
                 metadata.signals().ifPresent(signals -> target.recordSignals(start, signals, sentNanoseconds));
             }
-            // A faulty target may write an earlier response once more; one that names no request may be such a copy.
-            boolean isIdentified = metadata.attemptId().isPresent()
-                    || request.client().attemptId().isEmpty();
-            return isIdentified
-                    ? replyForResponse(received, metadata, request.metadata(), runTime)
-                    : replyForUnidentified(received, metadata);
+            GuardReply reply = TargetReplies.forResponse(
+                    received, metadata, request.client().attemptId());
+            if (reply instanceof GuardReply.Ran ran
+                    && HttpStatuses.isSuccess(ran.response().status())) {
+                latencyRatio.record(runTime, request.metadata().targetLatency());
+            }
+            return reply;
         });
     }
 
@@ -406,51 +403,4 @@
         Optional<String> echoed = adapter.responseMetadata(headers).attemptId();
         return echoed.isEmpty() || echoed.get().equals(client.attemptId());
     }
-
-    private GuardReply replyForFailure(UpstreamFailure failure) {
-        return switch (failure) {
-            case UpstreamFailure.NotSent notSent ->
-                new GuardReply.NotRun(TARGET_PREFIX + notSent.cause(), false, Duration.ZERO);
-            case UpstreamFailure.ResponseLost lost -> GuardReply.Unknown.of("ANSWER_LOST: " + lost.reason());
-            case UpstreamFailure.LimitExceeded exceeded -> GuardReply.Unknown.of("ANSWER_LIMIT_" + exceeded.limit());
-            case UpstreamFailure.TimedOut _ -> GuardReply.Unknown.of("TIMED_OUT");
-            case UpstreamFailure.Cancelled _ -> new GuardReply.Abandoned();
-        };
-    }
-
-    /** Believes a response that names no request only where it promises nothing. */
-    private static GuardReply replyForUnidentified(BufferedResponse response, TargetResponseMetadata responseMetadata) {
-        boolean isPromise = responseMetadata.isNotExecuted()
-                || HttpStatuses.isSuccess(response.status())
-                || response.status() == HttpStatuses.MISDIRECTED_REQUEST
-                || HttpStatuses.isNotRunGuarantee(response.status());
-        return isPromise
-                ? GuardReply.Unknown.of("UNIDENTIFIED_" + response.status())
-                : new GuardReply.Ran(withoutHopHeaders(response));
-    }
-
-    private GuardReply replyForResponse(
-            BufferedResponse response,
-            TargetResponseMetadata responseMetadata,
-            GuardRequestMetadata metadata,
-            Duration runTime) {
-        if (responseMetadata.isNotExecuted() || response.status() == HttpStatuses.MISDIRECTED_REQUEST) {
-            return new GuardReply.NotRun("TARGET_REJECTED_" + response.status(), true, Duration.ZERO);
-        }
-        if (!responseMetadata.isSigned() && HttpStatuses.isSuccess(response.status())) {
-            return GuardReply.Unknown.of("UNSIGNED");
-        }
-        if (HttpStatuses.isNotRunGuarantee(response.status())) {
-            return GuardReply.Unknown.of("PROMISE_WITHOUT_PROOF_" + response.status());
-        }
-        if (HttpStatuses.isSuccess(response.status())) {
-            latencyRatio.record(runTime, metadata.targetLatency());
-        }
-        return new GuardReply.Ran(withoutHopHeaders(response));
-    }
-
-    private static BufferedResponse withoutHopHeaders(BufferedResponse response) {
-        return new BufferedResponse(
-                response.status(), new ArrayList<>(HeaderValues.forwardable(response.headers())), response.body());
-    }
 }
--- a/node/src/main/java/org/oleanderturn/node/RelayCheck.java
+++ b/node/src/main/java/org/oleanderturn/node/RelayCheck.java
@@ -10,8 +10,9 @@
 
 /**
  * Finds out whether a relay of this node's zone supplies it with configurations, which it does as long as it answers, reads
- * the platform's store, and sends what this release can decode. Membership would notice later: when many nodes end at once, their failures are detected one
- * after the other, and a node that the store turns away is reachable all the while.
+ * the platform's store, and sends what this release can decode. Membership would notice later: when
+ * many nodes end at once, their failures are detected one after the other, and a node that the store turns away is reachable
+ * all the while.
  *
  * <p>Each answer also tells the version that the relay holds. {@link #runOnce} must be called by one thread at a time;
  * queries are thread safe.
--- a/proxy/src/test/java/org/oleanderturn/proxy/TruncatedMessageTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/TruncatedMessageTest.java
@@ -100,9 +100,7 @@
             readHead(socket.getInputStream());
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
             socket.shutdownOutput();
-            while (socket.getInputStream().read() >= 0) {
-                continue;
-            }
+            var _ = socket.getInputStream().readAllBytes();
         } catch (IOException closedByClient) {
             // The client closes a connection whose response broke off.
         }
@@ -140,9 +138,7 @@
             socket.setSoTimeout(Math.toIntExact(TIMEOUT.toMillis()));
             socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
             socket.shutdownOutput();
-            while (socket.getInputStream().read() >= 0) {
-                continue;
-            }
+            var _ = socket.getInputStream().readAllBytes();
         } catch (SocketException reset) {
             // The listener resets a connection whose request broke off.
         }
