Let calls of targets give way to no new request, and carry the urgency of what they serve

Cause: a call that a run makes was admitted by a late core as any request, and waited for slots by the priority of its own route. Of a run whose call is refused or late all the work is lost, and its slot is held meanwhile. Change: a request from this host, as the calls of the local target are, is admitted unless its time is over, and its rank is at least that of the most urgent route to the target's service.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -17,6 +17,7 @@
 import org.oleanderturn.proxy.RequestHandler;
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamFailure;
+import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.TrafficSplitter;
 
 /**
@@ -115,9 +116,7 @@
                 return deny(status, responses);
             }
         }
-        if (!dependencies
-                .admission()
-                .tryAdmit(request.readDelay(), match.get().route().effectivePriority())) {
+        if (!isAdmitted(request, match.get())) {
             return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(request.readDelay()));
         }
         MeshRequest routed = routedRequest(request, client, body.get(), match.get(), index, receivedNanoseconds);
@@ -127,6 +126,23 @@
         return dispatch.run();
     }
 
+    /** Admits each call of the local target in time: its refusal would waste the run that waits for it. */
+    private boolean isAdmitted(InboundRequest request, RouteIndex.Match match) {
+        CoreAdmission admission = dependencies.admission();
+        return request.isFromOwnHost()
+                ? admission.tryAdmitCall(request.readDelay())
+                : admission.tryAdmit(request.readDelay(), match.route().effectivePriority());
+    }
+
+    /**
+     * Returns the priority of a request. A call of the local target is as urgent as the most urgent requests that its service
+     * runs: while it waits, its run holds a slot, and if it fails, so does the run.
+     */
+    private int rank(InboundRequest request, RouteIndex.Match match, RouteIndex index) {
+        int declared = match.route().effectivePriority();
+        return request.isFromOwnHost() ? Math.min(declared, index.priorityOf(dependencies.callerService())) : declared;
+    }
+
     /** Returns the response to a request for which no route is known. */
     private static Response deny(VersionStatus status, ClientResponses responses) {
         return switch (status) {
@@ -166,6 +182,7 @@
                 RequestIdentity.of(request.method(), request.path(), body),
                 client,
                 match,
+                rank(request, match, index),
                 service,
                 index.snapshot().version(),
                 receivedNanoseconds,
--- a/proxy/src/main/java/org/oleanderturn/proxy/AcceptedChannel.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AcceptedChannel.java
@@ -39,6 +39,12 @@
         }
     }
 
+    /** Returns whether the peer has the address that it connected to. */
+    boolean isFromOwnHost() {
+        Socket socket = channel.socket();
+        return socket.getInetAddress() != null && socket.getInetAddress().equals(socket.getLocalAddress());
+    }
+
     Socket socket() {
         return channel.socket();
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
@@ -66,6 +66,11 @@
         return Duration.ZERO;
     }
 
+    /** Returns whether the request came from this host, as the calls of the local target do. */
+    default boolean isFromOwnHost() {
+        return false;
+    }
+
     /** Returns whether the peer has disconnected; asks the connection, and runs the action that waits for that. */
     default boolean hasPeerLeft() {
         return false;
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
@@ -265,6 +265,11 @@
             return readDelay;
         }
 
+        @Override
+        public boolean isFromOwnHost() {
+            return serverConnection.isFromOwnHost();
+        }
+
         @Override
         public boolean hasPeerLeft() {
             return !isBodyUnread() && serverConnection.hasPeerLeft();
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
@@ -106,6 +106,11 @@
         return channel.input().hasEnded();
     }
 
+    /** Returns whether the peer is on this host. */
+    boolean isFromOwnHost() {
+        return channel.isFromOwnHost();
+    }
+
     /** Returns whether the end of the connection was found by reading, as in a message that breaks off. */
     boolean hasReadEnd() {
         return channel.input().hasReadEnd();
--- a/traffic/src/main/java/org/oleanderturn/traffic/CoreAdmission.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/CoreAdmission.java
@@ -84,6 +84,17 @@
         return !isTooLate && (share >= 1 || random.nextDouble() < share * factor);
     }
 
+    /**
+     * Returns whether to take a call that a run makes, and adjusts the admitted share. The load is one that the cores can't
+     * bear: of a run that is refused a call, all the work done so far is lost, so that new requests give way to it.
+     *
+     * @param lateness how late the core runs what arrives
+     */
+    public boolean tryAdmitCall(Duration lateness) {
+        adjust(lateness);
+        return lateness.compareTo(LATENESS_OF_REFUSAL) <= 0;
+    }
+
     private double adjust(Duration lateness) {
         long now = nanoseconds.getAsLong();
         boolean isLate = lateness.compareTo(LATENESS_LIMIT) > 0;
--- a/traffic/src/test/java/org/oleanderturn/traffic/CoreAdmissionTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/CoreAdmissionTest.java
@@ -40,6 +40,27 @@
         assertThat(admitted(Duration.ZERO, 2)).isEqualTo(REQUESTS);
     }
 
+    /** The load: more requests than the core can serve, each of which runs only if both calls that it makes are taken. */
+    @Test
+    void shouldCompleteEveryAdmittedRunThatMakesCallsWhileTheCoreIsLate() {
+        stayLate(5);
+        int admitted = 0;
+        int completed = 0;
+        for (int request = 0; request < REQUESTS; request++) {
+            if (admission.tryAdmit(LATE, 0)) {
+                admitted++;
+                completed += admission.tryAdmitCall(LATE) && admission.tryAdmitCall(LATE) ? 1 : 0;
+            }
+        }
+        assertThat(admitted).isLessThan(REQUESTS);
+        assertThat(completed).isEqualTo(admitted);
+    }
+
+    @Test
+    void shouldRefuseACallThatIsTooLateForAnyone() {
+        assertThat(admission.tryAdmitCall(Duration.ofMillis(400))).isFalse();
+    }
+
     private void stayLate(int periods) {
         for (int period = 0; period < periods; period++) {
             pass();
