Let a node that comes back read the configuration at once

Change: a node that finds relays registered when it looks first reads the configuration itself, once; at the first start of a fleet it looks for the others for up to 4 s, 0.5 s after the first contact, and takes no part in the suspicions' copy until then.

--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -52,6 +52,7 @@
     private final MemberDirectory directory;
     private final RelayElection election;
     private final RelayRole role;
+    private final RelayDirectory relayDirectory;
     private final MemberDiscovery memberDiscovery;
     private final ConfigurationPlane configuration;
     private final HeadWatcher headWatcher;
@@ -77,8 +78,8 @@
         this.directory = new MemberDirectory(gossip::table);
         this.election = election(settings, store, directory, split(random));
         this.role = roleSelector.select(election, directory);
-        this.memberDiscovery = new MemberDiscovery(
-                gossip, settings.join(), new RelayDirectory(store, election, milliseconds), split(random));
+        this.relayDirectory = new RelayDirectory(store, election, milliseconds);
+        this.memberDiscovery = new MemberDiscovery(gossip, settings.join(), relayDirectory, split(random));
         this.configuration = new ConfigurationPlane(
                 settings,
                 directory,
@@ -135,6 +136,11 @@
         return role;
     }
 
+    /** Returns whether this node joins a fleet that was running when it started. */
+    boolean isFleetRunning() {
+        return relayDirectory.isFleetRunning();
+    }
+
     HeadWatcher headWatcher() {
         return headWatcher;
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
@@ -36,6 +37,7 @@
             RelayRole role,
             Store store,
             RelayTransport transport,
+            BooleanSupplier isFleetRunning,
             LongSupplier clockNanoseconds,
             Pause pause,
             RandomGenerator random) {
@@ -48,6 +50,7 @@
                 plane.holder(),
                 plane.readinessGate(),
                 role,
+                isFleetRunning,
                 () -> directory.peers().stream().anyMatch(Peer::isReachable),
                 relayCheck::isSupplied,
                 clockNanoseconds,
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.LongSupplier;
@@ -144,6 +145,7 @@
                 control.role(),
                 rateLimitedStore,
                 channel,
+                control::isFleetRunning,
                 System::nanoTime,
                 Thread::sleep,
                 SharedRandom.create());
@@ -193,11 +195,18 @@
                 channel);
     }
 
+    /** Returns the slot of a relay; none while this node may only not know the others yet. */
+    private OptionalInt relaySlot(long nowMilliseconds) {
+        return configuration.watcher().isSearchingRelay()
+                ? OptionalInt.empty()
+                : control.role().slot(nowMilliseconds);
+    }
+
     private SuspicionStore suspicionStore() {
         return new SuspicionStore(
                 rateLimitedStore,
                 data.crashLedger(),
-                control.role(),
+                this::relaySlot,
                 suspicions::publish,
                 System::currentTimeMillis,
                 SharedRandom.create());
--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -49,7 +50,10 @@
     private static final Duration QUICK_SUCCESSION = Duration.ofSeconds(1);
 
     /** How long after its first contact a node that has just started knows most of its zone. */
-    private static final Duration SETTLING_TIME = Duration.ofMillis(300);
+    private static final Duration SETTLING_TIME = Duration.ofMillis(500);
+
+    /** No time of the clock. */
+    private static final long NO_PEER_YET = Long.MIN_VALUE;
 
     /** How often a request looks whether the confirmation that another one has asked for has come. */
     private static final Duration CONFIRMATION_CHECK_INTERVAL = Duration.ofMillis(5);
@@ -61,10 +65,10 @@
     private static final Duration USUAL_CONFIRMATION = Duration.ofMillis(400);
 
     /** How long a node that has just started looks for the relay of its zone before it takes itself for it. */
-    private static final Duration SEARCH_TIME = Duration.ofSeconds(2);
+    private static final Duration SEARCH_TIME = Duration.ofSeconds(4);
 
     /** How often a node that receives configurations from a relay checks whether it has become the relay itself. */
-    private static final long ROLE_CHECK_DELAY_MILLISECONDS = 200;
+    private static final long ROLE_CHECK_DELAY_MILLISECONDS = 100;
 
     /** Backoff after failed calls is short, because a change has to be active within two seconds. */
     private static final Duration MINIMUM_BACKOFF = Duration.ofMillis(100);
@@ -91,6 +95,7 @@
     private final ConfigurationHolder holder;
     private final ReadinessGate readinessGate;
     private final RelayRole role;
+    private final BooleanSupplier isFleetRunning;
     private final BooleanSupplier hasPeers;
     private final BooleanSupplier isSupplied;
     private final LongSupplier clockNanoseconds;
@@ -104,7 +109,7 @@
     private volatile long lastResponseNanoseconds;
     private volatile boolean hasRead;
     private long seenRevision = StoredValue.ABSENT;
-    private OptionalLong firstPeerNanoseconds = OptionalLong.empty();
+    private final AtomicLong firstPeer = new AtomicLong(NO_PEER_YET);
     private long lastVersionNanoseconds;
     private int failures;
 
@@ -113,12 +118,14 @@
             ConfigurationHolder holder,
             ReadinessGate readinessGate,
             RelayRole role,
+            BooleanSupplier isFleetRunning,
             BooleanSupplier hasPeers,
             BooleanSupplier isSupplied,
             LongSupplier clockNanoseconds,
             Pause pause,
             RandomGenerator random) {
         this.pause = Objects.requireNonNull(pause, "pause is null");
+        this.isFleetRunning = Objects.requireNonNull(isFleetRunning, "isFleetRunning is null");
         this.hasPeers = Objects.requireNonNull(hasPeers, "hasPeers is null");
         this.store = Objects.requireNonNull(store, "store is null");
         this.holder = Objects.requireNonNull(holder, "holder is null");
@@ -171,21 +178,26 @@
      * before the next run, in milliseconds.
      */
     long runOnce() {
-        if (isSearchingRelay() || (!role.isRelay(0) && isSupplied.getAsBoolean())) {
-            return ROLE_CHECK_DELAY_MILLISECONDS;
+        if (!hasRead && isFleetRunning.getAsBoolean()) {
+            // A node that comes back serves sooner by one call of its own than by the word of others that come back,
+            // too.
+            return read();
         }
-        return read();
+        boolean isReader = !isSearchingRelay() && (role.isRelay(0) || !isSupplied.getAsBoolean());
+        return isReader ? read() : ROLE_CHECK_DELAY_MILLISECONDS;
     }
 
     /** Returns whether a node that has just started may still find the others, of which one reads for all. */
-    private boolean isSearchingRelay() {
+    boolean isSearchingRelay() {
         long now = clockNanoseconds.getAsLong();
-        if (firstPeerNanoseconds.isEmpty() && hasPeers.getAsBoolean()) {
-            firstPeerNanoseconds = OptionalLong.of(now);
+        if (now - createdNanoseconds >= SEARCH_TIME.toNanos()) {
+            return false;
+        }
+        if (!hasPeers.getAsBoolean()) {
+            return true;
         }
-        boolean isSettled =
-                firstPeerNanoseconds.isPresent() && now - firstPeerNanoseconds.getAsLong() >= SETTLING_TIME.toNanos();
-        return !isSettled && now - createdNanoseconds < SEARCH_TIME.toNanos();
+        firstPeer.compareAndSet(NO_PEER_YET, now);
+        return now - firstPeer.get() < SETTLING_TIME.toNanos();
     }
 
     /** Asks the store whether the version held is still the newest, or waits until another thread has asked. */
--- a/node/src/main/java/org/oleanderturn/node/RelayDirectory.java
+++ b/node/src/main/java/org/oleanderturn/node/RelayDirectory.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import org.oleanderturn.distribution.RelayRegistration;
 import org.oleanderturn.distribution.RelayRole;
@@ -30,6 +32,7 @@
     private final RelayRole role;
     private final LongSupplier milliseconds;
     private final AtomicInteger reads = new AtomicInteger();
+    private final AtomicReference<Optional<Boolean>> foundAtFirst = new AtomicReference<>(Optional.empty());
 
     RelayDirectory(Store store, RelayRole role, LongSupplier milliseconds) {
         this.store = Objects.requireNonNull(store, "store is null");
@@ -58,6 +61,12 @@
                     .map(RelayRegistration::controlAddress)
                     .ifPresent(addresses::add);
         }
+        foundAtFirst.compareAndSet(Optional.empty(), Optional.of(!addresses.isEmpty()));
         return addresses;
     }
+
+    /** Returns whether there were relays when this node looked for the first time, so that it joins a fleet that runs. */
+    boolean isFleetRunning() {
+        return foundAtFirst.get().orElse(false);
+    }
 }
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
@@ -88,6 +88,7 @@
                 RateLimitedStore.of(
                         new ConfigurationStore(fleet, host), STORE_CALLS, STORE_CALLS * 2, fleet.time()::nanoseconds),
                 channel,
+                () -> host.life() > 1,
                 fleet.time()::nanoseconds,
                 fleet.time()::sleep,
                 random);
--- a/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
@@ -83,6 +83,7 @@
                 leadership,
                 new SimulatedStore(time, new SimulatedStore.Content()),
                 channel,
+                () -> false,
                 time::nanoseconds,
                 time::sleep,
                 new SplittableRandom(2));
