--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -242,7 +242,7 @@
                 request.service(),
                 dependencies.callerService(),
                 route.kind(),
-                request.rank(),
+                route.effectivePriority(),
                 guardTime,
                 Duration.ofMillis(route.targetLatencyMilliseconds().orElse(DEFAULT_TARGET_LATENCY_MILLISECONDS)),
                 clientElapsed(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -134,15 +134,6 @@
                 : admission.tryAdmit(request.readDelay(), match.route().effectivePriority());
     }
 
-    /**
-     * Returns the priority of a request. A call of the local target is as urgent as the most urgent requests that its service
-     * runs: while it waits, its run holds a slot, and if it fails, so does the run.
-     */
-    private int rank(InboundRequest request, RouteIndex.Match match, RouteIndex index) {
-        int declared = match.route().effectivePriority();
-        return request.isFromOwnHost() ? Math.min(declared, index.priorityOf(dependencies.callerService())) : declared;
-    }
-
     /** Returns the response to a request for which no route is known. */
     private static Response deny(VersionStatus status, ClientResponses responses) {
         return switch (status) {
@@ -182,7 +173,6 @@
                 RequestIdentity.of(request.method(), request.path(), body),
                 client,
                 match,
-                rank(request, match, index),
                 service,
                 index.snapshot().version(),
                 receivedNanoseconds,
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -15,7 +15,6 @@
  *
  * @param identity identifies the request in other attempts of its client
  * @param headers the client's headers without hop-by-hop and mesh-internal headers
- * @param rank its priority in queues, 0 first
  * @param service the service chosen from the route's traffic split
  * @param version the version of the configuration that the route comes from
  * @param receivedNanoseconds when the request arrived
@@ -32,7 +31,6 @@
         RequestIdentity identity,
         ClientRequestMetadata client,
         RouteIndex.Match match,
-        int rank,
         ServiceName service,
         ConfigurationVersion version,
         long receivedNanoseconds,
--- a/mesh/src/main/java/org/oleanderturn/mesh/RouteIndex.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RouteIndex.java
@@ -11,7 +11,6 @@
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Route;
-import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.model.TrafficPolicy;
 import org.oleanderturn.model.TrafficPolicyName;
 
@@ -22,19 +21,14 @@
  * thread safe.
  */
 public final class RouteIndex {
-    private static final RouteIndex EMPTY = new RouteIndex(ConfigurationSnapshot.empty(), Map.of(), Map.of());
+    private static final RouteIndex EMPTY = new RouteIndex(ConfigurationSnapshot.empty(), Map.of());
 
     private final ConfigurationSnapshot snapshot;
     private final Map<String, List<Match>> matchesByHost;
-    private final Map<ServiceName, Integer> priorities;
 
-    private RouteIndex(
-            ConfigurationSnapshot snapshot,
-            Map<String, List<Match>> matchesByHost,
-            Map<ServiceName, Integer> priorities) {
+    private RouteIndex(ConfigurationSnapshot snapshot, Map<String, List<Match>> matchesByHost) {
         this.snapshot = snapshot;
         this.matchesByHost = matchesByHost;
-        this.priorities = priorities;
     }
 
     /** A route with its traffic policy. */
@@ -53,10 +47,7 @@
         Map<TrafficPolicyName, TrafficPolicy> policies = new HashMap<>();
         snapshot.configuration().trafficPolicies().forEach(policy -> policies.put(policy.name(), policy));
         Map<String, List<Match>> matchesByHost = new HashMap<>();
-        Map<ServiceName, Integer> priorities = new HashMap<>();
         for (Route route : snapshot.configuration().routes()) {
-            route.weightedServices()
-                    .forEach(part -> priorities.merge(part.service(), route.effectivePriority(), Math::min));
             TrafficPolicy policy = policies.get(route.trafficPolicy());
             if (route.host().isPresent() && policy != null) {
                 matchesByHost
@@ -68,7 +59,7 @@
                 Comparator.comparingInt(match -> -match.route().pathPrefix().length());
         matchesByHost.replaceAll(
                 (_, matches) -> matches.stream().sorted(longestFirst).toList());
-        return new RouteIndex(snapshot, Map.copyOf(matchesByHost), Map.copyOf(priorities));
+        return new RouteIndex(snapshot, Map.copyOf(matchesByHost));
     }
 
     /** Returns the index of the empty snapshot, which has no routes. */
@@ -99,11 +90,6 @@
         return Optional.empty();
     }
 
-    /** Returns the priority of the most urgent route to a service, {@link Route#LOWEST_PRIORITY} if there is none. */
-    public int priorityOf(ServiceName service) {
-        return priorities.getOrDefault(service, Route.LOWEST_PRIORITY);
-    }
-
     private static String lowerCase(String host) {
         return host.toLowerCase(Locale.ROOT);
     }
