Let the target of a test name the request that it answers

Targets of the users' platform repeat the id. Change: the test's target repeats it; its checks are as before. Measured: GuardClientTest passes.

--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -124,7 +124,9 @@
     private Response run() {
         runs.incrementAndGet();
         return Response.of(
-                200, List.of(HeaderField.of("Signed", "i-1")), new Response.Body.Buffered(new byte[] {'o', 'k'}));
+                200,
+                List.of(HeaderField.of("Id", "id-1"), HeaderField.of("Signed", "i-1")),
+                new Response.Body.Buffered(new byte[] {'o', 'k'}));
     }
 
     private static Endpoint endpoint(NodeId node, Address address) {
