--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -149,7 +149,7 @@
         return new GuardRequest(
                 "GET",
                 "/a/1",
-                List.of(),
+                List.of(HeaderField.of("Id", "id-1")),
                 new byte[0],
                 RequestIdentity.of("GET", "/a/1", new byte[0]),
                 new ClientRequestMetadata("id-1", Optional.of(TIMEOUT), "host.example"),
