Offer less to targets that refuse most, once their refusals take long

These refusals used the cores of the nodes beside the targets, so that requests were read 40 to 300 ms late there, the targets' own calls timed out, runs failed or took 100 to 260 ms in place of 75, and the targets ran a third of what they can.

Change: an entry counts, by service and priority, what became of its offers in the last second (OfferThrottle). While refusals on arrival take long, it offers about twice what is taken and answers the others at once as not run, with the wait that a guard expected last (reason SERVICE_FULL). A refusal after a wait has a reason of its own (OVERTAKEN), as its time tells nothing of the cores. A slot that a fresh report calls free is always offered to.

SlotQueueTest expects the new reason where a request was overtaken.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -20,6 +20,7 @@
 import org.oleanderturn.proxy.Cancellation;
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.traffic.CrashVerdict;
+import org.oleanderturn.traffic.OfferThrottle;
 import org.oleanderturn.traffic.SuspectPlacement;
 import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
@@ -51,6 +52,9 @@
 
     private static final String QUARANTINED = "QUARANTINED";
 
+    /** The reason of a request that was offered to no target, as they refuse most. */
+    private static final String SERVICE_FULL = "SERVICE_FULL";
+
     /** Stands in for the target latency of a route that states none. */
     private static final int DEFAULT_TARGET_LATENCY_MILLISECONDS = 1_000;
 
@@ -128,14 +132,18 @@
             if (endpoint.isEmpty()) {
                 return finish(last);
             }
+            if (!isOffered(endpoint.get())) {
+                return finish(attempts > 0 ? last : withhold());
+            }
             long started = dependencies.clockNanoseconds().getAsLong();
             last = attempt(endpoint.get());
+            Duration duration = Duration.ofNanos(dependencies.clockNanoseconds().getAsLong() - started);
+            recordOffer(last, duration);
             if (last instanceof GuardReply.Ran ran && !isRetryableFailure(ran)) {
                 return responses.delivered(ran.response(), attempts);
             }
             recordRefusal(last);
             boolean isRetried = decideRetry(last);
-            Duration duration = Duration.ofNanos(dependencies.clockNanoseconds().getAsLong() - started);
             dependencies
                     .decisionLog()
                     .record(new Decision.AttemptFailed(
@@ -169,6 +177,37 @@
         return chosen.isPresent() ? chosen : dependencies.balancer().choose(known, excluded, bytes);
     }
 
+    /** Returns whether to offer the request to a target while most offers are refused; a slot that is free is always used. */
+    private boolean isOffered(Endpoint endpoint) {
+        return dependencies.loads().hasFreeSlot(endpoint.node()) || throttle().tryOffer();
+    }
+
+    /** Ends a request that is offered to no target, and remembers when one expects room. */
+    private GuardReply withhold() {
+        GuardReply reply = new GuardReply.NotRun(SERVICE_FULL, false, throttle().expectedWait());
+        recordRefusal(reply);
+        return reply;
+    }
+
+    private void recordOffer(GuardReply reply, Duration duration) {
+        switch (reply) {
+            case GuardReply.Ran _, GuardReply.Unknown _ -> throttle().recordTaken();
+            case GuardReply.NotRun notRun
+            when notRun.isForLackOfRoom() -> throttle().recordRefused(duration, notRun.retryAfter());
+            case GuardReply.NotRun notRun
+            when notRun.isOvertaken() -> throttle().recordOvertaken(notRun.retryAfter());
+            case GuardReply.NotRun _, GuardReply.Abandoned _, GuardReply.Quarantined _ -> {
+                // These tell nothing of the room at the target.
+            }
+        }
+    }
+
+    private OfferThrottle throttle() {
+        return dependencies
+                .throttles()
+                .throttle(request.service(), request.match().route().effectivePriority());
+    }
+
     private GuardReply attempt(Endpoint endpoint) {
         attempts++;
         NodeId node = endpoint.node();
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardReply.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardReply.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Set;
 import org.oleanderturn.proxy.BufferedResponse;
+import org.oleanderturn.traffic.SlotDecision;
 
 /**
  * The outcome of one attempt at a guard.
@@ -10,6 +12,10 @@
  * <p>Immutable and thread safe.
  */
 public sealed interface GuardReply {
+    /** The reasons of a guard that refuses on arrival, as its target or its own memory is used up for now. */
+    Set<String> REASONS_FOR_LACK_OF_ROOM =
+            Set.of(SlotDecision.Reason.FULL.name(), SlotDecision.Reason.RATE_LIMITED.name(), "MEMORY_FULL");
+
     /** The target ran the request and sent a complete response. */
     record Ran(BufferedResponse response) implements GuardReply {
 
@@ -32,6 +38,16 @@
             Objects.requireNonNull(reason, "reason is null");
             Objects.requireNonNull(retryAfter, "retryAfter is null");
         }
+
+        /** Returns whether the guard had no room for the request on arrival. */
+        public boolean isForLackOfRoom() {
+            return REASONS_FOR_LACK_OF_ROOM.contains(reason);
+        }
+
+        /** Returns whether the guard had no room for the request after it had waited there. */
+        public boolean isOvertaken() {
+            return reason.equals(SlotDecision.Reason.OVERTAKEN.name());
+        }
     }
 
     /**
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
@@ -11,6 +11,7 @@
 import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
+import org.oleanderturn.traffic.OfferThrottles;
 import org.oleanderturn.traffic.RepeatShare;
 import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
@@ -26,6 +27,7 @@
  * @param loads tracks the load of the endpoints
  * @param conditions what the targets ask of the nodes
  * @param exchangeSizes tracks the sizes of requests and responses by route
+ * @param throttles decide which requests are offered to targets that refuse most
  * @param retryBudgets returns the retry budget of a service
  * @param guardClient sends requests to guards
  * @param crashMonitor knows the requests under which targets have ended
@@ -42,6 +44,7 @@
         TargetLoadTracker loads,
         TargetConditions conditions,
         ExchangeSizes exchangeSizes,
+        OfferThrottles throttles,
         Function<ServiceName, WindowedRetryBudget> retryBudgets,
         GuardClient guardClient,
         CrashMonitor crashMonitor,
@@ -60,6 +63,7 @@
         Objects.requireNonNull(loads, "loads is null");
         Objects.requireNonNull(conditions, "conditions is null");
         Objects.requireNonNull(exchangeSizes, "exchangeSizes is null");
+        Objects.requireNonNull(throttles, "throttles is null");
         Objects.requireNonNull(retryBudgets, "retryBudgets is null");
         Objects.requireNonNull(guardClient, "guardClient is null");
         Objects.requireNonNull(crashMonitor, "crashMonitor is null");
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -34,6 +34,7 @@
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.LoadReport;
+import org.oleanderturn.traffic.OfferThrottles;
 import org.oleanderturn.traffic.RepeatShare;
 import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
@@ -105,6 +106,7 @@
                 loads,
                 conditions,
                 ExchangeSizes.empty(),
+                OfferThrottles.of(System::nanoTime, new SplittableRandom(4)),
                 _ -> retryBudget,
                 GuardClient.remoteOnly(client, loads, conditions),
                 CrashMonitor.of(
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -40,6 +40,7 @@
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
+import org.oleanderturn.traffic.OfferThrottles;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
@@ -132,6 +133,7 @@
                 loadTracker,
                 conditions,
                 ExchangeSizes.empty(),
+                OfferThrottles.of(nanoseconds, runtime.random()),
                 this::retryBudget,
                 GuardClient.of(settings.node(), guard, runtime.peers(), loadTracker, conditions),
                 crashMonitor,
--- a/node/src/test/java/org/oleanderturn/node/OverloadFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/OverloadFleetTest.java
@@ -17,6 +17,7 @@
 final class OverloadFleetTest {
     private static final int FLEET_SIZE = 12;
     private static final int SLOTS = 9;
+    private static final int FEWER_SLOTS = 3;
     private static final int MAXIMUM_ATTEMPTS = 3;
     private static final double MEAN_WORK_SECONDS = 0.2;
     private static final double CORE_SHARE = 0.3;
@@ -37,13 +38,17 @@
 
     /** What limits the fleet. */
     enum Bottleneck {
-        TARGETS(SLOTS / MEAN_WORK_SECONDS, false),
-        CORES(CORE_SHARE / (2 * READ_COST.plus(SEND_COST).toNanos() / 1e9), true);
+        TARGETS(SLOTS, SLOTS / MEAN_WORK_SECONDS, false),
+        /** The cores could serve two and a half times as much as the targets can run. */
+        TARGETS_BEFORE_CORES(FEWER_SLOTS, FEWER_SLOTS / MEAN_WORK_SECONDS, true),
+        CORES(SLOTS, CORE_SHARE / (2 * READ_COST.plus(SEND_COST).toNanos() / 1e9), true);
 
+        private final int slots;
         private final double requestsPerSecond;
         private final boolean isCoreCharged;
 
-        Bottleneck(double requestsPerSecond, boolean isCoreCharged) {
+        Bottleneck(int slots, double requestsPerSecond, boolean isCoreCharged) {
+            this.slots = slots;
             this.requestsPerSecond = requestsPerSecond;
             this.isCoreCharged = isCoreCharged;
         }
@@ -64,6 +69,11 @@
         assertGoodputKept(Bottleneck.CORES, 1);
     }
 
+    @Test
+    void shouldKeepTheGoodputOfItsPeakWhenRefusalsUseTheCoresThatRunsNeed() {
+        assertGoodputKept(Bottleneck.TARGETS_BEFORE_CORES, 1);
+    }
+
     private static void assertGoodputKept(Bottleneck bottleneck, int tries) {
         IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS).forEach(seed -> {
             Map<Double, Integer> goodput = Collections.synchronizedMap(new TreeMap<>());
@@ -83,7 +93,7 @@
 
     /** Plays a day and returns how many requests were served in time, counted from when they were sent first. */
     private static int inTime(Bottleneck bottleneck, double load, int tries, int seed) {
-        SimulatedFleet fleet = new SimulatedFleet(FLEET_SIZE, SLOTS, MAXIMUM_ATTEMPTS, seed);
+        SimulatedFleet fleet = new SimulatedFleet(FLEET_SIZE, bottleneck.slots, MAXIMUM_ATTEMPTS, seed);
         if (bottleneck.isCoreCharged) {
             fleet.hosts().forEach(host -> host.setCore(CORE_SHARE, READ_COST, SEND_COST));
         }
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotDecision.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotDecision.java
@@ -27,8 +27,10 @@
     enum Reason {
         /** The target accepts no requests. */
         CLOSED,
-        /** The expected wait exceeds the maximum wait of the request. */
+        /** On arrival, the expected wait exceeded the maximum wait of the request. */
         FULL,
+        /** The request waited until the expected wait exceeded its maximum wait, as others were served before it. */
+        OVERTAKEN,
         /** The target limits its rate, and the expected wait exceeds the maximum wait of the request. */
         RATE_LIMITED,
         /** The caller cancelled the request, or its time ran out in the queue. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -220,13 +220,17 @@
                 boolean isRateLimited = pacingWait.compareTo(slotWait) > 0;
                 waiting.remove(ticket);
                 ticket.settle(new SlotDecision.Refused(
-                        isRateLimited ? SlotDecision.Reason.RATE_LIMITED : SlotDecision.Reason.FULL, wait));
+                        isRateLimited ? SlotDecision.Reason.RATE_LIMITED : lackOfRoom(ticket, now), wait));
             } else {
                 ahead++;
             }
         }
     }
 
+    private static SlotDecision.Reason lackOfRoom(SlotTicket ticket, long now) {
+        return ticket.requestedNanoseconds() == now ? SlotDecision.Reason.FULL : SlotDecision.Reason.OVERTAKEN;
+    }
+
     private Comparator<SlotTicket> servingOrder(long now) {
         return Comparator.comparing((SlotTicket ticket) -> isLate(ticket, now))
                 .thenComparingInt(SlotTicket::rank)
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -58,6 +58,11 @@
         return sequence;
     }
 
+    /** Returns when the slot was requested, in nanoseconds on the queue's clock. */
+    long requestedNanoseconds() {
+        return requestedNanoseconds;
+    }
+
     long grantedNanoseconds() {
         return grantedNanoseconds;
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/TargetLoadTracker.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/TargetLoadTracker.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.traffic;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -14,6 +15,9 @@
  * <p>Invariant: a report replaces the previous one as a whole. Thread safe.
  */
 public final class TargetLoadTracker {
+    /** A report of this age still tells whether there is room; a run takes about as long. */
+    private static final Duration RECENT = Duration.ofMillis(250);
+
     private final LongSupplier nanoseconds;
     private final ConcurrentHashMap<NodeId, AtomicReference<TargetLoad>> loads = new ConcurrentHashMap<>();
 
@@ -55,6 +59,16 @@
         return reference(node).get();
     }
 
+    /** Returns whether a recent report of a node's target leaves a slot free, requests sent there since counted as running. */
+    public boolean hasFreeSlot(NodeId node) {
+        TargetLoad load = load(node);
+        boolean isRecent = nanoseconds.getAsLong() - load.reportedNanoseconds() < RECENT.toNanos();
+        return isRecent
+                && load.report()
+                        .filter(report -> report.running() + load.sentSinceReport() < report.slots())
+                        .isPresent();
+    }
+
     // -- commands
 
     /** Records a report and resets the number of requests sent since. */
--- a/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
@@ -66,7 +66,7 @@
         for (int arrival = 0; arrival < 3; arrival++) {
             queue.request(new SlotRequest(1, RUN, Duration.ofSeconds(5), LONG_WAIT));
         }
-        assertThat(reason(waiting)).isEqualTo(SlotDecision.Reason.FULL);
+        assertThat(reason(waiting)).isEqualTo(SlotDecision.Reason.OVERTAKEN);
         assertThat(queue.state().waiting()).isEqualTo(3);
     }
 
