Run the request path before the first requests come

Cause: a node of the users' platform ran its first requests in the interpreter, while the compiler used the same core.

Change: a node that serves and has had no request yet sends up to 300 through an entry, a guard and a target of its own on loopback, pausing as long as each took (MeshWarmup, bounded by warmupMilliseconds). The first request of a client or node ends it, so that a start under load is not slowed down.

--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -87,6 +87,7 @@
     private final MeshGuard guard;
     private final MeshEntryDependencies entryDependencies;
     private volatile NodeSettings.RetryLimit retryLimit;
+    private volatile boolean isUsed;
     private volatile long retriesKnownSinceNanoseconds;
     private HttpListener callerListener;
     private HttpListener peerListener;
@@ -182,6 +183,11 @@
         return TargetCallHandler.of(adapter, target, check);
     }
 
+    /** Returns whether a client or another node has sent a request since the start. */
+    boolean isUsed() {
+        return isUsed;
+    }
+
     /** Returns the current load of the local target. */
     LoadReport load() {
         return guard.load();
@@ -232,7 +238,7 @@
     /** Binds the listeners for clients and for other nodes. */
     Either<ListenerFailure, MeshDataPlane> listen(
             Supplier<RouteIndex> routes, BooleanSupplier isReady, VersionCheck versionCheck) {
-        RequestHandler clientHandler = serve(routes, isReady, versionCheck);
+        RequestHandler clientHandler = noting(serve(routes, isReady, versionCheck));
         Address caller = settings.listen().caller();
         Address peer = settings.listen().peer();
         ListenerLimits limits = new ListenerLimits(
@@ -243,11 +249,18 @@
                 DISCONNECT_WATCH_DELAY);
         return HttpListener.start(caller.host(), caller.port(), clientHandler, limits, bodyBudget)
                 .peek(listener -> callerListener = listener)
-                .flatMap(_ -> HttpListener.start(peer.host(), peer.port(), guard, limits, bodyBudget))
+                .flatMap(_ -> HttpListener.start(peer.host(), peer.port(), noting(guard), limits, bodyBudget))
                 .peek(listener -> peerListener = listener)
                 .map(_ -> this);
     }
 
+    private RequestHandler noting(RequestHandler handler) {
+        return request -> {
+            isUsed = true;
+            return handler.handle(request);
+        };
+    }
+
     /** Starts the periodic tasks. */
     void start(PeriodicTasks tasks) {
         tasks.runEvery(HEARTBEAT_CHECK_INTERVAL_MILLISECONDS, target::checkHeartbeatTimeout);
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -386,6 +386,7 @@
         tasks.runRepeatedly(conditions::announce);
         tasks.runRepeatedly(suspicionStore::read);
         tasks.runRepeatedly(suspicionStore::write);
+        tasks.executor().execute(() -> MeshWarmup.runOnceServing(settings, configuration::isServing, data::isUsed));
         log.atInfo().log("node %s started in %s", settings.node(), settings.locality());
     }
 
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -48,6 +48,22 @@
         return new Locality(region, availabilityZone);
     }
 
+    /** Returns these settings with another target. */
+    NodeSettings withTarget(Target other) {
+        return new NodeSettings(
+                node,
+                region,
+                availabilityZone,
+                platformRegion,
+                listen,
+                platform,
+                other,
+                join,
+                drainMilliseconds,
+                warmupMilliseconds,
+                mesh);
+    }
+
     /** Returns how long a graceful stop waits for requests in flight. */
     public Duration drainTimeout() {
         return drainMilliseconds.map(Duration::ofMillis).orElse(DEFAULT_DRAIN_TIMEOUT);
