--- a/traffic/src/main/java/org/oleanderturn/traffic/OfferThrottle.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/OfferThrottle.java
@@ -25,10 +25,13 @@
     /** Offers that pass for each one that was taken, when refusals take {@link #SLOW_REFUSAL_NANOSECONDS} or longer. */
     private static final double FEWEST_OFFERS_FOR_EACH_TAKEN = 2;
 
-    /** A refusal takes this long only where a core has more to do than it can; the way to another region takes less. */
-    private static final double SLOW_REFUSAL_NANOSECONDS = 30e6;
+    /** A refusal may take this long where the cores have time: the way to another region and back. */
+    private static final double QUICK_REFUSAL_NANOSECONDS = 20e6;
 
-    /** Keeps the offers for each one that was taken finite when refusals take no time. */
+    /** A refusal takes this long only where a core has more to do than it can. */
+    private static final double SLOW_REFUSAL_NANOSECONDS = 50e6;
+
+    /** Keeps the offers for each one that was taken finite when refusals are quick. */
     private static final double LEAST_SLOWNESS = 0.01;
 
     /** Weight of the newest refusal in the average of the times that they take. */
@@ -87,8 +90,9 @@
         }
 
         private double offersForEachTaken() {
-            double slowness = Math.min(1, refusalNanoseconds / SLOW_REFUSAL_NANOSECONDS);
-            return FEWEST_OFFERS_FOR_EACH_TAKEN / Math.max(LEAST_SLOWNESS, slowness);
+            double slowness = (refusalNanoseconds - QUICK_REFUSAL_NANOSECONDS)
+                    / (SLOW_REFUSAL_NANOSECONDS - QUICK_REFUSAL_NANOSECONDS);
+            return FEWEST_OFFERS_FOR_EACH_TAKEN / Math.max(LEAST_SLOWNESS, Math.min(1, slowness));
         }
     }
 
