--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -108,9 +108,8 @@
         LongSupplier nanoseconds = runtime.nanoseconds();
         this.retriesKnownSinceNanoseconds = nanoseconds.getAsLong();
         SlotQueue slots = SlotQueue.of(nanoseconds);
-        Duration heartbeatTimeout = mesh.heartbeat().duration().multipliedBy(TOLERATED_MISSED_HEARTBEATS);
         ServiceName service = settings.target().service();
-        this.target = LocalTarget.of(settings.node(), service, slots, heartbeatTimeout, nanoseconds);
+        this.target = LocalTarget.of(settings.node(), service, slots, heartbeatTimeout(mesh), nanoseconds);
         this.crashLedger = CrashLedger.of(() -> TimeUnit.NANOSECONDS.toMillis(nanoseconds.getAsLong()));
         this.crashMonitor = CrashMonitor.of(settings.node(), crashLedger, decisions, nanoseconds);
         target.onCrash(crashMonitor::endTarget);
@@ -146,6 +145,10 @@
                 runtime.random());
     }
 
+    private static Duration heartbeatTimeout(NodeSettings.Mesh mesh) {
+        return mesh.heartbeat().duration().multipliedBy(TOLERATED_MISSED_HEARTBEATS);
+    }
+
     private static LinkSchedule linkSchedule(NodeSettings.Mesh mesh, LongSupplier nanoseconds) {
         return mesh.linkMegabitsPerSecond()
                 .map(rate -> LinkSchedule.of(rate, nanoseconds))
