Test what clients get while targets refuse slowly, and when a report names a free slot

Two cases of MeshEntryTest over sockets: of 40 requests to a guard that refuses each after 60 ms, fewer are offered, each is answered as not run with a time to come back; one after a report of free slots is offered. The fixture's load reports no longer age, so that a slow machine changes nothing.

--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
@@ -26,8 +27,10 @@
 import org.oleanderturn.model.TrafficPolicyName;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.HttpListener;
+import org.oleanderturn.proxy.InboundRequest;
 import org.oleanderturn.proxy.ListenerLimits;
 import org.oleanderturn.proxy.RequestHandler;
+import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.CrashLedger;
@@ -42,15 +45,22 @@
 /** An entry and scripted guards on loopback; the entry chooses the guards in the order in which they were added. */
 final class EntryFixture implements AutoCloseable {
     static final LoadReport IDLE = new LoadReport(9, 0, 0, 30);
+    private static final LoadReport FULL = new LoadReport(9, 9, 9, 30);
+    private static final Duration SLOW_REFUSAL = Duration.ofMillis(60);
     private static final Service SERVICE = Service.of("service", 9, 100);
     private static final int TIMEOUT_MILLISECONDS = 2_000;
 
+    private final OfferThrottles throttles = OfferThrottles.of(System::nanoTime, new SplittableRandom(4));
     private final List<HttpListener> guards = new ArrayList<>();
     private final List<AtomicInteger> requestCounts = new ArrayList<>();
     private final List<Endpoint> endpoints = new ArrayList<>();
     private final UpstreamClient client = UpstreamClient.of(8);
     private final ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
-    private final TargetLoadTracker loads = TargetLoadTracker.of(System::nanoTime);
+    private final long startNanoseconds = System.nanoTime();
+
+    /** Its clock stands still, so that a report stays recent however slowly a test runs. */
+    private final TargetLoadTracker loads = TargetLoadTracker.of(() -> startNanoseconds);
+
     private final TargetConditions conditions = TargetConditions.empty();
     final List<Decision> decisions = new CopyOnWriteArrayList<>();
     boolean isReady = true;
@@ -106,7 +116,7 @@
                 loads,
                 conditions,
                 ExchangeSizes.empty(),
-                OfferThrottles.of(System::nanoTime, new SplittableRandom(4)),
+                throttles,
                 _ -> retryBudget,
                 GuardClient.remoteOnly(client, loads, conditions),
                 CrashMonitor.of(
@@ -123,6 +133,11 @@
         return MeshEntry.of(() -> index, () -> isReady, _ -> versionStatus, adapter, dependencies);
     }
 
+    /** Records a report of a guard whose slots are all free. */
+    void reportIdle(int guard) {
+        loads.recordReport(endpoints.get(guard).node(), IDLE);
+    }
+
     /** Returns how many requests a guard got; guards are numbered from 0. */
     int requestCount(int guard) {
         return requestCounts.get(guard).get();
@@ -137,6 +152,12 @@
         return new GuardReply.NotRun("FULL", false, Duration.ofMillis(300));
     }
 
+    /** Refuses a request as a guard does whose target is full and whose core has more to do than it can. */
+    static Response refuseSlowly(InboundRequest request) {
+        LockSupport.parkNanos(SLOW_REFUSAL.toNanos());
+        return GuardReplyCodec.encode(notRun(), FULL, Optional.empty());
+    }
+
     static GuardReply unknown() {
         return GuardReply.Unknown.of("ANSWER_LOST");
     }
--- a/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
@@ -16,6 +16,9 @@
 import org.oleanderturn.proxy.Response;
 
 final class MeshEntryTest {
+    /** Enough that most are not offered, so that a wrong one among them would show. */
+    private static final int REFUSED_REQUESTS = 40;
+
     private final EntryFixture fixture = new EntryFixture();
 
     @AfterEach
@@ -70,6 +73,33 @@
         assertThat(seconds).isLessThan(1.0);
     }
 
+    @Test
+    void shouldSayAtOnceThatRequestsDidNotRunWhenTargetsRefuseAllSlowly() throws IOException {
+        fixture.addGuard(EntryFixture::refuseSlowly);
+        Response last = sendWhileRefused();
+        assertThat(fixture.requestCount(0)).isLessThan(REFUSED_REQUESTS);
+        assertThat(last.status()).isEqualTo(503);
+        assertThat(HeaderField.find(last.headers(), "Retry-After").isPresent()).isTrue();
+    }
+
+    @Test
+    void shouldOfferARequestWhenTargetsRefusedAllSlowlyAndAReportNamesAFreeSlot() throws IOException {
+        fixture.addGuard(EntryFixture::refuseSlowly);
+        sendWhileRefused();
+        int offered = fixture.requestCount(0);
+        fixture.reportIdle(0);
+        send(RequestKind.SINGLE, 1);
+        assertThat(fixture.requestCount(0)).isEqualTo(offered + 1);
+    }
+
+    private Response sendWhileRefused() throws IOException {
+        Response response = send(RequestKind.SINGLE, 1);
+        for (int request = 1; request < REFUSED_REQUESTS; request++) {
+            response = send(RequestKind.SINGLE, 1);
+        }
+        return response;
+    }
+
     @Test
     void shouldNotSayThatTheRequestDidNotRunWhenAnEarlierAttemptMayHaveRun() throws IOException {
         fixture.addGuard(EntryFixture.unknown()).addGuard(EntryFixture.notRun());
