--- a/traffic/src/main/java/org/oleanderturn/traffic/OfferThrottle.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/OfferThrottle.java
@@ -25,11 +25,8 @@
     /** Offers that pass for each one that was taken, when refusals take {@link #SLOW_REFUSAL_NANOSECONDS} or longer. */
     private static final double FEWEST_OFFERS_FOR_EACH_TAKEN = 2;
 
-    /** A refusal may take this long where the cores have time: the way to another region and back. */
-    private static final double QUICK_REFUSAL_NANOSECONDS = 20e6;
-
-    /** A refusal takes this long only where a core has more to do than it can. */
-    private static final double SLOW_REFUSAL_NANOSECONDS = 50e6;
+    /** Refusals take this long only where cores have more to do than they can; from another region they take half as long. */
+    private static final double SLOW_REFUSAL_NANOSECONDS = 30e6;
 
     /** Keeps the offers for each one that was taken finite when refusals are quick. */
     private static final double LEAST_SLOWNESS = 0.01;
@@ -90,9 +87,8 @@
         }
 
         private double offersForEachTaken() {
-            double slowness = (refusalNanoseconds - QUICK_REFUSAL_NANOSECONDS)
-                    / (SLOW_REFUSAL_NANOSECONDS - QUICK_REFUSAL_NANOSECONDS);
-            return FEWEST_OFFERS_FOR_EACH_TAKEN / Math.max(LEAST_SLOWNESS, Math.min(1, slowness));
+            double slowness = Math.min(1, refusalNanoseconds / SLOW_REFUSAL_NANOSECONDS);
+            return FEWEST_OFFERS_FOR_EACH_TAKEN / Math.max(LEAST_SLOWNESS, slowness);
         }
     }
 
