Withhold calls of the local target like other requests again

Suspected, not traced: on that platform the connections of clients come from the address of their host, too, so that `isFromOwnHost` holds for every request; NODE_BUSY is given only to requests read over 300 ms late there, as for calls.

The admission of the core still uses isFromOwnHost.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -177,14 +177,9 @@
         return chosen.isPresent() ? chosen : dependencies.balancer().choose(known, excluded, bytes);
     }
 
-    /**
-     * Returns whether to offer the request to a target while most offers are refused. A slot that is free is always used, and
-     * a call always offered: of a run that is refused one, all the work done so far is lost.
-     */
+    /** Returns whether to offer the request to a target while most offers are refused; a slot that is free is always used. */
     private boolean isOffered(Endpoint endpoint) {
-        return request.isCall()
-                || dependencies.loads().hasFreeSlot(endpoint.node())
-                || throttle().tryOffer();
+        return dependencies.loads().hasFreeSlot(endpoint.node()) || throttle().tryOffer();
     }
 
     /** Ends a request that is offered to no target, and remembers when one expects room. */
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -175,7 +175,6 @@
                 match,
                 service,
                 index.snapshot().version(),
-                request.isFromOwnHost(),
                 receivedNanoseconds,
                 receivedNanoseconds + limit.toNanos(),
                 earlierWait,
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -17,7 +17,6 @@
  * @param headers the client's headers without hop-by-hop and mesh-internal headers
  * @param service the service chosen from the route's traffic split
  * @param version the version of the configuration that the route comes from
- * @param isCall whether the local target sent it, for one of its runs
  * @param receivedNanoseconds when the request arrived
  * @param deadlineNanoseconds when the client's or the route's timeout ends, whichever is first
  * @param earlierWait how long the client spent on earlier attempts
@@ -34,7 +33,6 @@
         RouteIndex.Match match,
         ServiceName service,
         ConfigurationVersion version,
-        boolean isCall,
         long receivedNanoseconds,
         long deadlineNanoseconds,
         Duration earlierWait,
