--- /dev/null
+++ b/review/rig/StoreCut.java
@@ -0,0 +1,68 @@
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One machine is cut off from the store, and a new configuration moves a route to another service. Breaks CONFIG if the
+ * other machines still send requests to the old service more than two seconds after the store has taken the version.
+ */
+final class StoreCut {
+    private static final int APPLY_MILLISECONDS = 2_000;
+    private static final int CUT_MILLISECONDS = 5_500;
+    private static final int CHANGE_MILLISECONDS = 300;
+
+    public static void main(String[] arguments) throws Exception {
+        String layout = System.getenv().getOrDefault("LAYOUT", "A");
+        List<Deployment.Place> places = new ArrayList<>();
+        int zones = layout.equals("A") ? 1 : 2;
+        for (int index = 0; index < 4 * zones; index++) {
+            int zone = index / 4;
+            boolean isSecondRegion = zone == 1 && (layout.equals("C") || layout.equals("D"));
+            boolean isCutZone = layout.equals("C") ? zone == 1 : layout.equals("E") || zone == 0;
+            places.add(new Deployment.Place(
+                    zone == 0 ? "hobart" : isSecondRegion ? "launceston" : "huonville",
+                    isSecondRegion ? "north" : "south",
+                    index % 2 == 0 ? Deployment.SERVICE : Deployment.OTHER_SERVICE,
+                    index % 4 == 0 && isCutZone));
+        }
+        Case.run(arguments, places, (deployment, record) -> run(deployment, record, places));
+    }
+
+    private static int run(Deployment deployment, Record record, List<Deployment.Place> places) {
+        deployment.machines.forEach(machine -> deployment.request(machine, 15));
+        Upstream.pause(10_000);
+        if (Case.isTrouble()) {
+            deployment.proxies.forEach(StoreProxy::cut);
+        }
+        Upstream.pause(CHANGE_MILLISECONDS);
+        deployment.store.put(Deployment.CONFIGURATION, Deployment.configuration("r9", Deployment.OTHER_SERVICE));
+        long acknowledged = record.now();
+        record.show("the store has taken version r9, which moves lookups to another service");
+        Upstream.pause(CUT_MILLISECONDS - CHANGE_MILLISECONDS);
+        if (Case.isTrouble()) {
+            deployment.proxies.forEach(StoreProxy::heal);
+        }
+        Upstream.pause(2_500);
+        long late = 0;
+        long last = 0;
+        for (Upstream upstream : deployment.upstreams) {
+            for (Upstream.Run run : upstream.runs) {
+                Deployment.Sent sent = deployment.sent.get(run.attempt());
+                boolean isOld = run.path().startsWith("/stock/")
+                        && upstream.service.equals(Deployment.SERVICE)
+                        && sent.milliseconds() > acknowledged + APPLY_MILLISECONDS;
+                boolean reachesStore =
+                        !places.get(deployment.machines.indexOf(sent.machine())).isProxied();
+                if (isOld && reachesStore) {
+                    late++;
+                    last = Math.max(last, sent.milliseconds() - acknowledged);
+                    record.line("late: %s from %s ran at %s", run.attempt(), sent.machine().name(), upstream.id);
+                }
+            }
+        }
+        record.show(
+                "%d requests of machines that reach the store ran at the old service, sent later than %d ms after the"
+                        + " version; the last of them was sent %d ms after it",
+                late, APPLY_MILLISECONDS, last);
+        return late > 0 ? Case.BROKEN : Case.HELD;
+    }
+}
