--- a/review/rig/Case.java
+++ b/review/rig/Case.java
@@ -1,11 +1,7 @@
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Comparator;
 import java.util.List;
-import java.util.stream.Stream;
 
-/** Runs a case against a small deployment, and ends every process and folder that it made. */
+/** Runs a case against a small deployment; the shell that started it ends the nodes. */
 final class Case {
     static final int HELD = 0;
     static final int BROKEN = 1;
@@ -25,10 +21,8 @@
 
     static void run(String[] arguments, List<Deployment.Place> places, Body body) throws Exception {
         int code = NOT_RUN;
-        Path folder = Files.createTempDirectory("review-");
         try (Record record = new Record(Path.of(arguments[0]));
-                Deployment deployment = new Deployment(folder, record, places)) {
-            Runtime.getRuntime().addShutdownHook(new Thread(deployment::endProcesses));
+                Deployment deployment = new Deployment(Path.of(arguments[1]), record, places)) {
             Thread.ofVirtual().start(() -> {
                 Upstream.pause(LONGEST_MILLISECONDS);
                 System.exit(NOT_RUN);
@@ -41,19 +35,9 @@
                 record.show("the nodes did not get ready");
             }
             record.show(code == HELD ? "the rule held" : code == BROKEN ? "the rule was broken" : "the case could not run");
-        } finally {
-            remove(folder);
         }
         System.exit(code);
     }
 
-    private static void remove(Path folder) throws IOException {
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(file);
-            }
-        }
-    }
-
     private Case() {}
 }
--- a/review/rig/Deployment.java
+++ b/review/rig/Deployment.java
@@ -19,7 +19,7 @@
     static final String SERVICE = "stock";
     static final String OTHER_SERVICE = "yard";
     static final String HOST = "hire.example";
-    static final String CONFIGURATION = "op/config";
+    static final String CONFIGURATION = Names.of("configuration");
 
     /** Where a machine stands, which service its upstream runs, and whether its way to the store can be cut. */
     record Place(String zone, String region, String service, boolean isProxied) {}
@@ -66,12 +66,13 @@
         }
     }
 
-    /** Three machines of one service in two zones. */
-    static List<Place> threePlaces() {
-        return List.of(
-                new Place("hobart", "south", SERVICE, false),
-                new Place("huonville", "south", SERVICE, false),
-                new Place("hobart", "south", SERVICE, false));
+    /** Machines of one service in two zones. */
+    static List<Place> places(int count) {
+        List<Place> places = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            places.add(new Place(index % 2 == 0 ? "hobart" : "huonville", "south", SERVICE, false));
+        }
+        return places;
     }
 
     private static String freeNetwork() throws IOException {
@@ -169,7 +170,7 @@
                     Machine.OUTBOUND,
                     isBooking ? "POST" : "GET",
                     path,
-                    List.of("Host: " + HOST, "X-Oleanderturn-Attempt-Id: " + attempt, "X-Oleanderturn-Deadline-Ms: 4000"),
+                    List.of("Host: " + HOST, Names.of("attempt") + ": " + attempt, Names.of("deadline") + ": 4000"),
                     isBooking ? ("booking " + number).getBytes(StandardCharsets.UTF_8) : new byte[0],
                     4_000);
             (answer.status() == 200 ? served : failed).increment();
@@ -180,15 +181,10 @@
         }
     }
 
-    /** Ends the nodes; without effect on those that have ended. */
-    void endProcesses() {
-        machines.forEach(Machine::close);
-    }
-
     @Override
     public void close() throws IOException {
         isClosed = true;
-        endProcesses();
+        machines.forEach(Machine::close);
         for (Upstream upstream : upstreams) {
             upstream.close();
         }
--- a/review/rig/LateHeartbeats.java
+++ b/review/rig/LateHeartbeats.java
@@ -6,20 +6,30 @@
  * heartbeats arrive seconds late. Breaks DRAIN if the upstream gets requests again.
  */
 final class LateHeartbeats {
+    private static final int MACHINES = 4;
     private static final int DRAIN_MILLISECONDS = 2_000;
     private static final int STABLE_MILLISECONDS = 3_000;
     private static final int GRACE_MILLISECONDS = 6_000;
     private static final int LATE_HEARTBEATS = 3;
 
     public static void main(String[] arguments) throws Exception {
-        Case.run(arguments, Deployment.threePlaces(), LateHeartbeats::run);
+        Case.run(arguments, Deployment.places(MACHINES), LateHeartbeats::run);
     }
 
-    private static int run(Deployment deployment, Record record) throws Exception {
-        deployment.machines.forEach(machine -> deployment.request(machine, 15));
+    /** Restarts all machines but one in turn, until the rule is broken. */
+    private static int run(Deployment deployment, Record record) {
+        deployment.machines.forEach(machine -> deployment.request(machine, 12));
         Upstream.pause(8_000);
-        Machine machine = deployment.machines.getFirst();
-        Upstream leaving = deployment.upstreams.getFirst();
+        for (int index = 0; index < MACHINES - 1; index++) {
+            int code = restart(deployment.machines.get(index), deployment.upstreams.get(index), record);
+            if (code != Case.HELD) {
+                return code;
+            }
+        }
+        return Case.HELD;
+    }
+
+    private static int restart(Machine machine, Upstream leaving, Record record) {
         leaving.stopBeating();
         machine.signal("TERM");
         List<String> delayed = new ArrayList<>();
@@ -37,9 +47,7 @@
         record.show("%s deregisters, acknowledged at %d", leaving.id, acknowledged);
         machine.awaitEnd(GRACE_MILLISECONDS);
         machine.start();
-        while (!machine.isReady()) {
-            Upstream.pause(20);
-        }
+        machine.awaitReady();
         for (String heartbeat : delayed) {
             record.show("a late heartbeat arrives");
             leaving.send(heartbeat);
--- a/review/rig/Machine.java
+++ b/review/rig/Machine.java
@@ -1,10 +1,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -17,13 +15,15 @@
     static final int CONTROL = 8620;
     private static final int NODE_PORT = 7600;
 
+    /** How long after its end the platform starts a process again. */
+    private static final int RESTART_MILLISECONDS = 300;
+
     private final String name;
     private final String ip;
     private final String zone;
     private final Path settings;
-    private final Path log;
     private final Record record;
-    private volatile Process process;
+    private volatile ProcessHandle process;
     private volatile boolean isReady;
     private volatile boolean isClosed;
     private volatile long startedMilliseconds;
@@ -35,7 +35,6 @@
         this.zone = zone;
         this.record = record;
         this.settings = folder.resolve(name + ".json");
-        this.log = folder.resolve(name + ".log");
         Files.writeString(settings, render(region, service, store));
         Thread.ofVirtual().start(this::probe);
     }
@@ -92,54 +91,37 @@
         });
     }
 
-    /** Returns the command of the deploy file. */
-    private List<String> command() throws IOException {
-        Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/system.toml")));
-        if (!run.find()) {
-            throw new IllegalStateException("the deploy file has no command");
-        }
-        List<String> words = new ArrayList<>();
-        for (String word : run.group(1).split(" ")) {
-            words.add(word.equals("/etc/oleanderturn/settings.conf") ? settings.toString() : word);
-        }
-        return words;
-    }
-
-    synchronized void start() throws IOException {
-        if (isClosed) {
-            return;
-        }
-        ProcessBuilder builder = new ProcessBuilder(command());
-        builder.environment().put("OLEANDERTURN_CONFIG", settings.toString());
-        builder.redirectErrorStream(true);
-        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-        process = builder.start();
+    synchronized void start() {
+        process = Supervisor.start(name, settings.toString());
         startedMilliseconds = record.now();
         record.show("node %s starts as process %d", name, process.pid());
     }
 
     /** Sends a signal to the node's process. */
-    void signal(String signal) throws IOException, InterruptedException {
+    void signal(String signal) {
         record.show("node %s gets SIG%s", name, signal);
-        new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid()))
-                .start()
-                .waitFor();
+        Supervisor.signal(name, signal);
     }
 
     /** Waits for the end of a process that got SIGTERM, and kills it after the grace time. */
-    void awaitEnd(int graceMilliseconds) throws IOException, InterruptedException {
-        if (!process.waitFor(graceMilliseconds, TimeUnit.MILLISECONDS)) {
-            signal("KILL");
+    void awaitEnd(int graceMilliseconds) {
+        long end = record.now() + graceMilliseconds;
+        while (process.isAlive()) {
+            if (record.now() >= end) {
+                signal("KILL");
+                end = Long.MAX_VALUE;
+            }
+            Upstream.pause(20);
         }
-        record.show("node %s has ended with %d", name, process.waitFor());
-    }
-
-    boolean isAlive() {
-        return process != null && process.isAlive();
+        record.show("node %s has ended", name);
+        Upstream.pause(RESTART_MILLISECONDS);
     }
 
-    int exitCode() {
-        return process.exitValue();
+    /** Waits until the platform finds the node ready again. */
+    void awaitReady() {
+        while (!isReady) {
+            Upstream.pause(20);
+        }
     }
 
     /** Asks once a second whether the node is ready; two misses take it out. */
@@ -148,7 +130,7 @@
         while (!isClosed) {
             boolean isHit;
             try {
-                isHit = Http.call(ip, ip, READY, "GET", "/api/readyz", List.of(), new byte[0], 900)
+                isHit = Http.call(ip, ip, READY, "GET", Names.of("ready"), List.of(), new byte[0], 900)
                                 .status()
                         == 200;
             } catch (IOException | RuntimeException missed) {
@@ -165,10 +147,7 @@
     }
 
     @Override
-    public synchronized void close() {
+    public void close() {
         isClosed = true;
-        if (process != null) {
-            process.destroyForcibly();
-        }
     }
 }
--- a/review/rig/OtherWriter.java
+++ b/review/rig/OtherWriter.java
@@ -9,7 +9,7 @@
     private static final int DRAIN_MILLISECONDS = 2_000;
 
     public static void main(String[] arguments) throws Exception {
-        Case.run(arguments, Deployment.threePlaces(), OtherWriter::run);
+        Case.run(arguments, Deployment.places(3), OtherWriter::run);
     }
 
     private static int run(Deployment deployment, Record record) {
--- a/review/rig/Store.java
+++ b/review/rig/Store.java
@@ -76,11 +76,11 @@
                         URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
             }
         }
-        if (path.equals("/api/kv-key")) {
+        if (path.equals(Names.of("store.key"))) {
             Item item = items.get(query.get("key"));
             return item == null ? Http.Reply.json(404, Map.of()) : Http.Reply.json(OK, withRevision(item.fields()));
         }
-        if (path.equals("/api/kv-range")) {
+        if (path.equals(Names.of("store.range"))) {
             List<Object> found = new ArrayList<>();
             items.values().stream()
                     .filter(item -> item.key().startsWith(query.get("prefix")))
@@ -88,28 +88,28 @@
                     .forEach(item -> found.add(item.fields()));
             return Http.Reply.json(OK, withRevision(new LinkedHashMap<>(Map.of("items", found, "has_more", false))));
         }
-        if (path.equals("/api/kv-watch")) {
+        if (path.equals(Names.of("store.watch"))) {
             return watch(query.get("prefix"), Long.parseLong(query.get("after")), Long.parseLong(query.get("wait_ms")));
         }
-        if (path.equals("/api/kv-txn")) {
+        if (path.equals(Names.of("store.transaction"))) {
             return transaction(Json.object(request.text()));
         }
-        if (path.equals("/api/kv-lease")) {
+        if (path.equals(Names.of("store.lease"))) {
             String time = (String) Json.object(request.text()).get("ttl_time");
             long lifetime = milliseconds(time);
             leases.put(++lastLease, new long[] {lifetime, System.currentTimeMillis() + lifetime});
             return Http.Reply.json(OK, Map.of("lease", lastLease, "ttl_time", time));
         }
-        if (path.startsWith("/api/kv-keep/")) {
-            long[] lease = leases.get(Long.parseLong(path.substring("/api/kv-keep/".length())));
+        if (path.startsWith(Names.of("store.keep"))) {
+            long[] lease = leases.get(Long.parseLong(path.substring(Names.of("store.keep").length())));
             if (lease == null) {
                 return Http.Reply.json(404, Map.of());
             }
             lease[1] = System.currentTimeMillis() + lease[0];
             return Http.Reply.json(OK, Map.of("ttl_time", lease[0] + "ms"));
         }
-        if (path.startsWith("/api/kv-lease-end/")) {
-            end(Long.parseLong(path.substring("/api/kv-lease-end/".length())));
+        if (path.startsWith(Names.of("store.end"))) {
+            end(Long.parseLong(path.substring(Names.of("store.end").length())));
             return Http.Reply.json(OK, Map.of());
         }
         return Http.Reply.json(400, Map.of());
--- a/review/rig/Upstream.java
+++ b/review/rig/Upstream.java
@@ -46,29 +46,29 @@
     private Optional<Http.Reply> answer(Http.Message request, Socket connection) throws Exception {
         String path = request.first()[1];
         Map<String, String> headers = new LinkedHashMap<>();
-        headers.put("X-Oleanderturn-Server-Load", running.get() + ",0," + SLOTS);
+        headers.put(Names.of("load"), running.get() + ",0," + SLOTS);
         if (path.equals("/healthz")) {
-            headers.put("X-Oleanderturn-Instance-Id", id);
+            headers.put(Names.of("instance"), id);
             return Optional.of(new Http.Reply(isLeaving ? 503 : 200, headers, new byte[0]));
         }
-        String attempt = request.header("X-Oleanderturn-Attempt-Id");
-        headers.put("X-Oleanderturn-Attempt-Id", attempt);
-        String expected = request.header("X-Oleanderturn-Expected-Instance");
+        String attempt = request.header(Names.of("attempt"));
+        headers.put(Names.of("attempt"), attempt);
+        String expected = request.header(Names.of("expected-instance"));
         if (!expected.isEmpty() && !expected.equals(id)) {
-            headers.put("X-Oleanderturn-Instance-Id", id);
+            headers.put(Names.of("instance"), id);
             record.line("%s turns %s away with 421, it expects %s", id, attempt, expected);
             return Optional.of(new Http.Reply(421, headers, new byte[0]));
         }
         if (running.incrementAndGet() > SLOTS) {
             running.decrementAndGet();
-            headers.put("X-Oleanderturn-Not-Executed", "1");
+            headers.put(Names.of("not-executed"), "1");
             return Optional.of(new Http.Reply(503, headers, new byte[0]));
         }
         try {
             runs.add(new Run(record.now(), attempt, request.first()[0], path));
             record.line("%s runs %s %s %s", id, attempt, request.first()[0], path);
             Thread.sleep(workMilliseconds);
-            headers.put("X-Oleanderturn-Response-Signature", "r." + attempt);
+            headers.put(Names.of("signature"), "r." + attempt);
             return Optional.of(new Http.Reply(200, headers, ("done by " + id).getBytes(StandardCharsets.UTF_8)));
         } finally {
             running.decrementAndGet();
@@ -97,7 +97,7 @@
 
     /** Sends a heartbeat; returns when it was acknowledged, or empty. */
     Optional<Long> send(String body) {
-        return call("/api/Instances.Heartbeat/" + id, body);
+        return call(Names.of("heartbeat") + id, body);
     }
 
     private Optional<Long> call(String path, String body) {
@@ -122,14 +122,14 @@
     /** Reports that it drains, until that is acknowledged; returns when it was. */
     long drain() {
         isLeaving = true;
-        return untilAcknowledged("/api/Instances.Heartbeat/" + id, heartbeat("draining"));
+        return untilAcknowledged(Names.of("heartbeat") + id, heartbeat("draining"));
     }
 
     /** Deregisters without having reported that it drains; goes on serving. Returns when that was acknowledged. */
     long deregister() {
         isLeaving = true;
         isBeating = false;
-        return untilAcknowledged("/api/Instances.Deregister/" + id, Json.write(Map.of("born", born)));
+        return untilAcknowledged(Names.of("deregister") + id, Json.write(Map.of("born", born)));
     }
 
     private long untilAcknowledged(String path, String body) {
