--- a/review/rig/StoreCut.java
+++ b/review/rig/StoreCut.java
@@ -7,7 +7,6 @@
  */
 final class StoreCut {
     private static final List<String> ZONES = List.of("hobart", "huonville", "launceston", "devonport");
-    private static final int APPLY_MILLISECONDS = 2_000;
     private static final int CUT_MILLISECONDS = 4_900;
     private static final int CHANGE_MILLISECONDS = 300;
 
@@ -52,27 +51,10 @@
             deployment.proxies.forEach(StoreProxy::heal);
         }
         Upstream.pause(2_500);
-        long late = 0;
-        long last = 0;
-        for (Upstream upstream : deployment.upstreams) {
-            for (Upstream.Run run : upstream.runs) {
-                Deployment.Sent sent = deployment.sent.get(run.attempt());
-                boolean isOld = run.path().startsWith("/stock/")
-                        && upstream.service.equals(Deployment.SERVICE)
-                        && sent.milliseconds() > acknowledged + APPLY_MILLISECONDS;
-                boolean reachesStore =
-                        !places.get(deployment.machines.indexOf(sent.machine())).isProxied();
-                if (isOld && reachesStore) {
-                    late++;
-                    last = Math.max(last, sent.milliseconds() - acknowledged);
-                    record.line("late: %s from %s ran at %s", run.attempt(), sent.machine().name(), upstream.id);
-                }
-            }
-        }
-        record.show(
-                "%d requests of machines that reach the store ran at the old service, sent later than %d ms after the"
-                        + " version; the last of them was sent %d ms after it",
-                late, APPLY_MILLISECONDS, last);
-        return late > 0 ? Case.BROKEN : Case.HELD;
+        return VersionCheck.judge(
+                deployment,
+                record,
+                acknowledged,
+                machine -> !places.get(deployment.machines.indexOf(machine)).isProxied());
     }
 }
