End a case with 2 when it fails to run

Cause: an exception of the stand-ins, such as a node that doesn't start, ended the script with 1, the code of a broken rule.

Change: an exception ends a case with 2; case 1 counts by when a request was sent.

--- a/review/rig/Case.java
+++ b/review/rig/Case.java
@@ -19,8 +19,9 @@
         return !"0".equals(System.getenv("TROUBLE"));
     }
 
-    static void run(String[] arguments, List<Deployment.Place> places, Body body) throws Exception {
+    static void run(String[] arguments, List<Deployment.Place> places, Body body) {
         int code = NOT_RUN;
+        // An exception would end the process with the code of a broken rule.
         try (Record record = new Record(Path.of(arguments[0]));
                 Deployment deployment = new Deployment(Path.of(arguments[1]), record, places)) {
             Thread.ofVirtual().start(() -> {
@@ -35,6 +36,9 @@
                 record.show("the nodes did not get ready");
             }
             record.show(code == HELD ? "the rule held" : code == BROKEN ? "the rule was broken" : "the case could not run");
+        } catch (Exception failed) {
+            failed.printStackTrace();
+            code = NOT_RUN;
         }
         System.exit(code);
     }
--- a/review/rig/LateHeartbeats.java
+++ b/review/rig/LateHeartbeats.java
@@ -21,7 +21,7 @@
         deployment.machines.forEach(machine -> deployment.request(machine, 12));
         Upstream.pause(8_000);
         for (int index = 0; index < MACHINES - 1; index++) {
-            int code = restart(deployment.machines.get(index), deployment.upstreams.get(index), record);
+            int code = restart(deployment, index, record);
             if (code != Case.HELD) {
                 return code;
             }
@@ -29,7 +29,9 @@
         return Case.HELD;
     }
 
-    private static int restart(Machine machine, Upstream leaving, Record record) {
+    private static int restart(Deployment deployment, int index, Record record) {
+        Machine machine = deployment.machines.get(index);
+        Upstream leaving = deployment.upstreams.get(index);
         leaving.stopBeating();
         machine.signal("TERM");
         List<String> delayed = new ArrayList<>();
@@ -58,7 +60,7 @@
                 .filter(run -> run.milliseconds() > acknowledged + DRAIN_MILLISECONDS)
                 .toList();
         long counted =
-                late.stream().filter(run -> run.milliseconds() > inTouch).count();
+                late.stream().filter(run -> deployment.sent.get(run.attempt()).milliseconds() > inTouch).count();
         record.show(
                 "%d requests ran at %s later than %d ms after the ack, %d of them when its node was in touch again",
                 late.size(), leaving.id, DRAIN_MILLISECONDS, counted);
