--- a/review/rig/GroupLost.java
+++ b/review/rig/GroupLost.java
@@ -2,7 +2,7 @@
 import java.util.List;
 
 /**
- * Half of the machines lose power at the same moment, the first two of each zone, and come back two seconds later; just after
+ * Half of the machines lose power at the same moment, the first two of each zone, and are started again within two seconds; just after
  * the loss, a new configuration moves a route to another service. Breaks CONFIG if the other machines still send requests to
  * the old service more than two seconds after the store has taken the version.
  */
@@ -10,7 +10,7 @@
     private static final List<String> ZONES = List.of("hobart", "huonville");
     private static final int MACHINES_PER_ZONE = 4;
     private static final int LOST_PER_ZONE = 2;
-    private static final int DARK_MILLISECONDS = 2_000;
+    private static final int DARK_MILLISECONDS = 1_950;
     private static final int CHANGE_MILLISECONDS = 50;
 
     public static void main(String[] arguments) throws Exception {
@@ -41,10 +41,8 @@
         record.show("the store has taken version r9, which moves lookups to another service");
         Upstream.pause(DARK_MILLISECONDS - CHANGE_MILLISECONDS);
         lost.forEach(machine -> machine.signal("KILL"));
-        for (Machine machine : lost) {
-            machine.awaitEnd(DARK_MILLISECONDS);
-            machine.start();
-        }
+        lost.forEach(machine -> machine.awaitEnd(DARK_MILLISECONDS));
+        lost.forEach(Machine::start);
         Upstream.pause(4_000);
         return VersionCheck.judge(deployment, record, acknowledged, machine -> !lost.contains(machine));
     }
--- a/review/rig/LateHeartbeats.java
+++ b/review/rig/LateHeartbeats.java
@@ -48,6 +48,7 @@
         long acknowledged = leaving.deregister();
         record.show("%s deregisters, acknowledged at %d", leaving.id, acknowledged);
         machine.awaitEnd(GRACE_MILLISECONDS);
+        Upstream.pause(Machine.RESTART_MILLISECONDS);
         machine.start();
         machine.awaitReady();
         for (String heartbeat : delayed) {
--- a/review/rig/Machine.java
+++ b/review/rig/Machine.java
@@ -16,7 +16,7 @@
     private static final int NODE_PORT = 7600;
 
     /** How long after its end the platform starts a process again. */
-    private static final int RESTART_MILLISECONDS = 300;
+    static final int RESTART_MILLISECONDS = 300;
 
     private final String name;
     private final String ip;
@@ -114,7 +114,6 @@
             Upstream.pause(20);
         }
         record.show("node %s has ended", name);
-        Upstream.pause(RESTART_MILLISECONDS);
     }
 
     /** Waits until the platform finds the node ready again. */
