Bound what is kept of the store's answers, and how long one takes

Cause: callers saw nothing yet; an operator reported that bytes without end used up a machine's memory. Answers of targets and of other nodes have limits (EndlessResponseTest, EndlessAnswerTest). The store's client had none: it kept a head, a body or informational responses without end, allocated a stated length of 2 GB at once, and the library reads on to find the end of a body that was given up.

Change: each exchange has one limit on its bytes and its whole time, at the connection, after which every read fails.

--- a/store/src/main/java/org/oleanderturn/store/CompleteHeadParser.java
+++ b/store/src/main/java/org/oleanderturn/store/CompleteHeadParser.java
@@ -6,6 +6,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.io.HttpMessageParser;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
@@ -17,7 +18,12 @@
  * <p>Used by one connection; not thread safe.
  */
 final class CompleteHeadParser implements HttpMessageParser<ClassicHttpResponse> {
-    private final DefaultHttpResponseParser parser = new DefaultHttpResponseParser();
+    private final DefaultHttpResponseParser parser;
+
+    /** Returns a parser that rejects heads beyond the limits of the settings. */
+    CompleteHeadParser(Http1Config settings) {
+        parser = new DefaultHttpResponseParser(settings);
+    }
 
     @Override
     public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream input) throws IOException, HttpException {
--- a/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
@@ -19,10 +19,8 @@
 import org.apache.hc.core5.http.NoHttpResponseException;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnectionFactory;
 import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
@@ -40,7 +38,7 @@
  *
  * <p>Invariant: a request is marked as started right before its first byte is written, so that a failure without the mark
  * proves that the store received nothing. After any failure every idle connection is closed, as the others are likely
- * broken too. Thread safe.
+ * broken too. What is kept of a response is bounded, as is the whole time of a call. Thread safe.
  */
 public final class StoreHttpClient implements AutoCloseable {
     private static final String REQUEST_STARTED = "oleanderturn.written";
@@ -53,6 +51,9 @@
 
     private static final Duration DEFAULT_RETRY_AFTER = Duration.ofSeconds(1);
 
+    /** The largest response takes about as long over the slowest link of the users' deployments. */
+    private static final Duration MAXIMUM_TRANSFER = Duration.ofSeconds(20);
+
     private final HttpHost host;
     private final Timeout connectTimeout;
     private final HttpRequester requester;
@@ -74,9 +75,7 @@
                 // The default factory would load all trusted certificates at every start, and no connection uses TLS.
                 .setSslSocketFactory(DisabledTlsSocketFactory.instance())
                 .setHttpProcessor(processor())
-                .setConnectionFactory(DefaultBHttpClientConnectionFactory.builder()
-                        .responseParserFactory(_ -> new CompleteHeadParser())
-                        .build())
+                .setConnectionFactory(socket -> StoreConnection.of(socket, socketTimeout.plus(MAXIMUM_TRANSFER)))
                 .setDefaultMaxPerRoute(settings.maximumConnections())
                 .setMaxTotal(settings.maximumConnections())
                 .create();
@@ -144,7 +143,8 @@
 
     private static StoreResponse readResponse(ClassicHttpResponse response) throws IOException {
         HttpEntity entity = response.getEntity();
-        byte[] body = entity == null ? new byte[0] : EntityUtils.toByteArray(entity);
+        // Not by the stated length, which may be larger than the heap and would be allocated at once.
+        byte[] body = entity == null ? new byte[0] : entity.getContent().readAllBytes();
         Map<String, String> headers = new HashMap<>();
         for (Header header : response.getHeaders()) {
             headers.putIfAbsent(header.getName(), header.getValue());
