Read the store in time whichever nodes are lost, and when a relay no longer reads

Cause: a node took a relay's answer for a supply. Lost relays were found by calls one after the other, and further nodes of a zone waited for more such checks; a relay counted as reading for 5.5 s after its last response. The time was a sum of timeouts over other nodes. Relays watch for 0.9 s at a time, which confirms their version. Why this works: the age of what a node knows is bounded by its own clock, whatever has become of others.

--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -44,7 +44,8 @@
         this.plane = Objects.requireNonNull(plane, "plane is null");
         plane.holder().addPreparation(snapshot -> routes.set(RouteIndex.of(snapshot)));
         ZoneLeadership leadership = ZoneLeadership.of(settings.node(), settings.locality(), directory);
-        this.relayCheck = new RelayCheck(leadership, transport, plane.disseminator());
+        this.relayCheck = new RelayCheck(
+                leadership, transport, plane.disseminator(), this::hasReadStore, this::heldRoutes, clockNanoseconds);
         this.watcher = new OperatorConfigurationWatcher(
                 store,
                 plane.holder(),
@@ -56,8 +57,7 @@
                 clockNanoseconds,
                 pause,
                 random);
-        this.confirmation =
-                new VersionConfirmation(plane.disseminator(), watcher, relayCheck, transport, clockNanoseconds);
+        this.confirmation = new VersionConfirmation(plane.disseminator(), watcher, relayCheck, clockNanoseconds);
     }
 
     // -- queries
@@ -86,6 +86,14 @@
         return confirmation.age();
     }
 
+    private int heldRoutes() {
+        return plane.holder().held().configuration().routes().size();
+    }
+
+    private boolean hasReadStore() {
+        return watcher.confirmation().isPresent();
+    }
+
     /** Answers a node that asks this one as the relay of its zone. */
     ControlMessage answer(ControlMessage.AskRelay question) {
         return new ControlMessage.RelayAnswer(confirmation.report(question.isConfirmationNeeded()));
--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -38,14 +38,20 @@
 final class OperatorConfigurationWatcher {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
-    /** A dead connection is noticed by its keep-alive probes, and after this at the latest. */
-    private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(4);
+    /**
+     * How long a watch waits. A watch that ends without a new version confirms the one before, which other nodes trust for
+     * {@link RelayCheck#SUPPLY_VALIDITY}, so this and the time between two checks have to be shorter.
+     */
+    private static final Duration WATCH_TIMEOUT = Duration.ofMillis(900);
+
+    /** A version that came this long after its watch was sent is confirmed at once, as it is dated back to then. */
+    private static final Duration LATE_VERSION = Duration.ofMillis(200);
 
     /** Delay after a read, so that versions in quick succession cost one call instead of one each. */
     private static final long READ_DELAY_MILLISECONDS = 300;
 
-    /** The same after a second version within {@link #QUICK_SUCCESSION}; a version has two seconds to be in force. */
-    private static final long LONG_READ_DELAY_MILLISECONDS = 700;
+    /** The same after a second version within {@link #QUICK_SUCCESSION}. */
+    private static final long LONG_READ_DELAY_MILLISECONDS = 500;
 
     private static final Duration QUICK_SUCCESSION = Duration.ofSeconds(1);
 
@@ -67,16 +73,25 @@
     /** How long a node that has just started looks for the relay of its zone before it takes itself for it. */
     private static final Duration SEARCH_TIME = Duration.ofSeconds(4);
 
-    /** How often a node that receives configurations from a relay checks whether it has become the relay itself. */
-    private static final long ROLE_CHECK_DELAY_MILLISECONDS = 100;
+    /** How often a node that receives configurations from a relay checks whether it has to read the store itself. */
+    private static final long ROLE_CHECK_DELAY_MILLISECONDS = 50;
 
     /** Backoff after failed calls is short, because a change has to be active within two seconds. */
     private static final Duration MINIMUM_BACKOFF = Duration.ofMillis(100);
 
     private static final Duration MAXIMUM_BACKOFF = Duration.ofMillis(600);
 
-    /** How long after a response of the store this node still counts as reading it: a watch, a pause and some more. */
-    private static final Duration READING_PERIOD = Duration.ofMillis(5_500);
+    /**
+     * How long after a response of the store this node still counts as reading it: a watch and its way. Other nodes trust that
+     * for a moment, so that it adds to the time after which they read the store themselves.
+     */
+    private static final Duration READING_PERIOD = WATCH_TIMEOUT.plusMillis(150);
+
+    /** How long after a response the store is asked for a confirmation; the answer may be waited for in vain after that. */
+    private static final Duration CONFIRMABLE_PERIOD = Duration.ofMillis(5_500);
+
+    /** How long a response may take to arrive and be adopted while this node counts as reading. */
+    private static final Duration LONGEST_RECEPTION = Duration.ofSeconds(2);
 
     /**
      * A version that was the newest in the store at a time; the revision is {@link StoredValue#ABSENT} when another node read
@@ -107,10 +122,13 @@
     private final AtomicReference<OptionalLong> confirmingSince = new AtomicReference<>(OptionalLong.empty());
     private final long createdNanoseconds;
     private volatile long lastResponseNanoseconds;
+    private volatile boolean isReceiving;
     private volatile boolean hasRead;
     private long seenRevision = StoredValue.ABSENT;
     private final AtomicLong firstPeer = new AtomicLong(NO_PEER_YET);
     private long lastVersionNanoseconds;
+    private Duration nextWait = WATCH_TIMEOUT;
+    private boolean isReader;
     private int failures;
 
     OperatorConfigurationWatcher(
@@ -160,11 +178,16 @@
 
     /** Returns whether this node reads the store and understands what it reads, so that it has a new version soon. */
     boolean isReading() {
+        return hasResponseWithin(isReceiving ? LONGEST_RECEPTION : READING_PERIOD);
+    }
+
+    /** Returns whether the last response of the store is recent, was understood and was followed by no failure. */
+    private boolean hasResponseWithin(Duration period) {
         return hasRead
                 && failure.get().isEmpty()
                 && unreadable().isEmpty()
                 && !isConfirmationOverdue()
-                && clockNanoseconds.getAsLong() - lastResponseNanoseconds < READING_PERIOD.toNanos();
+                && clockNanoseconds.getAsLong() - lastResponseNanoseconds < period.toNanos();
     }
 
     /** Returns whether the store takes unusually long to confirm a version; it may be silent to this node only. */
@@ -183,7 +206,11 @@
             // too.
             return read();
         }
-        boolean isReader = !isSearchingRelay() && (role.isRelay(0) || !isSupplied.getAsBoolean());
+        boolean isNowReader = !isSearchingRelay() && (role.isRelay(0) || !isSupplied.getAsBoolean());
+        if (isNowReader != isReader) {
+            isReader = isNowReader;
+            log.atInfo().log("reads configurations from the platform store itself: %s", isReader);
+        }
         return isReader ? read() : ROLE_CHECK_DELAY_MILLISECONDS;
     }
 
@@ -203,7 +230,7 @@
     /** Asks the store whether the version held is still the newest, or waits until another thread has asked. */
     void confirm() {
         Optional<Confirmation> last = confirmation.get();
-        if (last.isEmpty() || !isReading()) {
+        if (last.isEmpty() || !hasResponseWithin(CONFIRMABLE_PERIOD)) {
             return;
         }
         long sent = clockNanoseconds.getAsLong();
@@ -235,10 +262,26 @@
         }
     }
 
+    /** Reads once; ends the reception also when an error leaves the read. */
     private long read() {
+        try {
+            return readOnce();
+        } finally {
+            isReceiving = false;
+        }
+    }
+
+    private void beginReception() {
+        lastResponseNanoseconds = clockNanoseconds.getAsLong();
+        isReceiving = true;
+    }
+
+    private long readOnce() {
         long sent = clockNanoseconds.getAsLong();
+        Duration wait = nextWait;
+        nextWait = WATCH_TIMEOUT;
         Either<StoreFailure, Optional<StoredValue>> read = hasRead
-                ? store.watch(OperatorConfiguration.KEY, seenRevision, WATCH_TIMEOUT)
+                ? store.watch(OperatorConfiguration.KEY, seenRevision, wait, this::beginReception)
                 : store.get(OperatorConfiguration.KEY);
         if (read.isLeft()) {
             recordFailure(read.getLeft());
@@ -254,16 +297,26 @@
         holder.record(new VersionEvent.StoreRead());
         if (read.get().isPresent()) {
             observe(read.get().get(), sent);
-            return delayAfterVersion();
-        }
-        if (clockNanoseconds.getAsLong() - sent >= WATCH_TIMEOUT.toNanos()) {
-            // Dated back to the request, as the answer may have taken long on its way.
-            confirmation.get().ifPresent(last -> confirmUnchanged(last, sent));
+            boolean isLate = lastResponseNanoseconds - sent > LATE_VERSION.toNanos();
+            lastResponseNanoseconds = clockNanoseconds.getAsLong();
+            if (isLate) {
+                confirm();
+            }
+            long delay = delayAfterVersion();
+            // So that a version is confirmed as soon as it is by the other watches.
+            nextWait = WATCH_TIMEOUT.minus(LATE_VERSION).minusMillis(delay);
+            return delay;
         }
         if (holder.version().equals(ConfigurationVersion.none())) {
             readinessGate.observeHead(ConfigurationVersion.none());
         }
-        return READ_DELAY_MILLISECONDS;
+        if (lastResponseNanoseconds - sent < wait.toNanos()) {
+            // Something but a new version ended the watch.
+            return READ_DELAY_MILLISECONDS;
+        }
+        // The store has waited that long, while the answer may have taken longer on its way.
+        confirmation.get().ifPresent(last -> confirmUnchanged(last, sent + wait.toNanos()));
+        return 0;
     }
 
     private void recordFailure(StoreFailure cause) {
--- a/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
@@ -1,13 +1,11 @@
 package org.oleanderturn.node;
 
-import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.oleanderturn.distribution.Disseminator;
@@ -16,7 +14,6 @@
 import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.node.OperatorConfigurationWatcher.Confirmation;
-import org.oleanderturn.store.StoredValue;
 
 /**
  * Confirms that a version is the newest in force: by what this node itself reads from the platform's store, or by the word of
@@ -38,22 +35,18 @@
     private final Disseminator disseminator;
     private final OperatorConfigurationWatcher watcher;
     private final RelayCheck relayCheck;
-    private final RelayTransport transport;
     private final LongSupplier clockNanoseconds;
     private final Semaphore permits = new Semaphore(MAXIMUM_CALLS);
-    private final AtomicReference<Optional<Confirmation>> fromRelay = new AtomicReference<>(Optional.empty());
     private volatile long notBeforeNanoseconds;
 
     VersionConfirmation(
             Disseminator disseminator,
             OperatorConfigurationWatcher watcher,
             RelayCheck relayCheck,
-            RelayTransport transport,
             LongSupplier clockNanoseconds) {
         this.disseminator = Objects.requireNonNull(disseminator, "disseminator is null");
         this.watcher = Objects.requireNonNull(watcher, "watcher is null");
         this.relayCheck = Objects.requireNonNull(relayCheck, "relayCheck is null");
-        this.transport = Objects.requireNonNull(transport, "transport is null");
         this.clockNanoseconds = Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
         this.notBeforeNanoseconds = clockNanoseconds.getAsLong();
     }
@@ -92,14 +85,14 @@
     /** Returns how long ago a version was last confirmed as the newest; empty before the first time. */
     Optional<Duration> age() {
         long now = clockNanoseconds.getAsLong();
-        return Stream.of(watcher.confirmation(), fromRelay.get())
+        return Stream.of(watcher.confirmation(), relayCheck.confirmation())
                 .flatMap(Optional::stream)
                 .map(confirmed -> Duration.ofNanos(now - confirmed.nanoseconds()))
                 .min(Comparator.naturalOrder());
     }
 
     private Optional<Confirmation> confirmation() {
-        return recent(watcher.confirmation()).or(() -> recent(fromRelay.get()));
+        return recent(watcher.confirmation()).or(() -> recent(relayCheck.confirmation()));
     }
 
     private Optional<Confirmation> recent(Optional<Confirmation> confirmation) {
@@ -119,28 +112,11 @@
             return;
         }
         try {
-            if (!confirmByRelay(relay.get())) {
+            if (!relayCheck.confirm(relay.get())) {
                 notBeforeNanoseconds = clockNanoseconds.getAsLong() + PAUSE_AFTER_FAILURE.toNanos();
             }
         } finally {
             permits.release();
         }
     }
-
-    private boolean confirmByRelay(Peer relay) {
-        long asked = clockNanoseconds.getAsLong();
-        Either<ControlFailure, RelayReport> report = transport.askRelay(relay.address(), true);
-        if (report.isLeft()) {
-            return false;
-        }
-        disseminator.recordAdvertisedVersion(relay.address(), report.get().held());
-        Optional<Long> age = report.get().confirmationAgeMilliseconds();
-        age.ifPresent(milliseconds -> record(report.get().held(), asked - TimeUnit.MILLISECONDS.toNanos(milliseconds)));
-        return age.isPresent();
-    }
-
-    private void record(ConfigurationVersion version, long nanoseconds) {
-        fromRelay.updateAndGet(before -> before.filter(known -> known.nanoseconds() - nanoseconds > 0)
-                .or(() -> Optional.of(new Confirmation(version, StoredValue.ABSENT, nanoseconds))));
-    }
 }
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationHost.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationHost.java
@@ -51,6 +51,7 @@
     private Optional<ConfigurationNode> node = Optional.empty();
     private int life;
     private boolean isStopping;
+    private boolean isDark;
     private long disturbedNanoseconds;
 
     ConfigurationHost(
@@ -95,6 +96,11 @@
         return node.isPresent();
     }
 
+    /** Returns whether the machine has no power, so that nothing refuses connections to it. */
+    boolean isDark() {
+        return isDark;
+    }
+
     /** Returns whether the node runs and nothing has disturbed it since the given moment. */
     boolean isUndisturbedSince(long nanoseconds) {
         return node.isPresent() && !isStopping && disturbedNanoseconds <= nanoseconds;
@@ -110,6 +116,7 @@
         if (node.isEmpty()) {
             life++;
             isStopping = false;
+            isDark = false;
             disturb();
             node = Optional.of(new ConfigurationNode(fleet, this));
             node.get().start();
@@ -132,6 +139,14 @@
         }
     }
 
+    /** Ends the node; what is sent to it gets no answer until it is started again, and membership notices nothing. */
+    void losePower() {
+        node.orElseThrow().life().end();
+        node = Optional.empty();
+        isDark = true;
+        disturb();
+    }
+
     /** Records that the node or something it needs is disturbed. */
     void disturb() {
         disturbedNanoseconds = fleet.time().nanoseconds();
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
@@ -109,6 +109,7 @@
     private long seenRevision = UNKNOWN_POSITION;
     private long watchedFrom = UNKNOWN_POSITION;
     private long lastConfirmed = UNKNOWN_POSITION;
+    private Runnable onFirstPart = () -> {};
 
     ConfigurationStore(ConfigurationFleet fleet, ConfigurationHost host) {
         this.fleet = fleet;
@@ -135,6 +136,21 @@
     /** Reads the key before the first watch and after a failed one, as the product's client does. */
     @Override
     public Either<StoreFailure, Optional<StoredValue>> watch(String key, long knownRevision, Duration wait) {
+        return watch(key, knownRevision, wait, () -> {});
+    }
+
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> watch(
+            String key, long knownRevision, Duration wait, Runnable onResponse) {
+        onFirstPart = onResponse;
+        try {
+            return watchNow(key, knownRevision, wait);
+        } finally {
+            onFirstPart = () -> {};
+        }
+    }
+
+    private Either<StoreFailure, Optional<StoredValue>> watchNow(String key, long knownRevision, Duration wait) {
         if (seenRevision != knownRevision || watchedFrom == UNKNOWN_POSITION) {
             return call(OptionalLong.empty(), Duration.ZERO).map(events -> {
                 confirm(events.isEmpty() ? StoredValue.ABSENT : events.getLast().revision(), content.revision());
@@ -204,6 +220,9 @@
             hasTimedOut[0] = true;
             return Either.left(new StoreFailure.Undetermined("timed out"));
         }
+        if (after.isPresent() && after.getAsLong() != Long.MAX_VALUE) {
+            onFirstPart.run();
+        }
         var _ = complete.await(WATCH_TIMEOUT);
         if (answer.get().isRight()) {
             host.parse(answer.get().get().bytes());
--- a/store/src/main/java/org/oleanderturn/store/RateLimitedStore.java
+++ b/store/src/main/java/org/oleanderturn/store/RateLimitedStore.java
@@ -84,6 +84,12 @@
         return limited(StoreOperation.WATCH, () -> store.watch(key, knownRevision, wait));
     }
 
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> watch(
+            String key, long knownRevision, Duration wait, Runnable onResponse) {
+        return limited(StoreOperation.WATCH, () -> store.watch(key, knownRevision, wait, onResponse));
+    }
+
     // -- commands
 
     @Override
--- a/store/src/main/java/org/oleanderturn/store/Store.java
+++ b/store/src/main/java/org/oleanderturn/store/Store.java
@@ -48,6 +48,19 @@
      */
     Either<StoreFailure, Optional<StoredValue>> watch(String key, long knownRevision, Duration wait);
 
+    /**
+     * Waits as {@link #watch(String, long, Duration)} does.
+     *
+     * @param onResponse is run when the head of the response has arrived, which may be long before a large value has; also
+     *     where the response turns out to be a failure
+     */
+    default Either<StoreFailure, Optional<StoredValue>> watch(
+            String key, long knownRevision, Duration wait, Runnable onResponse) {
+        Either<StoreFailure, Optional<StoredValue>> response = watch(key, knownRevision, wait);
+        onResponse.run();
+        return response;
+    }
+
     // -- commands
 
     /**
--- a/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreHttpClient.java
@@ -108,15 +108,18 @@
      * @param isRetryable whether to send the request once more, on a new connection, when the store closed the first one
      *     without a response, as it does with idle connections
      */
-    private Either<StoreFailure, StoreResponse> exchange(ClassicHttpRequest request, boolean isRetryable) {
+    private Either<StoreFailure, StoreResponse> exchange(
+            ClassicHttpRequest request, boolean isRetryable, Runnable onResponse) {
         HttpCoreContext context = HttpCoreContext.create();
         try {
-            StoreResponse storeResponse =
-                    requester.execute(host, request, connectTimeout, context, StoreHttpClient::readResponse);
+            StoreResponse storeResponse = requester.execute(host, request, connectTimeout, context, response -> {
+                onResponse.run();
+                return readResponse(response);
+            });
             return Either.right(storeResponse);
         } catch (NoHttpResponseException cause) {
             requester.closeIdle(TimeValue.ZERO_MILLISECONDS);
-            return isRetryable ? exchange(request, false) : Either.left(failure(context, cause));
+            return isRetryable ? exchange(request, false, onResponse) : Either.left(failure(context, cause));
         } catch (IOException | HttpException | IllegalStateException cause) {
             requester.closeIdle(TimeValue.ZERO_MILLISECONDS);
             return Either.left(failure(context, cause));
@@ -130,9 +133,19 @@
 
     /** Sends a request and reads the complete response; a GET may be sent twice, as it changes nothing. */
     public Either<StoreFailure, StoreResponse> call(Method method, String path, Optional<byte[]> body) {
+        return call(method, path, body, () -> {});
+    }
+
+    /**
+     * Sends a request as {@link #call(Method, String, Optional)} does.
+     *
+     * @param onResponse is run when the head of the response has arrived
+     */
+    public Either<StoreFailure, StoreResponse> call(
+            Method method, String path, Optional<byte[]> body, Runnable onResponse) {
         BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
         body.ifPresent(bytes -> request.setEntity(new ByteArrayEntity(bytes, ContentType.APPLICATION_JSON)));
-        return exchange(request, method == Method.GET);
+        return exchange(request, method == Method.GET, onResponse);
     }
 
     private static StoreFailure failure(HttpCoreContext context, Exception cause) {
