--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetCall.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetCall.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.OptionalLong;
+import org.oleanderturn.model.Address;
 
 /**
  * A call of a target to its node.
@@ -9,11 +10,16 @@
  * <p>Immutable and thread safe.
  */
 public sealed interface TargetCall {
-    /** The periodic report of a target. */
-    record Heartbeat(TargetReport report) implements TargetCall {
+    /**
+     * The periodic report of a target.
+     *
+     * @param address where the target listens
+     */
+    record Heartbeat(Address address, TargetReport report) implements TargetCall {
 
-        /** Throws a {@link NullPointerException} when the report is null. */
+        /** Throws a {@link NullPointerException} when a component is null. */
         public Heartbeat {
+            Objects.requireNonNull(address, "address is null");
             Objects.requireNonNull(report, "report is null");
         }
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetCallHandler.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetCallHandler.java
@@ -46,8 +46,12 @@
     public Response handle(InboundRequest request) throws IOException {
         return switch (adapter.targetCall(request)) {
             case TargetCall.Heartbeat heartbeat -> {
-                if (!isPossiblyStale(heartbeat.report())) {
-                    target.applyReport(heartbeat.report());
+                if (!heartbeat.address().equals(healthCheck.address())) {
+                    yield refuse("heartbeat of a target at " + heartbeat.address());
+                }
+                TargetReport report = heartbeat.report();
+                if (!isPossiblyStale(report) && !isOfAnotherTarget(report)) {
+                    target.applyReport(report);
                 }
                 yield response(OK);
             }
@@ -55,14 +59,33 @@
                 target.deregister(deregistration);
                 yield response(OK);
             }
-            case TargetCall.Malformed malformed -> {
-                log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-                        "malformed call of the target: %s", malformed.reason());
-                yield response(HttpStatuses.BAD_REQUEST);
-            }
+            case TargetCall.Malformed malformed -> refuse(malformed.reason());
         };
     }
 
+    private static Response refuse(String reason) {
+        log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("malformed call of the target: %s", reason);
+        return response(HttpStatuses.BAD_REQUEST);
+    }
+
+    /**
+     * Returns whether a report names another process than the one that reported last, although that one's instance responds
+     * at the target's address. Only a change of the process costs a health check.
+     */
+    private boolean isOfAnotherTarget(TargetReport report) {
+        boolean isSameInstance = target.status()
+                .report()
+                .map(known -> known.start().instance().equals(report.start().instance()))
+                .orElse(true);
+        if (isSameInstance || !healthCheck.isOtherInstance(report.start())) {
+            return false;
+        }
+        log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+                "report %s of target %s ignored, as another instance responds at its address",
+                report.sequence(), report.start());
+        return true;
+    }
+
     /**
      * Returns whether a report may be a delayed one, sent before the target deregistered at an earlier process of this node.
      * A target that keeps reporting is accepted, even if its health check fails.
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetHealthCheck.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetHealthCheck.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Cancellation;
@@ -43,16 +44,31 @@
         return new TargetHealthCheck(address, client, adapter);
     }
 
+    /** Returns where the local target listens. */
+    Address address() {
+        return address;
+    }
+
     /** Returns whether the instance with the given start responds, is healthy and is not leaving; blocks. */
     public boolean isAcceptingRequests(TargetStart start) {
+        return ask().exists(received -> HttpStatuses.isSuccess(received.status())
+                && instance(received).filter(start.instance()::equals).isPresent());
+    }
+
+    /** Returns whether an instance other than that with the given start responds at the target's address; blocks. */
+    boolean isOtherInstance(TargetStart start) {
+        return ask().exists(received -> instance(received)
+                .filter(found -> !found.equals(start.instance()))
+                .isPresent());
+    }
+
+    private Optional<String> instance(BufferedResponse response) {
+        return adapter.responseMetadata(response.headers()).instance();
+    }
+
+    private Either<UpstreamFailure, BufferedResponse> ask() {
         OutboundRequest request = new OutboundRequest(
                 "GET", adapter.healthPath(), List.of(), new byte[0], SendPolicy.POOLED, TIMEOUT, TIMEOUT);
-        Either<UpstreamFailure, BufferedResponse> response =
-                client.exchange(address, request, ResponseMatcher.framed(), BODY_LIMIT_BYTES, Cancellation.create());
-        return response.exists(received -> HttpStatuses.isSuccess(received.status())
-                && adapter.responseMetadata(received.headers())
-                        .instance()
-                        .filter(start.instance()::equals)
-                        .isPresent());
+        return client.exchange(address, request, ResponseMatcher.framed(), BODY_LIMIT_BYTES, Cancellation.create());
     }
 }
--- a/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.HeaderField;
@@ -136,11 +137,45 @@
         assertThat(localTarget.activeStart()).isEqualTo(Optional.of(START));
     }
 
+    /** Another writer's heartbeat must not take the target out of use, nor hide that it leaves. */
+    @Test
+    void shouldIgnoreAReportOfAnotherTargetWhileTheTargetResponds() throws IOException {
+        healthResponse.set(healthResponse(200, "i-1"));
+        report(5);
+        call.set(heartbeat(target.address(), new TargetStart("forged", 2_000), 1));
+        assertThat(handler.handle(FakeRequest.of("/")).status()).isEqualTo(200);
+        assertThat(localTarget.activeStart()).isEqualTo(Optional.of(START));
+    }
+
+    @Test
+    void shouldFollowTheNextProcessWhenItIsAnotherInstance() throws IOException {
+        healthResponse.set(healthResponse(200, "i-1"));
+        report(5);
+        TargetStart next = new TargetStart("i-2", 2_000);
+        healthResponse.set(healthResponse(200, "i-2"));
+        call.set(heartbeat(target.address(), next, 1));
+        assertThat(handler.handle(FakeRequest.of("/")).status()).isEqualTo(200);
+        assertThat(localTarget.activeStart()).isEqualTo(Optional.of(next));
+    }
+
+    @Test
+    void shouldRefuseAReportWhenItNamesAnotherAddress() throws IOException {
+        healthResponse.set(healthResponse(200, "i-1"));
+        report(5);
+        call.set(heartbeat(Address.of("127.0.0.1", 1), new TargetStart("i-1", 2_000), 6));
+        assertThat(handler.handle(FakeRequest.of("/")).status()).isEqualTo(400);
+        assertThat(localTarget.activeStart()).isEqualTo(Optional.of(START));
+    }
+
     private void report(long sequence) throws IOException {
-        call.set(new TargetCall.Heartbeat(new TargetReport(START, sequence, SERVICE, 9, false)));
+        call.set(heartbeat(target.address(), START, sequence));
         assertThat(handler.handle(FakeRequest.of("/")).status()).isEqualTo(200);
     }
 
+    private static TargetCall heartbeat(Address address, TargetStart start, long sequence) {
+        return new TargetCall.Heartbeat(address, new TargetReport(start, sequence, SERVICE, 9, false));
+    }
+
     private static Response healthResponse(int status, String instance) {
         return Response.text(status, "text/plain", "x").withHeader("Instance", instance);
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshWarmup.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshWarmup.java
@@ -137,7 +137,7 @@
                 DataPlaneRuntime.ofProcess());
         planes.add(plane);
         return listen(plane.targetCallHandler())
-                .peek(this::sendHeartbeat)
+                .peek(targetCalls -> sendHeartbeat(target, targetCalls))
                 .flatMap(_ -> listen(plane.guard()))
                 .peek(guard -> endpoints.add(new Endpoint(
                         NodeId.of(NAME), guard, settings.locality(), SERVICE.name(), SLOTS, EndpointState.READY, 1)))
@@ -182,9 +182,9 @@
         return answered;
     }
 
-    private void sendHeartbeat(Address targetCalls) {
-        isAnswered(
-                targetCalls, "POST", RehearsalMessages.heartbeatPath(), List.of(), RehearsalMessages.heartbeatBody());
+    private void sendHeartbeat(Address target, Address targetCalls) {
+        byte[] body = RehearsalMessages.heartbeatBody(target);
+        isAnswered(targetCalls, "POST", RehearsalMessages.heartbeatPath(), List.of(), body);
     }
 
     private boolean isAnswered(Address address, String method, String path, List<HeaderField> headers, byte[] body) {
--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -125,7 +125,7 @@
                 "POST",
                 RehearsalMessages.heartbeatPath(),
                 List.of(),
-                RehearsalMessages.heartbeatBody(),
+                RehearsalMessages.heartbeatBody(settings.target().address()),
                 SendPolicy.POOLED,
                 REQUEST_TIMEOUT,
                 REQUEST_TIMEOUT);
--- a/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
@@ -11,6 +11,7 @@
 import java.util.logging.Logger;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.mesh.RouteIndex;
+import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
@@ -90,6 +91,11 @@
         return settings.node();
     }
 
+    /** Returns where the host's target listens. */
+    Address targetAddress() {
+        return settings.target().address();
+    }
+
     SimulatedTarget target() {
         return target;
     }
--- a/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
@@ -254,7 +254,8 @@
     private void beat() {
         if (isUp) {
             sequence++;
-            byte[] body = FakeTargetMessages.heartbeat(SimulatedFleet.SERVICE, slots, bornMilliseconds, sequence);
+            byte[] body = FakeTargetMessages.heartbeat(
+                    host.targetAddress(), SimulatedFleet.SERVICE, slots, bornMilliseconds, sequence);
             host.handleTargetCall(
                     new SimulatedRequest("POST", FakeTargetMessages.heartbeatPath(instance), List.of(), body));
         }
