--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.oleanderturn.model.NodeId;
@@ -38,11 +39,15 @@
     /** When a client may retry at a node whose memory for bodies is used up; most requests end within this time. */
     private static final Duration MEMORY_RETRY_AFTER = Duration.ofMillis(300);
 
+    /** When a client may retry at another node, as this one stops. */
+    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(100);
+
     private final Supplier<RouteIndex> routes;
     private final BooleanSupplier isReady;
     private final VersionCheck versionCheck;
     private final ProtocolAdapter adapter;
     private final MeshEntryDependencies dependencies;
+    private final AtomicReference<Optional<EntryStop>> stop = new AtomicReference<>(Optional.empty());
     private final ClientWaitEstimator waitEstimator = ClientWaitEstimator.create();
     private final TrafficSplitter splitter = TrafficSplitter.create();
     private final ConcurrentHashMap<NodeId, Set<Cancellation>> cancellationsByNode = new ConcurrentHashMap<>();
@@ -100,6 +105,10 @@
         if (!isServing || index.isEmpty()) {
             return responses.notRun("NOT_READY", 0, NOT_READY_RETRY_AFTER);
         }
+        long read = dependencies.clockNanoseconds().getAsLong();
+        if (stop.get().filter(announced -> announced.isTooLate(read)).isPresent()) {
+            return responses.notRun("STOPPING", 0, STOPPING_RETRY_AFTER);
+        }
         if (body.isLeft()) {
             return body.getLeft() == UpstreamFailure.Limit.MEMORY
                     ? responses.notRun("MEMORY_FULL", 0, MEMORY_RETRY_AFTER)
@@ -143,6 +152,11 @@
         };
     }
 
+    /** Takes no requests that come too late for the end of the node, and lets the others end before it. */
+    public void stop(EntryStop announced) {
+        stop.set(Optional.of(announced));
+    }
+
     /** Cancels the attempts that wait for a node, after it became unreachable. */
     public void cancelAttempts(NodeId node) {
         Set<Cancellation> cancellations = cancellationsByNode.remove(node);
@@ -161,6 +175,7 @@
         Duration timeout = Duration.ofMillis(match.policy().timeoutMilliseconds());
         Duration limit =
                 client.timeout().filter(stated -> stated.compareTo(timeout) < 0).orElse(timeout);
+        long deadlineNanoseconds = receivedNanoseconds + limit.toNanos();
         ServiceName service = splitter.chooseService(match.route());
         Duration earlierWait = client.timeout()
                 .map(stated -> waitEstimator.estimateWait(match.route().name(), stated))
@@ -176,7 +191,9 @@
                 service,
                 index.snapshot().version(),
                 receivedNanoseconds,
-                receivedNanoseconds + limit.toNanos(),
+                stop.get()
+                        .map(announced -> announced.limit(deadlineNanoseconds))
+                        .orElse(deadlineNanoseconds),
                 earlierWait,
                 request.bodyReservation());
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -18,7 +18,7 @@
  * @param service the service chosen from the route's traffic split
  * @param version the version of the configuration that the route comes from
  * @param receivedNanoseconds when the request arrived
- * @param deadlineNanoseconds when the client's or the route's timeout ends, whichever is first
+ * @param deadlineNanoseconds when the client's or the route's timeout ends, or the entry stops, whichever is first
  * @param earlierWait how long the client spent on earlier attempts
  * @param bodies what the responses of all attempts are reserved from
  */
--- a/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
@@ -8,11 +8,13 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.proxy.HeaderField;
+import org.oleanderturn.proxy.ProxyHeaders;
 import org.oleanderturn.proxy.Response;
 
 final class MeshEntryTest {
@@ -133,6 +135,36 @@
         replyAllowed.countDown();
     }
 
+    /** A request that is taken late in a stop would be cut, without an answer, at its end. */
+    @Test
+    void shouldRejectARequestThatComesTooLateWhileTheNodeStops() throws IOException {
+        fixture.addGuard(EntryFixture.ran(200, "late"));
+        MeshEntry entry = fixture.entry(RequestKind.SINGLE, 1, new FakeProtocolAdapter(Optional.empty()));
+        long now = System.nanoTime();
+        entry.stop(EntryStop.between(
+                now - Duration.ofMinutes(2).toNanos(),
+                now + Duration.ofMinutes(2).toNanos()));
+        Response response = entry.handle(FakeRequest.of("/a/x"));
+        assertThat(response.status()).isEqualTo(503);
+        assertThat(HeaderField.find(response.headers(), "Retry-After").isPresent())
+                .isTrue();
+        assertThat(fixture.requestCount(0)).isEqualTo(0);
+    }
+
+    @Test
+    void shouldGiveARequestOnlyTheTimeUntilTheNodeStops() throws IOException {
+        AtomicReference<String> given = new AtomicReference<>("");
+        fixture.addGuard(request -> {
+            given.set(request.header(ProxyHeaders.DEADLINE).orElse(""));
+            return GuardReplyCodec.encode(EntryFixture.ran(200, "in time"), EntryFixture.IDLE, Optional.empty());
+        });
+        MeshEntry entry = fixture.entry(RequestKind.SINGLE, 1, new FakeProtocolAdapter(Optional.empty()));
+        long now = System.nanoTime();
+        entry.stop(EntryStop.between(now, now + Duration.ofMillis(1_500).toNanos()));
+        assertThat(entry.handle(FakeRequest.of("/a/x")).status()).isEqualTo(200);
+        assertThat(Integer.parseInt(given.get())).isLessThan(1_301);
+    }
+
     @Test
     void shouldCancelTheRequestWhenTheClientDisconnects() throws Exception {
         CountDownLatch requestArrived = new CountDownLatch(1);
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.oleanderturn.mesh.CrashMonitor;
 import org.oleanderturn.mesh.DecisionLog;
+import org.oleanderturn.mesh.EntryStop;
 import org.oleanderturn.mesh.GuardClient;
 import org.oleanderturn.mesh.LocalTarget;
 import org.oleanderturn.mesh.MeshEntry;
@@ -314,8 +315,13 @@
         }
     }
 
-    /** Closes connections after their current response and drains the target, so that new requests go elsewhere. */
-    void beginDrain() {
+    /**
+     * Closes connections after their current response and drains the target, so that new requests go elsewhere.
+     *
+     * @param endNanoseconds when the node ends, as a value of its clock
+     */
+    void beginDrain(long endNanoseconds) {
+        entry.stop(EntryStop.between(runtime.nanoseconds().getAsLong(), endNanoseconds));
         callerListener.disableKeepAlive();
         peerListener.disableKeepAlive();
         target.drain();
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -286,7 +286,7 @@
         long end = System.nanoTime()
                 + mesh.stopTime().duration().minus(SHUTDOWN_RESERVE).toNanos();
         log.atInfo().log("stopping");
-        data.beginDrain();
+        data.beginDrain(end);
         control.gossip().announceState(EndpointState.DRAINING);
         LockSupport.parkNanos(CLIENT_DEPARTURE_DELAY.toNanos());
         boolean isCompleted = data.drain(end);
--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -122,6 +122,11 @@
         return lines;
     }
 
+    /** Returns where a node takes the requests of clients. */
+    Address callerAddress(int host) {
+        return hosts.get(host).settings.listen().caller();
+    }
+
     /** Returns the page of a node's metrics. */
     String metrics(int host) {
         Address address = hosts.get(host).settings.mesh().orElseThrow().metrics();
@@ -160,6 +165,11 @@
         }
     }
 
+    /** Stops a node as a SIGTERM does; blocks until it has ended. */
+    void stopNode(int host) {
+        hosts.get(host).node.orElseThrow().stop();
+    }
+
     /** Ends the node of each host, from now on, whose target runs the given path; not the first, where others join. */
     void endNodesWithTargets(String path) {
         pathThatEndsNodes = path;
