Show a request that is cut at the end of a stop with a head that comes late

Cause: the test sent the head before the signal and only the body late; a request's time counts from its head, so that the case also passed on the code before. Change: one byte of the head comes before the signal, the rest two seconds after it. Measured: on the code before the stop had an end for requests the connection is reset without an answer; on this code it is answered.

--- a/node/src/test/java/org/oleanderturn/node/PlannedStopTest.java
+++ b/node/src/test/java/org/oleanderturn/node/PlannedStopTest.java
@@ -22,7 +22,7 @@
     /** Longer than a node may take to stop. */
     private static final Duration WORK_TIME = Duration.ofSeconds(20);
 
-    /** Within the time in which a stopping node still takes requests. */
+    /** Within the time in which a stopping node takes requests, and less than the route's timeout before its end. */
     private static final Duration DELAY = Duration.ofSeconds(2);
 
     /** Guards against requests that are taken late in a stop, passed on, and cut without an answer at its end. */
@@ -32,12 +32,13 @@
                 Socket client = connect(fleet.callerAddress(0))) {
             fleet.target(0).setWorkTime(WORK_TIME);
             fleet.target(1).setWorkTime(WORK_TIME);
+            byte[] request = request().getBytes(StandardCharsets.US_ASCII);
             OutputStream output = client.getOutputStream();
-            output.write(head().getBytes(StandardCharsets.US_ASCII));
-            output.write('a');
+            // A connection on which a request has begun is not closed as idle.
+            output.write(request, 0, 1);
             Thread stop = Thread.ofPlatform().start(() -> fleet.stopNode(0));
             Thread.sleep(DELAY);
-            output.write('b');
+            output.write(request, 1, request.length - 1);
             String response = new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
             stop.join();
             assertThat(response).startsWith("HTTP/1.1 50");
@@ -51,10 +52,10 @@
         return new Socket(node.host(), node.port());
     }
 
-    private static String head() {
+    private static String request() {
         String headers = FakeOperator.clientHeaders("late", CLIENT_TIMEOUT_MILLISECONDS).stream()
                 .map(header -> header.name() + ": " + header.value() + "\r\n")
                 .collect(Collectors.joining());
-        return "POST " + PATH + " HTTP/1.1\r\n" + headers + "Content-Length: 2\r\n\r\n";
+        return "POST " + PATH + " HTTP/1.1\r\n" + headers + "Content-Length: 2\r\n\r\nab";
     }
 }
