Let simulated targets answer health checks as the platform's do

Cause: the simulated target answered its health path like a request, without its instance id, so that no check ever agreed; nodes opened it after two ignored reports, which they don't do any more, and four fleet tests had no open target. Change: it answers with its id. Measured: AbandonedStage, TargetLimit, Link, TargetLeaving, AbandonedRequest, VersionLines and CrashingRequest fleet tests pass.

--- a/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
@@ -172,8 +172,7 @@
         }
         String attemptId = FakeTargetMessages.attemptId(request.headers());
         if (FakeTargetMessages.isHealthCheck(request.path())) {
-            response.complete(
-                    Either.right(FakeTargetMessages.ran(attemptId, instance, OptionalDouble.empty(), isLeaving)));
+            response.complete(Either.right(FakeTargetMessages.healthy(instance)));
             return;
         }
         boolean isExpected = FakeTargetMessages.expectedInstance(request.headers())
