Add organisations, their keys and limits to the model, and the types that the parts share

A configuration may declare organisations; without them its encoding and digest stay as they were. The guard's metadata, the slot request and the target's headers carry the organisation; nothing sets it yet, so that nothing changes for a deployment. The limiter that an entry asks grants everything for now.

--- a/distribution/src/main/java/org/oleanderturn/distribution/Rebase.java
+++ b/distribution/src/main/java/org/oleanderturn/distribution/Rebase.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.Service;
 import org.oleanderturn.model.TrafficPolicy;
@@ -48,7 +50,17 @@
         proposedObjects.keySet().retainAll(proposedPaths);
         merged.putAll(proposedObjects);
         return Either.right(Configuration.of(
-                ofType(merged, Service.class), ofType(merged, Route.class), ofType(merged, TrafficPolicy.class)));
+                        ofType(merged, Service.class), ofType(merged, Route.class), ofType(merged, TrafficPolicy.class))
+                .withOrganisations(
+                        declaresOrganisations(base, proposed, current)
+                                ? Optional.of(ofType(merged, Organisation.class))
+                                : Optional.empty()));
+    }
+
+    private static boolean declaresOrganisations(Configuration base, Configuration proposed, Configuration current) {
+        boolean isProposed = proposed.organisations().isPresent();
+        boolean isChanged = isProposed != base.organisations().isPresent();
+        return isChanged ? isProposed : current.organisations().isPresent();
     }
 
     private static Map<String, Object> objects(Configuration configuration) {
@@ -56,6 +68,10 @@
         configuration.services().forEach(service -> objects.put("services/" + service.name(), service));
         configuration.routes().forEach(route -> objects.put("routes/" + route.name(), route));
         configuration.trafficPolicies().forEach(policy -> objects.put("trafficPolicies/" + policy.name(), policy));
+        configuration
+                .organisations()
+                .orElse(List.of())
+                .forEach(organisation -> objects.put("organisations/" + organisation.name(), organisation));
         return objects;
     }
 
--- a/distribution/src/test/java/org/oleanderturn/distribution/ConfigurationHolderTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/ConfigurationHolderTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -72,7 +73,8 @@
                 delta.changed(),
                 List.of(),
                 List.of(),
-                List.of());
+                List.of(),
+                Optional.empty());
         holder.adopt(Samples.snapshot(1));
 
         assertThat(holder.adopt(corrupted, PEER)).isInstanceOf(AdoptionResult.Rejected.class);
--- a/distribution/src/test/java/org/oleanderturn/distribution/DisseminationFaultMatrixTest.java
+++ b/distribution/src/test/java/org/oleanderturn/distribution/DisseminationFaultMatrixTest.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Either;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.stream.IntStream;
@@ -128,7 +129,8 @@
                 valid.changed(),
                 valid.removedServices(),
                 valid.removedRoutes(),
-                valid.removedTrafficPolicies());
+                valid.removedTrafficPolicies(),
+                Optional.empty());
 
         assertThat(node.disseminator.receive(topology.firstRelay.address, new ConfigurationUpdate.Delta(corrupted)))
                 .isInstanceOf(PushResponse.Behind.class);
--- a/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
@@ -52,9 +52,18 @@
 
     /** Returns a 503 that says that the request did not run and will not, and when to retry. */
     Response notRun(String reason, int attempts, Duration retryAfter) {
-        logResponse(HttpStatuses.SERVICE_UNAVAILABLE, reason, attempts, Optional.of(retryAfter));
+        return refusedFor(HttpStatuses.SERVICE_UNAVAILABLE, reason, attempts, retryAfter);
+    }
+
+    /** Returns a 429 that says that the request did not run and will not, and when its organisation may send another. */
+    Response overLimit(Duration retryAfter) {
+        return refusedFor(HttpStatuses.TOO_MANY_REQUESTS, "LIMIT_EXCEEDED", 0, retryAfter);
+    }
+
+    private Response refusedFor(int status, String reason, int attempts, Duration retryAfter) {
+        logResponse(status, reason, attempts, Optional.of(retryAfter));
         String seconds = String.format(Locale.ROOT, "%.3f", retryAfter.toMillis() / MILLISECONDS_PER_SECOND);
-        return textResponse(HttpStatuses.SERVICE_UNAVAILABLE, reason).withHeader(ProxyHeaders.RETRY_AFTER, seconds);
+        return textResponse(status, reason).withHeader(ProxyHeaders.RETRY_AFTER, seconds);
     }
 
     /** Returns a refusal of a request that has no route or is too large. */
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -14,6 +14,7 @@
 import java.util.function.BooleanSupplier;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.RouteName;
@@ -292,7 +293,8 @@
                         .conditions()
                         .find(node)
                         .filter(TargetCondition::isBinding)
-                        .map(TargetCondition::headerValue));
+                        .map(TargetCondition::headerValue),
+                request.organisation().map(Organisation::name));
         return new GuardRequest(
                 request.method(),
                 request.path(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardRequestMetadata.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardRequestMetadata.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.oleanderturn.model.Names;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.HeaderField;
@@ -32,6 +33,7 @@
  * @param isRepeat whether an earlier attempt may have reached a target
  * @param suspicion what the entry knows of the request, if targets have ended under it
  * @param condition what the entry knows of the guard's target, as headers state it; empty if it binds nobody
+ * @param organisation the organisation that sent the request; empty for an anonymous one
  */
 record GuardRequestMetadata(
         ServiceName service,
@@ -44,7 +46,8 @@
         int attempt,
         boolean isRepeat,
         Optional<CrashSuspicion> suspicion,
-        Optional<String> condition) {
+        Optional<String> condition,
+        Optional<OrganisationName> organisation) {
 
     GuardRequestMetadata {
         Objects.requireNonNull(service, "service is null");
@@ -55,6 +58,7 @@
         Objects.requireNonNull(elapsed, "elapsed is null");
         Objects.requireNonNull(suspicion, "suspicion is null");
         Objects.requireNonNull(condition, "condition is null");
+        Objects.requireNonNull(organisation, "organisation is null");
     }
 
     /** Decodes the headers of a request; the left side names one of the headers among which one is missing or malformed. */
@@ -89,7 +93,10 @@
                 Math.toIntExact(attempt.getAsLong()),
                 HeaderField.find(headers, ProxyHeaders.REPEAT).isPresent(),
                 HeaderField.find(headers, ProxyHeaders.SUSPICION).flatMap(CrashSuspicion::parse),
-                HeaderField.find(headers, ProxyHeaders.TARGET_CONDITION)));
+                HeaderField.find(headers, ProxyHeaders.TARGET_CONDITION),
+                HeaderField.find(headers, ProxyHeaders.ORGANISATION)
+                        .filter(Names::isWellFormed)
+                        .map(OrganisationName::of)));
     }
 
     /** Returns the metadata after some time, which the request has spent. */
@@ -105,7 +112,8 @@
                 attempt,
                 isRepeat,
                 suspicion,
-                condition);
+                condition,
+                organisation);
     }
 
     /** Encodes the metadata as headers. */
@@ -123,6 +131,7 @@
             headers.add(HeaderField.of(ProxyHeaders.REPEAT, 1));
         }
         condition.ifPresent(known -> headers.add(HeaderField.of(ProxyHeaders.TARGET_CONDITION, known)));
+        organisation.ifPresent(known -> headers.add(HeaderField.of(ProxyHeaders.ORGANISATION, known)));
         suspicion.ifPresent(known -> headers.add(HeaderField.of(ProxyHeaders.SUSPICION, known.headerValue())));
         return headers;
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/HttpStatuses.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/HttpStatuses.java
@@ -3,6 +3,7 @@
 /** The HTTP status codes that the mesh uses or handles specially. */
 final class HttpStatuses {
     static final int BAD_REQUEST = 400;
+    static final int UNAUTHORIZED = 401;
     static final int NOT_FOUND = 404;
     static final int CONTENT_TOO_LARGE = 413;
     static final int REQUEST_TIMEOUT = 408;
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -129,12 +129,29 @@
             return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(request.readDelay()));
         }
         MeshRequest routed = routedRequest(request, client, body.get(), match.get(), index, receivedNanoseconds);
+        Optional<Response> refusal = refusalByLimit(routed, responses);
+        if (refusal.isPresent()) {
+            return refusal.get();
+        }
         EntryDispatch dispatch =
                 new EntryDispatch(routed, request::hasPeerLeft, dependencies, responses, cancellationsByNode);
         request.onPeerDisconnect(dispatch::onClientDisconnect);
         return dispatch.run();
     }
 
+    /** Takes the request from the limit of its organisation; returns the response to a request that is not within it. */
+    private Optional<Response> refusalByLimit(MeshRequest request, ClientResponses responses) {
+        if (request.organisation().isEmpty()) {
+            return Optional.empty();
+        }
+        return switch (dependencies.limiter().tryAcquire(request.organisation().get())) {
+            case LimitDecision.Granted _ -> Optional.empty();
+            case LimitDecision.Exceeded exceeded -> Optional.of(responses.overLimit(exceeded.retryAfter()));
+            case LimitDecision.Undetermined undetermined ->
+                Optional.of(responses.notRun("LIMIT_UNDETERMINED", 0, undetermined.retryAfter()));
+        };
+    }
+
     /** Admits each call of the local target in time: its refusal would waste the run that waits for it. */
     private boolean isAdmitted(InboundRequest request, RouteIndex.Match match) {
         CoreAdmission admission = dependencies.admission();
@@ -195,6 +212,7 @@
                         .map(announced -> announced.limit(deadlineNanoseconds))
                         .orElse(deadlineNanoseconds),
                 earlierWait,
+                Optional.empty(),
                 request.bodyReservation());
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
@@ -33,6 +33,7 @@
  * @param crashMonitor knows the requests under which targets have ended
  * @param repeatShare the share of retries among the runs of the local target, whose calls this entry may serve
  * @param admission decides which requests the node's own core has time for
+ * @param limiter keeps the limits of organisations
  * @param scheduler cancels attempts at their deadline
  * @param clockNanoseconds a clock that never goes back
  * @param random draws the jitter of retry times
@@ -50,6 +51,7 @@
         CrashMonitor crashMonitor,
         RepeatShare repeatShare,
         CoreAdmission admission,
+        RequestLimiter limiter,
         ScheduledExecutorService scheduler,
         DecisionLog decisionLog,
         LongSupplier clockNanoseconds,
@@ -69,6 +71,7 @@
         Objects.requireNonNull(crashMonitor, "crashMonitor is null");
         Objects.requireNonNull(repeatShare, "repeatShare is null");
         Objects.requireNonNull(admission, "admission is null");
+        Objects.requireNonNull(limiter, "limiter is null");
         Objects.requireNonNull(scheduler, "scheduler is null");
         Objects.requireNonNull(decisionLog, "decisionLog is null");
         Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -259,7 +259,8 @@
         Duration expectedRun = latencyRatio.expectedDuration(metadata.targetLatency());
         Duration untilTargetLatency = metadata.targetLatency().minus(metadata.elapsed());
         return SlotRequest.within(
-                metadata.targetLatency(), metadata.rank(), expectedRun, untilTargetLatency, maximumWait);
+                        metadata.targetLatency(), metadata.rank(), expectedRun, untilTargetLatency, maximumWait)
+                .withOrganisation(metadata.organisation());
     }
 
     private SlotDecision awaitSlot(GuardRequest request, SlotTicket ticket, Duration maximumWait) {
@@ -359,7 +360,12 @@
             return new GuardReply.NotRun("DEADLINE", false, Duration.ZERO);
         }
         List<HeaderField> headers = adapter.targetHeaders(
-                request.headers(), request.client(), request.metadata().caller(), remaining, start.instance());
+                request.headers(),
+                request.client(),
+                request.metadata().caller(),
+                request.metadata().organisation(),
+                remaining,
+                start.instance());
         SendPolicy sendPolicy = request.metadata().kind().isOncePerAttempt()
                 ? SendPolicy.RECENT_CONNECTION
                 : SendPolicy.POOLED_UNCHECKED;
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.BodyReservation;
 import org.oleanderturn.proxy.HeaderField;
@@ -20,6 +22,7 @@
  * @param receivedNanoseconds when the request arrived
  * @param deadlineNanoseconds when the client's or the route's timeout ends, or the entry stops, whichever is first
  * @param earlierWait how long the client spent on earlier attempts
+ * @param organisation the organisation that sent the request; empty for an anonymous one
  * @param bodies what the responses of all attempts are reserved from
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -36,6 +39,7 @@
         long receivedNanoseconds,
         long deadlineNanoseconds,
         Duration earlierWait,
+        Optional<Organisation> organisation,
         BodyReservation bodies) {
 
     MeshRequest {
@@ -47,6 +51,7 @@
         Objects.requireNonNull(match, "match is null");
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(version, "version is null");
+        Objects.requireNonNull(organisation, "organisation is null");
         Objects.requireNonNull(bodies, "bodies is null");
         headers = List.copyOf(headers);
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/ProtocolAdapter.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ProtocolAdapter.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.InboundRequest;
@@ -21,6 +23,7 @@
             List<HeaderField> received,
             ClientRequestMetadata client,
             ServiceName caller,
+            Optional<OrganisationName> organisation,
             Duration remaining,
             String instance);
 
--- /dev/null
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RequestLimiter.java
@@ -0,0 +1,15 @@
+package org.oleanderturn.mesh;
+
+import org.oleanderturn.model.Organisation;
+
+/** Keeps the limits on the requests of organisations. Implementations are thread safe. */
+public interface RequestLimiter {
+
+    /** Takes one request from the limit of an organisation; may block for a short time to ask another node. */
+    LimitDecision tryAcquire(Organisation organisation);
+
+    /** Returns a limiter that grants every request. */
+    static RequestLimiter unlimited() {
+        return _ -> new LimitDecision.Granted();
+    }
+}
--- a/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
@@ -145,6 +145,7 @@
                 1,
                 false,
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new GuardRequest(
                 "GET",
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -126,6 +126,7 @@
                         System::nanoTime),
                 RepeatShare.create(),
                 CoreAdmission.of(System::nanoTime, new SplittableRandom(3)),
+                RequestLimiter.unlimited(),
                 scheduler,
                 decisions::add,
                 System::nanoTime,
--- a/mesh/src/test/java/org/oleanderturn/mesh/FakeProtocolAdapter.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeProtocolAdapter.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.InboundRequest;
@@ -25,6 +26,7 @@
             List<HeaderField> received,
             ClientRequestMetadata client,
             ServiceName caller,
+            Optional<OrganisationName> organisation,
             Duration remaining,
             String instance) {
         return received;
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -145,6 +145,7 @@
                 1,
                 false,
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new GuardRequest(
                 "GET",
--- a/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
@@ -142,6 +142,7 @@
                 1,
                 false,
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new GuardRequest(
                 "GET",
--- a/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.HttpListener;
@@ -45,6 +46,7 @@
                 List<HeaderField> received,
                 ClientRequestMetadata client,
                 ServiceName caller,
+                Optional<OrganisationName> organisation,
                 Duration remaining,
                 String instance) {
             return received;
--- a/model/src/main/java/org/oleanderturn/model/ConfigurationDelta.java
+++ b/model/src/main/java/org/oleanderturn/model/ConfigurationDelta.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Function;
 
 /**
@@ -18,10 +19,11 @@
  * @param base the digest of the configuration that the delta applies to
  * @param to the version of the resulting snapshot
  * @param result the digest of the resulting configuration
- * @param changed the objects that are added or replaced
+ * @param changed the objects that are added or replaced; it declares organisations if the resulting configuration does
  * @param removedServices the services that are removed
  * @param removedRoutes the routes that are removed
  * @param removedTrafficPolicies the traffic policies that are removed
+ * @param removedOrganisations the organisations that are removed; empty when there are none
  */
 public record ConfigurationDelta(
         ConfigurationVersion from,
@@ -31,7 +33,8 @@
         Configuration changed,
         List<ServiceName> removedServices,
         List<RouteName> removedRoutes,
-        List<TrafficPolicyName> removedTrafficPolicies) {
+        List<TrafficPolicyName> removedTrafficPolicies,
+        Optional<List<OrganisationName>> removedOrganisations) {
 
     /** Copies the lists; throws {@link NullPointerException} if a component is null. */
     public ConfigurationDelta {
@@ -43,6 +46,7 @@
         removedServices = List.copyOf(removedServices);
         removedRoutes = List.copyOf(removedRoutes);
         removedTrafficPolicies = List.copyOf(removedTrafficPolicies);
+        removedOrganisations = removedOrganisations.map(List::copyOf);
     }
 
     /** Computes the delta from one snapshot to another. */
@@ -50,9 +54,13 @@
         Configuration before = from.configuration();
         Configuration after = to.configuration();
         Configuration changed = Configuration.of(
-                added(before.services(), after.services(), Service::name),
-                added(before.routes(), after.routes(), Route::name),
-                added(before.trafficPolicies(), after.trafficPolicies(), TrafficPolicy::name));
+                        added(before.services(), after.services(), Service::name),
+                        added(before.routes(), after.routes(), Route::name),
+                        added(before.trafficPolicies(), after.trafficPolicies(), TrafficPolicy::name))
+                .withOrganisations(after.organisations()
+                        .map(organisations -> added(organisations(before), organisations, Organisation::name)));
+        List<OrganisationName> removedOrganisations =
+                removed(organisations(before), organisations(after), Organisation::name);
         return new ConfigurationDelta(
                 from.version(),
                 from.digest(),
@@ -61,7 +69,8 @@
                 changed,
                 removed(before.services(), after.services(), Service::name),
                 removed(before.routes(), after.routes(), Route::name),
-                removed(before.trafficPolicies(), after.trafficPolicies(), TrafficPolicy::name));
+                removed(before.trafficPolicies(), after.trafficPolicies(), TrafficPolicy::name),
+                removedOrganisations.isEmpty() ? Optional.empty() : Optional.of(removedOrganisations));
     }
 
     /** Applies this delta to a snapshot; a {@link Mismatch} when the snapshot or the result is not the expected one. */
@@ -71,13 +80,19 @@
         }
         Configuration before = snapshot.configuration();
         Configuration after = Configuration.of(
-                merge(before.services(), changed.services(), removedServices, Service::name),
-                merge(before.routes(), changed.routes(), removedRoutes, Route::name),
-                merge(
-                        before.trafficPolicies(),
-                        changed.trafficPolicies(),
-                        removedTrafficPolicies,
-                        TrafficPolicy::name));
+                        merge(before.services(), changed.services(), removedServices, Service::name),
+                        merge(before.routes(), changed.routes(), removedRoutes, Route::name),
+                        merge(
+                                before.trafficPolicies(),
+                                changed.trafficPolicies(),
+                                removedTrafficPolicies,
+                                TrafficPolicy::name))
+                .withOrganisations(changed.organisations()
+                        .map(organisations -> merge(
+                                organisations(before),
+                                organisations,
+                                removedOrganisations.orElse(List.of()),
+                                Organisation::name)));
         ConfigurationSnapshot actual = ConfigurationSnapshot.of(to, after);
         if (!actual.digest().equals(result)) {
             return Either.left(new Mismatch.OtherResult(result, actual.digest()));
@@ -90,9 +105,11 @@
         return changed.services().size()
                 + changed.routes().size()
                 + changed.trafficPolicies().size()
+                + organisations(changed).size()
                 + removedServices.size()
                 + removedRoutes.size()
-                + removedTrafficPolicies.size();
+                + removedTrafficPolicies.size()
+                + removedOrganisations.orElse(List.of()).size();
     }
 
     /** Returns whether only the version changes. */
@@ -100,6 +117,10 @@
         return base.equals(result);
     }
 
+    private static List<Organisation> organisations(Configuration configuration) {
+        return configuration.organisations().orElse(List.of());
+    }
+
     /** Returns the objects of the second list that the first does not contain; both lists are sorted by name. */
     private static <T, N extends Comparable<N>> List<T> added(List<T> before, List<T> after, Function<T, N> nameOf) {
         List<T> added = new ArrayList<>();
--- a/model/src/main/java/org/oleanderturn/model/Route.java
+++ b/model/src/main/java/org/oleanderturn/model/Route.java
@@ -20,6 +20,7 @@
  * @param split the services that the requests are split between; empty when {@code service} receives all of them
  * @param priority the priority of queued requests, 0 being the highest; empty means {@link #LOWEST_PRIORITY}
  * @param targetLatencyMilliseconds the latency within which a response has its full value to the caller
+ * @param anonymousAllowed whether requests need no key where organisations are declared; empty means that they need one
  */
 public record Route(
         RouteName name,
@@ -31,7 +32,8 @@
         Optional<String> host,
         Optional<List<WeightedService>> split,
         Optional<Integer> priority,
-        Optional<Integer> targetLatencyMilliseconds) {
+        Optional<Integer> targetLatencyMilliseconds,
+        Optional<Boolean> anonymousAllowed) {
 
     /** The priority of a route that declares none. */
     public static final int LOWEST_PRIORITY = 9;
@@ -47,10 +49,37 @@
         Objects.requireNonNull(host, "host is null");
         Objects.requireNonNull(priority, "priority is null");
         Objects.requireNonNull(targetLatencyMilliseconds, "targetLatencyMilliseconds is null");
+        Objects.requireNonNull(anonymousAllowed, "anonymousAllowed is null");
         methods = List.copyOf(methods);
         split = split.map(List::copyOf);
     }
 
+    /** Creates a route whose requests need a key where organisations are declared. */
+    public Route(
+            RouteName name,
+            String pathPrefix,
+            List<String> methods,
+            ServiceName service,
+            RequestKind kind,
+            TrafficPolicyName trafficPolicy,
+            Optional<String> host,
+            Optional<List<WeightedService>> split,
+            Optional<Integer> priority,
+            Optional<Integer> targetLatencyMilliseconds) {
+        this(
+                name,
+                pathPrefix,
+                methods,
+                service,
+                kind,
+                trafficPolicy,
+                host,
+                split,
+                priority,
+                targetLatencyMilliseconds,
+                Optional.empty());
+    }
+
     /** Returns a route that matches any host, sends all requests to one service and has the lowest priority. */
     public static Route of(
             RouteName name,
@@ -79,6 +108,11 @@
         return split.orElseGet(() -> List.of(new WeightedService(service, 1)));
     }
 
+    /** Returns whether requests need no key where organisations are declared. */
+    public boolean isAnonymousAllowed() {
+        return anonymousAllowed.orElse(false);
+    }
+
     /** Returns the declared priority of the route's requests, or {@link #LOWEST_PRIORITY}; 0 is the highest. */
     public int effectivePriority() {
         return priority.orElse(LOWEST_PRIORITY);
--- a/model/src/test/java/org/oleanderturn/model/ConfigurationDeltaTest.java
+++ b/model/src/test/java/org/oleanderturn/model/ConfigurationDeltaTest.java
@@ -64,7 +64,8 @@
                 delta.changed(),
                 delta.removedServices(),
                 delta.removedRoutes(),
-                delta.removedTrafficPolicies());
+                delta.removedTrafficPolicies(),
+                Optional.empty());
 
         assertThat(corrupted.applyTo(FIRST).getLeft()).isInstanceOf(ConfigurationDelta.Mismatch.OtherResult.class);
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -18,6 +18,7 @@
 import org.oleanderturn.mesh.MeshEntry;
 import org.oleanderturn.mesh.MeshEntryDependencies;
 import org.oleanderturn.mesh.MeshGuard;
+import org.oleanderturn.mesh.RequestLimiter;
 import org.oleanderturn.mesh.ResponsePacer;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.TargetCallHandler;
@@ -140,6 +141,7 @@
                 crashMonitor,
                 guard.repeatShare(),
                 CoreAdmission.of(nanoseconds, runtime.random()),
+                RequestLimiter.unlimited(),
                 runtime.timers(),
                 decisions,
                 nanoseconds,
--- a/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
@@ -42,6 +42,7 @@
             lowerCase(ProxyHeaders.ELAPSED),
             lowerCase(ProxyHeaders.CALLER_SERVICE),
             lowerCase(ProxyHeaders.LOAD),
+            lowerCase(ProxyHeaders.ORGANISATION),
             lowerCase(ProxyHeaders.TARGET_CONDITION),
             lowerCase(ProxyHeaders.RETRY_AFTER_MILLISECONDS));
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
@@ -51,6 +51,8 @@
     public static final String CALLER_SERVICE = "Oleanderturn-Caller-Service";
     /** Between nodes: the load of the target behind the responding node. */
     public static final String LOAD = "Oleanderturn-Load";
+    /** Between nodes: the organisation that sent the request. */
+    public static final String ORGANISATION = "Oleanderturn-Organisation";
     /** What the process of the guard's target asks of the nodes. */
     public static final String TARGET_CONDITION = "Oleanderturn-Target-Condition";
 
