Send a few requests only to a target that sheds everything, and count calls of retried runs whole

Change: the guard's queue trusts a target with what it ran beside a request that it shed; one that sheds a request beside none gets nothing for 100 ms to 1 s, then one request at a time, and the guard refuses at once. The retry budget takes the calls of retried runs from the constant, too, where they exceed the ratio.

--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardReply.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardReply.java
@@ -13,8 +13,11 @@
  */
 public sealed interface GuardReply {
     /** The reasons of a guard that refuses on arrival, as its target or its own memory is used up for now. */
-    Set<String> REASONS_FOR_LACK_OF_ROOM =
-            Set.of(SlotDecision.Reason.FULL.name(), SlotDecision.Reason.RATE_LIMITED.name(), "MEMORY_FULL");
+    Set<String> REASONS_FOR_LACK_OF_ROOM = Set.of(
+            SlotDecision.Reason.FULL.name(),
+            SlotDecision.Reason.RATE_LIMITED.name(),
+            SlotDecision.Reason.SHEDDING.name(),
+            "MEMORY_FULL");
 
     /** The target ran the request and sent a complete response. */
     record Ran(BufferedResponse response) implements GuardReply {
@@ -44,6 +47,11 @@
             return REASONS_FOR_LACK_OF_ROOM.contains(reason);
         }
 
+        /** Returns whether the target rejected the request for lack of room. */
+        boolean isShedByTarget() {
+            return isRejectedByTarget && TargetReplies.isShed(reason);
+        }
+
         /** Returns whether the guard had no room for the request after it had waited there. */
         public boolean isOvertaken() {
             return reason.equals(SlotDecision.Reason.OVERTAKEN.name());
--- a/mesh/src/main/java/org/oleanderturn/mesh/TargetReplies.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/TargetReplies.java
@@ -18,8 +18,16 @@
     /** The reason of a request that was not sent, as the target refused the connection. */
     static final String REFUSED = PREFIX + UpstreamFailure.Cause.REFUSED;
 
+    private static final String REJECTED = PREFIX + "REJECTED_";
+
     private TargetReplies() {}
 
+    /** Returns whether a target rejected a request for lack of room, as the reason of the reply says. */
+    static boolean isShed(String reason) {
+        return reason.equals(REJECTED + HttpStatuses.SERVICE_UNAVAILABLE)
+                || reason.equals(REJECTED + HttpStatuses.TOO_MANY_REQUESTS);
+    }
+
     /** Returns the reply to a request without a response. */
     static GuardReply forFailure(UpstreamFailure failure) {
         return switch (failure) {
@@ -47,7 +55,7 @@
             return GuardReply.Unknown.of("UNIDENTIFIED_" + response.status());
         }
         if (isNotRun) {
-            return new GuardReply.NotRun("TARGET_REJECTED_" + response.status(), true, Duration.ZERO);
+            return new GuardReply.NotRun(REJECTED + response.status(), true, Duration.ZERO);
         }
         if (isSuccess && !metadata.isSigned()) {
             return GuardReply.Unknown.of("UNSIGNED");
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -17,7 +17,8 @@
  * capacity. This queue serves requests that can still meet their soft deadline first, by rank and then by the
  * earliest soft deadline, and late ones afterwards in the same order. A request that is not expected to get a slot
  * within its maximum wait is refused on arrival, or as soon as others overtake it, so that its caller can try another
- * target. A target may limit the rate of its requests as well; they then pass at that rate, in the same order.
+ * target. A target may limit the rate of its requests as well; they then pass at that rate, in the same order. A target that
+ * sheds requests is trusted with fewer of them.
  *
  * <p>While more requests arrive than the slots can run, those that can't meet their soft deadline with some certainty
  * give way to the others, and only as many of them wait as keep the slots busy.
@@ -46,6 +47,7 @@
     private final LongSupplier nanoseconds;
     private final List<SlotTicket> waiting = new ArrayList<>();
     private SlotState state = new SlotState(0, false, 0, 0, INITIAL_AVERAGE_NANOSECONDS);
+    private final ShedLimit shedLimit = ShedLimit.none();
     private Optional<RequestPacer> pacer = Optional.empty();
     private long nextSequence;
     private double averageIntervalNanoseconds = INITIAL_INTERVAL_NANOSECONDS;
@@ -63,9 +65,9 @@
 
     // -- queries
 
-    /** Returns a snapshot of the queue. */
+    /** Returns a snapshot of the queue; its slots are those that the target is trusted with now. */
     public synchronized SlotState state() {
-        return state.withWaiting(waiting.size());
+        return state.withWaiting(waiting.size()).withSlots(usableSlots(nanoseconds.getAsLong()));
     }
 
     /** Returns how long a further request would wait for the rate limit; zero without one. */
@@ -125,6 +127,10 @@
             ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
             return ticket;
         }
+        if (usableSlots(now) == 0) {
+            ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.SHEDDING, shedLimit.untilProbe(now)));
+            return ticket;
+        }
         waiting.add(ticket);
         grantFreeSlots();
         refuseUnservable(now);
@@ -139,6 +145,21 @@
         }
     }
 
+    /** Records that the target shed the request that holds a slot by a ticket. */
+    public synchronized void recordShed(SlotTicket ticket) {
+        long now = nanoseconds.getAsLong();
+        shedLimit.recordShed(state.running() - (ticket.isSlotHeld() ? 1 : 0), now);
+        Duration untilProbe = shedLimit.untilProbe(now);
+        while (untilProbe.isPositive() && !waiting.isEmpty()) {
+            waiting.removeLast().settle(new SlotDecision.Refused(SlotDecision.Reason.SHEDDING, untilProbe));
+        }
+    }
+
+    /** Records that the target ran a request. */
+    public synchronized void recordRun() {
+        shedLimit.recordRun(state.slots());
+    }
+
     /** Frees the slot of a ticket; no effect if it holds none. */
     public synchronized void release(SlotTicket ticket) {
         if (!ticket.tryRelease()) {
@@ -161,7 +182,12 @@
 
     /** Returns whether more requests arrive than the slots can run. */
     private boolean isOverloaded() {
-        return state.averageRunNanoseconds() > averageIntervalNanoseconds * Math.max(1, state.slots());
+        int slots = usableSlots(nanoseconds.getAsLong());
+        return state.averageRunNanoseconds() > averageIntervalNanoseconds * Math.max(1, slots);
+    }
+
+    private int usableSlots(long now) {
+        return shedLimit.allowed(state.slots(), now);
     }
 
     private boolean isLate(SlotTicket ticket, long now) {
@@ -192,8 +218,9 @@
 
     /** Estimates the wait for a slot at a position of the queue. */
     private Duration slotWait(int position) {
-        int slots = Math.max(1, state.slots());
-        int free = Math.max(0, state.slots() - state.running());
+        int usable = usableSlots(nanoseconds.getAsLong());
+        int slots = Math.max(1, usable);
+        int free = Math.max(0, usable - state.running());
         return Duration.ofNanos((long) (Math.max(0, position - free) * state.averageRunNanoseconds() / slots));
     }
 
@@ -240,7 +267,7 @@
 
     private void grantFreeSlots() {
         long now = nanoseconds.getAsLong();
-        while (state.isOpen() && state.isSlotFree() && !waiting.isEmpty() && tryPass(now)) {
+        while (state.isOpen() && state.running() < usableSlots(now) && !waiting.isEmpty() && tryPass(now)) {
             SlotTicket ticket = Collections.min(waiting, servingOrder(now));
             waiting.remove(ticket);
             grantTo(ticket);
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotState.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotState.java
@@ -24,6 +24,10 @@
         return new SlotState(slots, false, running, waiting, averageRunNanoseconds);
     }
 
+    SlotState withSlots(int replacement) {
+        return new SlotState(replacement, isOpen, running, waiting, averageRunNanoseconds);
+    }
+
     SlotState withRunning(int replacement) {
         return new SlotState(slots, isOpen, replacement, waiting, averageRunNanoseconds);
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -63,6 +63,10 @@
         return requestedNanoseconds;
     }
 
+    boolean isSlotHeld() {
+        return isSlotHeld.get();
+    }
+
     long grantedNanoseconds() {
         return grantedNanoseconds;
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/WindowedRetryBudget.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/WindowedRetryBudget.java
@@ -14,8 +14,8 @@
  * its own requests. It uses its part of the constant only after it has run for a window, as it doesn't know what it had
  * used before it started. This prevents retries from amplifying an overload that makes requests fail.
  *
- * <p>Invariant: in any window, the retries granted do not exceed the ratio of the requests, less the retries expected
- * among these requests, plus this node's part of the constant, rounded down. Thread safe.
+ * <p>Invariant: a retry is granted only if, with it, the retries of the window and those expected among its requests do not
+ * exceed the ratio of the requests plus this node's part of the constant. Thread safe.
  */
 public final class WindowedRetryBudget {
     private final double ratio;
@@ -76,8 +76,8 @@
     /** Returns what is used in the current window. */
     public synchronized Usage usage() {
         advance();
-        double ratioLimit = Math.max(0, ratio * requests.size() - inducedSum);
-        return new Usage(retries.size(), ratioLimit + presentPart());
+        double limit = Math.max(0, ratio * requests.size() - inducedSum + presentPart());
+        return new Usage(retries.size(), limit);
     }
 
     /**
@@ -100,15 +100,21 @@
     public synchronized boolean tryWithdraw() {
         advance();
         long now = nanoseconds.getAsLong();
-        if (ratioRetries.size() + 1 <= ratio * requests.size() - inducedSum) {
+        double ratioRoom = ratio * requests.size() - inducedSum - ratioRetries.size();
+        if (ratioRoom >= 1) {
             ratioRetries.addLast(now);
-        } else if (retries.size() - ratioRetries.size() + 1 > presentPart()) {
+        } else if (retries.size() - ratioRetries.size() + 1 > presentPart() - excess(ratioRoom)) {
             return false;
         }
         retries.addLast(now);
         return true;
     }
 
+    /** Returns what the retries expected among the requests use beyond the ratio; the constant has to cover it. */
+    private static double excess(double ratioRoom) {
+        return Math.max(0, -ratioRoom);
+    }
+
     private void advance() {
         long now = nanoseconds.getAsLong();
         long windowStart = now - windowNanoseconds;
--- a/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
@@ -56,6 +56,50 @@
         assertThat(decision.expectedWait()).isGreaterThan(Duration.ofMillis(10));
     }
 
+    /**
+     * The load: a target whose health is good and that sheds everything. It is idle, so that all entries send to it, and each
+     * request that it sheds uses up a retry.
+     */
+    @Test
+    void shouldSendAFewRequestsOnlyToATargetThatShedsEverything() {
+        queue.open(6);
+        int sent = 0;
+        for (int millisecond = 0; millisecond < 10_000; millisecond += 5) {
+            clock.set(Duration.ofMillis(millisecond).toNanos());
+            SlotTicket ticket = queue.request(SlotRequest.of(0, LONG_WAIT));
+            if (isGranted(ticket)) {
+                sent++;
+                queue.recordShed(ticket);
+                queue.release(ticket);
+            } else {
+                assertThat(reason(ticket)).isEqualTo(SlotDecision.Reason.SHEDDING);
+                assertThat(queue.state().slots()).isEqualTo(0);
+            }
+        }
+        assertThat(sent).isAtMost(15);
+        clock.addAndGet(Duration.ofSeconds(1).toNanos());
+        for (int run = 0; run < 30; run++) {
+            SlotTicket ticket = queue.request(SlotRequest.of(0, LONG_WAIT));
+            assertThat(isGranted(ticket)).isTrue();
+            queue.recordRun();
+            queue.release(ticket);
+        }
+        assertThat(queue.state().slots()).isEqualTo(6);
+    }
+
+    @Test
+    void shouldTrustATargetWithTheRequestsThatItRanBesideTheOneThatItShed() {
+        queue.open(6);
+        for (int running = 0; running < 4; running++) {
+            queue.request(SlotRequest.of(0, LONG_WAIT));
+        }
+        SlotTicket shed = queue.request(SlotRequest.of(0, LONG_WAIT));
+        queue.recordShed(shed);
+        queue.release(shed);
+        assertThat(queue.state().slots()).isEqualTo(4);
+        assertThat(isGranted(queue.request(SlotRequest.of(0, LONG_WAIT)))).isFalse();
+    }
+
     @Test
     void shouldRefuseAWaitingRequestWhenOthersOvertakeItAndLeaveItNoTime() {
         queue.open(1);
--- a/traffic/src/test/java/org/oleanderturn/traffic/WindowedRetryBudgetTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/WindowedRetryBudgetTest.java
@@ -65,6 +65,21 @@
         assertThat(granted()).isEqualTo(24);
     }
 
+    /** Calls of runs that were retries count at the callee; granting the constant beside them broke the limit of the fleet. */
+    @Test
+    void shouldCountCallsOfRetriedRunsAgainstTheConstantWhenTheyExceedTheRatio() {
+        clock.addAndGet(WINDOW);
+        for (int request = 0; request < 100; request++) {
+            budget.recordRequest(0.22);
+        }
+        assertThat(budget.usage().limit()).isWithin(1e-6).of(2);
+        assertThat(granted()).isEqualTo(2);
+        for (int request = 0; request < 100; request++) {
+            budget.recordRequest(0.25);
+        }
+        assertThat(budget.tryWithdraw()).isFalse();
+    }
+
     @Test
     void shouldGrantAgainWhenRetriesHaveLeftTheWindow() {
         budget.recordRequest(0);
