Deliver a refusal that is sent before a long body was read

A connection that is closed with unread input is reset, and the client may lose the response. The listener now ends its output, discards input for half a second at most, and closes then; it no longer reads the rest of a body of any length before it ends the response.

--- a/proxy/src/main/java/org/oleanderturn/proxy/AcceptedChannel.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AcceptedChannel.java
@@ -5,7 +5,9 @@
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 
 /**
  * An accepted channel whose peer's disconnect can be detected while a request is being served.
@@ -14,7 +16,14 @@
  */
 final class AcceptedChannel {
     private final SocketChannel channel;
+    /** How much is discarded, and for how long, before a connection with unread input is closed. */
+    private static final int DISCARD_LIMIT_BYTES = 1_000_000;
+
+    private static final Duration DISCARD_LIMIT = Duration.ofMillis(500);
+    private static final int DISCARD_BUFFER_BYTES = 8_192;
+
     private final LookaheadInputStream input;
+    private volatile boolean isInputUnread;
 
     private AcceptedChannel(SocketChannel channel, LookaheadInputStream input) {
         this.channel = channel;
@@ -58,6 +67,39 @@
         return input.available() > 0;
     }
 
+    void markInputUnread() {
+        isInputUnread = true;
+    }
+
+    /** Returns whether input may arrive that nobody reads. */
+    boolean isInputUnread() {
+        return isInputUnread;
+    }
+
+    /**
+     * Ends the output and discards input until the peer has closed the connection, for a short time. A connection that is
+     * closed with unread input is reset, and the peer might lose the response that it was sent.
+     */
+    void discardInput() throws IOException {
+        Socket socket = channel.socket();
+        socket.shutdownOutput();
+        long end = System.nanoTime() + DISCARD_LIMIT.toNanos();
+        byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
+        int discarded = 0;
+        while (discarded < DISCARD_LIMIT_BYTES) {
+            long remainingMilliseconds = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+            if (remainingMilliseconds <= 0) {
+                return;
+            }
+            socket.setSoTimeout(Math.toIntExact(remainingMilliseconds));
+            int count = input.read(buffer, 0, buffer.length);
+            if (count < 0) {
+                return;
+            }
+            discarded += count;
+        }
+    }
+
     void close() {
         IoUtilities.closeQuietly(channel);
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -373,6 +373,19 @@
             return request;
         }
 
+        @Override
+        public void close() throws IOException {
+            if (isOpen() && channel.isInputUnread()) {
+                flush();
+                try {
+                    channel.discardInput();
+                } catch (IOException silent) {
+                    log.atFinest().withCause(silent).log("the peer did not close the connection in time");
+                }
+            }
+            super.close();
+        }
+
         void bind() throws IOException {
             bind(new SocketHolder(channel.socket()) {
                 @Override
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
@@ -102,6 +102,8 @@
         ClassicHttpResponse message = toHttpCore(response, serverConnection);
         if (inboundRequest.isBodyUnread()) {
             message.setHeader(HttpHeaders.CONNECTION, "close");
+            inboundRequest.detachBody();
+            serverConnection.markInputUnread();
         }
         trigger.submitResponse(message);
     }
@@ -290,6 +292,11 @@
             return request.getEntity() != null && !isBodyRead;
         }
 
+        /** Keeps HttpCore from reading the rest of the body, however long it is, before it ends the response. */
+        void detachBody() {
+            request.setEntity(null);
+        }
+
         private void sendContinue() throws IOException {
             if (!isContinuePending) {
                 return;
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
@@ -78,6 +78,11 @@
         }
     }
 
+    /** Marks the rest of the input as one that nobody reads, as the response to its request was sent before. */
+    void markInputUnread() {
+        channel.markInputUnread();
+    }
+
     void finishRequest() {
         channel.input().forgetReadBytes();
         phase.compareAndSet(Phase.BUSY, Phase.IDLE);
--- a/proxy/src/test/java/org/oleanderturn/proxy/HttpListenerTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/HttpListenerTest.java
@@ -39,6 +39,25 @@
         }
     }
 
+    /** A client that sends a long body must be able to read a refusal that comes before the end of that body. */
+    @Test
+    void shouldDeliverARefusalThatIsSentBeforeALongBodyWasRead() throws Exception {
+        RequestHandler handler = _ -> Response.text(401, "text/plain", "refused");
+        try (HttpListener listener = HttpListener.start("127.0.0.1", 0, handler, ListenerLimits.defaults())
+                        .get();
+                Socket socket =
+                        new Socket(listener.address().host(), listener.address().port())) {
+            String head = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(new byte[200_000]);
+            socket.setSoTimeout(WAIT_SECONDS * 1_000);
+            String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertThat(response).startsWith("HTTP/1.1 401");
+            assertThat(response).contains("Connection: close");
+            assertThat(response).endsWith("refused");
+        }
+    }
+
     /** The load: clients that open connections as fast as they can while the listener is drained, again and again. */
     @Test
     void shouldAnswerEveryRequestThatWasSentBeforeTheDrainBegan() throws Exception {
