Check the keys of organisations at the entry

Where a configuration declares organisations, a request needs a key of one unless its route allows anonymous requests. A key is denied with 401 only by a version that is confirmed as the newest, before the body is read; it is checked again before each attempt. Targets get the organisation's name and never the key. With failClosed a node that could not confirm its version within the time of revocation answers 503 to requests with a key.

--- a/command/src/main/java/org/oleanderturn/command/ConfigurationDifference.java
+++ b/command/src/main/java/org/oleanderturn/command/ConfigurationDifference.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.Service;
 import org.oleanderturn.model.TrafficPolicy;
@@ -38,7 +39,12 @@
                 .withObjects("services/", inForce.services(), declared.services(), Service::name)
                 .withObjects("routes/", inForce.routes(), declared.routes(), Route::name)
                 .withObjects(
-                        "trafficPolicies/", inForce.trafficPolicies(), declared.trafficPolicies(), TrafficPolicy::name);
+                        "trafficPolicies/", inForce.trafficPolicies(), declared.trafficPolicies(), TrafficPolicy::name)
+                .withObjects(
+                        "organisations/",
+                        inForce.organisations().orElse(List.of()),
+                        declared.organisations().orElse(List.of()),
+                        Organisation::name);
     }
 
     private <T> ConfigurationDifference withObjects(
--- a/command/src/main/java/org/oleanderturn/command/DeclarationReader.java
+++ b/command/src/main/java/org/oleanderturn/command/DeclarationReader.java
@@ -16,6 +16,7 @@
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.DecodeFailure;
+import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.Service;
 import org.oleanderturn.model.TrafficPolicy;
@@ -35,7 +36,8 @@
     public record Declaration(
             Optional<List<Service>> services,
             Optional<List<Route>> routes,
-            Optional<List<TrafficPolicy>> trafficPolicies) {}
+            Optional<List<TrafficPolicy>> trafficPolicies,
+            Optional<List<Organisation>> organisations) {}
 
     /** A declaration and the path of the file that contains it. */
     public record Source(String file, Declaration declaration) {}
@@ -66,6 +68,8 @@
         List<Service> services = new ArrayList<>();
         List<Route> routes = new ArrayList<>();
         List<TrafficPolicy> policies = new ArrayList<>();
+        List<Organisation> organisations = new ArrayList<>();
+        boolean areOrganisationsDeclared = false;
         for (Source source : sources) {
             Declaration declaration = source.declaration();
             Optional<CommandFailure> failure = add(
@@ -77,12 +81,21 @@
                             "trafficPolicies/",
                             TrafficPolicy::name,
                             source,
+                            declaredIn))
+                    .or(() -> add(
+                            organisations,
+                            declaration.organisations(),
+                            "organisations/",
+                            Organisation::name,
+                            source,
                             declaredIn));
+            areOrganisationsDeclared |= declaration.organisations().isPresent();
             if (failure.isPresent()) {
                 return Either.left(failure.get());
             }
         }
-        return Either.right(Configuration.of(services, routes, policies));
+        return Either.right(Configuration.of(services, routes, policies)
+                .withOrganisations(areOrganisationsDeclared ? Optional.of(organisations) : Optional.empty()));
     }
 
     private static <T> Optional<CommandFailure> add(
--- a/command/src/main/java/org/oleanderturn/command/TextFormatter.java
+++ b/command/src/main/java/org/oleanderturn/command/TextFormatter.java
@@ -95,6 +95,7 @@
             case ConfigurationFault.MalformedPrefix malformed -> "MalformedPrefix \"" + malformed.prefix() + "\"";
             case ConfigurationFault.MalformedMethods malformed -> "MalformedMethods";
             case ConfigurationFault.ShadowedRoute shadowed -> "ShadowedRoute by " + shadowed.by();
+            case ConfigurationFault.SharedKey shared -> "SharedKey with " + shared.other();
             case ConfigurationFault.MethodUnfitForKind unfit ->
                 "MethodUnfitForKind " + unfit.method() + " " + unfit.kind();
             case ConfigurationFault.OutOfRange range ->
--- a/command/src/test/java/org/oleanderturn/command/DeclarationReaderTest.java
+++ b/command/src/test/java/org/oleanderturn/command/DeclarationReaderTest.java
@@ -47,7 +47,7 @@
     @CsvSource(
             delimiter = '|',
             value = {
-                "{'service':[]}|service: unknown field; known are routes, services, trafficPolicies",
+                "{'service':[]}|service: unknown field; known are organisations, routes, services, trafficPolicies",
                 "{'services':[{'name':'docs','slots':10}]}|services[0].connections: missing or null; expected int",
                 "{'services':[{'name':'docs','slots':'ten','connections':1}]}|services[0].slots",
                 "{'services':[{'name':'docs','slots':'10','connections':1}]}|services[0].slots",
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -53,6 +53,8 @@
 
     private static final String QUARANTINED = "QUARANTINED";
 
+    private static final String KEY_REMOVED = "KEY_REMOVED";
+
     /** The reason of a request that was offered to no target, as they refuse most. */
     private static final String SERVICE_FULL = "SERVICE_FULL";
 
@@ -61,6 +63,7 @@
 
     private final MeshRequest request;
     private final BooleanSupplier hasClientLeft;
+    private final BooleanSupplier isKeyInForce;
     private final MeshEntryDependencies dependencies;
     private final ClientResponses responses;
     private final ConcurrentMap<NodeId, Set<Cancellation>> cancellationsByNode;
@@ -74,15 +77,22 @@
     private boolean mayHaveRun;
     private Optional<Duration> soonestRetry = Optional.empty();
 
-    /** Creates a dispatch; {@code hasClientLeft} asks the client's connection, on the thread that runs the dispatch. */
+    /**
+     * Creates a dispatch.
+     *
+     * @param hasClientLeft asks the client's connection, on the thread that runs the dispatch
+     * @param isKeyInForce returns whether the key of the request has not been removed since
+     */
     EntryDispatch(
             MeshRequest request,
             BooleanSupplier hasClientLeft,
+            BooleanSupplier isKeyInForce,
             MeshEntryDependencies dependencies,
             ClientResponses responses,
             ConcurrentMap<NodeId, Set<Cancellation>> cancellationsByNode) {
         this.request = Objects.requireNonNull(request, "request is null");
         this.hasClientLeft = Objects.requireNonNull(hasClientLeft, "hasClientLeft is null");
+        this.isKeyInForce = Objects.requireNonNull(isKeyInForce, "isKeyInForce is null");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
         this.responses = Objects.requireNonNull(responses, "responses is null");
         this.cancellationsByNode = Objects.requireNonNull(cancellationsByNode, "cancellationsByNode is null");
@@ -124,6 +134,9 @@
     private Response attemptUntilDone() {
         GuardReply last = new GuardReply.NotRun("NO_ENDPOINT", false, Duration.ZERO);
         while (!isStopped()) {
+            if (!isKeyInForce.getAsBoolean()) {
+                return refuseRemovedKey();
+            }
             CrashVerdict verdict = dependencies.crashMonitor().verdict(request.identity());
             if (verdict instanceof CrashVerdict.Quarantined quarantined) {
                 dependencies.crashMonitor().recordRefusal(request.attemptId(), request.identity(), quarantined);
@@ -163,6 +176,12 @@
         return finish(last);
     }
 
+    private Response refuseRemovedKey() {
+        return mayHaveRun
+                ? responses.unknown(HttpStatuses.BAD_GATEWAY, KEY_REMOVED, attempts)
+                : responses.refused(HttpStatuses.UNAUTHORIZED, KEY_REMOVED);
+    }
+
     /** Prefers ready endpoints; without an untried one, any other known endpoint is better than none. */
     private Optional<Endpoint> chooseEndpoint(CrashVerdict verdict) {
         List<Endpoint> known = dependencies.endpoints().get().endpoints(request.service());
@@ -204,9 +223,7 @@
     }
 
     private OfferThrottle throttle() {
-        return dependencies
-                .throttles()
-                .throttle(request.service(), request.match().route().effectivePriority());
+        return dependencies.throttles().throttle(request.service(), request.rank());
     }
 
     private GuardReply attempt(Endpoint endpoint) {
@@ -282,7 +299,7 @@
                 request.service(),
                 dependencies.callerService(),
                 route.kind(),
-                route.effectivePriority(),
+                request.rank(),
                 guardTime,
                 Duration.ofMillis(route.targetLatencyMilliseconds().orElse(DEFAULT_TARGET_LATENCY_MILLISECONDS)),
                 clientElapsed(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.Cancellation;
+import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.HeaderValues;
 import org.oleanderturn.proxy.InboundRequest;
 import org.oleanderturn.proxy.RequestHandler;
@@ -42,9 +44,8 @@
     /** When a client may retry at another node, as this one stops. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(100);
 
-    private final Supplier<RouteIndex> routes;
+    private final RequestRouter router;
     private final BooleanSupplier isReady;
-    private final VersionCheck versionCheck;
     private final ProtocolAdapter adapter;
     private final MeshEntryDependencies dependencies;
     private final AtomicReference<Optional<EntryStop>> stop = new AtomicReference<>(Optional.empty());
@@ -53,14 +54,12 @@
     private final ConcurrentHashMap<NodeId, Set<Cancellation>> cancellationsByNode = new ConcurrentHashMap<>();
 
     private MeshEntry(
-            Supplier<RouteIndex> routes,
+            RequestRouter router,
             BooleanSupplier isReady,
-            VersionCheck versionCheck,
             ProtocolAdapter adapter,
             MeshEntryDependencies dependencies) {
-        this.routes = routes;
+        this.router = router;
         this.isReady = isReady;
-        this.versionCheck = versionCheck;
         this.adapter = adapter;
         this.dependencies = dependencies;
     }
@@ -70,20 +69,20 @@
      *
      * @param routes returns the routes in force
      * @param isReady returns whether the node has a configuration that it may serve by
-     * @param versionCheck is asked before a request without a route is denied
+     * @param versionCheck is asked before a request without a route or with an unknown key is denied
+     * @param authenticator decides who sent a request
      */
     public static MeshEntry of(
             Supplier<RouteIndex> routes,
             BooleanSupplier isReady,
             VersionCheck versionCheck,
+            Authenticator authenticator,
             ProtocolAdapter adapter,
             MeshEntryDependencies dependencies) {
-        Objects.requireNonNull(routes, "routes is null");
         Objects.requireNonNull(isReady, "isReady is null");
-        Objects.requireNonNull(versionCheck, "versionCheck is null");
         Objects.requireNonNull(adapter, "adapter is null");
         Objects.requireNonNull(dependencies, "dependencies is null");
-        return new MeshEntry(routes, isReady, versionCheck, adapter, dependencies);
+        return new MeshEntry(RequestRouter.of(routes, versionCheck, authenticator), isReady, adapter, dependencies);
     }
 
     @Override
@@ -92,16 +91,15 @@
         long receivedNanoseconds = dependencies.clockNanoseconds().getAsLong()
                 - request.readDelay().toNanos();
         ClientRequestMetadata client = adapter.clientMetadata(request);
+        Optional<Response> early = refusalBeforeBody(request, client, receivedNanoseconds);
+        if (early.isPresent()) {
+            return early.get();
+        }
         Either<UpstreamFailure.Limit, byte[]> body = request.readReservedBody(MeshGuard.BODY_LIMIT_BYTES);
         boolean isServing = isReady.getAsBoolean();
         // Read after the readiness, which may come with a newer index.
-        RouteIndex index = routes.get();
-        ClientResponses responses = new ClientResponses(
-                client.attemptId(),
-                request.readDelay(),
-                receivedNanoseconds,
-                index.snapshot().version(),
-                dependencies);
+        RouteIndex index = router.index();
+        ClientResponses responses = responses(request, client, index, receivedNanoseconds);
         if (!isServing || index.isEmpty()) {
             return responses.notRun("NOT_READY", 0, NOT_READY_RETRY_AFTER);
         }
@@ -114,31 +112,63 @@
                     ? responses.notRun("MEMORY_FULL", 0, MEMORY_RETRY_AFTER)
                     : responses.refused(HttpStatuses.CONTENT_TOO_LARGE, "BODY_TOO_LARGE");
         }
-        Optional<RouteIndex.Match> match = index.find(client.host(), request.method(), request.path());
-        if (match.isEmpty()) {
-            VersionStatus status = versionCheck.check(index.snapshot().version());
-            // The check may have brought a newer version.
-            index = routes.get();
-            responses = responses.withVersion(index.snapshot().version());
-            match = index.find(client.host(), request.method(), request.path());
-            if (match.isEmpty()) {
-                return deny(status, responses);
-            }
+        // Again, as the key may have been removed while the body was read.
+        Either<RoutingDenial, RequestRouter.Routed> routed = router.route(request.method(), request.path(), client);
+        if (routed.isLeft()) {
+            return deny(routed.getLeft(), responses);
         }
-        if (!isAdmitted(request, match.get())) {
-            return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(request.readDelay()));
+        ClientResponses routedResponses =
+                responses.withVersion(routed.get().index().snapshot().version());
+        return dispatch(
+                request, meshRequest(request, client, body.get(), routed.get(), receivedNanoseconds), routedResponses);
+    }
+
+    private Response dispatch(InboundRequest inbound, MeshRequest request, ClientResponses responses)
+            throws IOException {
+        if (!isAdmitted(inbound, request.match())) {
+            return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(inbound.readDelay()));
         }
-        MeshRequest routed = routedRequest(request, client, body.get(), match.get(), index, receivedNanoseconds);
-        Optional<Response> refusal = refusalByLimit(routed, responses);
+        Optional<Response> refusal = refusalByLimit(request, responses);
         if (refusal.isPresent()) {
             return refusal.get();
         }
-        EntryDispatch dispatch =
-                new EntryDispatch(routed, request::hasPeerLeft, dependencies, responses, cancellationsByNode);
-        request.onPeerDisconnect(dispatch::onClientDisconnect);
+        EntryDispatch dispatch = new EntryDispatch(
+                request,
+                inbound::hasPeerLeft,
+                () -> router.isKeyInForce(request),
+                dependencies,
+                responses,
+                cancellationsByNode);
+        inbound.onPeerDisconnect(dispatch::onClientDisconnect);
         return dispatch.run();
     }
 
+    /**
+     * Refuses a request that the configuration does not allow before its body is read, where keys are required: a client
+     * without a key could make the node read bodies of any length.
+     */
+    private Optional<Response> refusalBeforeBody(
+            InboundRequest request, ClientRequestMetadata client, long receivedNanoseconds) {
+        RouteIndex index = router.index();
+        if (!index.areKeysRequired() || !isReady.getAsBoolean()) {
+            return Optional.empty();
+        }
+        Either<RoutingDenial, RequestRouter.Routed> routed = router.route(request.method(), request.path(), client);
+        return routed.isRight()
+                ? Optional.empty()
+                : Optional.of(deny(routed.getLeft(), responses(request, client, index, receivedNanoseconds)));
+    }
+
+    private ClientResponses responses(
+            InboundRequest request, ClientRequestMetadata client, RouteIndex index, long receivedNanoseconds) {
+        return new ClientResponses(
+                client.attemptId(),
+                request.readDelay(),
+                receivedNanoseconds,
+                index.snapshot().version(),
+                dependencies);
+    }
+
     /** Takes the request from the limit of its organisation; returns the response to a request that is not within it. */
     private Optional<Response> refusalByLimit(MeshRequest request, ClientResponses responses) {
         if (request.organisation().isEmpty()) {
@@ -160,12 +190,12 @@
                 : admission.tryAdmit(request.readDelay(), match.route().effectivePriority());
     }
 
-    /** Returns the response to a request for which no route is known. */
-    private static Response deny(VersionStatus status, ClientResponses responses) {
-        return switch (status) {
-            case VersionStatus.Newest _ -> responses.refused(HttpStatuses.NOT_FOUND, "NO_ROUTE");
-            case VersionStatus.Behind _ -> responses.notRun("CONFIGURATION_BEHIND", 0, VERSION_RETRY_AFTER);
-            case VersionStatus.Unconfirmed _ -> responses.notRun("CONFIGURATION_UNCONFIRMED", 0, VERSION_RETRY_AFTER);
+    private static Response deny(RoutingDenial denial, ClientResponses responses) {
+        ClientResponses versioned = responses.withVersion(denial.version());
+        return switch (denial) {
+            case RoutingDenial.Forbidden forbidden -> versioned.refused(forbidden.status(), forbidden.reason());
+            case RoutingDenial.Undetermined undetermined ->
+                versioned.notRun(undetermined.reason(), 0, VERSION_RETRY_AFTER);
         };
     }
 
@@ -182,13 +212,18 @@
         }
     }
 
-    private MeshRequest routedRequest(
+    private List<HeaderField> headersToForward(InboundRequest request, RouteIndex index) {
+        List<HeaderField> forwardable = HeaderValues.forwardable(request.headers());
+        return index.areKeysRequired() ? adapter.withoutCredentials(forwardable) : forwardable;
+    }
+
+    private MeshRequest meshRequest(
             InboundRequest request,
             ClientRequestMetadata client,
             byte[] body,
-            RouteIndex.Match match,
-            RouteIndex index,
+            RequestRouter.Routed routed,
             long receivedNanoseconds) {
+        RouteIndex.Match match = routed.match();
         Duration timeout = Duration.ofMillis(match.policy().timeoutMilliseconds());
         Duration limit =
                 client.timeout().filter(stated -> stated.compareTo(timeout) < 0).orElse(timeout);
@@ -200,19 +235,19 @@
         return new MeshRequest(
                 request.method(),
                 request.path(),
-                HeaderValues.forwardable(request.headers()),
+                headersToForward(request, routed.index()),
                 body,
                 RequestIdentity.of(request.method(), request.path(), body),
                 client,
                 match,
                 service,
-                index.snapshot().version(),
+                routed.index().snapshot().version(),
                 receivedNanoseconds,
                 stop.get()
                         .map(announced -> announced.limit(deadlineNanoseconds))
                         .orElse(deadlineNanoseconds),
                 earlierWait,
-                Optional.empty(),
+                routed.organisation(),
                 request.bodyReservation());
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -42,6 +42,9 @@
         Optional<Organisation> organisation,
         BodyReservation bodies) {
 
+    /** More than there are priorities of routes, so that the priorities of organisations go before them. */
+    private static final int RANKS_PER_PRIORITY = 10;
+
     MeshRequest {
         Objects.requireNonNull(method, "method is null");
         Objects.requireNonNull(path, "path is null");
@@ -56,6 +59,15 @@
         headers = List.copyOf(headers);
     }
 
+    /** Returns the rank of the request in queues, 0 first: the priority of its organisation goes before that of its route. */
+    int rank() {
+        int routePriority = match.route().effectivePriority();
+        return organisation
+                .flatMap(Organisation::priority)
+                .map(priority -> priority * RANKS_PER_PRIORITY + routePriority)
+                .orElse(routePriority);
+    }
+
     String attemptId() {
         return client.attemptId();
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/ProtocolAdapter.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ProtocolAdapter.java
@@ -18,6 +18,9 @@
     /** Reads what a client states about its request beside method, path and body. */
     ClientRequestMetadata clientMetadata(InboundRequest request);
 
+    /** Returns a client's headers without its key and without any statement of an organisation, for a node that sets both. */
+    List<HeaderField> withoutCredentials(List<HeaderField> received);
+
     /** Returns the headers for the target: the received ones, with those that the node itself sets replaced. */
     List<HeaderField> targetHeaders(
             List<HeaderField> received,
--- a/mesh/src/main/java/org/oleanderturn/mesh/RouteIndex.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RouteIndex.java
@@ -10,25 +10,32 @@
 import java.util.Optional;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.KeyDigest;
+import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.TrafficPolicy;
 import org.oleanderturn.model.TrafficPolicyName;
 
 /**
- * Finds the route of a request by its virtual host and the longest matching path prefix.
+ * Finds the route of a request by its virtual host and the longest matching path prefix, and the organisation of a key.
  *
  * <p>Invariant: built from one snapshot; the cost of a lookup does not grow with the routes of other hosts. Immutable and
  * thread safe.
  */
 public final class RouteIndex {
-    private static final RouteIndex EMPTY = new RouteIndex(ConfigurationSnapshot.empty(), Map.of());
+    private static final RouteIndex EMPTY = new RouteIndex(ConfigurationSnapshot.empty(), Map.of(), Map.of());
 
     private final ConfigurationSnapshot snapshot;
     private final Map<String, List<Match>> matchesByHost;
+    private final Map<KeyDigest, Organisation> organisationsByKey;
 
-    private RouteIndex(ConfigurationSnapshot snapshot, Map<String, List<Match>> matchesByHost) {
+    private RouteIndex(
+            ConfigurationSnapshot snapshot,
+            Map<String, List<Match>> matchesByHost,
+            Map<KeyDigest, Organisation> organisationsByKey) {
         this.snapshot = snapshot;
         this.matchesByHost = matchesByHost;
+        this.organisationsByKey = organisationsByKey;
     }
 
     /** A route with its traffic policy. */
@@ -59,7 +66,16 @@
                 Comparator.comparingInt(match -> -match.route().pathPrefix().length());
         matchesByHost.replaceAll(
                 (_, matches) -> matches.stream().sorted(longestFirst).toList());
-        return new RouteIndex(snapshot, Map.copyOf(matchesByHost));
+        return new RouteIndex(snapshot, Map.copyOf(matchesByHost), organisationsByKey(snapshot));
+    }
+
+    private static Map<KeyDigest, Organisation> organisationsByKey(ConfigurationSnapshot snapshot) {
+        Map<KeyDigest, Organisation> organisations = new HashMap<>();
+        for (Organisation organisation :
+                snapshot.configuration().organisations().orElse(List.of())) {
+            organisation.keys().forEach(key -> organisations.put(key, organisation));
+        }
+        return Map.copyOf(organisations);
     }
 
     /** Returns the index of the empty snapshot, which has no routes. */
@@ -77,6 +93,16 @@
         return snapshot;
     }
 
+    /** Returns whether requests need a key unless their route allows anonymous ones. */
+    public boolean areKeysRequired() {
+        return snapshot.configuration().organisations().isPresent();
+    }
+
+    /** Returns the organisation that holds a key; empty when none does. */
+    public Optional<Organisation> organisation(KeyDigest key) {
+        return Optional.ofNullable(organisationsByKey.get(key));
+    }
+
     /** Returns the route of a host with the longest prefix of the path; host names are compared without regard to case. */
     public Optional<Match> find(String host, String method, String path) {
         for (Match match : matchesByHost.getOrDefault(lowerCase(host), List.of())) {
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -131,7 +131,8 @@
                 decisions::add,
                 System::nanoTime,
                 new SplittableRandom(2));
-        return MeshEntry.of(() -> index, () -> isReady, _ -> versionStatus, adapter, dependencies);
+        return MeshEntry.of(
+                () -> index, () -> isReady, _ -> versionStatus, Authenticator.failOpen(), adapter, dependencies);
     }
 
     /** Records a report of a guard whose slots are all free. */
--- a/mesh/src/test/java/org/oleanderturn/mesh/FakeProtocolAdapter.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeProtocolAdapter.java
@@ -21,6 +21,11 @@
         return new ClientRequestMetadata(request.header("Id").orElse(""), timeout, "host.example");
     }
 
+    @Override
+    public List<HeaderField> withoutCredentials(List<HeaderField> received) {
+        return received;
+    }
+
     @Override
     public List<HeaderField> targetHeaders(
             List<HeaderField> received,
--- a/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/TargetCallHandlerTest.java
@@ -41,6 +41,11 @@
             return delegate.clientMetadata(request);
         }
 
+        @Override
+        public List<HeaderField> withoutCredentials(List<HeaderField> received) {
+            return received;
+        }
+
         @Override
         public List<HeaderField> targetHeaders(
                 List<HeaderField> received,
--- a/model/src/main/java/org/oleanderturn/model/ConfigurationFault.java
+++ b/model/src/main/java/org/oleanderturn/model/ConfigurationFault.java
@@ -36,6 +36,9 @@
     /** A route's method does not fit its kind: lookups and downloads allow only safe methods. */
     record MethodUnfitForKind(String path, String method, RequestKind kind) implements ConfigurationFault {}
 
+    /** An organisation holds a key that the organisation {@code other}, or itself, holds already; the key is not shown. */
+    record SharedKey(String path, OrganisationName other) implements ConfigurationFault {}
+
     /** A value is outside its range; both bounds are inclusive. */
     record OutOfRange(String path, String field, long found, long lowest, long highest) implements ConfigurationFault {}
 
--- a/model/src/main/java/org/oleanderturn/model/ConfigurationValidator.java
+++ b/model/src/main/java/org/oleanderturn/model/ConfigurationValidator.java
@@ -26,6 +26,8 @@
     private static final int MAXIMUM_HEDGE_PERCENTILE = 99;
     private static final int MAXIMUM_QUEUED_REQUESTS = 10_000;
     private static final int MAXIMUM_WEIGHT = 1_000_000;
+    private static final int MAXIMUM_PRIORITY = 100;
+    private static final int MAXIMUM_REQUESTS = 10_000_000;
     private static final Pattern PATH_PREFIX = Pattern.compile("/[^\\s?#]*");
     private static final Pattern METHOD = Pattern.compile("[A-Z]{1,20}");
     private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
@@ -52,6 +54,7 @@
         configuration.services().forEach(validator::checkService);
         configuration.trafficPolicies().forEach(validator::checkPolicy);
         configuration.routes().forEach(validator::checkRoute);
+        validator.checkOrganisations();
         validator.checkShadowedRoutes();
         return List.copyOf(validator.faults);
     }
@@ -89,6 +92,34 @@
         checkRange(path, "reservedShortPercent", policy.reservedShortPercent(), 0, MAXIMUM_PERCENT - 1);
     }
 
+    private void checkOrganisations() {
+        List<Organisation> organisations = configuration.organisations().orElse(List.of());
+        checkUnique("organisations/", organisations, Organisation::name);
+        Map<KeyDigest, OrganisationName> holders = new HashMap<>();
+        for (Organisation organisation : organisations) {
+            String path = "organisations/" + organisation.name();
+            organisation.priority().ifPresent(priority -> checkRange(path, "priority", priority, 0, MAXIMUM_PRIORITY));
+            organisation.limit().ifPresent(limit -> checkLimit(path, limit));
+            for (KeyDigest key : organisation.keys()) {
+                OrganisationName holder = holders.putIfAbsent(key, organisation.name());
+                if (holder != null) {
+                    faults.add(new ConfigurationFault.SharedKey(path, holder));
+                }
+            }
+        }
+    }
+
+    private void checkLimit(String path, RequestLimit limit) {
+        checkDecimalRange(path, "limit.requestsPerSecond", limit.requestsPerSecond());
+        checkDecimalRange(path, "limit.burst", limit.burst());
+    }
+
+    private void checkDecimalRange(String path, String field, double found) {
+        if (!(found >= 0 && found <= MAXIMUM_REQUESTS)) {
+            faults.add(new ConfigurationFault.OutOfRange(path, field, Math.round(found), 0, MAXIMUM_REQUESTS));
+        }
+    }
+
     private void checkRange(String path, String field, long found, long lowest, long highest) {
         if (found < lowest || found > highest) {
             faults.add(new ConfigurationFault.OutOfRange(path, field, found, lowest, highest));
--- a/model/src/test/java/org/oleanderturn/model/ConfigurationDeltaTest.java
+++ b/model/src/test/java/org/oleanderturn/model/ConfigurationDeltaTest.java
@@ -53,6 +53,26 @@
         assertThat(delta.applyTo(SECOND).getLeft()).isInstanceOf(ConfigurationDelta.Mismatch.OtherBase.class);
     }
 
+    @Test
+    void shouldReachTheSameOrganisationsWhenTheyAreAddedChangedAndRemoved() {
+        Configuration without = FIRST.configuration();
+        Configuration two = without.withOrganisations(
+                Optional.of(List.of(organisation("first", "key-1"), organisation("second", "key-2"))));
+        Configuration one = without.withOrganisations(Optional.of(List.of(organisation("first", "key-3"))));
+        Configuration none = without.withOrganisations(Optional.of(List.of()));
+        List<Configuration> versions = List.of(without, two, one, none, two, without);
+        for (int version = 1; version < versions.size(); version++) {
+            ConfigurationSnapshot before = snapshot(version, versions.get(version - 1));
+            ConfigurationSnapshot after = snapshot(version + 1, versions.get(version));
+            assertThat(ConfigurationDelta.between(before, after).applyTo(before))
+                    .isEqualTo(Either.right(after));
+        }
+    }
+
+    private static Organisation organisation(String name, String key) {
+        return Organisation.of(OrganisationName.of(name), List.of(KeyDigest.ofKey(key)));
+    }
+
     @Test
     void shouldReportAMismatchWhenTheResultHasAnotherDigest() {
         ConfigurationDelta delta = ConfigurationDelta.between(FIRST, SECOND);
--- a/model/src/test/java/org/oleanderturn/model/ConfigurationValidatorTest.java
+++ b/model/src/test/java/org/oleanderturn/model/ConfigurationValidatorTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -61,6 +62,16 @@
                         new ConfigurationFault.DuplicateName("services/docs")));
     }
 
+    @Test
+    void shouldReportAKeyThatTwoOrganisationsHold() {
+        KeyDigest key = KeyDigest.ofKey("key-1");
+        Organisation first = Organisation.of(OrganisationName.of("first"), List.of(key));
+        Organisation second = Organisation.of(OrganisationName.of("second"), List.of(key));
+        assertThat(ConfigurationValidator.validate(
+                        of(DOCS, READ_ROUTE, POLICY).withOrganisations(Optional.of(List.of(second, first)))))
+                .containsExactly(new ConfigurationFault.SharedKey("organisations/second", first.name()));
+    }
+
     private static List<ConfigurationFault> validate(Service service, Route route, TrafficPolicy policy) {
         return ConfigurationValidator.validate(of(service, route, policy));
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -83,7 +83,7 @@
 
     /** Returns how long ago a version was last confirmed as the newest; empty before the first time. */
     Optional<Duration> confirmationAge() {
-        return confirmation.age();
+        return confirmation.confirmationAge();
     }
 
     private int heldRoutes() {
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -10,6 +10,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.oleanderturn.mesh.Authenticator;
 import org.oleanderturn.mesh.CrashMonitor;
 import org.oleanderturn.mesh.DecisionLog;
 import org.oleanderturn.mesh.EntryStop;
@@ -237,10 +238,25 @@
 
     /** Returns the handler of clients' requests. */
     RequestHandler serve(Supplier<RouteIndex> routes, BooleanSupplier isReady, VersionCheck versionCheck) {
-        entry = MeshEntry.of(routes, isReady, versionCheck, PlatformProtocolAdapter.instance(), entryDependencies);
+        entry = MeshEntry.of(
+                routes,
+                isReady,
+                versionCheck,
+                authenticator(versionCheck),
+                PlatformProtocolAdapter.instance(),
+                entryDependencies);
         return entry;
     }
 
+    private Authenticator authenticator(VersionCheck versionCheck) {
+        return settings.mesh()
+                .flatMap(NodeSettings.Mesh::organisations)
+                .filter(NodeSettings.Organisations::isFailClosed)
+                .map(organisations ->
+                        Authenticator.failClosed(organisations.revocation().duration(), versionCheck::confirmationAge))
+                .orElseGet(Authenticator::failOpen);
+    }
+
     /** Binds the listeners for clients and for other nodes. */
     Either<ListenerFailure, MeshDataPlane> listen(
             Supplier<RouteIndex> routes, BooleanSupplier isReady, VersionCheck versionCheck) {
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -102,6 +102,7 @@
      * @param stopTime the time between SIGTERM and the platform's SIGKILL
      * @param repeats the limit on retries
      * @param linkMegabitsPerSecond the rate of the host's link in each direction; unknown if absent
+     * @param organisations how keys are checked by a node that is cut off; open if absent
      */
     public record Mesh(
             Address targetCalls,
@@ -109,7 +110,22 @@
             DurationText heartbeat,
             DurationText stopTime,
             RetryLimit repeats,
-            Optional<Double> linkMegabitsPerSecond) {}
+            Optional<Double> linkMegabitsPerSecond,
+            Optional<Organisations> organisations) {}
+
+    /**
+     * How the keys of organisations are checked.
+     *
+     * @param failClosed whether a node that could not confirm its configuration for the time of revocation refuses keys
+     * @param revocation the time within which a removed key is refused
+     */
+    public record Organisations(boolean failClosed, DurationText revocation) {
+
+        /** Returns whether a node that could not confirm its configuration refuses keys. */
+        boolean isFailClosed() {
+            return failClosed;
+        }
+    }
 
     /**
      * The limit on the retries of requests to a service.
--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -166,6 +166,7 @@
                 DurationText.of("60s"),
                 DurationText.of("5s"),
                 retryLimit,
+                Optional.empty(),
                 Optional.empty());
         return new NodeSettings(
                 NodeId.of(NAME),
--- a/node/src/main/java/org/oleanderturn/node/SettingsField.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsField.java
@@ -63,6 +63,7 @@
                 case TimeSpan _ ->
                     value.isTextual() && DurationText.parse(value.textValue()).isPresent();
                 case AddressList _ -> isAddressList(value);
+                case Flag _ -> value.isBoolean();
             };
         }
 
@@ -78,6 +79,7 @@
                 case Decimal decimal ->
                     "a number of " + decimal.unit() + " from " + decimal.lowest() + " to " + decimal.highest();
                 case TimeSpan _ -> "a number and its unit, such as \"1500ms\" or \"2.5s\"";
+                case Flag _ -> "true or false";
                 case AddressList _ -> "a list of IP addresses and ports, such as [\"127.0.0.1:23001\"]";
             };
         }
@@ -131,6 +133,9 @@
         /** A duration with its unit, as {@link DurationText} parses it. */
         record TimeSpan() implements ValueFormat {}
 
+        /** A boolean. */
+        record Flag() implements ValueFormat {}
+
         /** A list of IP addresses and ports. */
         record AddressList() implements ValueFormat {}
     }
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -16,6 +16,7 @@
     private static final SettingsField.ValueFormat NAME = new SettingsField.ValueFormat.Name();
     private static final SettingsField.ValueFormat ADDRESS = new SettingsField.ValueFormat.HostAndPort();
     private static final SettingsField.ValueFormat TIME_SPAN = new SettingsField.ValueFormat.TimeSpan();
+    private static final SettingsField.ValueFormat FLAG = new SettingsField.ValueFormat.Flag();
     private static final SettingsField.ValueFormat PATH = new SettingsField.ValueFormat.Path();
     private static final List<SettingsField> FIELDS = List.of(
             SettingsField.required("node", NAME),
@@ -48,7 +49,10 @@
             SettingsField.requiredIn("mesh.repeats", "ratio", decimal("retries per request", 0, 1)),
             SettingsField.requiredIn("mesh.repeats", "floor", decimal("retries per window", 0, 100_000)),
             SettingsField.requiredIn("mesh.repeats", "window", TIME_SPAN),
-            SettingsField.optional("mesh.linkMegabitsPerSecond", decimal("megabits per second", 0, 1_000_000)));
+            SettingsField.optional("mesh.linkMegabitsPerSecond", decimal("megabits per second", 0, 1_000_000)),
+            SettingsField.optional("mesh.organisations", SECTION),
+            SettingsField.requiredIn("mesh.organisations", "failClosed", FLAG),
+            SettingsField.requiredIn("mesh.organisations", "revocation", TIME_SPAN));
 
     private SettingsSchema() {}
 
--- a/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
+++ b/node/src/main/java/org/oleanderturn/node/VersionConfirmation.java
@@ -82,8 +82,8 @@
         return new RelayReport(held, watcher.isReading(), age);
     }
 
-    /** Returns how long ago a version was last confirmed as the newest; empty before the first time. */
-    Optional<Duration> age() {
+    @Override
+    public Optional<Duration> confirmationAge() {
         long now = clockNanoseconds.getAsLong();
         return Stream.of(watcher.confirmation(), relayCheck.confirmation())
                 .flatMap(Optional::stream)
--- a/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
@@ -35,7 +35,8 @@
                 DurationText.of("1500ms"),
                 DurationText.of("5s"),
                 new NodeSettings.RetryLimit(0.2, 60, DurationText.of("10s")),
-                linkRate);
+                linkRate,
+                Optional.empty());
         return new NodeSettings(
                 NodeId.of(node),
                 Region.of(number % 2 == 0 ? PLATFORM_REGION : "north"),
--- a/node/src/test/java/org/oleanderturn/node/VersionConfirmationTest.java
+++ b/node/src/test/java/org/oleanderturn/node/VersionConfirmationTest.java
@@ -79,7 +79,7 @@
         watcher.runOnce();
         // Dated to the end of the wait that was asked for (0.4 s after a version), so too old by now.
         assertThat(confirmation.report(false).confirmationAgeMilliseconds()).isEmpty();
-        assertThat(confirmation.age()).isEqualTo(Optional.of(Duration.ofMillis(3_800)));
+        assertThat(confirmation.confirmationAge()).isEqualTo(Optional.of(Duration.ofMillis(3_800)));
     }
 
     /** The nodes of a zone read the store themselves unless its relay keeps confirming its version. */
