Take no response whose status HTTP does not have

Reported by operators of similar systems: an upstream in trouble sent an answer with status 000, and the client got it. Here statuses such as 000, 99, 1000 and text were lost already, as the library fails on them; 600 to 999 were passed on, and a store that answered 000 made the call end with an unexpected IllegalArgumentException. Both count now as a lost response, to a request as to a call, a health check or a call to the store.

--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
@@ -29,6 +30,8 @@
 final class UpstreamConnection extends DefaultBHttpClientConnection {
     private static final Timeout PROBE_TIMEOUT = Timeout.ofMilliseconds(1);
 
+    private static final int HIGHEST_STATUS = 599;
+
     private final SocketChannel channel;
     private Optional<ReceiveLimits> limits = Optional.empty();
     private volatile boolean isProbing;
@@ -62,7 +65,7 @@
 
     /**
      * Reads the head of a response; unlike the library, fails when the connection ends before the empty line that closes the
-     * head.
+     * head, or when the status is above those of HTTP. The library itself fails on other malformed ones.
      */
     @Override
     public ClassicHttpResponse receiveResponseHeader() throws HttpException, IOException {
@@ -70,6 +73,9 @@
         if (hasReadEnd) {
             throw new ConnectionClosedException("the connection ended within the head of the response");
         }
+        if (response.getCode() > HIGHEST_STATUS) {
+            throw new ProtocolException("the response has the invalid status " + response.getCode());
+        }
         return response;
     }
 
--- a/store/src/test/java/org/oleanderturn/store/CompleteHeadParserTest.java
+++ b/store/src/test/java/org/oleanderturn/store/CompleteHeadParserTest.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -39,6 +40,16 @@
         assertWithMessage("whole").that(call(RESPONSE).get().status()).isEqualTo(200);
     }
 
+    /** A write that a store in trouble answers with such a status may have taken effect or not. */
+    @Test
+    void shouldNotTakeAResponseWhoseStatusIsNoneOfTheProtocol() throws IOException {
+        for (String status : List.of("000", "99", "600", "999", "1000", "-200", "OK", "")) {
+            assertWithMessage("status %s", status)
+                    .that(call(RESPONSE.replace("200", status)).getLeft())
+                    .isInstanceOf(StoreFailure.Undetermined.class);
+        }
+    }
+
     private Either<StoreFailure, StoreResponse> call(String response) throws IOException {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             executor.execute(() -> answer(server, response));
