--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -48,9 +48,6 @@
     /** Retry times are multiplied by a random factor between this and this plus 1. */
     private static final double LOWEST_JITTER_FACTOR = 0.5;
 
-    /** How long the node of a lost guard may take to accept the connection that shows that it lives. */
-    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
-
     private static final String QUARANTINED = "QUARANTINED";
 
     private static final String KEY_REMOVED = "KEY_REMOVED";
@@ -248,9 +245,8 @@
     }
 
     private GuardReply exchange(Endpoint endpoint, Cancellation cancellation) {
-        GuardReply reply = dependencies.guardClient().isLocal(endpoint)
-                ? dependencies.guardClient().call(endpoint, guardRequest(endpoint.node(), cancellation))
-                : exchangeWatched(endpoint, cancellation);
+        GuardReply reply = WatchedExchange.of(dependencies.guardClient(), dependencies.crashMonitor())
+                .call(endpoint, guardRequest(endpoint.node(), cancellation));
         if (reply instanceof GuardReply.Ran ran) {
             dependencies
                     .exchangeSizes()
@@ -261,35 +257,6 @@
                 : reply;
     }
 
-    /** Calls the guard of another node, and keeps the crash monitor informed should that node end meanwhile. */
-    private GuardReply exchangeWatched(Endpoint endpoint, Cancellation cancellation) {
-        CrashMonitor crashMonitor = dependencies.crashMonitor();
-        NodeId node = endpoint.node();
-        CrashMonitor.Run attempt = crashMonitor.beginAttempt(node, request.attemptId(), request.identity());
-        GuardReply reply = dependencies.guardClient().call(endpoint, guardRequest(node, cancellation));
-        switch (reply) {
-            case GuardReply.Ran _, GuardReply.NotRun _, GuardReply.Quarantined _ ->
-                crashMonitor.completeAttempt(node, attempt);
-            case GuardReply.Abandoned _ -> crashMonitor.giveUpAttempt(node, attempt);
-            case GuardReply.Unknown unknown -> recordUnknown(endpoint, attempt, unknown.cause());
-        }
-        return reply;
-    }
-
-    private void recordUnknown(Endpoint endpoint, CrashMonitor.Run attempt, GuardReply.Cause cause) {
-        CrashMonitor crashMonitor = dependencies.crashMonitor();
-        switch (cause) {
-            case UNANSWERED, TIMED_OUT -> crashMonitor.giveUpAttempt(endpoint.node(), attempt);
-            case TARGET_ENDED -> crashMonitor.recordTargetEnded(endpoint.node(), attempt);
-            case GUARD_LOST -> {
-                if (!dependencies.guardClient().isListening(endpoint, PROBE_TIMEOUT)) {
-                    crashMonitor.endNode(endpoint.node());
-                }
-                crashMonitor.giveUpAttempt(endpoint.node(), attempt);
-            }
-        }
-    }
-
     private GuardRequest guardRequest(NodeId node, Cancellation cancellation) {
         Duration remaining = remaining();
         Route route = request.match().route();
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -232,7 +232,7 @@
             SlotDecision decision = awaitSlot(request, ticket, maximumWait);
             long decided = clockNanoseconds.getAsLong();
             GuardReply reply = replyForDecision(request, decision, started);
-            recordRoom(ticket, reply);
+            recordRoom(reply);
             Duration run = decision instanceof SlotDecision.Granted
                     ? Duration.ofNanos(clockNanoseconds.getAsLong() - decided)
                     : Duration.ZERO;
@@ -251,10 +251,10 @@
     }
 
     /** Lets the queue know whether the target had room for the request that was sent to it. */
-    private void recordRoom(SlotTicket ticket, GuardReply reply) {
+    private void recordRoom(GuardReply reply) {
         switch (reply) {
             case GuardReply.Ran _ -> slots.recordRun();
-            case GuardReply.NotRun notRun when notRun.isShedByTarget() -> slots.recordShed(ticket);
+            case GuardReply.NotRun notRun when notRun.isShedByTarget() -> slots.recordShed();
             case GuardReply.NotRun _, GuardReply.Unknown _, GuardReply.Abandoned _, GuardReply.Quarantined _ -> {
                 // These tell nothing of the room at the target.
             }
--- a/traffic/src/main/java/org/oleanderturn/traffic/ShedLimit.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/ShedLimit.java
@@ -3,26 +3,28 @@
 import java.time.Duration;
 
 /**
- * Limits the requests at a target by what it sheds.
+ * Keeps requests from a target that sheds all of them.
  *
- * <p>A target that sheds a request beside others has room for those others only. One that sheds a request beside none has room
- * for none: it stays idle, looks like the best choice to every entry, and each request that it sheds uses up the retry budget
- * of its service. It then gets nothing for a pause, and one request at a time after it.
+ * <p>Such a target stays idle, looks like the best choice to every entry, and each request that it sheds uses up the retry
+ * budget of its service. After several sheds in a row it gets nothing for a pause, and one request at a time after it until it
+ * runs one. A target that sheds only part of its requests keeps its slots: what it runs is room that no other target has.
  *
  * <p>Invariant: while a target sheds everything it gets at most one request in each pause. Not thread safe; its owner guards
  * it.
  */
 final class ShedLimit {
+    /** A target that sheds every second request sheds as many in a row by chance once in some hundred requests. */
+    private static final int SHEDS_BEFORE_PAUSE = 8;
+
     /** A target that shed by chance is back soon; a run takes about as long. */
     private static final Duration FIRST_PAUSE = Duration.ofMillis(100);
 
     /** Bounds both the requests that a shedding target costs and the time until it is used again. */
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
 
-    private double limit = Double.MAX_VALUE;
+    private int sheds;
     private Duration nextPause = FIRST_PAUSE;
     private long pausedUntilNanoseconds;
-    private boolean isPaused;
 
     private ShedLimit() {}
 
@@ -35,34 +37,35 @@
 
     /** Returns how many requests may run at once at a target with the given slots. */
     int allowed(int slots, long now) {
-        return untilProbe(now).isPositive() ? 0 : (int) Math.min(slots, limit);
+        if (sheds < SHEDS_BEFORE_PAUSE) {
+            return slots;
+        }
+        return untilProbe(now).isPositive() ? 0 : Math.min(slots, 1);
     }
 
     /** Returns how long the target still gets no requests; zero if it gets some. */
     Duration untilProbe(long now) {
-        return isPaused && pausedUntilNanoseconds - now > 0
+        return sheds >= SHEDS_BEFORE_PAUSE && pausedUntilNanoseconds - now > 0
                 ? Duration.ofNanos(pausedUntilNanoseconds - now)
                 : Duration.ZERO;
     }
 
     // -- commands
 
-    /** Records that the target shed a request while others ran there. */
-    void recordShed(int runningBeside, long now) {
-        if (runningBeside > 0) {
-            limit = Math.min(limit, runningBeside);
+    /** Records that the target shed a request. */
+    void recordShed(long now) {
+        sheds = Math.min(sheds + 1, SHEDS_BEFORE_PAUSE);
+        if (sheds < SHEDS_BEFORE_PAUSE) {
             return;
         }
-        limit = 1;
-        isPaused = true;
         pausedUntilNanoseconds = now + nextPause.toNanos();
-        nextPause = nextPause.multipliedBy(2).compareTo(LONGEST_PAUSE) < 0 ? nextPause.multipliedBy(2) : LONGEST_PAUSE;
+        Duration doubled = nextPause.multipliedBy(2);
+        nextPause = doubled.compareTo(LONGEST_PAUSE) < 0 ? doubled : LONGEST_PAUSE;
     }
 
-    /** Records that the target ran a request; each round of runs raises the limit by one. */
-    void recordRun(int slots) {
+    /** Records that the target ran a request. */
+    void recordRun() {
+        sheds = 0;
         nextPause = FIRST_PAUSE;
-        isPaused = false;
-        limit = limit >= slots ? Double.MAX_VALUE : limit + 1 / limit;
     }
 }
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -18,7 +18,7 @@
  * earliest soft deadline, and late ones afterwards in the same order. A request that is not expected to get a slot
  * within its maximum wait is refused on arrival, or as soon as others overtake it, so that its caller can try another
  * target. A target may limit the rate of its requests as well; they then pass at that rate, in the same order. A target that
- * sheds requests is trusted with fewer of them.
+ * sheds everything gets nothing for a moment.
  *
  * <p>While more requests arrive than the slots can run, those that can't meet their soft deadline with some certainty
  * give way to the others, and only as many of them wait as keep the slots busy.
@@ -145,10 +145,10 @@
         }
     }
 
-    /** Records that the target shed the request that holds a slot by a ticket. */
-    public synchronized void recordShed(SlotTicket ticket) {
+    /** Records that the target shed a request. */
+    public synchronized void recordShed() {
         long now = nanoseconds.getAsLong();
-        shedLimit.recordShed(state.running() - (ticket.isSlotHeld() ? 1 : 0), now);
+        shedLimit.recordShed(now);
         Duration untilProbe = shedLimit.untilProbe(now);
         while (untilProbe.isPositive() && !waiting.isEmpty()) {
             waiting.removeLast().settle(new SlotDecision.Refused(SlotDecision.Reason.SHEDDING, untilProbe));
@@ -157,7 +157,7 @@
 
     /** Records that the target ran a request. */
     public synchronized void recordRun() {
-        shedLimit.recordRun(state.slots());
+        shedLimit.recordRun();
     }
 
     /** Frees the slot of a ticket; no effect if it holds none. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -63,10 +63,6 @@
         return requestedNanoseconds;
     }
 
-    boolean isSlotHeld() {
-        return isSlotHeld.get();
-    }
-
     long grantedNanoseconds() {
         return grantedNanoseconds;
     }
