Bound the retries of a service by construction, calls of retried runs included

Cause: where targets shed part of their requests, more of the runs are retries than of the requests, so that the calls of these runs alone can pass the ratio at the service that they call. The share of retried runs was averaged over 50 runs and taken off when the calls were made, by nodes whose target makes none as well.

Change: a guard charges each retried run the calls of an average run, to its node's budgets of the services that its target calls, before the run begins, and refuses the run where they have no room.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -106,7 +106,7 @@
         ScheduledFuture<?> deadline =
                 dependencies.scheduler().schedule(this::onDeadline, remaining().toNanos(), TimeUnit.NANOSECONDS);
         try {
-            retryBudget().recordRequest(dependencies.repeatShare().share());
+            retryBudget().recordRequest();
             return attemptUntilDone();
         } finally {
             deadline.cancel(false);
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
@@ -12,7 +12,6 @@
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.OfferThrottles;
-import org.oleanderturn.traffic.RepeatShare;
 import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
 
@@ -31,7 +30,6 @@
  * @param retryBudgets returns the retry budget of a service
  * @param guardClient sends requests to guards
  * @param crashMonitor knows the requests under which targets have ended
- * @param repeatShare the share of retries among the runs of the local target, whose calls this entry may serve
  * @param admission decides which requests the node's own core has time for
  * @param limiter keeps the limits of organisations
  * @param scheduler cancels attempts at their deadline
@@ -49,7 +47,6 @@
         Function<ServiceName, WindowedRetryBudget> retryBudgets,
         GuardClient guardClient,
         CrashMonitor crashMonitor,
-        RepeatShare repeatShare,
         CoreAdmission admission,
         RequestLimiter limiter,
         ScheduledExecutorService scheduler,
@@ -69,7 +66,6 @@
         Objects.requireNonNull(retryBudgets, "retryBudgets is null");
         Objects.requireNonNull(guardClient, "guardClient is null");
         Objects.requireNonNull(crashMonitor, "crashMonitor is null");
-        Objects.requireNonNull(repeatShare, "repeatShare is null");
         Objects.requireNonNull(admission, "admission is null");
         Objects.requireNonNull(limiter, "limiter is null");
         Objects.requireNonNull(scheduler, "scheduler is null");
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -24,8 +24,8 @@
 import org.oleanderturn.proxy.UpstreamExchange;
 import org.oleanderturn.proxy.UpstreamFailure;
 import org.oleanderturn.traffic.CrashVerdict;
+import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LoadReport;
-import org.oleanderturn.traffic.RepeatShare;
 import org.oleanderturn.traffic.SlotDecision;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.SlotRequest;
@@ -73,7 +73,7 @@
     private final LocalTarget target;
     private final SlotQueue slots;
     private final LatencyRatio latencyRatio;
-    private final RepeatShare repeatShare;
+    private final InducedRetries inducedRetries;
     private final UpstreamExchange client;
     private final SlotWait slotWait;
     private final ProtocolAdapter adapter;
@@ -92,22 +92,27 @@
             CrashMonitor crashMonitor,
             DecisionLog decisionLog,
             ResponsePacer pacer,
+            InducedRetries inducedRetries,
             LongSupplier clockNanoseconds) {
         this.address = address;
         this.target = target;
         this.slots = slots;
         this.latencyRatio = LatencyRatio.create();
-        this.repeatShare = RepeatShare.create();
         this.client = client;
         this.slotWait = slotWait;
         this.adapter = adapter;
         this.crashMonitor = crashMonitor;
         this.decisionLog = decisionLog;
         this.pacer = pacer;
+        this.inducedRetries = inducedRetries;
         this.clockNanoseconds = clockNanoseconds;
     }
 
-    /** Returns the guard of the target at an address. */
+    /**
+     * Returns the guard of the target at an address.
+     *
+     * @param inducedRetries accounts for the calls of runs that are themselves retries
+     */
     public static MeshGuard of(
             Address address,
             LocalTarget target,
@@ -118,6 +123,7 @@
             CrashMonitor crashMonitor,
             DecisionLog decisionLog,
             ResponsePacer pacer,
+            InducedRetries inducedRetries,
             LongSupplier clockNanoseconds) {
         Objects.requireNonNull(address, "address is null");
         Objects.requireNonNull(target, "target is null");
@@ -128,9 +134,20 @@
         Objects.requireNonNull(crashMonitor, "crashMonitor is null");
         Objects.requireNonNull(decisionLog, "decisionLog is null");
         Objects.requireNonNull(pacer, "pacer is null");
+        Objects.requireNonNull(inducedRetries, "inducedRetries is null");
         Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
         return new MeshGuard(
-                address, target, slots, client, slotWait, adapter, crashMonitor, decisionLog, pacer, clockNanoseconds);
+                address,
+                target,
+                slots,
+                client,
+                slotWait,
+                adapter,
+                crashMonitor,
+                decisionLog,
+                pacer,
+                inducedRetries,
+                clockNanoseconds);
     }
 
     // -- queries
@@ -157,11 +174,6 @@
         return target.condition().map(TargetCondition::limit).orElse(OptionalDouble.empty());
     }
 
-    /** Returns the share of retries among the runs of the target. */
-    public RepeatShare repeatShare() {
-        return repeatShare;
-    }
-
     // -- commands
 
     @Override
@@ -217,6 +229,9 @@
         if (!request.metadata().service().equals(target.service())) {
             return new GuardReply.NotRun("WRONG_SERVICE", false, Duration.ZERO);
         }
+        if (request.metadata().isRepeat() && !inducedRetries.hasRoom()) {
+            return new GuardReply.NotRun("RETRY_BUDGET", false, Duration.ZERO);
+        }
         request.metadata()
                 .condition()
                 .flatMap(text -> TargetCondition.parse(target.node(), text))
@@ -332,7 +347,7 @@
                     ? quarantined(request, verdict)
                     : new GuardReply.Quarantined(CrashMonitor.trialRetryAfter());
         }
-        repeatShare.record(request.metadata().isRepeat());
+        inducedRetries.recordRun(request.metadata().isRepeat());
         GuardReply reply = send(request, start, started);
         switch (reply) {
             case GuardReply.Ran _ -> crashMonitor.completeRun(start, run.get());
--- a/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
@@ -30,6 +30,7 @@
 import org.oleanderturn.proxy.SendPolicy;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.traffic.CrashLedger;
+import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.SlotTicket;
@@ -94,6 +95,7 @@
                     CrashMonitor.of(node, CrashLedger.of(() -> 0), _ -> {}, System::nanoTime),
                     _ -> {},
                     ResponsePacer.of(LinkSchedule.unlimited(System::nanoTime), Thread::sleep),
+                    InducedRetries.none(),
                     System::nanoTime);
 
             assertThat(guard.execute(guardRequest())).isEqualTo(GuardReply.Unknown.of("ANSWER_LIMIT_MEMORY"));
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -38,7 +38,6 @@
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.OfferThrottles;
-import org.oleanderturn.traffic.RepeatShare;
 import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
 
@@ -124,7 +123,6 @@
                         CrashLedger.of(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime())),
                         decisions::add,
                         System::nanoTime),
-                RepeatShare.create(),
                 CoreAdmission.of(System::nanoTime, new SplittableRandom(3)),
                 RequestLimiter.unlimited(),
                 scheduler,
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -23,6 +23,7 @@
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.traffic.CrashLedger;
+import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.SlotQueue;
@@ -53,6 +54,7 @@
             CrashMonitor.of(LOCAL_NODE, CrashLedger.of(() -> 0), _ -> {}, System::nanoTime),
             _ -> {},
             ResponsePacer.of(LinkSchedule.unlimited(System::nanoTime), Thread::sleep),
+            InducedRetries.none(),
             System::nanoTime);
     private final HttpListener peers =
             HttpListener.start("127.0.0.1", 0, guard, ListenerLimits.defaults()).get();
--- a/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
@@ -29,6 +29,7 @@
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.traffic.CrashLedger;
+import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.SlotTicket;
@@ -127,6 +128,7 @@
                 CrashMonitor.of(node, CrashLedger.of(() -> 0), _ -> {}, System::nanoTime),
                 _ -> {},
                 ResponsePacer.of(LinkSchedule.unlimited(System::nanoTime), Thread::sleep),
+                InducedRetries.none(),
                 System::nanoTime);
     }
 
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -40,6 +41,7 @@
 import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.CrashLedger;
 import org.oleanderturn.traffic.ExchangeSizes;
+import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
@@ -117,17 +119,7 @@
         this.crashMonitor = CrashMonitor.of(settings.node(), crashLedger, decisions, nanoseconds);
         target.onCrash(crashMonitor::endTarget);
         target.onConditionChange(conditions::merge);
-        this.guard = MeshGuard.of(
-                settings.target().address(),
-                target,
-                slots,
-                runtime.target(),
-                runtime.slotWait(),
-                PlatformProtocolAdapter.instance(),
-                crashMonitor,
-                decisions,
-                ResponsePacer.of(linkSchedule(mesh, nanoseconds), runtime.pause()),
-                nanoseconds);
+        this.guard = guard(mesh, slots, decisions, nanoseconds);
         this.loadTracker = TargetLoadTracker.of(nanoseconds);
         this.entryDependencies = new MeshEntryDependencies(
                 service,
@@ -140,7 +132,6 @@
                 this::retryBudget,
                 GuardClient.of(settings.node(), guard, runtime.peers(), loadTracker, conditions),
                 crashMonitor,
-                guard.repeatShare(),
                 CoreAdmission.of(nanoseconds, runtime.random()),
                 RequestLimiter.unlimited(),
                 runtime.timers(),
@@ -149,6 +140,22 @@
                 runtime.random());
     }
 
+    private MeshGuard guard(NodeSettings.Mesh mesh, SlotQueue slots, DecisionLog decisions, LongSupplier nanoseconds) {
+        return MeshGuard.of(
+                settings.target().address(),
+                target,
+                slots,
+                runtime.target(),
+                runtime.slotWait(),
+                PlatformProtocolAdapter.instance(),
+                crashMonitor,
+                decisions,
+                ResponsePacer.of(linkSchedule(mesh, nanoseconds), runtime.pause()),
+                InducedRetries.of(
+                        this::calledBudgets, retryLimit.window().duration().toNanos(), nanoseconds),
+                nanoseconds);
+    }
+
     private static Duration heartbeatTimeout(NodeSettings.Mesh mesh) {
         return mesh.heartbeat().duration().multipliedBy(TOLERATED_MISSED_HEARTBEATS);
     }
@@ -228,6 +235,17 @@
                         runtime.nanoseconds()));
     }
 
+    /**
+     * Returns the retry budgets of the services that the local target may call. Its own is left out: at this node clients use
+     * it, whose retries must not keep the target from running others'.
+     */
+    private List<WindowedRetryBudget> calledBudgets() {
+        return retryBudgets.entrySet().stream()
+                .filter(entry -> !entry.getKey().equals(settings.target().service()))
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
     /** Returns this node's part of the constant of the retry limit; none while it knows no other node to share it with. */
     private double retryPart() {
         int members = fleetSize.getAsInt();
--- a/traffic/src/main/java/org/oleanderturn/traffic/WindowedRetryBudget.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/WindowedRetryBudget.java
@@ -62,7 +62,7 @@
         return new WindowedRetryBudget(ratio, part, windowNanoseconds, startedNanoseconds, nanoseconds);
     }
 
-    /** Expected retries among requests that were sent for the first time, by runs that may themselves be retries. */
+    /** Expected retries among the calls of a run that is itself a retry. */
     private record Induced(long nanoseconds, double retries) {}
 
     /**
@@ -80,19 +80,35 @@
         return new Usage(retries.size(), limit);
     }
 
+    /** Returns the requests in the current window that were sent for the first time. */
+    synchronized int requests() {
+        advance();
+        return requests.size();
+    }
+
     /**
-     * Records a request that is sent for the first time.
-     *
-     * @param retryShare how probably it is the call of a run that is itself a retry, which counts as a retry, from 0 to 1
+     * Returns whether a number of calls of a further retried run fit into the limit. Such calls are sent in any case, so that
+     * the limit can only be kept by not running the retry that makes them.
      */
-    public synchronized void recordRequest(double retryShare) {
+    synchronized boolean hasRoomForInduced(double calls) {
+        advance();
+        return calls == 0 || retries.size() + inducedSum + calls <= ratio * requests.size() + presentPart();
+    }
+
+    /** Records a request that is sent for the first time. */
+    public synchronized void recordRequest() {
         long now = nanoseconds.getAsLong();
         expire(requests, now - windowNanoseconds);
         requests.addLast(now);
-        if (retryShare > 0) {
+    }
+
+    /** Records calls that a retried run is expected to make, which count as retries. */
+    public synchronized void recordInduced(double calls) {
+        if (calls > 0) {
+            long now = nanoseconds.getAsLong();
             expireInduced(now - windowNanoseconds);
-            induced.addLast(new Induced(now, retryShare));
-            inducedSum += retryShare;
+            induced.addLast(new Induced(now, calls));
+            inducedSum += calls;
         }
     }
 
--- a/traffic/src/test/java/org/oleanderturn/traffic/WindowedRetryBudgetTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/WindowedRetryBudgetTest.java
@@ -42,12 +42,12 @@
     @Test
     void shouldAddTheRatioWhenThereWereRequestsInTheWindow() {
         for (int request = 0; request < 10; request++) {
-            budget.recordRequest(0);
+            budget.recordRequest();
         }
         assertThat(granted()).isEqualTo(2);
         clock.addAndGet(WINDOW);
         for (int request = 0; request < 10; request++) {
-            budget.recordRequest(0);
+            budget.recordRequest();
         }
         assertThat(granted()).isEqualTo(6);
     }
@@ -55,12 +55,13 @@
     @Test
     void shouldLeaveRoomForCallsOfRunsThatAreRetriesThemselves() {
         for (int request = 0; request < 100; request++) {
-            budget.recordRequest(0.125);
+            budget.recordRequest();
+            budget.recordInduced(0.125);
         }
         assertThat(granted()).isEqualTo(7);
         clock.addAndGet(WINDOW + 1);
         for (int request = 0; request < 100; request++) {
-            budget.recordRequest(0);
+            budget.recordRequest();
         }
         assertThat(granted()).isEqualTo(24);
     }
@@ -70,19 +71,21 @@
     void shouldCountCallsOfRetriedRunsAgainstTheConstantWhenTheyExceedTheRatio() {
         clock.addAndGet(WINDOW);
         for (int request = 0; request < 100; request++) {
-            budget.recordRequest(0.22);
+            budget.recordRequest();
+            budget.recordInduced(0.22);
         }
         assertThat(budget.usage().limit()).isWithin(1e-6).of(2);
         assertThat(granted()).isEqualTo(2);
         for (int request = 0; request < 100; request++) {
-            budget.recordRequest(0.25);
+            budget.recordRequest();
+            budget.recordInduced(0.25);
         }
         assertThat(budget.tryWithdraw()).isFalse();
     }
 
     @Test
     void shouldGrantAgainWhenRetriesHaveLeftTheWindow() {
-        budget.recordRequest(0);
+        budget.recordRequest();
         clock.addAndGet(WINDOW);
         while (budget.tryWithdraw()) {
             clock.addAndGet(1);
