Run pipelined requests of a connection concurrently, and find the departure behind any input

Requests that arrived behind another waited until it was answered, and counted their time from then.

GET and HEAD requests without a body, at most 8 in service for each connection, now run on threads of their own, once their whole head has arrived. Responses leave in order; only a response behind which nothing was started closes the connection. Input that is read ahead is kept up to 1.1 MB, reserved from the budget for bodies, with a lower bound of its arrival; what exceeds it is dropped, and the connection closes behind the last request started. The wait behind others is part of readDelay; the admission by the core's lag uses the new coreDelay, as that wait says nothing of the core. A write and a look at the input exclude each other, since a write on a channel that is not blocking fails.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -126,7 +126,7 @@
     private Response dispatch(InboundRequest inbound, MeshRequest request, ClientResponses responses)
             throws IOException {
         if (!isAdmitted(inbound, request.match())) {
-            return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(inbound.readDelay()));
+            return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(inbound.coreDelay()));
         }
         Optional<Response> refusal = refusalByLimit(request, responses);
         if (refusal.isPresent()) {
@@ -182,12 +182,15 @@
         };
     }
 
-    /** Admits each call of the local target in time: its refusal would waste the run that waits for it. */
+    /**
+     * Admits each call of the local target in time: its refusal would waste the run that waits for it. A wait behind other
+     * requests of a connection says nothing of the core.
+     */
     private boolean isAdmitted(InboundRequest request, RouteIndex.Match match) {
         CoreAdmission admission = dependencies.admission();
         return request.isFromOwnHost()
-                ? admission.tryAdmitCall(request.readDelay())
-                : admission.tryAdmit(request.readDelay(), match.route().effectivePriority());
+                ? admission.tryAdmitCall(request.coreDelay())
+                : admission.tryAdmit(request.coreDelay(), match.route().effectivePriority());
     }
 
     private static Response deny(RoutingDenial denial, ClientResponses responses) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/AcceptedChannel.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AcceptedChannel.java
@@ -1,6 +1,8 @@
 package org.oleanderturn.proxy;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
@@ -8,6 +10,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
 
 /**
  * An accepted channel whose peer's disconnect can be detected while a request is being served.
@@ -23,28 +26,44 @@
     private static final int DISCARD_BUFFER_BYTES = 8_192;
 
     private final LookaheadInputStream input;
+    private final OutputStream output;
     private volatile boolean isInputUnread;
 
-    private AcceptedChannel(SocketChannel channel, LookaheadInputStream input) {
+    private AcceptedChannel(SocketChannel channel, LookaheadInputStream input, OutputStream output) {
         this.channel = channel;
         this.input = input;
+        this.output = output;
     }
 
     /** Returns an accepted channel, which sends small writes at once. */
-    static AcceptedChannel of(SocketChannel channel) throws IOException {
+    static AcceptedChannel of(SocketChannel channel, BodyReservation reservation) throws IOException {
         Objects.requireNonNull(channel, "channel is null");
         channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        LookaheadInputStream input =
-                LookaheadInputStream.of(channel.socket().getInputStream(), buffer -> readArrived(channel, buffer));
-        return new AcceptedChannel(channel, input);
+        ReentrantLock modeLock = new ReentrantLock();
+        LookaheadInputStream input = LookaheadInputStream.of(
+                channel.socket().getInputStream(), buffer -> readArrived(channel, modeLock, buffer), reservation);
+        return new AcceptedChannel(
+                channel, input, new LockedOutputStream(channel.socket().getOutputStream(), modeLock));
     }
 
-    private static int readArrived(SocketChannel channel, ByteBuffer buffer) throws IOException {
-        channel.configureBlocking(false);
+    /**
+     * Reads without waiting. A write meanwhile would fail, because the channel does not block for a moment. During a write
+     * nothing is read: it may wait for a slow peer, and fails if the peer has left.
+     */
+    private static int readArrived(SocketChannel channel, ReentrantLock modeLock, ByteBuffer buffer)
+            throws IOException {
+        if (!modeLock.tryLock()) {
+            return 0;
+        }
         try {
-            return channel.read(buffer);
+            channel.configureBlocking(false);
+            try {
+                return channel.read(buffer);
+            } finally {
+                channel.configureBlocking(true);
+            }
         } finally {
-            channel.configureBlocking(true);
+            modeLock.unlock();
         }
     }
 
@@ -62,6 +81,10 @@
         return input;
     }
 
+    OutputStream output() {
+        return output;
+    }
+
     /** Returns whether bytes have arrived that have not been read. */
     boolean hasInput() throws IOException {
         return input.available() > 0;
@@ -81,7 +104,9 @@
      * closed with unread input is reset, and the peer might lose the response that it was sent.
      */
     void discardInput() throws IOException {
+        input.endChecks();
         Socket socket = channel.socket();
+        InputStream source = socket.getInputStream();
         socket.shutdownOutput();
         long end = System.nanoTime() + DISCARD_LIMIT.toNanos();
         byte[] buffer = new byte[DISCARD_BUFFER_BYTES];
@@ -92,7 +117,7 @@
                 return;
             }
             socket.setSoTimeout(Math.toIntExact(remainingMilliseconds));
-            int count = input.read(buffer, 0, buffer.length);
+            int count = source.read(buffer, 0, buffer.length);
             if (count < 0) {
                 return;
             }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HttpListener.java
@@ -3,16 +3,13 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.StandardSocketOptions;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -21,33 +18,21 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
-import org.apache.hc.core5.http.ClassicHttpRequest;
-import org.apache.hc.core5.http.ConnectionClosedException;
-import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.HttpProcessors;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
-import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
-import org.apache.hc.core5.http.impl.io.HttpService;
-import org.apache.hc.core5.http.impl.io.SocketHolder;
-import org.apache.hc.core5.http.protocol.HttpCoreContext;
-import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.util.Timeout;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.traffic.CoreLag;
 
 /**
- * An HTTP/1.1 server with one accept loop and one virtual thread per connection.
+ * An HTTP/1.1 server with one accept loop and one virtual thread per connection, and one for each request that runs
+ * concurrently with an earlier one of its connection.
  *
- * <p>Invariants: after {@link #disableKeepAlive} every response carries {@code Connection: close}; once {@link #drain}
+ * <p>Invariants: after {@link #disableKeepAlive} every response behind which no request of its connection was started
+ * carries {@code Connection: close}, and no request is started behind another; once {@link #drain}
  * has begun, no connection is accepted, and no connection is closed while a request on it is being served or has
  * arrived. Thread safe.
  */
 public final class HttpListener implements AutoCloseable {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
-    private static final String SERVER_NAME = "oleanderturn";
     private static final int ACCEPT_BACKLOG = 1_024;
-    private static final int BUFFER_BYTES = 8_192;
     private static final long ACCEPT_LOOP_STOP_TIMEOUT_SECONDS = 1;
     private static final long DRAIN_POLL_MILLISECONDS = 10;
     private static final int MARKER_TIMEOUT_MILLISECONDS = 300;
@@ -63,11 +48,11 @@
 
     private final ServerSocketChannel server;
     private final Address address;
-    private final HttpService service;
+    private final ConnectionServer connectionServer;
     private final ListenerLimits limits;
     private final ExecutorService executor;
     private final CoreLag lag = CoreLag.of(System::nanoTime);
-    private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
+    private final Set<ServerConnection> connections;
     private final CountDownLatch acceptLoopEnded = new CountDownLatch(1);
     private final CountDownLatch markerAccepted = new CountDownLatch(1);
     private volatile int markerPort = NO_PORT;
@@ -86,11 +71,13 @@
         this.address = address;
         this.executor = executor;
         this.limits = limits;
-        this.service = new HttpService(
-                HttpProcessors.server(SERVER_NAME),
+        this.connectionServer = new ConnectionServer(
                 RequestHandlerAdapter.of(handler, isDraining::get, lag::current, reservations),
-                (request, response, context) -> ConnectionReuse.isKeepAlive(response, isDraining.get()),
-                null);
+                limits,
+                executor,
+                isDraining::get,
+                reservations);
+        this.connections = connectionServer.connections();
     }
 
     /**
@@ -153,15 +140,21 @@
     public int inFlight() {
         int total = 0;
         for (ServerConnection connection : connections) {
-            total += connection.isBusy() || connection.hasInput() ? 1 : 0;
+            total += connection.inFlight();
         }
         return total;
     }
 
+    /** Returns the number of requests so far that were started while another of their connection was in service. */
+    public long pipelinedRequests() {
+        return connectionServer.pipelinedRequests();
+    }
+
     // -- commands
 
     /**
-     * Sends {@code Connection: close} with every further response, so that clients reconnect elsewhere; still accepts.
+     * Sends {@code Connection: close} with the last response to what was started on each connection, so that clients
+     * reconnect elsewhere; still accepts.
      */
     public void disableKeepAlive() {
         isDraining.set(true);
@@ -256,24 +249,12 @@
     /** Keeps the loop going for the other connections when the action for a peer that left fails. */
     private void checkPeerSafely(ServerConnection connection, long now) {
         try {
-            checkPeer(connection, now);
+            connection.checkPeer(now);
         } catch (RuntimeException | Error defect) {
             log.atSevere().atMostEvery(1, TimeUnit.SECONDS).withCause(defect).log("check of a connection failed");
         }
     }
 
-    private void checkPeer(ServerConnection connection, long now) {
-        if (!connection.isStreaming()) {
-            connection.checkPeer(now);
-            return;
-        }
-        try {
-            executor.execute(() -> connection.checkPeer(now));
-        } catch (RejectedExecutionException executorClosed) {
-            log.atFinest().withCause(executorClosed).log("the listener is closed");
-        }
-    }
-
     private void acceptUntilClosed() {
         while (server.isOpen()) {
             try {
@@ -311,7 +292,7 @@
 
     private void serveConnection(SocketChannel channel) {
         try {
-            serve(AcceptedChannel.of(channel));
+            connectionServer.serve(channel);
         } catch (IOException cause) {
             log.atFine().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log("connection failed");
         } finally {
@@ -319,80 +300,4 @@
             openConnections.decrementAndGet();
         }
     }
-
-    private void serve(AcceptedChannel channel) {
-        Http1Config httpSettings = Http1Config.custom()
-                .setBufferSize(BUFFER_BYTES)
-                .setMaxLineLength(limits.maximumLineBytes())
-                .setMaxHeaderCount(limits.maximumHeaders())
-                .build();
-        WatchedConnection connection = new WatchedConnection(httpSettings, channel);
-        ServerConnection serverConnection = ServerConnection.of(channel, connection, limits);
-        connections.add(serverConnection);
-        try {
-            connection.bind();
-            connection.setSocketTimeout(Timeout.of(limits.idleTimeout()));
-            serveRequests(connection, serverConnection);
-        } catch (ConnectionClosedException cause) {
-            log.atFinest().withCause(cause).log("connection closed");
-        } catch (IOException | HttpException cause) {
-            log.atFine().atMostEvery(1, TimeUnit.SECONDS).withCause(cause).log("connection failed");
-        } finally {
-            connections.remove(serverConnection);
-            connection.close(CloseMode.IMMEDIATE);
-        }
-    }
-
-    private void serveRequests(DefaultBHttpServerConnection connection, ServerConnection serverConnection)
-            throws IOException, HttpException {
-        while (connection.isOpen()) {
-            HttpCoreContext context = HttpCoreContext.create();
-            context.setAttribute(ServerConnection.ATTRIBUTE, serverConnection);
-            service.handleRequest(connection, context);
-            serverConnection.finishRequest();
-        }
-    }
-
-    /** A connection that reads through the stream that looks ahead. */
-    private static final class WatchedConnection extends DefaultBHttpServerConnection {
-        private final AcceptedChannel channel;
-
-        WatchedConnection(Http1Config settings, AcceptedChannel channel) {
-            // The default parser factory ignores the limit of the settings on the number of headers.
-            super("http", settings, null, null, null, null, new DefaultHttpRequestParserFactory(settings), null);
-            this.channel = channel;
-        }
-
-        /** Fails, unlike the library, when the connection ends before the empty line that closes the head. */
-        @Override
-        public ClassicHttpRequest receiveRequestHeader() throws HttpException, IOException {
-            ClassicHttpRequest request = super.receiveRequestHeader();
-            if (request != null && channel.input().hasReadEnd()) {
-                throw new ConnectionClosedException("the connection ended within the head of a request");
-            }
-            return request;
-        }
-
-        @Override
-        public void close() throws IOException {
-            if (isOpen() && channel.isInputUnread()) {
-                flush();
-                try {
-                    channel.discardInput();
-                } catch (IOException silent) {
-                    log.atFinest().withCause(silent).log("the peer did not close the connection in time");
-                }
-            }
-            super.close();
-        }
-
-        void bind() throws IOException {
-            bind(new SocketHolder(channel.socket()) {
-                @Override
-                protected InputStream getInputStream(Socket socket) {
-                    return channel.input();
-                }
-            });
-        }
-    }
 }
--- a/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/InboundRequest.java
@@ -61,11 +61,19 @@
         return BodyReservation.unlimited();
     }
 
-    /** Returns an estimate of how long the request had waited for the core before it was read. */
+    /**
+     * Returns an estimate of how long the request had waited before it was read or begun: for the core, and behind other
+     * requests of its connection. The latter is never estimated too short.
+     */
     default Duration readDelay() {
         return Duration.ZERO;
     }
 
+    /** Returns an estimate of the part of {@link #readDelay} that the request had waited for the core. */
+    default Duration coreDelay() {
+        return readDelay();
+    }
+
     /** Returns whether the request came from this host, as the calls of the local target do. */
     default boolean isFromOwnHost() {
         return false;
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -3,20 +3,30 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * A connection's input stream that detects the end of the input while nobody reads from it.
+ * A connection's input stream that detects the end of the input, and further requests, while nobody reads from it.
  *
- * <p>A check reads what has arrived, without waiting; later reads return it first, so no byte is lost. Invariant: the end is
- * found behind at most {@value #LIMIT_BYTES} unread bytes. A check must not run while a read waits for the source. Thread
- * safe otherwise.
+ * <p>A check reads what has arrived, without waiting; later reads return it first. Invariants: the end is found behind any
+ * number of unread bytes; at most {@value #LIMIT_BYTES} of them are kept, and once one was dropped, {@link #hasOverflowed}
+ * holds and no further request may be read. A check while a read waits for the source does nothing. Thread safe, with one
+ * reader at a time.
  */
 final class LookaheadInputStream extends InputStream {
-    /** The longest input that is read ahead; a client that sends its next request early sends a short one. */
-    private static final int LIMIT_BYTES = 1_024;
+    /** A request with the longest body that an entry takes, 1 MB, fits in behind another. */
+    private static final int LIMIT_BYTES = 1_100_000;
+
+    private static final int DROP_BUFFER_BYTES = 8_192;
+
+    /** Bytes that one check drops at most, so that a fast sender cannot hold the thread that checks all connections. */
+    private static final int DROP_LIMIT_BYTES = 1_000_000;
 
     /** Reads bytes that have arrived, without waiting for more. */
     @FunctionalInterface
@@ -29,46 +39,68 @@
     private final InputStream source;
     private final ArrivedBytes arrived;
     private final ReentrantLock lock = new ReentrantLock();
-    private ByteBuffer ahead = ByteBuffer.allocate(0);
-    private boolean hasEnded;
+    private final ReadAheadBuffer ahead;
+    private final Map<Object, Runnable> onEnd = new HashMap<>();
+
+    /** When the source was last known to hold no unread byte; what is found later did not arrive before it. */
+    private long emptyNanoseconds = System.nanoTime();
+
+    private boolean isReading;
+    private boolean areChecksEnded;
+    private volatile boolean hasEnded;
+    private volatile boolean hasOverflowed;
     private volatile boolean hasReadEnd;
     private volatile boolean hasReadBytes;
-    private Optional<Runnable> onEnd = Optional.empty();
 
-    private LookaheadInputStream(InputStream source, ArrivedBytes arrived) {
+    private LookaheadInputStream(InputStream source, ArrivedBytes arrived, BodyReservation reservation) {
         this.source = source;
         this.arrived = arrived;
+        this.ahead = new ReadAheadBuffer(LIMIT_BYTES, reservation);
     }
 
-    /** Returns a stream that reads from a source, and looks ahead with what reads the same bytes without waiting. */
-    static LookaheadInputStream of(InputStream source, ArrivedBytes arrived) {
+    /**
+     * Returns a stream that reads from a source, and looks ahead with what reads the same bytes without waiting.
+     *
+     * @param reservation what the memory for long input that is read ahead is taken from
+     */
+    static LookaheadInputStream of(InputStream source, ArrivedBytes arrived, BodyReservation reservation) {
         Objects.requireNonNull(source, "source is null");
         Objects.requireNonNull(arrived, "arrived is null");
-        return new LookaheadInputStream(source, arrived);
+        return new LookaheadInputStream(source, arrived, reservation);
     }
 
     // -- checks
 
-    /** Sets the action that the check that finds the end runs; runs it at once if the end has been found. */
-    void watch(Runnable action) {
+    /**
+     * Sets the action that the check that finds the end runs; runs it at once if the end has been found.
+     *
+     * @param key identifies the action among those of other requests
+     * @return whether it is the only action
+     */
+    boolean watch(Object key, Runnable action) {
         boolean isEndKnown;
+        boolean isOnly;
         lock.lock();
         try {
             isEndKnown = hasEnded;
-            onEnd = isEndKnown ? Optional.empty() : Optional.of(action);
+            if (!isEndKnown) {
+                onEnd.put(key, action);
+            }
+            isOnly = onEnd.size() <= 1;
         } finally {
             lock.unlock();
         }
         if (isEndKnown) {
             action.run();
         }
+        return isOnly;
     }
 
-    /** Removes the action; what was read ahead is kept for the next read. */
-    void unwatch() {
+    /** Removes an action; what was read ahead is kept for the next read. */
+    void unwatch(Object key) {
         lock.lock();
         try {
-            onEnd = Optional.empty();
+            onEnd.remove(key);
         } finally {
             lock.unlock();
         }
@@ -79,48 +111,114 @@
         check(true);
     }
 
-    /** Returns whether the input has ended. */
+    /** Reads what has arrived, and returns whether the input has ended. */
     boolean hasEnded() {
         return check(false);
     }
 
+    /** Returns whether a check has found the end of the input. */
+    boolean isEndKnown() {
+        return hasEnded;
+    }
+
+    /** Lets no check read any more, as when the rest of the input is discarded. */
+    void endChecks() {
+        lock.lock();
+        try {
+            areChecksEnded = true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Runs all actions as if the end had been found, as when the responses can no longer be sent. */
+    void markEnded() {
+        lock.lock();
+        try {
+            hasEnded = true;
+        } finally {
+            lock.unlock();
+        }
+        check(false);
+    }
+
     private boolean check(boolean isForAction) {
-        Optional<Runnable> action = Optional.empty();
+        List<Runnable> actions = List.of();
         boolean isEnd;
         lock.lock();
         try {
             if (isForAction && onEnd.isEmpty()) {
                 return hasEnded;
             }
-            hasEnded = hasEnded || readAhead();
+            hasEnded = hasEnded || (!isReading && !areChecksEnded && readAhead());
             isEnd = hasEnded;
-            if (isEnd) {
-                action = onEnd;
-                onEnd = Optional.empty();
+            if (isEnd && !onEnd.isEmpty()) {
+                actions = new ArrayList<>(onEnd.values());
+                onEnd.clear();
             }
         } finally {
             lock.unlock();
         }
-        action.ifPresent(Runnable::run);
+        runAll(actions);
         return isEnd;
     }
 
+    /** Runs every action, also when one fails. */
+    private static void runAll(List<Runnable> actions) {
+        RuntimeException failure = null;
+        for (Runnable action : actions) {
+            try {
+                action.run();
+            } catch (RuntimeException defect) {
+                failure = defect;
+            }
+        }
+        if (failure != null) {
+            throw failure;
+        }
+    }
+
     /** Reads what has arrived; returns whether the input ends behind it. */
     private boolean readAhead() {
-        if (ahead.capacity() == 0) {
-            ahead = ByteBuffer.allocate(LIMIT_BYTES);
-        }
         try {
-            int count = 1;
-            while (count > 0 && ahead.hasRemaining()) {
-                count = arrived.readInto(ahead);
+            while (!hasOverflowed) {
+                ByteBuffer room = ahead.room();
+                if (!room.hasRemaining()) {
+                    break;
+                }
+                long now = System.nanoTime();
+                int count = arrived.readInto(room);
+                if (count <= 0) {
+                    emptyNanoseconds = now;
+                    return count < 0;
+                }
+                ahead.added(count, emptyNanoseconds);
             }
-            return count < 0;
+            return dropArrived();
         } catch (IOException broken) {
             return true;
         }
     }
 
+    /** Drops what there is no room for; returns whether the input ends behind it. */
+    private boolean dropArrived() throws IOException {
+        ByteBuffer dropped = ByteBuffer.allocate(DROP_BUFFER_BYTES);
+        for (int total = 0; total < DROP_LIMIT_BYTES; total += dropped.position()) {
+            dropped.clear();
+            int count = arrived.readInto(dropped);
+            if (count <= 0) {
+                return count < 0;
+            }
+            hasOverflowed = true;
+        }
+        return false;
+    }
+
+    /** Returns whether bytes were dropped, so that what follows can no longer be read as requests. */
+    boolean hasOverflowed() {
+        return hasOverflowed;
+    }
+
     /** Returns whether a read, as opposed to a check, has found the end of the input. */
     boolean hasReadEnd() {
         return hasReadEnd;
@@ -135,6 +233,38 @@
         hasReadBytes = false;
     }
 
+    // -- input that was read ahead
+
+    /** Returns whether the whole head of a further request has been read ahead. */
+    boolean hasHeadAhead() {
+        lock.lock();
+        try {
+            return ahead.headLength() > 0;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns a time at or before the arrival of the first byte that was read ahead; empty if there is none. */
+    OptionalLong arrivalNanoseconds() {
+        lock.lock();
+        try {
+            return ahead.arrivalNanoseconds();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Puts bytes back that were read but belong to a later request. */
+    void putBack(byte[] bytes, long arrivalNanoseconds) {
+        lock.lock();
+        try {
+            ahead.putBack(bytes, arrivalNanoseconds);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     // -- reads
 
     @Override
@@ -151,36 +281,47 @@
         }
         lock.lock();
         try {
-            if (ahead.position() > 0) {
+            if (ahead.size() > 0) {
                 hasReadBytes = true;
-                return takeAhead(bytes, offset, length);
+                return ahead.take(bytes, offset, length);
             }
-            if (hasEnded) {
+            if (hasEnded || hasOverflowed) {
                 hasReadEnd = true;
                 return -1;
             }
+            isReading = true;
         } finally {
             lock.unlock();
         }
-        int count = source.read(bytes, offset, length);
-        hasReadBytes = hasReadBytes || count > 0;
-        hasReadEnd = hasReadEnd || count < 0;
+        int count = 0;
+        try {
+            count = source.read(bytes, offset, length);
+        } finally {
+            finishRead(count, count < length);
+        }
         return count;
     }
 
-    private int takeAhead(byte[] bytes, int offset, int length) {
-        ahead.flip();
-        int count = Math.min(length, ahead.remaining());
-        ahead.get(bytes, offset, count);
-        ahead.compact();
-        return count;
+    private void finishRead(int count, boolean isSourceEmpty) {
+        lock.lock();
+        try {
+            isReading = false;
+            // What lies behind the first bytes of a request counts as arrived with them.
+            if (isSourceEmpty || !hasReadBytes) {
+                emptyNanoseconds = System.nanoTime();
+            }
+            hasReadBytes = hasReadBytes || count > 0;
+            hasReadEnd = hasReadEnd || count < 0;
+        } finally {
+            lock.unlock();
+        }
     }
 
     @Override
     public int available() throws IOException {
         lock.lock();
         try {
-            return ahead.position() > 0 ? ahead.position() : source.available();
+            return ahead.size() > 0 ? ahead.size() : source.available();
         } finally {
             lock.unlock();
         }
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestHandlerAdapter.java
@@ -64,11 +64,19 @@
     @Override
     public void handle(ClassicHttpRequest request, ResponseTrigger trigger, HttpContext context)
             throws HttpException, IOException {
-        ServerConnection serverConnection = (ServerConnection) context.getAttribute(ServerConnection.ATTRIBUTE);
-        serverConnection.beginRequest();
+        ServerExchange exchange = (ServerExchange) context.getAttribute(ServerExchange.ATTRIBUTE);
+        exchange.begin();
+        ServerConnection serverConnection = exchange.serverConnection();
+        Duration coreDelay = readDelay.get();
         try (BodyReservation reservation = reservations.get()) {
             respond(
-                    new HttpCoreRequest(request, trigger, serverConnection, reservation, readDelay.get()),
+                    new HttpCoreRequest(
+                            request,
+                            trigger,
+                            serverConnection,
+                            reservation,
+                            coreDelay,
+                            coreDelay.plus(exchange.waited())),
                     trigger,
                     serverConnection);
         }
@@ -77,16 +85,14 @@
     private void respond(HttpCoreRequest inboundRequest, ResponseTrigger trigger, ServerConnection serverConnection)
             throws HttpException, IOException {
         Response response = callHandler(inboundRequest);
-        if (response.body() instanceof Response.Body.Streamed) {
-            serverConnection.markStreaming();
-        } else {
-            serverConnection.unwatch();
+        if (!(response.body() instanceof Response.Body.Streamed)) {
+            serverConnection.unwatch(inboundRequest);
         }
         try {
             submit(response, inboundRequest, trigger, serverConnection);
         } finally {
             close(response);
-            serverConnection.unwatch();
+            serverConnection.unwatch(inboundRequest);
         }
     }
 
@@ -159,6 +165,7 @@
         private final ServerConnection serverConnection;
         private final BodyReservation reservation;
         private final List<HeaderField> headers;
+        private final Duration coreDelay;
         private final Duration readDelay;
         private boolean isContinuePending;
         private boolean isBodyRead;
@@ -168,8 +175,10 @@
                 ResponseTrigger trigger,
                 ServerConnection serverConnection,
                 BodyReservation reservation,
+                Duration coreDelay,
                 Duration readDelay) {
             this.request = request;
+            this.coreDelay = coreDelay;
             this.readDelay = readDelay;
             this.trigger = trigger;
             this.serverConnection = serverConnection;
@@ -267,6 +276,11 @@
             return readDelay;
         }
 
+        @Override
+        public Duration coreDelay() {
+            return coreDelay;
+        }
+
         @Override
         public boolean isFromOwnHost() {
             return serverConnection.isFromOwnHost();
@@ -280,7 +294,7 @@
         @Override
         public void onPeerDisconnect(Runnable action) throws IOException {
             if (!isBodyUnread()) {
-                serverConnection.watch(action);
+                serverConnection.watch(this, action);
             }
         }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
@@ -12,9 +13,9 @@
 /**
  * A connection that a listener accepted.
  *
- * <p>Invariant: the connection is busy from when the headers of a request have been read until its response has been
- * written. It is closed by {@link #closeIfIdle} only if it is not busy, and a request that arrives after that does not
- * run. Thread safe.
+ * <p>Invariant: the connection is busy from when the headers of a request have been read until the responses to it and to
+ * all requests that were started behind it have been written. It is closed by {@link #closeIfIdle} only if it is not busy,
+ * and a request that arrives after that does not run. Thread safe.
  */
 final class ServerConnection {
     /** The state of the connection. */
@@ -25,14 +26,13 @@
     }
 
     private static final Duration MINIMUM_READ_TIMEOUT = Duration.ofMillis(1);
-    static final String ATTRIBUTE = "oleanderturn.server-connection";
 
     private final AcceptedChannel channel;
     private final DefaultBHttpServerConnection connection;
     private final Duration idleTimeout;
     private final Duration watchDelay;
     private volatile long watchDueNanoseconds;
-    private volatile boolean isStreaming;
+    private volatile Optional<RequestPipeline> pipeline = Optional.empty();
     private boolean wasIdle;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.IDLE);
 
@@ -54,14 +54,30 @@
         return new ServerConnection(channel, connection, limits.idleTimeout(), limits.disconnectWatchDelay());
     }
 
+    /** Sets what serves the requests of the connection. */
+    void setPipeline(RequestPipeline served) {
+        pipeline = Optional.of(served);
+    }
+
+    /** Returns the number of requests that are being served or have arrived; of the latter, at most one is counted. */
+    int inFlight() {
+        int served = isBusy() ? pipeline.map(RequestPipeline::inService).orElse(1) : 0;
+        return served > 0 || !hasInput() ? served : 1;
+    }
+
     boolean isBusy() {
         return phase.get() == Phase.BUSY;
     }
 
     /** Returns whether bytes of a further request have arrived, read or not. */
     boolean hasInput() {
+        return channel.input().hasReadBytes() || hasUnreadInput();
+    }
+
+    /** Returns whether bytes have arrived that have not been read as part of a request. */
+    boolean hasUnreadInput() {
         try {
-            return channel.input().hasReadBytes() || channel.hasInput();
+            return channel.hasInput();
         } catch (IOException failed) {
             return false;
         }
@@ -88,25 +104,32 @@
         phase.compareAndSet(Phase.BUSY, Phase.IDLE);
     }
 
-    /** Sets the action to run when the peer is found to have disconnected, after the watch delay or by {@link #hasPeerLeft}. */
-    void watch(Runnable onDisconnect) {
-        watchDueNanoseconds = System.nanoTime() + watchDelay.toNanos();
-        channel.input().watch(onDisconnect);
+    /**
+     * Sets a request's action to run when the peer is found to have disconnected, after the watch delay or by
+     * {@link #hasPeerLeft}.
+     */
+    void watch(Object request, Runnable onDisconnect) {
+        long due = System.nanoTime() + watchDelay.toNanos();
+        boolean isOnly = channel.input().watch(request, onDisconnect);
+        if (isOnly) {
+            // Later requests of the connection must not put off the check for the earlier ones.
+            watchDueNanoseconds = due;
+        }
     }
 
-    void unwatch() {
-        channel.input().unwatch();
-        isStreaming = false;
+    void unwatch(Object request) {
+        channel.input().unwatch(request);
     }
 
-    /** Looks for a disconnect if the watch delay of the request has passed; may wait for a write while streaming. */
+    /** Looks for further requests, and for a disconnect if the watch delay of the oldest watched request has passed. */
     void checkPeer(long nowNanoseconds) {
+        pipeline.ifPresent(RequestPipeline::checkInput);
         if (nowNanoseconds - watchDueNanoseconds >= 0) {
             channel.input().checkWatched();
         }
     }
 
-    /** Returns whether the peer has disconnected; for the thread that serves the request. */
+    /** Returns whether the peer has disconnected; for a thread that serves a request. */
     boolean hasPeerLeft() {
         return channel.input().hasEnded();
     }
@@ -121,15 +144,6 @@
         return channel.input().hasReadEnd();
     }
 
-    /** Records that the response is written while it arrives, so that checks may have to wait for writes. */
-    void markStreaming() {
-        isStreaming = true;
-    }
-
-    boolean isStreaming() {
-        return isStreaming;
-    }
-
     /** Lowers the read timeout; after a failed read it need not be restored, because the connection is then closed. */
     void shortenReadTimeout(Duration timeout) {
         Duration shorter = timeout.compareTo(idleTimeout) < 0 ? timeout : idleTimeout;
--- a/proxy/src/test/java/org/oleanderturn/proxy/LookaheadInputStreamTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/LookaheadInputStreamTest.java
@@ -13,14 +13,15 @@
 class LookaheadInputStreamTest {
     private final Connection connection = new Connection();
     private final AtomicInteger disconnects = new AtomicInteger();
-    private final LookaheadInputStream input = LookaheadInputStream.of(connection, connection::readArrived);
+    private final LookaheadInputStream input =
+            LookaheadInputStream.of(connection, connection::readArrived, BodyReservation.unlimited());
 
     @Test
     void shouldReturnTheBytesReadAheadFirstWhenReadAfterACheck() throws IOException {
-        input.watch(disconnects::incrementAndGet);
+        input.watch(this, disconnects::incrementAndGet);
         connection.receive(1, 2, 3);
         input.checkWatched();
-        input.unwatch();
+        input.unwatch(this);
         connection.receive(4);
 
         assertThat(input.available()).isEqualTo(3);
@@ -31,7 +32,7 @@
 
     @Test
     void shouldRunTheActionOnceWhenThePeerDisconnects() throws IOException {
-        input.watch(disconnects::incrementAndGet);
+        input.watch(this, disconnects::incrementAndGet);
         connection.end();
         input.checkWatched();
         input.checkWatched();
@@ -44,15 +45,15 @@
     void shouldRunALaterActionImmediatelyWhenThePeerHasDisconnected() {
         connection.end();
         assertThat(input.hasEnded()).isTrue();
-        input.watch(disconnects::incrementAndGet);
+        input.watch(this, disconnects::incrementAndGet);
 
         assertThat(disconnects.get()).isEqualTo(1);
     }
 
     @Test
     void shouldNotRunTheActionWhenWatchingHasStopped() {
-        input.watch(disconnects::incrementAndGet);
-        input.unwatch();
+        input.watch(this, disconnects::incrementAndGet);
+        input.unwatch(this);
         connection.end();
         input.checkWatched();
 
@@ -61,7 +62,7 @@
 
     @Test
     void shouldFindTheEndBehindBytesOfAFurtherRequest() throws IOException {
-        input.watch(disconnects::incrementAndGet);
+        input.watch(this, disconnects::incrementAndGet);
         connection.receive(7);
         input.checkWatched();
         assertThat(disconnects.get()).isEqualTo(0);
--- /dev/null
+++ b/proxy/src/test/java/org/oleanderturn/proxy/PipelinedHandler.java
@@ -0,0 +1,91 @@
+package org.oleanderturn.proxy;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Answers each request with its path, once the test has released the path or the client has left. Thread safe. */
+final class PipelinedHandler implements RequestHandler {
+    private static final long WAIT_SECONDS = 20;
+
+    private final Map<String, CountDownLatch> holds = new ConcurrentHashMap<>();
+    private final Map<String, Duration> readDelays = new ConcurrentHashMap<>();
+    private final Map<String, Duration> coreDelays = new ConcurrentHashMap<>();
+    private final Set<String> started = ConcurrentHashMap.newKeySet();
+    private final Set<String> cancelled = ConcurrentHashMap.newKeySet();
+    private final Queue<String> order = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicInteger mostRunning = new AtomicInteger();
+
+    @Override
+    public Response handle(InboundRequest request) throws IOException {
+        String path = request.path();
+        readDelays.put(path, request.readDelay());
+        coreDelays.put(path, request.coreDelay());
+        order.add(path);
+        mostRunning.accumulateAndGet(running.incrementAndGet(), Math::max);
+        started.add(path);
+        try {
+            request.readBody(10_000_000);
+            CountDownLatch hold = holds.computeIfAbsent(path, _ -> new CountDownLatch(0));
+            request.onPeerDisconnect(() -> {
+                cancelled.add(path);
+                hold.countDown();
+            });
+            await(hold);
+        } finally {
+            running.decrementAndGet();
+        }
+        return Response.text(path.startsWith("/busy") ? 503 : 200, "text/plain", path);
+    }
+
+    /** Lets the requests with a path wait until it is released. */
+    void hold(String... paths) {
+        for (String path : paths) {
+            holds.put(path, new CountDownLatch(1));
+        }
+    }
+
+    void release(String path) {
+        holds.get(path).countDown();
+    }
+
+    boolean hasStarted(String path) {
+        return started.contains(path);
+    }
+
+    boolean isCancelled(String path) {
+        return cancelled.contains(path);
+    }
+
+    Duration readDelay(String path) {
+        return readDelays.get(path);
+    }
+
+    Duration coreDelay(String path) {
+        return coreDelays.get(path);
+    }
+
+    Queue<String> order() {
+        return order;
+    }
+
+    int mostRunning() {
+        return mostRunning.get();
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            var _ = latch.await(WAIT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
