Test pipelining at the listener and the entry, and keep what is read ahead exact

A check that finds the channel in a write no longer counts as having found it empty, since the wait of a request found later would be too short. Empty lines before a request are dropped and not counted as its arrival. A buffer that may not grow makes room from what was consumed.

MeshEntryTest: the target gets only the time that the client of a pipelined request still waits, and the wait is not taken for a late core.

--- a/mesh/src/test/java/org/oleanderturn/mesh/FakeRequest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeRequest.java
@@ -11,6 +11,7 @@
     private final String path;
     private final List<HeaderField> headers;
     private volatile Runnable onDisconnect = () -> {};
+    private Duration wait = Duration.ZERO;
 
     FakeRequest(String path, List<HeaderField> headers) {
         this.path = path;
@@ -21,6 +22,12 @@
         return new FakeRequest(path, List.of(HeaderField.of("Id", "a1")));
     }
 
+    /** Returns this request after a wait behind others of its connection. */
+    FakeRequest afterWait(Duration waited) {
+        wait = waited;
+        return this;
+    }
+
     void disconnect() {
         onDisconnect.run();
     }
@@ -50,6 +57,16 @@
         return readBody(limitBytes);
     }
 
+    @Override
+    public Duration readDelay() {
+        return wait;
+    }
+
+    @Override
+    public Duration coreDelay() {
+        return Duration.ZERO;
+    }
+
     @Override
     public void onPeerDisconnect(Runnable action) {
         onDisconnect = action;
--- a/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
@@ -165,6 +165,20 @@
         assertThat(Integer.parseInt(given.get())).isLessThan(1_301);
     }
 
+    /** Guards against a wait behind other requests that is taken for a late core, or that the target may use again. */
+    @Test
+    void shouldGiveAPipelinedRequestOnlyTheTimeThatItsClientStillWaits() throws IOException {
+        AtomicReference<String> given = new AtomicReference<>("");
+        fixture.addGuard(request -> {
+            given.set(request.header(ProxyHeaders.DEADLINE).orElse(""));
+            return GuardReplyCodec.encode(EntryFixture.ran(200, "in time"), EntryFixture.IDLE, Optional.empty());
+        });
+        MeshEntry entry = fixture.entry(RequestKind.LOOKUP, 1, new FakeProtocolAdapter(Optional.empty()));
+        FakeRequest request = FakeRequest.of("/a/x").afterWait(Duration.ofMillis(1_200));
+        assertThat(entry.handle(request).status()).isEqualTo(200);
+        assertThat(Integer.parseInt(given.get())).isLessThan(801);
+    }
+
     @Test
     void shouldCancelTheRequestWhenTheClientDisconnects() throws Exception {
         CountDownLatch requestArrived = new CountDownLatch(1);
--- a/proxy/src/main/java/org/oleanderturn/proxy/AcceptedChannel.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/AcceptedChannel.java
@@ -53,7 +53,7 @@
     private static int readArrived(SocketChannel channel, ReentrantLock modeLock, ByteBuffer buffer)
             throws IOException {
         if (!modeLock.tryLock()) {
-            return 0;
+            return LookaheadInputStream.ArrivedBytes.UNKNOWN;
         }
         try {
             channel.configureBlocking(false);
--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -31,8 +31,13 @@
     /** Reads bytes that have arrived, without waiting for more. */
     @FunctionalInterface
     interface ArrivedBytes {
+        /** The result at the end of the input. */
+        int END = -1;
 
-        /** Adds bytes to the buffer and returns how many; negative at the end of the input. */
+        /** The result if nothing can be read now, so that it is unknown whether bytes have arrived. */
+        int UNKNOWN = -2;
+
+        /** Adds bytes to the buffer and returns how many, {@link #END} or {@link #UNKNOWN}. */
         int readInto(ByteBuffer buffer) throws IOException;
     }
 
@@ -189,8 +194,8 @@
                 long now = System.nanoTime();
                 int count = arrived.readInto(room);
                 if (count <= 0) {
-                    emptyNanoseconds = now;
-                    return count < 0;
+                    emptyNanoseconds = count == 0 ? now : emptyNanoseconds;
+                    return count == ArrivedBytes.END;
                 }
                 ahead.added(count, emptyNanoseconds);
             }
@@ -207,7 +212,7 @@
             dropped.clear();
             int count = arrived.readInto(dropped);
             if (count <= 0) {
-                return count < 0;
+                return count == ArrivedBytes.END;
             }
             hasOverflowed = true;
         }
@@ -255,6 +260,16 @@
         }
     }
 
+    /** Drops the empty lines before a request, which some clients send behind a body; they are not part of it. */
+    void skipEmptyLines() {
+        lock.lock();
+        try {
+            ahead.skipEmptyLines();
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Puts bytes back that were read but belong to a later request. */
     void putBack(byte[] bytes, long arrivalNanoseconds) {
         lock.lock();
--- a/proxy/src/main/java/org/oleanderturn/proxy/ReadAheadBuffer.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ReadAheadBuffer.java
@@ -118,6 +118,19 @@
         return count;
     }
 
+    /** Removes empty lines from the front. */
+    void skipEmptyLines() {
+        int count = 0;
+        while (start < end && (bytes[start] == '\r' || bytes[start] == '\n')) {
+            start++;
+            count++;
+        }
+        removeSpans(count);
+        if (count > 0 && start == end) {
+            clear();
+        }
+    }
+
     private void removeSpans(int count) {
         int remaining = count;
         while (remaining > 0) {
@@ -143,6 +156,9 @@
     private void grow() {
         int capacity = Math.min(limitBytes, Math.max(UNRESERVED_BYTES, 2 * size()));
         if (capacity <= size() || !reserveFor(capacity)) {
+            capacity = bytes.length;
+        }
+        if (capacity == bytes.length && start == 0) {
             return;
         }
         byte[] larger = new byte[capacity];
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestPipeline.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestPipeline.java
@@ -104,7 +104,7 @@
                 ServerExchange exchange = ServerExchange.first(this);
                 run(exchange);
                 order.awaitFollowers();
-                serverConnection.finishRequest();
+                serverConnection.finishRequest(held.isPresent());
             }
             if (connection.isOpen()) {
                 close();
@@ -146,10 +146,12 @@
         connection.putBackInput(lastArrivalNanoseconds);
         parsing.lock();
         try {
-            OptionalLong arrival = input.arrivalNanoseconds();
-            boolean hasWaited = held.isPresent() || arrival.isPresent();
-            if (hasWaited && input.hasEnded()) {
-                throw new ConnectionClosedException("the peer left before its request was begun");
+            if (held.isEmpty()) {
+                input.skipEmptyLines();
+            }
+            boolean hasWaited = held.isPresent() || input.arrivalNanoseconds().isPresent();
+            if (input.hasOverflowed() || (hasWaited && input.hasEnded())) {
+                throw new ConnectionClosedException("the peer left, or sent too much, before its request was begun");
             }
             if (held.isPresent()) {
                 Optional<ReceivedRequest> first = held;
@@ -169,6 +171,7 @@
     // -- reading
 
     private Optional<ReceivedRequest> receive() throws IOException {
+        input.skipEmptyLines();
         OptionalLong arrival = input.arrivalNanoseconds();
         try {
             ClassicHttpRequest message = connection.receiveRequestHeader();
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
@@ -99,8 +99,15 @@
         channel.markInputUnread();
     }
 
-    void finishRequest() {
-        channel.input().forgetReadBytes();
+    /**
+     * Marks the connection as idle when all requests in service have been answered.
+     *
+     * @param hasRead whether a further request has been read, which must not be cut off
+     */
+    void finishRequest(boolean hasRead) {
+        if (!hasRead) {
+            channel.input().forgetReadBytes();
+        }
         phase.compareAndSet(Phase.BUSY, Phase.IDLE);
     }
 
