--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -205,6 +205,11 @@
         return bodyBudget.reservedBytes();
     }
 
+    /** Returns the requests of clients so far that were started while another of their connection was in service. */
+    long pipelinedRequests() {
+        return callerListener == null ? 0 : callerListener.pipelinedRequests();
+    }
+
     /** Returns what this node has used of the retry budgets of all services together. */
     WindowedRetryBudget.Usage retryUsage() {
         int retries = 0;
--- a/node/src/main/java/org/oleanderturn/node/MeshGauges.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshGauges.java
@@ -166,6 +166,10 @@
                 "oleanderturn_response_bytes_held",
                 "Bytes of responses that are being read or written, a quarter of the heap at most.",
                 data::heldResponseBytes);
+        metrics.counter(
+                "oleanderturn_pipelined_requests_total",
+                "Requests of clients that were started while another of their connection was in service.",
+                data::pipelinedRequests);
         metrics.gauge(
                 "oleanderturn_suspect_requests",
                 "Requests under which targets have ended and that have not completed since.",
