--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -336,7 +336,13 @@
     public int available() throws IOException {
         lock.lock();
         try {
-            return ahead.size() > 0 ? ahead.size() : source.available();
+            if (ahead.size() > 0) {
+                return ahead.size();
+            }
+            long now = System.nanoTime();
+            int count = source.available();
+            emptyNanoseconds = count == 0 ? now : emptyNanoseconds;
+            return count;
         } finally {
             lock.unlock();
         }
--- a/proxy/src/test/java/org/oleanderturn/proxy/LookaheadInputStreamTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/LookaheadInputStreamTest.java
@@ -81,6 +81,29 @@
         assertThat(input.hasEnded()).isTrue();
     }
 
+    /** Guards against an idle time that counts as the wait of the request that ends it. */
+    @Test
+    void shouldCountAnArrivalFromWhenTheInputWasLastFoundEmpty() throws IOException {
+        long before = System.nanoTime();
+        assertThat(input.available()).isEqualTo(0);
+        long after = System.nanoTime();
+        connection.receive(1);
+        assertThat(input.hasEnded()).isFalse();
+        assertThat(input.arrivalNanoseconds().getAsLong() - before).isAtLeast(0);
+        assertThat(input.arrivalNanoseconds().getAsLong() - after).isAtMost(0);
+    }
+
+    @Test
+    void shouldFindTheEndBehindMoreThanIsKept() throws IOException {
+        input.watch(this, disconnects::incrementAndGet);
+        connection.receive(new int[1_200_000]);
+        connection.end();
+        input.checkWatched();
+
+        assertThat(input.hasOverflowed()).isTrue();
+        assertThat(disconnects.get()).isEqualTo(1);
+    }
+
     /** A connection whose bytes arrive when the test says so. */
     private static final class Connection extends InputStream {
         private final Deque<Byte> arrived = new ArrayDeque<>();
--- a/proxy/src/test/java/org/oleanderturn/proxy/PipelinedHandler.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/PipelinedHandler.java
@@ -43,6 +43,9 @@
         } finally {
             running.decrementAndGet();
         }
+        if (path.startsWith("/fails")) {
+            throw new IOException("the handler failed");
+        }
         return Response.text(path.startsWith("/busy") ? 503 : 200, "text/plain", path);
     }
 
--- a/proxy/src/test/java/org/oleanderturn/proxy/PipeliningTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/PipeliningTest.java
@@ -177,6 +177,18 @@
         assertThat(handler.hasStarted("/3")).isFalse();
     }
 
+    @Test
+    void shouldAnswerEarlierRequestsAndCancelLaterOnesWhenOneFails() throws Exception {
+        handler.hold("/1", "/3");
+        client.send(RawClient.get("/1") + RawClient.get("/fails") + RawClient.get("/3"));
+        awaitStarted("/1", "/fails", "/3");
+        Thread.sleep(SETTLE_MILLISECONDS);
+        assertThat(handler.isCancelled("/3")).isFalse();
+        handler.release("/1");
+        assertResponses("200 /1");
+        awaitTrue(() -> handler.isCancelled("/3"));
+    }
+
     // -- time
 
     @Test
