--- a/proxy/src/test/java/org/oleanderturn/proxy/AbandonedConnectionTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/AbandonedConnectionTest.java
@@ -73,6 +73,20 @@
                 .isTrue();
     }
 
+    /** While a write waits for the client nothing is read, so that only the failing write shows the departure. */
+    @Test
+    void shouldCancelRequestsBehindAResponseThatIsNotReadWhenTheirClientLeaves() throws Exception {
+        handler.hold("/2", "/3");
+        RawClient client = new RawClient(listener.address());
+        client.send(RawClient.get("/big") + RawClient.get("/2") + RawClient.get("/3"));
+        awaitTrue(() -> handler.hasStarted("/2") && handler.hasStarted("/3"), LIMIT_MILLISECONDS);
+        Thread.sleep(SETTLE_MILLISECONDS);
+        assertThat(handler.isCancelled("/2")).isFalse();
+        client.close();
+        assertThat(awaitTrue(() -> handler.isCancelled("/2") && handler.isCancelled("/3"), LIMIT_MILLISECONDS))
+                .isTrue();
+    }
+
     private static boolean awaitTrue(BooleanSupplier condition, int milliseconds) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds);
         while (!condition.getAsBoolean() && System.nanoTime() < end) {
--- a/proxy/src/test/java/org/oleanderturn/proxy/PipelinedHandler.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/PipelinedHandler.java
@@ -15,6 +15,9 @@
 final class PipelinedHandler implements RequestHandler {
     private static final long WAIT_SECONDS = 20;
 
+    /** More than sockets hold, so that the write of such a response waits for the client. */
+    private static final int BIG_BYTES = 30_000_000;
+
     private final Map<String, CountDownLatch> holds = new ConcurrentHashMap<>();
     private final Map<String, Duration> readDelays = new ConcurrentHashMap<>();
     private final Map<String, Duration> coreDelays = new ConcurrentHashMap<>();
@@ -46,6 +49,9 @@
         if (path.startsWith("/fails")) {
             throw new IOException("the handler failed");
         }
+        if (path.startsWith("/big")) {
+            return Response.text(200, "text/plain", "x".repeat(BIG_BYTES));
+        }
         return Response.text(path.startsWith("/busy") ? 503 : 200, "text/plain", path);
     }
 
