Share the slots of a rank among organisations in virtual time

The queue of a target served by deadline, so that an organisation got room in proportion to what it asked for: one that sent six times its usual took it from all others. Within a rank the queue now serves the earliest start in virtual time, which a run moves on by the time that it holds its slot; the backlog of the organisation that is over its share is refused. An organisation of which less than half of the overall share is granted goes before its turn. Requests of organisations whose maximum wait has passed are refused before a slot is granted. Requests without an organisation are ordered as before.

--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -3,11 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.TreeMap;
 import java.util.function.LongSupplier;
 
 /**
@@ -20,6 +21,8 @@
  * target. A target may limit the rate of its requests as well; they then pass at that rate, in the same order. A target that
  * sheds requests is trusted with fewer of them.
  *
+ * <p>Among organisations, the room of a rank is shared by {@link OrganisationShares}; {@link ServingOrder} states the order.
+ *
  * <p>While more requests arrive than the slots can run, those that can't meet their soft deadline with some certainty
  * give way to the others, and only as many of them wait as keep the slots busy.
  *
@@ -48,6 +51,8 @@
     private final List<SlotTicket> waiting = new ArrayList<>();
     private SlotState state = new SlotState(0, false, 0, 0, INITIAL_AVERAGE_NANOSECONDS);
     private final ShedLimit shedLimit = ShedLimit.none();
+    private final OrganisationShares shares = new OrganisationShares();
+    private final TreeMap<Integer, Integer> runningByRank = new TreeMap<>();
     private Optional<RequestPacer> pacer = Optional.empty();
     private long nextSequence;
     private double averageIntervalNanoseconds = INITIAL_INTERVAL_NANOSECONDS;
@@ -70,6 +75,11 @@
         return state.withWaiting(waiting.size()).withSlots(usableSlots(nanoseconds.getAsLong()));
     }
 
+    /** Returns the rank of the most urgent request that holds a slot; empty if none does. */
+    public synchronized OptionalInt mostUrgentRunningRank() {
+        return runningByRank.isEmpty() ? OptionalInt.empty() : OptionalInt.of(runningByRank.firstKey());
+    }
+
     /** Returns how long a further request would wait for the rate limit; zero without one. */
     public synchronized Duration pacingWait() {
         return pacingWait(waiting.size() + 1, nanoseconds.getAsLong());
@@ -131,6 +141,7 @@
             ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.SHEDDING, shedLimit.untilProbe(now)));
             return ticket;
         }
+        request.organisation().ifPresent(sender -> shares.recordRequest(request.rank(), sender, now));
         waiting.add(ticket);
         grantFreeSlots();
         refuseUnservable(now);
@@ -165,9 +176,15 @@
         if (!ticket.tryRelease()) {
             return;
         }
-        long runNanoseconds = nanoseconds.getAsLong() - ticket.grantedNanoseconds();
+        long now = nanoseconds.getAsLong();
+        long runNanoseconds = now - ticket.grantedNanoseconds();
         double average = state.averageRunNanoseconds() * (1 - SMOOTHING_FACTOR) + runNanoseconds * SMOOTHING_FACTOR;
         state = state.withRunning(state.running() - 1).withAverage(average);
+        runningByRank.computeIfPresent(ticket.rank(), (_, count) -> count > 1 ? count - 1 : null);
+        ticket.organisation()
+                .ifPresent(sender -> shares.recordDifference(
+                        ticket.rank(), sender, runNanoseconds - ticket.expectedRunNanoseconds()));
+        refuseExpired(now);
         grantFreeSlots();
     }
 
@@ -208,7 +225,7 @@
 
     /** Returns the position of a request in the queue, where 1 is next. */
     private int position(SlotTicket ticket, long now) {
-        Comparator<SlotTicket> order = servingOrder(now);
+        ServingOrder order = servingOrder(now);
         int position = 1;
         for (SlotTicket other : waiting) {
             position += order.compare(other, ticket) < 0 ? 1 : 0;
@@ -246,8 +263,7 @@
             if (wait.compareTo(ticket.remainingWaitAt(now)) > 0 || isHopeless(ticket, slotWait, now)) {
                 boolean isRateLimited = pacingWait.compareTo(slotWait) > 0;
                 waiting.remove(ticket);
-                ticket.settle(new SlotDecision.Refused(
-                        isRateLimited ? SlotDecision.Reason.RATE_LIMITED : lackOfRoom(ticket, now), wait));
+                refuse(ticket, isRateLimited ? SlotDecision.Reason.RATE_LIMITED : lackOfRoom(ticket, now), wait);
             } else {
                 ahead++;
             }
@@ -258,11 +274,25 @@
         return ticket.requestedNanoseconds() == now ? SlotDecision.Reason.FULL : SlotDecision.Reason.OVERTAKEN;
     }
 
-    private Comparator<SlotTicket> servingOrder(long now) {
-        return Comparator.comparing((SlotTicket ticket) -> isLate(ticket, now))
-                .thenComparingInt(SlotTicket::rank)
-                .thenComparingLong(SlotTicket::softDeadlineNanoseconds)
-                .thenComparingLong(SlotTicket::sequence);
+    /** Refuses the requests of organisations whose maximum wait has passed, so that none of them is granted a slot. */
+    private void refuseExpired(long now) {
+        List<SlotTicket> expired = waiting.stream()
+                .filter(ticket -> ticket.organisation().isPresent())
+                .filter(ticket -> ticket.remainingWaitAt(now).isNegative())
+                .toList();
+        waiting.removeAll(expired);
+        for (SlotTicket ticket : expired) {
+            refuse(ticket, SlotDecision.Reason.OVERTAKEN, expectedWait(ticket, now));
+        }
+    }
+
+    private void refuse(SlotTicket ticket, SlotDecision.Reason reason, Duration wait) {
+        ticket.markOverShare(shares.isOverShare(ticket.rank(), ticket.organisation()));
+        ticket.settle(new SlotDecision.Refused(reason, wait));
+    }
+
+    private ServingOrder servingOrder(long now) {
+        return ServingOrder.of(waiting, shares, ticket -> isLate(ticket, now));
     }
 
     private void grantFreeSlots() {
@@ -279,8 +309,13 @@
     }
 
     private void grantTo(SlotTicket ticket) {
+        long now = nanoseconds.getAsLong();
         state = state.withRunning(state.running() + 1);
-        ticket.markGranted(nanoseconds.getAsLong());
+        runningByRank.merge(ticket.rank(), 1, Integer::sum);
+        ticket.markOverShare(shares.isOverShare(ticket.rank(), ticket.organisation()));
+        ticket.organisation()
+                .ifPresent(sender -> shares.recordGrant(ticket.rank(), sender, ticket.expectedRunNanoseconds(), now));
+        ticket.markGranted(now);
         ticket.settle(new SlotDecision.Granted());
     }
 }
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.oleanderturn.model.OrganisationName;
 
 /**
  * A request for a slot in a {@link SlotQueue}.
@@ -15,12 +16,15 @@
  * <p>Invariant: settled exactly once; its slot is freed at most once. Thread safe.
  */
 public final class SlotTicket {
+    private static final long SHORTEST_RUN_NANOSECONDS = 1_000_000;
+
     private final SlotRequest request;
     private final long sequence;
     private final long requestedNanoseconds;
     private final CompletableFuture<SlotDecision> decision = new CompletableFuture<>();
     private final AtomicBoolean isSlotHeld = new AtomicBoolean();
     private volatile long grantedNanoseconds;
+    private volatile boolean isOverShare;
 
     SlotTicket(SlotRequest request, long sequence, long requestedNanoseconds) {
         this.request = request;
@@ -34,6 +38,15 @@
         return request.rank();
     }
 
+    Optional<OrganisationName> organisation() {
+        return request.organisation();
+    }
+
+    /** Returns how long the request is expected to hold its slot, in nanoseconds; never zero, so that each run counts. */
+    long expectedRunNanoseconds() {
+        return Math.max(SHORTEST_RUN_NANOSECONDS, request.expectedRun().toNanos());
+    }
+
     /** Returns when the soft deadline is, in nanoseconds on the queue's clock. */
     long softDeadlineNanoseconds() {
         return requestedNanoseconds + request.untilSoftDeadline().toNanos();
@@ -63,6 +76,11 @@
         return requestedNanoseconds;
     }
 
+    /** Returns whether the organisation had had more than its share when the decision was made. */
+    public boolean isOverShare() {
+        return isOverShare;
+    }
+
     boolean isSlotHeld() {
         return isSlotHeld.get();
     }
@@ -104,6 +122,10 @@
         isSlotHeld.set(true);
     }
 
+    void markOverShare(boolean isOver) {
+        isOverShare = isOver;
+    }
+
     void settle(SlotDecision result) {
         decision.complete(result);
     }
