Share what an entry offers and admits among organisations

The throttle of offers and the admission of the core held back all requests of a rank alike, so that small organisations lost as large a part as the one that caused it. What passes is now divided max-min fairly by recent demand, at least half of the common share each.

--- a/traffic/src/main/java/org/oleanderturn/traffic/OfferThrottle.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/OfferThrottle.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.oleanderturn.model.OrganisationName;
 
 /**
  * Decides whether a request is offered to a target of its service, by how many offers were refused for lack of room lately
@@ -15,8 +17,10 @@
  * proportion to those that were taken, several times as many, so that every slot that becomes free finds a request. While
  * refusals come at once, a further offer costs little and may find room. A request that is not offered did not run.
  *
- * <p>Invariant: nothing is held back while at least every second offer is taken, and a few offers always pass. Thread safe,
- * without locks, if the random generator is thread safe.
+ * <p>What passes is divided among organisations by {@link OrganisationDemand}.
+ *
+ * <p>Invariant: nothing is held back while at least every second offer is taken, and a few offers always pass. Thread safe
+ * if the random generator is; without locks for requests without an organisation.
  */
 public final class OfferThrottle {
     /** Outcomes count less by this time constant, in nanoseconds: loads change within seconds. */
@@ -40,10 +44,12 @@
     private final LongSupplier nanoseconds;
     private final RandomGenerator random;
     private final AtomicReference<Outcomes> recent;
+    private final OrganisationDemand demand;
 
     private OfferThrottle(LongSupplier nanoseconds, RandomGenerator random) {
         this.nanoseconds = nanoseconds;
         this.random = random;
+        this.demand = OrganisationDemand.of(nanoseconds);
         this.recent = new AtomicReference<>(new Outcomes(0, 0, 0, Duration.ZERO, nanoseconds.getAsLong()));
     }
 
@@ -104,11 +110,26 @@
         return recent.get().expectedWait();
     }
 
+    /** Returns whether fewer of an organisation's requests are offered than of all, as it sends more than its share. */
+    public boolean isOverShare(OrganisationName organisation) {
+        double offered = 1 - withheldShare();
+        return demand.passingShare(organisation, offered) < offered;
+    }
+
     // -- commands
 
-    /** Returns whether to offer a request now; the outcome of an offer has to be recorded. */
+    /** Returns whether to offer a request without an organisation; the outcome of an offer has to be recorded. */
     public boolean tryOffer() {
-        double withheld = withheldShare();
+        return tryOffer(Optional.empty());
+    }
+
+    /** Returns whether to offer a request of an organisation now; the outcome of an offer has to be recorded. */
+    public boolean tryOffer(Optional<OrganisationName> organisation) {
+        organisation.ifPresent(demand::recordRequest);
+        double allWithheld = withheldShare();
+        double withheld = organisation.isEmpty() || allWithheld <= 0
+                ? allWithheld
+                : 1 - demand.passingShare(organisation.get(), 1 - allWithheld);
         if (withheld <= 0 || random.nextDouble() >= withheld) {
             return true;
         }
