Rank possible calls by what runs at the local target, and record shares of organisations

A request without a key where organisations are declared may be a call of the local target. Its rank is the lower of its route's priority and the most urgent rank that runs there now, and the core admits it as a call; requests of organisations are admitted by rank and share whatever address they come from. Metrics and lines state the reason of a refusal and whether the organisation was over its share.

--- a/mesh/src/main/java/org/oleanderturn/mesh/Decision.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/Decision.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RouteName;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.traffic.CrashVerdict;
@@ -67,6 +68,7 @@
     /**
      * A guard ran an attempt or refused it.
      *
+     * @param share by which rank and share the slot was decided
      * @param stages how long the attempt spent in each stage
      * @param load the target's load after the attempt
      * @param requestsPerSecond the rate that the target takes; empty if it doesn't limit it
@@ -75,6 +77,7 @@
             String attemptId,
             int attempt,
             GuardReply reply,
+            SlotShare share,
             GuardStages stages,
             LoadReport load,
             TargetStatus target,
@@ -85,6 +88,7 @@
         public Guarded {
             Objects.requireNonNull(attemptId, "attemptId is null");
             Objects.requireNonNull(reply, "reply is null");
+            Objects.requireNonNull(share, "share is null");
             Objects.requireNonNull(stages, "stages is null");
             Objects.requireNonNull(load, "load is null");
             Objects.requireNonNull(target, "target is null");
@@ -98,6 +102,28 @@
         }
     }
 
+    /**
+     * An entry refuses a request of an organisation itself, as its targets or its own core have no room.
+     *
+     * @param reason the reason that the client is told
+     * @param isOverShare whether fewer requests of the organisation pass than of all others of the rank
+     */
+    record Withheld(String attemptId, String reason, int rank, OrganisationName organisation, boolean isOverShare)
+            implements Decision {
+
+        /** Throws a {@link NullPointerException} when a component is null. */
+        public Withheld {
+            Objects.requireNonNull(attemptId, "attemptId is null");
+            Objects.requireNonNull(reason, "reason is null");
+            Objects.requireNonNull(organisation, "organisation is null");
+        }
+
+        @Override
+        public boolean isFailure() {
+            return true;
+        }
+    }
+
     /**
      * An attempt ended without a response for the client.
      *
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -14,14 +14,12 @@
 import java.util.function.BooleanSupplier;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.NodeId;
-import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.RouteName;
 import org.oleanderturn.proxy.Cancellation;
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.traffic.CrashVerdict;
-import org.oleanderturn.traffic.OfferThrottle;
 import org.oleanderturn.traffic.SuspectPlacement;
 import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
@@ -55,9 +53,6 @@
 
     private static final String KEY_REMOVED = "KEY_REMOVED";
 
-    /** The reason of a request that was offered to no target, as they refuse most. */
-    private static final String SERVICE_FULL = "SERVICE_FULL";
-
     /** Stands in for the target latency of a route that states none. */
     private static final int DEFAULT_TARGET_LATENCY_MILLISECONDS = 1_000;
 
@@ -66,6 +61,7 @@
     private final BooleanSupplier isKeyInForce;
     private final MeshEntryDependencies dependencies;
     private final ClientResponses responses;
+    private final EntryOffers offers;
     private final ConcurrentMap<NodeId, Set<Cancellation>> cancellationsByNode;
     private final Set<NodeId> excluded = new HashSet<>();
     private final AtomicReference<Cancellation> currentCancellation = new AtomicReference<>(Cancellation.create());
@@ -95,6 +91,7 @@
         this.isKeyInForce = Objects.requireNonNull(isKeyInForce, "isKeyInForce is null");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
         this.responses = Objects.requireNonNull(responses, "responses is null");
+        this.offers = new EntryOffers(request, dependencies);
         this.cancellationsByNode = Objects.requireNonNull(cancellationsByNode, "cancellationsByNode is null");
     }
 
@@ -146,13 +143,13 @@
             if (endpoint.isEmpty()) {
                 return finish(last);
             }
-            if (!isOffered(endpoint.get())) {
+            if (!offers.isOffered(endpoint.get())) {
                 return finish(attempts > 0 ? last : withhold());
             }
             long started = dependencies.clockNanoseconds().getAsLong();
             last = attempt(endpoint.get());
             Duration duration = Duration.ofNanos(dependencies.clockNanoseconds().getAsLong() - started);
-            recordOffer(last, duration);
+            offers.record(last, duration);
             if (last instanceof GuardReply.Ran ran && !isRetryableFailure(ran)) {
                 return responses.delivered(ran.response(), attempts);
             }
@@ -197,35 +194,13 @@
         return chosen.isPresent() ? chosen : dependencies.balancer().choose(known, excluded, bytes);
     }
 
-    /** Returns whether to offer the request to a target while most offers are refused; a slot that is free is always used. */
-    private boolean isOffered(Endpoint endpoint) {
-        return dependencies.loads().hasFreeSlot(endpoint.node()) || throttle().tryOffer();
-    }
-
     /** Ends a request that is offered to no target, and remembers when one expects room. */
     private GuardReply withhold() {
-        GuardReply reply = new GuardReply.NotRun(SERVICE_FULL, false, throttle().expectedWait());
+        GuardReply reply = offers.withhold();
         recordRefusal(reply);
         return reply;
     }
 
-    private void recordOffer(GuardReply reply, Duration duration) {
-        switch (reply) {
-            case GuardReply.Ran _, GuardReply.Unknown _ -> throttle().recordTaken();
-            case GuardReply.NotRun notRun
-            when notRun.isForLackOfRoom() -> throttle().recordRefused(duration, notRun.retryAfter());
-            case GuardReply.NotRun notRun
-            when notRun.isOvertaken() -> throttle().recordOvertaken(notRun.retryAfter());
-            case GuardReply.NotRun _, GuardReply.Abandoned _, GuardReply.Quarantined _ -> {
-                // These tell nothing of the room at the target.
-            }
-        }
-    }
-
-    private OfferThrottle throttle() {
-        return dependencies.throttles().throttle(request.service(), request.rank());
-    }
-
     private GuardReply attempt(Endpoint endpoint) {
         attempts++;
         NodeId node = endpoint.node();
@@ -311,7 +286,7 @@
                         .find(node)
                         .filter(TargetCondition::isBinding)
                         .map(TargetCondition::headerValue),
-                request.organisation().map(Organisation::name));
+                request.organisationName());
         return new GuardRequest(
                 request.method(),
                 request.path(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardClient.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.NodeId;
@@ -72,6 +73,11 @@
         return new GuardClient(Optional.empty(), client, loads, conditions);
     }
 
+    /** Returns the rank of the most urgent request that runs at this node's target; empty if none does. */
+    OptionalInt mostUrgentLocalRank() {
+        return localGuard.map(local -> local.guard().mostUrgentRunningRank()).orElse(OptionalInt.empty());
+    }
+
     /** Sends a request to the guard of an endpoint and returns its reply; blocks. */
     GuardReply call(Endpoint endpoint, GuardRequest request) {
         Optional<LocalGuard> local = localGuard.filter(guard -> guard.node().equals(endpoint.node()));
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
@@ -44,6 +45,9 @@
     /** When a client may retry at another node, as this one stops. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(100);
 
+    /** The reason of a request that the node's own core has no time for. */
+    private static final String NODE_BUSY = "NODE_BUSY";
+
     private final RequestRouter router;
     private final BooleanSupplier isReady;
     private final ProtocolAdapter adapter;
@@ -125,8 +129,9 @@
 
     private Response dispatch(InboundRequest inbound, MeshRequest request, ClientResponses responses)
             throws IOException {
-        if (!isAdmitted(inbound, request.match())) {
-            return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(inbound.readDelay()));
+        if (!isAdmitted(inbound, request)) {
+            recordBusy(request);
+            return responses.notRun(NODE_BUSY, 0, dependencies.admission().retryAfter(inbound.readDelay()));
         }
         Optional<Response> refusal = refusalByLimit(request, responses);
         if (refusal.isPresent()) {
@@ -182,12 +187,31 @@
         };
     }
 
-    /** Admits each call of the local target in time: its refusal would waste the run that waits for it. */
-    private boolean isAdmitted(InboundRequest request, RouteIndex.Match match) {
+    /**
+     * Admits each call of the local target in time: its refusal would waste the run that waits for it. Where organisations are
+     * declared, only a request without a key can be one; the address tells nothing, as clients share the host.
+     */
+    private boolean isAdmitted(InboundRequest inbound, MeshRequest request) {
         CoreAdmission admission = dependencies.admission();
-        return request.isFromOwnHost()
-                ? admission.tryAdmitCall(request.readDelay())
-                : admission.tryAdmit(request.readDelay(), match.route().effectivePriority());
+        Duration lateness = inbound.readDelay();
+        if (request.organisation().isPresent()) {
+            return admission.tryAdmit(
+                    lateness, request.rank(), request.organisation().get().name());
+        }
+        boolean isCall = request.isPossibleCall() || inbound.isFromOwnHost();
+        return isCall ? admission.tryAdmitCall(lateness) : admission.tryAdmit(lateness, request.rank());
+    }
+
+    private void recordBusy(MeshRequest request) {
+        request.organisationName()
+                .ifPresent(organisation -> dependencies
+                        .decisionLog()
+                        .record(new Decision.Withheld(
+                                request.attemptId(),
+                                NODE_BUSY,
+                                request.rank(),
+                                organisation,
+                                dependencies.admission().isOverShare(request.rank(), organisation))));
     }
 
     private static Response deny(RoutingDenial denial, ClientResponses responses) {
@@ -217,6 +241,15 @@
         return index.areKeysRequired() ? adapter.withoutCredentials(forwardable) : forwardable;
     }
 
+    private OptionalInt callRank(RequestRouter.Routed routed) {
+        boolean isPossibleCall =
+                routed.index().areKeysRequired() && routed.organisation().isEmpty();
+        return isPossibleCall
+                ? MeshRequest.callRank(
+                        routed.match().route(), dependencies.guardClient().mostUrgentLocalRank())
+                : OptionalInt.empty();
+    }
+
     private MeshRequest meshRequest(
             InboundRequest request,
             ClientRequestMetadata client,
@@ -248,6 +281,7 @@
                         .orElse(deadlineNanoseconds),
                 earlierWait,
                 routed.organisation(),
+                callRank(routed),
                 request.bodyReservation());
     }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.function.LongSupplier;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.RequestKind;
@@ -148,6 +149,11 @@
                         limit.getAsDouble(), runSeconds, slots.pacingWait().toNanos() / NANOSECONDS_PER_SECOND);
     }
 
+    /** Returns the rank of the most urgent request that runs at the target; empty if none does. */
+    OptionalInt mostUrgentRunningRank() {
+        return slots.mostUrgentRunningRank();
+    }
+
     /** Returns the condition of the target to tell an entry; empty if the target never asked anything. */
     Optional<TargetCondition> condition() {
         return target.condition();
@@ -240,6 +246,7 @@
                     request.client().attemptId(),
                     request.metadata().attempt(),
                     reply,
+                    SlotShare.of(request.metadata(), ticket, decision),
                     new GuardStages(request.readDelay(), ticket.waited(), run),
                     load(),
                     target.status(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -4,8 +4,11 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Organisation;
+import org.oleanderturn.model.OrganisationName;
+import org.oleanderturn.model.Route;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.BodyReservation;
 import org.oleanderturn.proxy.HeaderField;
@@ -23,6 +26,7 @@
  * @param deadlineNanoseconds when the client's or the route's timeout ends, or the entry stops, whichever is first
  * @param earlierWait how long the client spent on earlier attempts
  * @param organisation the organisation that sent the request; empty for an anonymous one
+ * @param callRank the rank of a request that may be a call of the local target; empty for others
  * @param bodies what the responses of all attempts are reserved from
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -40,6 +44,7 @@
         long deadlineNanoseconds,
         Duration earlierWait,
         Optional<Organisation> organisation,
+        OptionalInt callRank,
         BodyReservation bodies) {
 
     /** More than there are priorities of routes, so that the priorities of organisations go before them. */
@@ -55,12 +60,28 @@
         Objects.requireNonNull(service, "service is null");
         Objects.requireNonNull(version, "version is null");
         Objects.requireNonNull(organisation, "organisation is null");
+        Objects.requireNonNull(callRank, "callRank is null");
         Objects.requireNonNull(bodies, "bodies is null");
         headers = List.copyOf(headers);
     }
 
+    /**
+     * Returns the rank of a request without an organisation where organisations are declared. Calls of the local target can't
+     * be told from other requests without a key, so that none of them is ranked behind the most urgent request that runs there:
+     * a run must not wait behind less urgent ones for what it calls.
+     *
+     * @param mostUrgentRunning the rank of the most urgent request that runs at the local target
+     */
+    static OptionalInt callRank(Route route, OptionalInt mostUrgentRunning) {
+        int routePriority = route.effectivePriority();
+        return OptionalInt.of(Math.min(routePriority, mostUrgentRunning.orElse(routePriority)));
+    }
+
     /** Returns the rank of the request in queues, 0 first: the priority of its organisation goes before that of its route. */
     int rank() {
+        if (callRank.isPresent()) {
+            return callRank.getAsInt();
+        }
         int routePriority = match.route().effectivePriority();
         return organisation
                 .flatMap(Organisation::priority)
@@ -68,6 +89,15 @@
                 .orElse(routePriority);
     }
 
+    /** Returns whether the request may be a call that a run of the local target waits for. */
+    boolean isPossibleCall() {
+        return callRank.isPresent();
+    }
+
+    Optional<OrganisationName> organisationName() {
+        return organisation.map(Organisation::name);
+    }
+
     String attemptId() {
         return client.attemptId();
     }
--- a/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
+++ b/node/src/main/java/org/oleanderturn/node/JsonDecisionLog.java
@@ -13,9 +13,11 @@
 import org.oleanderturn.mesh.Decision;
 import org.oleanderturn.mesh.DecisionLog;
 import org.oleanderturn.mesh.GuardReply;
+import org.oleanderturn.mesh.SlotShare;
 import org.oleanderturn.mesh.TargetReport;
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.traffic.CrashVerdict;
 import org.oleanderturn.traffic.Fingerprint;
 
@@ -65,6 +67,7 @@
             case Decision.Placed placed -> buffer(placed);
             case Decision.Answered answered -> complete(answered);
             case Decision.AttemptFailed failed -> buffer(failed);
+            case Decision.Withheld withheld -> buffer(withheld);
             case Decision.Suspected _, Decision.SuspectTried _, Decision.SuspectCleared _, Decision.Quarantined _ ->
                 writer.offer(line(decision));
             case Decision.Guarded guarded -> {
@@ -119,6 +122,7 @@
             case Decision.Placed placed -> add(fields, placed);
             case Decision.Guarded guarded -> add(fields, guarded);
             case Decision.AttemptFailed failed -> add(fields, failed);
+            case Decision.Withheld withheld -> add(fields, withheld);
             case Decision.Suspected suspected -> add(fields, suspected);
             case Decision.SuspectTried tried -> addSuspicion(fields, tried.fingerprint(), tried.level());
             case Decision.SuspectCleared cleared -> addSuspicion(fields, cleared.fingerprint(), cleared.level());
@@ -142,6 +146,9 @@
     private static void add(Map<String, Object> fields, Decision.Guarded guarded) {
         fields.put("attempt", guarded.attempt());
         fields.put("outcome", outcome(guarded.reply()));
+        SlotShare share = guarded.share();
+        share.organisation()
+                .ifPresent(organisation -> addShare(fields, share.rank(), organisation, share.isOverShare()));
         fields.put("readMilliseconds", guarded.stages().readDelay().toMillis());
         fields.put("waitedMilliseconds", guarded.stages().slotWait().toMillis());
         fields.put("ranMilliseconds", guarded.stages().run().toMillis());
@@ -151,6 +158,18 @@
         guarded.target().report().map(TargetReport::start).ifPresent(start -> fields.put("instance", start.instance()));
     }
 
+    private static void add(Map<String, Object> fields, Decision.Withheld withheld) {
+        fields.put("reason", withheld.reason());
+        addShare(fields, withheld.rank(), withheld.organisation(), withheld.isOverShare());
+    }
+
+    private static void addShare(
+            Map<String, Object> fields, int rank, OrganisationName organisation, boolean isOverShare) {
+        fields.put("rank", rank);
+        fields.put("organisation", organisation.value());
+        fields.put("overShare", isOverShare);
+    }
+
     private static void add(Map<String, Object> fields, Decision.AttemptFailed failed) {
         fields.put("attempt", failed.attempt());
         fields.put("guard", failed.node().value());
--- a/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
@@ -7,6 +7,7 @@
 import org.oleanderturn.mesh.Decision;
 import org.oleanderturn.mesh.DecisionLog;
 import org.oleanderturn.mesh.GuardReply;
+import org.oleanderturn.mesh.SlotShare;
 import org.oleanderturn.traffic.SlotDecision;
 
 /**
@@ -24,6 +25,8 @@
     private final DecisionLog delegate;
     private final Counter decisions;
     private final Counter ownResponses;
+    private final Counter slotDecisions;
+    private final Counter entryRefusals;
     private final Histogram responseLatency;
     private final Histogram failedAttemptLatency;
     private final Histogram slotWait;
@@ -42,6 +45,18 @@
                 .help("Responses to clients without an attempt at a target, by status and reason.")
                 .labelNames("status", "reason")
                 .register(metrics.registry());
+        this.slotDecisions = Counter.builder()
+                .name("oleanderturn_slot_decisions_total")
+                .help("Decisions of the guard on slots, by reason of a refusal and share of the organisation.")
+                .withoutExemplars()
+                .labelNames("decision", "share")
+                .register(metrics.registry());
+        this.entryRefusals = Counter.builder()
+                .name("oleanderturn_entry_refusals_total")
+                .help("Requests of organisations that the entry refused, by reason and share of the organisation.")
+                .withoutExemplars()
+                .labelNames("reason", "share")
+                .register(metrics.registry());
         this.responseLatency =
                 histogram(metrics, "oleanderturn_answer_seconds", "Seconds from a request to its response.");
         this.failedAttemptLatency =
@@ -68,9 +83,16 @@
             case Decision.Placed _ -> count(kind, "");
             case Decision.Guarded guarded -> {
                 count(kind, outcome(guarded.reply()));
+                count(guarded.share());
                 slotWait.observe(seconds(guarded.stages().slotWait()));
                 readDelay.observe(seconds(guarded.stages().readDelay()));
             }
+            case Decision.Withheld withheld -> {
+                count(kind, withheld.reason());
+                entryRefusals
+                        .labelValues(withheld.reason(), shareLabel(withheld.isOverShare()))
+                        .inc();
+            }
             case Decision.AttemptFailed failed -> {
                 count(kind, outcome(failed.reply()));
                 failedAttemptLatency.observe(seconds(failed.duration()));
@@ -98,6 +120,16 @@
         decisions.labelValues(kind, outcome).inc();
     }
 
+    private void count(SlotShare share) {
+        String decision = share.refusal().map(SlotDecision.Reason::name).orElse("GRANTED");
+        String label = share.organisation().isEmpty() ? "none" : shareLabel(share.isOverShare());
+        slotDecisions.labelValues(decision, label).inc();
+    }
+
+    private static String shareLabel(boolean isOverShare) {
+        return isOverShare ? "over" : "within";
+    }
+
     private static String outcome(GuardReply reply) {
         return switch (reply) {
             case GuardReply.Ran ran -> "ran " + ran.response().status();
--- a/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -26,16 +26,19 @@
 import org.oleanderturn.mesh.GuardReply;
 import org.oleanderturn.mesh.GuardStages;
 import org.oleanderturn.mesh.LocalTarget;
+import org.oleanderturn.mesh.SlotShare;
 import org.oleanderturn.mesh.TargetReport;
 import org.oleanderturn.mesh.TargetStart;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RouteName;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.traffic.CrashVerdict;
 import org.oleanderturn.traffic.Fingerprint;
 import org.oleanderturn.traffic.LoadReport;
+import org.oleanderturn.traffic.SlotDecision;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.WindowedRetryBudget;
 
@@ -67,6 +70,7 @@
         decisions.record(placed(id));
         decisions.record(new Decision.AttemptFailed(
                 id, 1, NODE, FULL_REPLY, FINGERPRINT, Duration.ZERO, false, new WindowedRetryBudget.Usage(2, 12.5)));
+        decisions.record(new Decision.Withheld(id, "SERVICE_FULL", 12, OrganisationName.of("acme"), true));
         decisions.record(new Decision.Answered(
                 id, 503, "FULL", 1, Duration.ZERO, Duration.ZERO, Optional.of(Duration.ofMillis(200)), VERSION));
         decisions.record(guarded(id, FULL_REPLY));
@@ -76,7 +80,7 @@
         decisions.record(new Decision.Quarantined(
                 id, FINGERPRINT, new CrashVerdict.Quarantined(2, false, Duration.ofSeconds(2))));
         List<JsonNode> lines = writtenLines();
-        assertThat(lines).hasSize(8);
+        assertThat(lines).hasSize(9);
         for (JsonNode line : lines) {
             assertThat(fields(line))
                     .isEqualTo(documentedFields(line.get("event").asText()));
@@ -170,7 +174,9 @@
         LocalTarget target =
                 LocalTarget.of(NodeId.of("node-1"), service, SlotQueue.of(() -> 0), Duration.ofSeconds(5), () -> 0);
         target.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, service, 9, false));
-        return new Decision.Guarded(id, 1, reply, STAGES, LOAD, target.status(), OptionalDouble.of(8));
+        SlotShare share = new SlotShare(
+                12, Optional.of(OrganisationName.of("acme")), true, Optional.of(SlotDecision.Reason.FULL));
+        return new Decision.Guarded(id, 1, reply, share, STAGES, LOAD, target.status(), OptionalDouble.of(8));
     }
 
     private List<JsonNode> writtenLines() throws IOException {
--- a/node/src/test/java/org/oleanderturn/node/LinkFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/LinkFleetTest.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.platform.FakeOperator;
 
 /** Plays small and large responses on simulated hosts with narrow links. */
 final class LinkFleetTest {
@@ -33,7 +34,11 @@
                 .parallel()
                 .forEach(seed -> SimulatedTime.simulate(() -> {
                     SimulatedFleet fleet = new SimulatedFleet(
-                            FLEET_SIZE, SLOTS, MAXIMUM_ATTEMPTS, seed, Optional.of(LINK_MEGABITS_PER_SECOND));
+                            FLEET_SIZE,
+                            SLOTS,
+                            FakeOperator.snapshot(1, SimulatedFleet.SERVICE, MAXIMUM_ATTEMPTS),
+                            seed,
+                            Optional.of(LINK_MEGABITS_PER_SECOND));
                     load(fleet, LOOKUPS_PER_SECOND, "/lookup/");
                     load(fleet, DOWNLOADS_PER_SECOND, "/download/");
                     fleet.run(DAY.plus(SimulatedFleet.CLIENT_TIMEOUT).plusSeconds(1));
--- a/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.oleanderturn.platform.FakeOperator;
+import org.oleanderturn.proxy.HeaderField;
 
 /** The clients of a {@link SimulatedFleet}: what they have sent, when they left and what they got. Used by one task at a time. */
 final class SimulatedClients {
@@ -18,6 +20,8 @@
     private final Map<SimulatedFleet.Sending, Long> departures = new HashMap<>();
     private final List<SimulatedFleet.Exchange> exchanges = new ArrayList<>();
 
+    private Function<String, Optional<HeaderField>> credentials = _ -> Optional.empty();
+
     SimulatedClients(SimulatedFleet fleet) {
         this.fleet = fleet;
         this.stages = new StageWatch(fleet);
@@ -50,6 +54,11 @@
 
     // -- commands
 
+    /** Lets clients show the key that belongs to the path of a request. */
+    void showCredentials(Function<String, Optional<HeaderField>> credentialsOfPath) {
+        credentials = credentialsOfPath;
+    }
+
     /** Sends a request once, after a delay, to a node that is drawn then; its client leaves when it reaches a stage. */
     void sendAndLeaveAt(Duration delay, String path, RequestStage stage) {
         fleet.time().start(delay, life, () -> {
@@ -128,11 +137,10 @@
                 sendings.size(), entry, host.life(), fleet.time().milliseconds(), limit.toMillis());
         sendings.add(sending);
         String attemptId = "s" + sending.number();
-        SimulatedRequest request = new SimulatedRequest(
-                path.startsWith("/single/") ? "POST" : "GET",
-                path,
-                FakeOperator.clientHeaders(attemptId, limit.toMillis()),
-                new byte[0]);
+        List<HeaderField> headers = new ArrayList<>(FakeOperator.clientHeaders(attemptId, limit.toMillis()));
+        credentials.apply(path).ifPresent(headers::add);
+        SimulatedRequest request =
+                new SimulatedRequest(path.startsWith("/single/") ? "POST" : "GET", path, headers, new byte[0]);
         leavesAt.ifPresent(
                 stage -> stages.leaveAt(attemptId, stage, () -> answer.complete(SimulatedFleet.Answer.left())));
         host.handleClient(request, answer);
--- a/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 import org.oleanderturn.mesh.Decision;
 import org.oleanderturn.model.Address;
+import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.platform.FakeOperator;
 import org.oleanderturn.platform.FakeTargetMessages;
@@ -106,15 +107,14 @@
 
     /** Starts a fleet and lets its nodes find each other. */
     SimulatedFleet(int size, int slots, int maximumAttempts, long seed) {
-        this(size, slots, maximumAttempts, seed, Optional.empty());
+        this(size, slots, FakeOperator.snapshot(1, SERVICE, maximumAttempts), seed, Optional.empty());
     }
 
-    /** Starts a fleet whose hosts have links of a rate in megabits per second, which their nodes know. */
-    SimulatedFleet(int size, int slots, int maximumAttempts, long seed, Optional<Double> linkRate) {
+    /** Starts a fleet with a configuration, whose hosts may have links of a rate in megabits per second that they know. */
+    SimulatedFleet(int size, int slots, ConfigurationSnapshot configuration, long seed, Optional<Double> linkRate) {
         random = new Random(seed);
         for (int number = 0; number < size; number++) {
-            hosts.add(new SimulatedHost(
-                    this, number, slots, FakeOperator.snapshot(1, SERVICE, maximumAttempts), linkRate));
+            hosts.add(new SimulatedHost(this, number, slots, configuration, linkRate));
         }
         hosts.forEach(SimulatedHost::startNode);
         hosts.forEach(host -> host.target().begin());
