--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -81,10 +81,6 @@
         return isOverShare;
     }
 
-    boolean isSlotHeld() {
-        return isSlotHeld.get();
-    }
-
     long grantedNanoseconds() {
         return grantedNanoseconds;
     }
