--- a/node/src/test/java/org/oleanderturn/node/FairSharingFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/FairSharingFleetTest.java
@@ -28,14 +28,17 @@
     private static final double BURST_FACTOR = 6;
     private static final Duration DAY = Duration.ofSeconds(12);
 
-    /** At a mean work of 0.2 s. */
-    private static final double CAPACITY_PER_SECOND = FLEET_SIZE * SLOTS / 0.2;
+    private static final double MEAN_WORK_SECONDS = 0.2;
+    private static final double CORE_SHARE = 0.3;
+    private static final Duration READ_COST = Duration.ofMillis(1);
+    private static final Duration SEND_COST = Duration.ofMillis(3);
 
     private static final double LOOKUP_LOAD = 0.55;
     private static final double BULK_LOAD = 2 * 0.2;
     private static final int FIRST_SMALL = 10;
     private static final double LEAST_PART_OF_OVERALL_SHARE = 0.25;
     private static final double SERVED_SHARE_OF_SMALL = 0.97;
+    private static final double PREFERENCE_OF_SMALL = 1.5;
     private static final Duration TARGET_LATENCY = Duration.ofMillis(500);
 
     /** The priorities of the routes, which are the ranks of organisations of priority 0. */
@@ -45,11 +48,38 @@
     private static final int FIRST_SEED = Integer.getInteger("oleanderturn.firstSeed", 0);
     private static final int SEEDS = Integer.getInteger("oleanderturn.seeds", 2);
 
+    /** What limits the fleet, and how many requests it can serve. */
+    private enum Bottleneck {
+        TARGETS(FLEET_SIZE * SLOTS / MEAN_WORK_SECONDS),
+        CORES(FLEET_SIZE * CORE_SHARE / (2 * READ_COST.plus(SEND_COST).toNanos() / 1e9));
+
+        private final double requestsPerSecond;
+
+        Bottleneck(double requestsPerSecond) {
+            this.requestsPerSecond = requestsPerSecond;
+        }
+    }
+
+    /** Guards against nodes that refuse all organisations alike while their own cores are late. */
+    @Test
+    void shouldAdmitSmallOrganisationsMoreOftenWhenCoresAreTheBottleneck() {
+        IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
+                .parallel()
+                .forEach(seed -> SimulatedTime.simulate(() -> {
+                    List<Exchange> exchanges = play(seed, Bottleneck.CORES);
+                    assertNoneDeprived(seed, exchanges);
+                    double overall = share(exchanges, _ -> true);
+                    assertWithMessage("seed %s, small organisations, overall %s", seed, overall)
+                            .that(share(exchanges, exchange -> organisation(exchange.path()) >= FIRST_SMALL))
+                            .isAtLeast(PREFERENCE_OF_SMALL * overall);
+                }));
+    }
+
     @Test
     void shouldShareTheRoomAmongOrganisationsWhenOneSendsSixTimesItsUsual() {
         IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
                 .parallel()
-                .forEach(seed -> SimulatedTime.simulate(() -> assertShared(seed, play(seed))));
+                .forEach(seed -> SimulatedTime.simulate(() -> assertShared(seed, play(seed, Bottleneck.TARGETS))));
     }
 
     /** Guards against a run that waits, behind less urgent requests, for what it calls. */
@@ -78,7 +108,7 @@
         });
     }
 
-    private static void assertShared(int seed, List<Exchange> exchanges) {
+    private static void assertNoneDeprived(int seed, List<Exchange> exchanges) {
         double overall = share(exchanges, _ -> true);
         for (int number = 0; number < ORGANISATIONS; number++) {
             int organisation = number;
@@ -86,6 +116,11 @@
                     .that(share(exchanges, exchange -> organisation(exchange.path()) == organisation))
                     .isAtLeast(LEAST_PART_OF_OVERALL_SHARE * overall);
         }
+    }
+
+    private static void assertShared(int seed, List<Exchange> exchanges) {
+        assertNoneDeprived(seed, exchanges);
+        double overall = share(exchanges, _ -> true);
         Predicate<Exchange> small =
                 exchange -> exchange.path().startsWith("/lookup/") && organisation(exchange.path()) >= FIRST_SMALL;
         assertWithMessage("seed %s, lookups of small organisations, overall %s", seed, overall)
@@ -110,25 +145,28 @@
                 .isAtMost(2 * TARGET_LATENCY.toMillis());
     }
 
-    private static List<Exchange> play(int seed) {
+    private static List<Exchange> play(int seed, Bottleneck bottleneck) {
         ConfigurationSnapshot configuration =
                 FakeOperator.snapshotWithOrganisations(SimulatedFleet.SERVICE, MAXIMUM_ATTEMPTS, ORGANISATIONS, 1);
         SimulatedFleet fleet = new SimulatedFleet(FLEET_SIZE, SLOTS, configuration, seed, Optional.empty());
         fleet.clients().showCredentials(path -> Optional.of(FakeOperator.credentials(organisation(path))));
+        if (bottleneck == Bottleneck.CORES) {
+            fleet.hosts().forEach(host -> host.setCore(CORE_SHARE, READ_COST, SEND_COST));
+        }
         double sizes = IntStream.rangeClosed(1, ORGANISATIONS)
                 .mapToDouble(number -> Math.pow(number, SIZE_EXPONENT))
                 .sum();
         for (int organisation = 0; organisation < ORGANISATIONS; organisation++) {
             double share = Math.pow(organisation + 1, SIZE_EXPONENT) / sizes * (organisation == 0 ? BURST_FACTOR : 1);
-            send(fleet, "/lookup/" + organisation, LOOKUP_LOAD * share);
-            send(fleet, "/bulk/" + organisation, BULK_LOAD * share);
+            send(fleet, "/lookup/" + organisation, bottleneck.requestsPerSecond * LOOKUP_LOAD * share);
+            send(fleet, "/bulk/" + organisation, bottleneck.requestsPerSecond * BULK_LOAD * share);
         }
         fleet.run(DAY.plus(SimulatedFleet.CLIENT_TIMEOUT).plusSeconds(1));
         return fleet.exchanges();
     }
 
-    private static void send(SimulatedFleet fleet, String path, double load) {
-        long requests = Math.round(CAPACITY_PER_SECOND * load * DAY.toSeconds());
+    private static void send(SimulatedFleet fleet, String path, double requestsPerSecond) {
+        long requests = Math.round(requestsPerSecond * DAY.toSeconds());
         for (long request = 0; request < requests; request++) {
             fleet.sendOnce(Duration.ofMillis(fleet.random().nextLong(DAY.toMillis())), path + "/" + request);
         }
