--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -75,6 +75,7 @@
     private int targetAttempts;
     private int refusals;
     private boolean mayHaveRun;
+    private boolean isKnownNotToHaveRun;
     private Optional<Duration> soonestRetry = Optional.empty();
 
     /**
@@ -116,6 +117,11 @@
         }
     }
 
+    /** Returns whether the response said that the request did not run; for the thread that ran the dispatch. */
+    boolean isKnownNotToHaveRun() {
+        return isKnownNotToHaveRun;
+    }
+
     /** Asks the client's connection whether the client has left; for the thread that runs the dispatch. */
     private boolean isClientGone() {
         if (hasClientLeft.getAsBoolean()) {
@@ -177,6 +183,7 @@
     }
 
     private Response refuseRemovedKey() {
+        isKnownNotToHaveRun = !mayHaveRun;
         return mayHaveRun
                 ? responses.unknown(HttpStatuses.BAD_GATEWAY, KEY_REMOVED, attempts)
                 : responses.refused(HttpStatuses.UNAUTHORIZED, KEY_REMOVED);
@@ -392,6 +399,8 @@
     }
 
     private Response finish(GuardReply last) {
+        boolean isRefusal = last instanceof GuardReply.NotRun || last instanceof GuardReply.Quarantined;
+        isKnownNotToHaveRun = isRefusal && !mayHaveRun;
         return switch (last) {
             case GuardReply.Ran ran -> responses.delivered(ran.response(), attempts);
             case GuardReply.NotRun notRun
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -128,10 +128,19 @@
         if (!isAdmitted(inbound, request.match())) {
             return responses.notRun("NODE_BUSY", 0, dependencies.admission().retryAfter(inbound.readDelay()));
         }
-        Optional<Response> refusal = refusalByLimit(request, responses);
-        if (refusal.isPresent()) {
-            return refusal.get();
-        }
+        LimitDecision limit = request.organisation()
+                .map(organisation -> dependencies.limiter().tryAcquire(organisation))
+                .orElseGet(LimitDecision.Granted::uncounted);
+        return switch (limit) {
+            case LimitDecision.Granted granted -> run(inbound, request, responses, granted);
+            case LimitDecision.Exceeded exceeded -> responses.overLimit(exceeded.retryAfter());
+            case LimitDecision.Undetermined undetermined ->
+                responses.notRun("LIMIT_UNDETERMINED", 0, undetermined.retryAfter());
+        };
+    }
+
+    private Response run(
+            InboundRequest inbound, MeshRequest request, ClientResponses responses, LimitDecision.Granted granted) {
         EntryDispatch dispatch = new EntryDispatch(
                 request,
                 inbound::hasPeerLeft,
@@ -140,7 +149,12 @@
                 responses,
                 cancellationsByNode);
         inbound.onPeerDisconnect(dispatch::onClientDisconnect);
-        return dispatch.run();
+        Response response = dispatch.run();
+        if (dispatch.isKnownNotToHaveRun()) {
+            request.organisation()
+                    .ifPresent(organisation -> dependencies.limiter().giveBack(organisation, granted));
+        }
+        return response;
     }
 
     /**
@@ -169,19 +183,6 @@
                 dependencies);
     }
 
-    /** Takes the request from the limit of its organisation; returns the response to a request that is not within it. */
-    private Optional<Response> refusalByLimit(MeshRequest request, ClientResponses responses) {
-        if (request.organisation().isEmpty()) {
-            return Optional.empty();
-        }
-        return switch (dependencies.limiter().tryAcquire(request.organisation().get())) {
-            case LimitDecision.Granted _ -> Optional.empty();
-            case LimitDecision.Exceeded exceeded -> Optional.of(responses.overLimit(exceeded.retryAfter()));
-            case LimitDecision.Undetermined undetermined ->
-                Optional.of(responses.notRun("LIMIT_UNDETERMINED", 0, undetermined.retryAfter()));
-        };
-    }
-
     /** Admits each call of the local target in time: its refusal would waste the run that waits for it. */
     private boolean isAdmitted(InboundRequest request, RouteIndex.Match match) {
         CoreAdmission admission = dependencies.admission();
--- a/mesh/src/main/java/org/oleanderturn/mesh/RequestLimiter.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RequestLimiter.java
@@ -8,8 +8,11 @@
     /** Takes one request from the limit of an organisation; may block for a short time to ask another node. */
     LimitDecision tryAcquire(Organisation organisation);
 
+    /** Takes back a request that was granted and certainly did not run, so that its client's retry is not counted twice. */
+    default void giveBack(Organisation organisation, LimitDecision.Granted granted) {}
+
     /** Returns a limiter that grants every request. */
     static RequestLimiter unlimited() {
-        return _ -> new LimitDecision.Granted();
+        return _ -> LimitDecision.Granted.uncounted();
     }
 }
--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -28,6 +28,8 @@
 import org.oleanderturn.traffic.CrashSuspicion;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.QuarantineRecord;
+import org.oleanderturn.traffic.TokenAnswer;
+import org.oleanderturn.traffic.TokenRequest;
 import org.oleanderturn.wire.Frame;
 import org.oleanderturn.wire.WireFailure;
 
@@ -36,7 +38,8 @@
  *
  * <p>Invariant: every call ends within its timeout. Blocks the calling thread, except where stated. Thread safe.
  */
-final class ControlChannel implements GossipTransport, ConfigurationTransport, VersionReportTransport, RelayTransport {
+final class ControlChannel
+        implements GossipTransport, ConfigurationTransport, VersionReportTransport, RelayTransport, TokenTransport {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
     private static final Duration INDIRECT_PROBE_TIMEOUT = Duration.ofMillis(1_200);
@@ -247,6 +250,14 @@
                 });
     }
 
+    @Override
+    public Either<ControlFailure, TokenAnswer> takeTokens(Address holder, TokenRequest request, Duration timeout) {
+        return call(holder, new ControlMessage.TakeTokens(request), timeout)
+                .flatMap(answer -> answer instanceof ControlMessage.TokensTaken taken
+                        ? Either.right(taken.answer())
+                        : Either.left(new ControlFailure.Malformed(answer.toString())));
+    }
+
     private void announceQuarantine(Address peer, QuarantineRecord record) {
         call(peer, new ControlMessage.Convict(record), PROBE_TIMEOUT)
                 .peekLeft(failure -> log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -76,12 +76,14 @@
                     ControlMessage.CompareSuspicions _,
                     ControlMessage.Conditions _,
                     ControlMessage.CompareConditions _,
-                    ControlMessage.Load _ -> otherMessages.apply(message);
+                    ControlMessage.Load _,
+                    ControlMessage.TakeTokens _ -> otherMessages.apply(message);
             case ControlMessage.Update _,
                     ControlMessage.Pushed _,
                     ControlMessage.Recollected _,
                     ControlMessage.RelayAnswer _,
                     ControlMessage.Drained _,
+                    ControlMessage.TokensTaken _,
                     ControlMessage.Noted _,
                     ControlMessage.NotUnderstood _ -> new ControlMessage.NotUnderstood("an answer is no question");
         };
--- a/node/src/main/java/org/oleanderturn/node/ControlMessage.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlMessage.java
@@ -16,6 +16,8 @@
 import org.oleanderturn.traffic.CrashSuspicion;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.QuarantineRecord;
+import org.oleanderturn.traffic.TokenAnswer;
+import org.oleanderturn.traffic.TokenRequest;
 
 /**
  * The messages that nodes exchange over the control channel, encoded under their simple class names.
@@ -98,6 +100,12 @@
     /** Reports the load of a node's target; answered by {@link Noted}. */
     record Load(NodeId node, LoadReport report) implements ControlMessage {}
 
+    /** Asks a holder for tokens of limits; answered by {@link TokensTaken}. */
+    record TakeTokens(TokenRequest request) implements ControlMessage {}
+
+    /** Answers {@link TakeTokens}. */
+    record TokensTaken(TokenAnswer answer) implements ControlMessage {}
+
     /** Acknowledges a message that needs no other answer. */
     record Noted() implements ControlMessage {}
 
--- a/node/src/main/java/org/oleanderturn/node/ControlPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlPlane.java
@@ -136,6 +136,11 @@
         return role;
     }
 
+    /** Returns the relays of all zones as the platform's store knows them. */
+    RelayDirectory relayDirectory() {
+        return relayDirectory;
+    }
+
     /** Returns whether this node joins a fleet that was running when it started. */
     boolean isFleetRunning() {
         return relayDirectory.isFleetRunning();
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -102,6 +102,7 @@
             Supplier<EndpointView> endpoints,
             IntSupplier fleetSize,
             DecisionLog decisions,
+            RequestLimiter limiter,
             DataPlaneRuntime runtime) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
         Objects.requireNonNull(mesh, "mesh is null");
@@ -142,7 +143,7 @@
                 crashMonitor,
                 guard.repeatShare(),
                 CoreAdmission.of(nanoseconds, runtime.random()),
-                RequestLimiter.unlimited(),
+                limiter,
                 runtime.timers(),
                 decisions,
                 nanoseconds,
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -30,6 +30,7 @@
 import org.oleanderturn.store.RateLimitedStore;
 import org.oleanderturn.store.StoreSettings;
 import org.oleanderturn.traffic.CrashQuarantine;
+import org.oleanderturn.traffic.RequestLimitCoordinator;
 import org.oleanderturn.wire.FrameClient;
 import org.oleanderturn.wire.FrameServer;
 import org.oleanderturn.wire.ListenAddress;
@@ -79,6 +80,8 @@
     private final RateLimitedStore rateLimitedStore;
     private final ControlPlane control;
     private final MeshConfiguration configuration;
+    private final RequestLimitObserver limitObserver;
+    private final SharedRequestLimiter limiter;
     private final MeshDataPlane data;
     private final AtomicBoolean isStopping = new AtomicBoolean();
     private final NodeMetrics metrics = new NodeMetrics();
@@ -120,12 +123,15 @@
                 },
                 versions);
         this.configuration = meshConfiguration();
+        this.limitObserver = new RequestLimitObserver(settings.node(), writer, System::currentTimeMillis);
+        this.limiter = requestLimiter();
         this.data = new MeshDataPlane(
                 settings,
                 mesh,
                 () -> control.gossip().table().endpointView(),
                 this::countMembers,
                 decisionLog(),
+                limiter,
                 DataPlaneRuntime.ofProcess());
         this.suspicions = suspicionExchange();
         this.suspicionStore = suspicionStore();
@@ -137,6 +143,28 @@
         this.controlHandler = controlHandler();
     }
 
+    private SharedRequestLimiter requestLimiter() {
+        RequestLimitCoordinator coordinator = RequestLimitCoordinator.of(
+                settings.node(),
+                settings.locality(),
+                mesh.requestLimits()
+                        .orElseGet(NodeSettings.RequestLimits::defaults)
+                        .terms(),
+                System::nanoTime,
+                System::currentTimeMillis,
+                SharedRandom.create());
+        RelayKnowledge relays = new RelayKnowledge(control.relayDirectory(), System::nanoTime);
+        return new SharedRequestLimiter(
+                settings.node(),
+                coordinator,
+                channel,
+                () -> configuration.routes().snapshot(),
+                () -> control.gossip().table().records(),
+                relays::isCovered,
+                System::nanoTime,
+                limitObserver);
+    }
+
     private MeshConfiguration meshConfiguration() {
         return new MeshConfiguration(
                 settings,
@@ -361,9 +389,11 @@
     }
 
     private ControlMessage answerOther(ControlMessage message) {
-        return message instanceof ControlMessage.AskRelay question
-                ? configuration.answer(question)
-                : targetMessages.answer(message);
+        return switch (message) {
+            case ControlMessage.AskRelay question -> configuration.answer(question);
+            case ControlMessage.TakeTokens taking -> new ControlMessage.TokensTaken(limiter.answer(taking.request()));
+            default -> targetMessages.answer(message);
+        };
     }
 
     private void run() {
@@ -372,6 +402,7 @@
         gauges.register(configuration::isServing);
         gauges.registerStoreCalls(rateLimitedStore::counters);
         gauges.registerTraffic(channel.traffic(), controlHandler.traffic());
+        limitObserver.register(metrics, limiter.coordinator());
         data.crashMonitor().onChange(suspicions::publish);
         data.crashMonitor().onAgreedTrial(suspicionStore::claimTrial);
         data.crashMonitor().onTrial(new SuspicionReplicator(suspicions, suspicionStore));
@@ -381,6 +412,7 @@
         tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, peerReview::run);
         tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, this::recordNewestVersion);
         tasks.runRepeatedly(loadAnnouncer::run);
+        tasks.runRepeatedly(limiter::run);
         tasks.runEvery(COMPARISON_INTERVAL_MILLISECONDS, suspicions::compareWithOne);
         tasks.runEvery(COMPARISON_INTERVAL_MILLISECONDS, conditions::compareWithOne);
         tasks.runRepeatedly(conditions::announce);
--- a/node/src/main/java/org/oleanderturn/node/MeshWarmup.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshWarmup.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.oleanderturn.mesh.RequestLimiter;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.Address;
@@ -134,6 +135,7 @@
                 _ -> {
                     // Nobody looks for these requests.
                 },
+                RequestLimiter.unlimited(),
                 DataPlaneRuntime.ofProcess());
         planes.add(plane);
         return listen(plane.targetCallHandler())
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -10,6 +10,7 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.Region;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.traffic.RequestLimitTerms;
 
 /**
  * The settings of a node.
@@ -103,6 +104,7 @@
      * @param repeats the limit on retries
      * @param linkMegabitsPerSecond the rate of the host's link in each direction; unknown if absent
      * @param organisations how keys are checked by a node that is cut off; open if absent
+     * @param requestLimits by how much requests may exceed the limits of organisations; the defaults of the record if absent
      */
     public record Mesh(
             Address targetCalls,
@@ -111,7 +113,27 @@
             DurationText stopTime,
             RetryLimit repeats,
             Optional<Double> linkMegabitsPerSecond,
-            Optional<Organisations> organisations) {}
+            Optional<Organisations> organisations,
+            Optional<RequestLimits> requestLimits) {}
+
+    /**
+     * By how much the requests of an organisation that run on all nodes may exceed its limit in any window.
+     *
+     * @param window the length of the window
+     * @param overage permitted share of the limit in addition, from 0 to 1
+     * @param slack permitted requests in addition
+     */
+    public record RequestLimits(DurationText window, double overage, double slack) {
+
+        /** Returns the tolerance of deployments that state none. */
+        static RequestLimits defaults() {
+            return new RequestLimits(DurationText.of("5s"), 0.1, 20);
+        }
+
+        RequestLimitTerms terms() {
+            return new RequestLimitTerms(window.duration(), overage, slack);
+        }
+    }
 
     /**
      * How the keys of organisations are checked.
--- a/node/src/main/java/org/oleanderturn/node/RelayDirectory.java
+++ b/node/src/main/java/org/oleanderturn/node/RelayDirectory.java
@@ -32,6 +32,7 @@
     private final RelayRole role;
     private final LongSupplier milliseconds;
     private final AtomicInteger reads = new AtomicInteger();
+    private final AtomicReference<List<Address>> lastRead = new AtomicReference<>(List.of());
     private final AtomicReference<Optional<Boolean>> foundAtFirst = new AtomicReference<>(Optional.empty());
 
     RelayDirectory(Store store, RelayRole role, LongSupplier milliseconds) {
@@ -61,10 +62,16 @@
                     .map(RelayRegistration::controlAddress)
                     .ifPresent(addresses::add);
         }
+        lastRead.set(List.copyOf(addresses));
         foundAtFirst.compareAndSet(Optional.empty(), Optional.of(!addresses.isEmpty()));
         return addresses;
     }
 
+    /** Returns the control addresses of the relays as they were read last; reads nothing. */
+    List<Address> lastRead() {
+        return lastRead.get();
+    }
+
     /** Returns whether there were relays when this node looked for the first time, so that it joins a fleet that runs. */
     boolean isFleetRunning() {
         return foundAtFirst.get().orElse(false);
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -52,7 +52,11 @@
             SettingsField.optional("mesh.linkMegabitsPerSecond", decimal("megabits per second", 0, 1_000_000)),
             SettingsField.optional("mesh.organisations", SECTION),
             SettingsField.requiredIn("mesh.organisations", "failClosed", FLAG),
-            SettingsField.requiredIn("mesh.organisations", "revocation", TIME_SPAN));
+            SettingsField.requiredIn("mesh.organisations", "revocation", TIME_SPAN),
+            SettingsField.optional("mesh.requestLimits", SECTION),
+            SettingsField.requiredIn("mesh.requestLimits", "window", TIME_SPAN),
+            SettingsField.requiredIn("mesh.requestLimits", "overage", decimal("share of the limit", 0, 1)),
+            SettingsField.requiredIn("mesh.requestLimits", "slack", decimal("requests", 0, 100_000)));
 
     private SettingsSchema() {}
 
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
@@ -15,6 +15,7 @@
 import org.oleanderturn.distribution.PeerVersionReport;
 import org.oleanderturn.distribution.VersionListener;
 import org.oleanderturn.mesh.Decision;
+import org.oleanderturn.mesh.RequestLimiter;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.EndpointView;
@@ -105,6 +106,7 @@
                 EndpointView::empty,
                 () -> 1 + reachable.size(),
                 this::recordDecision,
+                RequestLimiter.unlimited(),
                 new DataPlaneRuntime(
                         NO_TARGETS,
                         NO_TARGETS,
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import org.oleanderturn.distribution.Peer;
 import org.oleanderturn.membership.MemberRecord;
+import org.oleanderturn.mesh.RequestLimiter;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.Address;
@@ -53,6 +54,7 @@
                 () -> view,
                 () -> 1 + seen.size(),
                 fleet.decisions()::add,
+                RequestLimiter.unlimited(),
                 new DataPlaneRuntime(
                         network,
                         network,
--- /dev/null
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
@@ -0,0 +1,137 @@
+package org.oleanderturn.traffic;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
+
+/**
+ * How many nodes share the limits, which of them are holders, and whether this node may use its right yet.
+ *
+ * <p>Invariants: the number of members rises at once and falls only after every right that was given under it has ended; a
+ * node that has just started uses its right only after it has known a steady number of members for longer than that.
+ * {@link #update} must be called by one thread at a time; the queries are thread safe.
+ */
+final class LimitMembership {
+    /** How many nodes of a zone share a holder at most. */
+    private static final int NODES_PER_HOLDER = 24;
+
+    /** Longer than a right that is given, so that those of an earlier process of this node, or of one that left, have ended. */
+    private static final long SETTLING_NANOSECONDS = 3_000_000_000L;
+
+    /**
+     * The share of members that may be unreachable when a node begins to use its right. These may not know of the node, so
+     * that the rights of all exceed the whole by less than this.
+     */
+    private static final double UNREACHABLE_SHARE = 0.04;
+
+    private record Count(long nanoseconds, int members) {}
+
+    private final NodeId self;
+    private final Locality locality;
+    private final LongSupplier nanoseconds;
+    private final Deque<Count> counts = new ArrayDeque<>();
+    private long steadySinceNanoseconds;
+    private volatile int members = 1;
+    private volatile boolean isActive;
+    private volatile List<NodeId> holders = List.of();
+    private volatile NodeId preferred;
+
+    LimitMembership(NodeId self, Locality locality, LongSupplier nanoseconds) {
+        this.self = self;
+        this.locality = locality;
+        this.nanoseconds = nanoseconds;
+        this.preferred = self;
+        this.steadySinceNanoseconds = nanoseconds.getAsLong();
+    }
+
+    // -- queries
+
+    /** Returns the number of nodes that the limits are divided by. */
+    int members() {
+        return members;
+    }
+
+    /** Returns whether this node may use its own right or delegate it. */
+    boolean isActive() {
+        return isActive;
+    }
+
+    /** Returns the reachable holders, the nearest first; this node may be among them. */
+    List<NodeId> holders() {
+        return holders;
+    }
+
+    /** Returns the holder of this node. */
+    NodeId preferred() {
+        return preferred;
+    }
+
+    // -- commands
+
+    /**
+     * Takes the known members, this one included.
+     *
+     * @param isComplete whether nothing tells of members that are not known yet
+     */
+    void update(List<LimitMember> known, boolean isComplete) {
+        long now = nanoseconds.getAsLong();
+        int previous = counts.isEmpty() ? 0 : counts.peekLast().members();
+        if (known.size() != previous || !isComplete) {
+            steadySinceNanoseconds = now;
+        }
+        counts.add(new Count(now, known.size()));
+        while (counts.peekFirst().nanoseconds() < now - SETTLING_NANOSECONDS) {
+            counts.removeFirst();
+        }
+        members = counts.stream().mapToInt(Count::members).max().orElse(1);
+        long unreachable =
+                known.stream().filter(member -> !member.isReachable()).count();
+        if (now - steadySinceNanoseconds > SETTLING_NANOSECONDS && unreachable <= UNREACHABLE_SHARE * known.size()) {
+            isActive = true;
+        }
+        chooseHolders(known);
+    }
+
+    private void chooseHolders(List<LimitMember> known) {
+        Map<Locality, List<NodeId>> byZone = new TreeMap<>(Comparator.comparingInt(this::distance)
+                .thenComparing(zone -> zone.zone().value()));
+        known.stream()
+                .filter(member -> member.isReachable() && member.isStaying())
+                .sorted(Comparator.comparing(LimitMember::node))
+                .forEach(member -> byZone.computeIfAbsent(member.locality(), _ -> new ArrayList<>())
+                        .add(member.node()));
+        List<NodeId> chosen = new ArrayList<>();
+        preferred = self;
+        byZone.forEach((zone, nodes) -> {
+            int number = (nodes.size() + NODES_PER_HOLDER - 1) / NODES_PER_HOLDER;
+            List<NodeId> ofZone = nodes.subList(0, number);
+            chosen.addAll(ofZone);
+            if (zone.equals(locality)) {
+                preferred = ofZone.stream()
+                        .max(Comparator.comparingInt(this::affinity))
+                        .orElse(self);
+            }
+        });
+        holders = List.copyOf(chosen);
+    }
+
+    private int distance(Locality zone) {
+        if (zone.equals(locality)) {
+            return 0;
+        }
+        return zone.region().equals(locality.region()) ? 1 : 2;
+    }
+
+    /** Spreads the nodes of a zone over its holders; a holder is its own. */
+    private int affinity(NodeId holder) {
+        int hash = (holder.value() + '/' + self.value()).hashCode();
+        return holder.equals(self) ? Integer.MAX_VALUE : hash ^ (hash >>> 15);
+    }
+}
