--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -140,7 +140,8 @@
     }
 
     private Response run(
-            InboundRequest inbound, MeshRequest request, ClientResponses responses, LimitDecision.Granted granted) {
+            InboundRequest inbound, MeshRequest request, ClientResponses responses, LimitDecision.Granted granted)
+            throws IOException {
         EntryDispatch dispatch = new EntryDispatch(
                 request,
                 inbound::hasPeerLeft,
--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -252,8 +252,8 @@
 
     @Override
     public Either<ControlFailure, TokenAnswer> takeTokens(Address holder, TokenRequest request, Duration timeout) {
-        return call(holder, new ControlMessage.TakeTokens(request), timeout)
-                .flatMap(answer -> answer instanceof ControlMessage.TokensTaken taken
+        return call(holder, new ControlMessage.Take(request), timeout)
+                .flatMap(answer -> answer instanceof ControlMessage.Taken taken
                         ? Either.right(taken.answer())
                         : Either.left(new ControlFailure.Malformed(answer.toString())));
     }
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -77,13 +77,13 @@
                     ControlMessage.Conditions _,
                     ControlMessage.CompareConditions _,
                     ControlMessage.Load _,
-                    ControlMessage.TakeTokens _ -> otherMessages.apply(message);
+                    ControlMessage.Take _ -> otherMessages.apply(message);
             case ControlMessage.Update _,
                     ControlMessage.Pushed _,
                     ControlMessage.Recollected _,
                     ControlMessage.RelayAnswer _,
                     ControlMessage.Drained _,
-                    ControlMessage.TokensTaken _,
+                    ControlMessage.Taken _,
                     ControlMessage.Noted _,
                     ControlMessage.NotUnderstood _ -> new ControlMessage.NotUnderstood("an answer is no question");
         };
--- a/node/src/main/java/org/oleanderturn/node/ControlMessage.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlMessage.java
@@ -100,11 +100,11 @@
     /** Reports the load of a node's target; answered by {@link Noted}. */
     record Load(NodeId node, LoadReport report) implements ControlMessage {}
 
-    /** Asks a holder for tokens of limits; answered by {@link TokensTaken}. */
-    record TakeTokens(TokenRequest request) implements ControlMessage {}
+    /** Asks a holder for tokens of limits; answered by {@link Taken}. */
+    record Take(TokenRequest request) implements ControlMessage {}
 
-    /** Answers {@link TakeTokens}. */
-    record TokensTaken(TokenAnswer answer) implements ControlMessage {}
+    /** Answers {@link Take}. */
+    record Taken(TokenAnswer answer) implements ControlMessage {}
 
     /** Acknowledges a message that needs no other answer. */
     record Noted() implements ControlMessage {}
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -105,8 +105,7 @@
             RequestLimiter limiter,
             DataPlaneRuntime runtime) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
-        Objects.requireNonNull(mesh, "mesh is null");
-        this.retryLimit = mesh.repeats();
+        this.retryLimit = Objects.requireNonNull(mesh, "mesh is null").repeats();
         this.fleetSize = Objects.requireNonNull(fleetSize, "fleetSize is null");
         this.runtime = Objects.requireNonNull(runtime, "runtime is null");
         LongSupplier nanoseconds = runtime.nanoseconds();
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -30,7 +30,6 @@
 import org.oleanderturn.store.RateLimitedStore;
 import org.oleanderturn.store.StoreSettings;
 import org.oleanderturn.traffic.CrashQuarantine;
-import org.oleanderturn.traffic.RequestLimitCoordinator;
 import org.oleanderturn.wire.FrameClient;
 import org.oleanderturn.wire.FrameServer;
 import org.oleanderturn.wire.ListenAddress;
@@ -124,7 +123,7 @@
                 versions);
         this.configuration = meshConfiguration();
         this.limitObserver = new RequestLimitObserver(settings.node(), writer, System::currentTimeMillis);
-        this.limiter = requestLimiter();
+        this.limiter = SharedRequestLimiter.of(settings, control, configuration, channel, limitObserver);
         this.data = new MeshDataPlane(
                 settings,
                 mesh,
@@ -143,28 +142,6 @@
         this.controlHandler = controlHandler();
     }
 
-    private SharedRequestLimiter requestLimiter() {
-        RequestLimitCoordinator coordinator = RequestLimitCoordinator.of(
-                settings.node(),
-                settings.locality(),
-                mesh.requestLimits()
-                        .orElseGet(NodeSettings.RequestLimits::defaults)
-                        .terms(),
-                System::nanoTime,
-                System::currentTimeMillis,
-                SharedRandom.create());
-        RelayKnowledge relays = new RelayKnowledge(control.relayDirectory(), System::nanoTime);
-        return new SharedRequestLimiter(
-                settings.node(),
-                coordinator,
-                channel,
-                () -> configuration.routes().snapshot(),
-                () -> control.gossip().table().records(),
-                relays::isCovered,
-                System::nanoTime,
-                limitObserver);
-    }
-
     private MeshConfiguration meshConfiguration() {
         return new MeshConfiguration(
                 settings,
@@ -391,7 +368,7 @@
     private ControlMessage answerOther(ControlMessage message) {
         return switch (message) {
             case ControlMessage.AskRelay question -> configuration.answer(question);
-            case ControlMessage.TakeTokens taking -> new ControlMessage.TokensTaken(limiter.answer(taking.request()));
+            case ControlMessage.Take taking -> new ControlMessage.Taken(limiter.answer(taking.request()));
             default -> targetMessages.answer(message);
         };
     }
--- a/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
+++ b/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
@@ -90,6 +90,34 @@
         this.observer = Objects.requireNonNull(observer, "observer is null");
     }
 
+    /** Returns the limiter of a node of the users' platform; settings without a tolerance have the usual one. */
+    static SharedRequestLimiter of(
+            NodeSettings settings,
+            ControlPlane control,
+            MeshConfiguration configuration,
+            TokenTransport transport,
+            RequestLimitObserver observer) {
+        NodeSettings.RequestLimits tolerance = settings.mesh()
+                .flatMap(NodeSettings.Mesh::requestLimits)
+                .orElseGet(NodeSettings.RequestLimits::defaults);
+        RelayKnowledge relays = new RelayKnowledge(control.relayDirectory(), System::nanoTime);
+        return new SharedRequestLimiter(
+                settings.node(),
+                RequestLimitCoordinator.of(
+                        settings.node(),
+                        settings.locality(),
+                        tolerance.terms(),
+                        System::nanoTime,
+                        System::currentTimeMillis,
+                        SharedRandom.create()),
+                transport,
+                () -> configuration.routes().snapshot(),
+                () -> control.gossip().table().records(),
+                relays::isCovered,
+                System::nanoTime,
+                observer);
+    }
+
     /** Returns the coordinator, for metrics. */
     RequestLimitCoordinator coordinator() {
         return coordinator;
@@ -145,11 +173,12 @@
         TokenRequest request = coordinator.request(holder, needed);
         long sent = nanoseconds.getAsLong();
         if (holder.equals(self)) {
-            coordinator.accept(holder, answer(request), sent);
+            coordinator.accept(holder, request, answer(request), sent);
             return true;
         }
         Either<ControlFailure, TokenAnswer> answer = send(holder, request, HOLDER_TIMEOUT);
-        answer.peek(taken -> coordinator.accept(holder, taken, sent)).peekLeft(_ -> coordinator.recordSilence(holder));
+        answer.peek(taken -> coordinator.accept(holder, request, taken, sent))
+                .peekLeft(_ -> coordinator.recordSilence(holder));
         return answer.isRight();
     }
 
@@ -227,6 +256,8 @@
                 record.node(), record.locality(), record.liveness().isReachable(), isStaying);
     }
 
+    /** Compares objects, as each version is another one, and comparing contents for each request would cost too much. */
+    @SuppressWarnings("ReferenceEquality")
     private void updateLimits() {
         ConfigurationSnapshot current = configuration.get();
         if (current == known) {
--- a/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
@@ -132,6 +132,9 @@
     /** Spreads the nodes of a zone over its holders; a holder is its own. */
     private int affinity(NodeId holder) {
         int hash = (holder.value() + '/' + self.value()).hashCode();
-        return holder.equals(self) ? Integer.MAX_VALUE : hash ^ (hash >>> 15);
+        // Names that differ in a digit have hashes that differ little.
+        int mixed = (hash ^ (hash >>> 16)) * 0x85ebca6b;
+        mixed = (mixed ^ (mixed >>> 13)) * 0xc2b2ae35;
+        return holder.equals(self) ? Integer.MAX_VALUE : mixed ^ (mixed >>> 16);
     }
 }
--- a/traffic/src/main/java/org/oleanderturn/traffic/RequestLimitCoordinator.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RequestLimitCoordinator.java
@@ -25,10 +25,10 @@
  */
 public final class RequestLimitCoordinator {
     /** How often a right is extended at least: a lost message or two leave it in force. */
-    private static final long RIGHT_INTERVAL_NANOSECONDS = 650_000_000L;
+    private static final long RIGHT_INTERVAL_NANOSECONDS = 700_000_000L;
 
     /** How many holders a holder that runs short asks: more would take longer than a request waits. */
-    private static final int LENDERS = 3;
+    private static final int LENDERS = 4;
 
     /** How many holders an entry asks for a request, when the first does not answer. */
     private static final int ASKED_HOLDERS = 2;
@@ -54,6 +54,9 @@
     /** A holder that did not answer, and until when others are asked first. */
     private record Silence(NodeId holder, long untilNanoseconds) {}
 
+    /** A holder that grants at most this part of what was wanted has next to nothing left. */
+    private static final double EMPTY_SHARE = 0.34;
+
     private final NodeId self;
     private final RequestLimitTerms terms;
     private final LongSupplier nanoseconds;
@@ -201,8 +204,8 @@
         checkClocks();
         askedNanoseconds = nanoseconds.getAsLong();
         Map<OrganisationName, Integer> wanted = new HashMap<>(batches.wanted(limits));
-        needed.ifPresent(organisation -> wanted.merge(organisation, 1, Math::max));
-        return new TokenRequest(self, right(holder), needed, wanted);
+        needed.ifPresent(organisation -> wanted.remove(organisation, 1));
+        return new TokenRequest(self, right(holder), needed, wanted, false);
     }
 
     private Optional<TokenRequest.Right> right(NodeId holder) {
@@ -223,7 +226,7 @@
      *
      * @param sentNanoseconds when the request was sent, by this node's clock
      */
-    public void accept(NodeId holder, TokenAnswer answer, long sentNanoseconds) {
+    public void accept(NodeId holder, TokenRequest request, TokenAnswer answer, long sentNanoseconds) {
         checkClocks();
         if (holder.equals(membership.preferred())) {
             delegation.recordStamp(holder, answer.epoch(), answer.stamp());
@@ -231,14 +234,21 @@
         Map<OrganisationName, RequestLimit> current = limits;
         answer.granted().forEach((organisation, tokens) -> {
             RequestLimit limit = current.get(organisation);
-            long until = limit == null ? 0 : sentNanoseconds + terms.batchNanoseconds(limit);
+            long valid = limit == null ? 0 : terms.validNanoseconds(limit, request.isSingle(organisation));
+            long until = sentNanoseconds + valid;
             if (sentNanoseconds >= clearedNanoseconds && until > nanoseconds.getAsLong()) {
                 batches.add(organisation, tokens, until);
             }
         });
         answer.waits().forEach((organisation, milliseconds) -> {
             if (current.containsKey(organisation)) {
-                batches.recordShortage(organisation, Duration.ofMillis(milliseconds));
+                Duration expected = Duration.ofMillis(milliseconds);
+                // The holder borrowed only for a request that waited; others may still find lenders.
+                int granted = answer.granted().getOrDefault(organisation, 0);
+                int wanted = request.allWanted().getOrDefault(organisation, 0);
+                boolean isCertain =
+                        request.needed().filter(organisation::equals).isPresent() && granted <= wanted * EMPTY_SHARE;
+                batches.recordScarcity(organisation, expected, isCertain);
             }
         });
     }
@@ -258,12 +268,13 @@
         Map<OrganisationName, Integer> waits = new HashMap<>();
         boolean hasShare = pool.share() > 0;
         Map<OrganisationName, RequestLimit> current = limits;
-        request.wanted().forEach((organisation, wanted) -> {
+        request.allWanted().forEach((organisation, wanted) -> {
             RequestLimit limit = current.get(organisation);
-            int taken = limit == null ? 0 : pool.take(organisation, limit, wanted);
+            int taken = limit == null ? 0 : pool.take(organisation, limit, wanted, request.isSingle(organisation));
             if (taken > 0) {
                 granted.put(organisation, taken);
-            } else if (limit != null && hasShare) {
+            }
+            if (taken < wanted && limit != null && hasShare) {
                 waits.put(organisation, pool.waitMilliseconds(organisation, limit));
             }
         });
@@ -272,7 +283,8 @@
 
     /** Returns the holders to borrow from one after another; none when the request that waits got a token. */
     public List<NodeId> lenders(TokenRequest request, TokenAnswer answer) {
-        if (request.needed().isEmpty()
+        if (request.isBorrowing()
+                || request.needed().isEmpty()
                 || answer.granted().containsKey(request.needed().get())) {
             return List.of();
         }
@@ -298,11 +310,14 @@
     /** Returns the request to a lender: it borrows from no other, as no request waits there. */
     public TokenRequest borrowing(TokenRequest request) {
         OrganisationName needed = request.needed().orElseThrow();
+        // The batch must be as valid as the asking entry takes it to be, so a single one stays one.
+        boolean isSingle = request.isSingle(needed);
         return new TokenRequest(
                 self,
                 Optional.empty(),
-                Optional.empty(),
-                Map.of(needed, request.wanted().getOrDefault(needed, 1)));
+                isSingle ? request.needed() : Optional.empty(),
+                isSingle ? Map.of() : Map.of(needed, request.allWanted().get(needed)),
+                true);
     }
 
     /** Returns the answer with what a lender gave, which goes to the asking entry at once. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/RequestLimitTerms.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RequestLimitTerms.java
@@ -20,11 +20,14 @@
     private static final double USED_OVERAGE = 0.4;
 
     /** Part of the slack that is kept as tokens, so that organisations of a few requests per second have whole ones. */
-    private static final double USED_SLACK = 0.7;
+    private static final double USED_SLACK = 0.8;
 
     /** A batch covers the steady demand of an entry for so long; a longer one leaves more tokens unused. */
     private static final double LONGEST_BATCH_SECONDS = 1;
 
+    /** A request waits for its token for less than this; a longer validity would hold the holder's stock for nothing. */
+    private static final long SINGLE_NANOSECONDS = 200_000_000L;
+
     /** Part of the stock that may be issued and unused when the limit is used up, so that the stock never stops the rate. */
     private static final double ISSUED_STOCK = 0.8;
 
@@ -41,7 +44,16 @@
         return limit.burst() + USED_OVERAGE * overage * limit.requestsPerSecond() * windowSeconds + USED_SLACK * slack;
     }
 
-    /** Returns how long an issued token is valid. */
+    /**
+     * Returns how long an issued token is valid.
+     *
+     * @param isSingle whether it is the only one, for a request that waits for it
+     */
+    long validNanoseconds(RequestLimit limit, boolean isSingle) {
+        return isSingle ? Math.min(SINGLE_NANOSECONDS, batchNanoseconds(limit)) : batchNanoseconds(limit);
+    }
+
+    /** Returns how long the tokens of a batch are valid. */
     long batchNanoseconds(RequestLimit limit) {
         double seconds = Math.min(LONGEST_BATCH_SECONDS, ISSUED_STOCK * stock(limit) / limit.requestsPerSecond());
         return (long) (seconds * NANOSECONDS_PER_SECOND);
--- a/traffic/src/main/java/org/oleanderturn/traffic/TokenBatches.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/TokenBatches.java
@@ -21,16 +21,19 @@
  */
 final class TokenBatches {
     /** The part of a batch's validity for which tokens are taken in advance; the rest of it allows for uneven demand. */
-    private static final double ADVANCE_SHARE = 0.7;
+    private static final double ADVANCE_SHARE = 0.8;
 
     /** Below this part of the wanted tokens an entry asks for more before a request has to wait. */
-    private static final double LOW_SHARE = 0.35;
+    private static final double LOW_SHARE = 0.2;
 
     /** Demand below one token for the validity of a batch is served when it comes; in advance most tokens would expire. */
     private static final double LEAST_ADVANCE_TOKENS = 1;
 
     /** For so long an entry refuses by a holder's word, so that an organisation over its limit costs few messages. */
-    private static final long LONGEST_SHORTAGE_NANOSECONDS = 250_000_000L;
+    private static final long SHORTAGE_NANOSECONDS = 300_000_000L;
+
+    /** For so long an entry asks for no tokens in advance when the holder had too few. */
+    private static final long ADVANCE_PAUSE_NANOSECONDS = 300_000_000L;
 
     /** Weight of the last second in the estimate of the demand. */
     private static final double DEMAND_WEIGHT_PER_SECOND = 0.7;
@@ -47,6 +50,7 @@
         private final AtomicReference<List<Batch>> batches = new AtomicReference<>(List.of());
         private final LongAdder tries = new LongAdder();
         private volatile double triesPerSecond;
+        private volatile long advanceFromNanoseconds = Long.MIN_VALUE;
         private volatile Shortage shortage = new Shortage(Long.MIN_VALUE, Long.MIN_VALUE);
     }
 
@@ -76,7 +80,7 @@
         accounts.forEach((organisation, account) -> {
             RequestLimit limit = limits.get(organisation);
             int missing = limit == null ? 0 : advance(account, limit) - atHand(account);
-            if (missing > 0 && shortage(organisation).isEmpty()) {
+            if (missing > 0 && nanoseconds.getAsLong() >= account.advanceFromNanoseconds) {
                 wanted.put(organisation, missing);
             }
         });
@@ -90,7 +94,7 @@
             int advance = limit == null ? 0 : advance(entry.getValue(), limit);
             return advance > 0
                     && atHand(entry.getValue()) < advance * LOW_SHARE
-                    && shortage(entry.getKey()).isEmpty();
+                    && nanoseconds.getAsLong() >= entry.getValue().advanceFromNanoseconds;
         });
     }
 
@@ -140,7 +144,6 @@
     /** Adds tokens that expire at the given time. */
     void add(OrganisationName organisation, int tokens, long untilNanoseconds) {
         Account account = account(organisation);
-        account.shortage = new Shortage(Long.MIN_VALUE, Long.MIN_VALUE);
         account.batches.updateAndGet(known -> {
             List<Batch> changed = new ArrayList<>(known);
             changed.removeIf(batch -> batch.untilNanoseconds() <= nanoseconds.getAsLong());
@@ -150,11 +153,19 @@
         });
     }
 
-    /** Remembers that there are no tokens for an organisation, and when one is expected. */
-    void recordShortage(OrganisationName organisation, Duration expected) {
+    /**
+     * Remembers that a holder had too few tokens for an organisation, and when one is expected.
+     *
+     * @param isCertain whether the holder tried to borrow, so that further requests need not ask
+     */
+    void recordScarcity(OrganisationName organisation, Duration expected, boolean isCertain) {
+        Account account = account(organisation);
         long now = nanoseconds.getAsLong();
-        long until = now + Math.min(expected.toNanos(), LONGEST_SHORTAGE_NANOSECONDS);
-        account(organisation).shortage = new Shortage(until, now + expected.toNanos());
+        account.advanceFromNanoseconds = now + ADVANCE_PAUSE_NANOSECONDS;
+        if (isCertain) {
+            long until = now + SHORTAGE_NANOSECONDS;
+            account.shortage = new Shortage(until, Math.max(until, now + expected.toNanos()));
+        }
     }
 
     /** Drops all tokens. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/TokenPool.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/TokenPool.java
@@ -36,6 +36,7 @@
         private double settledShareSeconds;
         private int issued;
         private final Deque<Issue> issues = new ArrayDeque<>();
+        private final Deque<Issue> singles = new ArrayDeque<>();
 
         Balance(RequestLimit limit, double settledShareSeconds) {
             this.limit = limit;
@@ -110,8 +111,12 @@
         emptiedShareSeconds = shareSeconds;
     }
 
-    /** Takes up to the wanted number of tokens. */
-    synchronized int take(OrganisationName organisation, RequestLimit limit, int wanted) {
+    /**
+     * Takes up to the wanted number of tokens.
+     *
+     * @param isSingle whether one is taken for a request that waits, which is valid for a shorter time
+     */
+    synchronized int take(OrganisationName organisation, RequestLimit limit, int wanted, boolean isSingle) {
         Balance balance = settle(organisation, limit);
         int taken = (int) Math.min(wanted, Math.floor(balance.tokens));
         if (taken <= 0) {
@@ -119,7 +124,8 @@
         }
         balance.tokens -= taken;
         balance.issued += taken;
-        balance.issues.add(new Issue(nanoseconds.getAsLong() + terms.batchNanoseconds(limit), taken));
+        long valid = terms.validNanoseconds(limit, isSingle);
+        (isSingle ? balance.singles : balance.issues).add(new Issue(nanoseconds.getAsLong() + valid, taken));
         return taken;
     }
 
@@ -136,10 +142,7 @@
     private Balance settle(OrganisationName organisation, RequestLimit limit) {
         advance();
         Balance balance = balances.computeIfAbsent(organisation, _ -> new Balance(limit, emptiedShareSeconds));
-        long now = nanoseconds.getAsLong();
-        while (!balance.issues.isEmpty() && balance.issues.peek().untilNanoseconds() <= now) {
-            balance.issued -= balance.issues.poll().tokens();
-        }
+        balance.issued -= expired(balance.issues) + expired(balance.singles);
         // What was generated before a change of the limit counts at the lower of the two rates.
         double rate = Math.min(balance.limit.requestsPerSecond(), limit.requestsPerSecond());
         double generated = rate * (shareSeconds - balance.settledShareSeconds);
@@ -150,6 +153,16 @@
         return balance;
     }
 
+    /** Removes the issues that have expired from a queue in the order of their ends; returns their tokens. */
+    private int expired(Deque<Issue> issues) {
+        long now = nanoseconds.getAsLong();
+        int tokens = 0;
+        while (!issues.isEmpty() && issues.peek().untilNanoseconds() <= now) {
+            tokens += issues.poll().tokens();
+        }
+        return tokens;
+    }
+
     private void advance() {
         long now = milliseconds();
         long since = advancedMilliseconds;
