--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -133,10 +133,20 @@
             recordBusy(request);
             return responses.notRun(NODE_BUSY, 0, dependencies.admission().retryAfter(inbound.coreDelay()));
         }
-        Optional<Response> refusal = refusalByLimit(request, responses);
-        if (refusal.isPresent()) {
-            return refusal.get();
-        }
+        LimitDecision limit = request.organisation()
+                .map(organisation -> dependencies.limiter().tryAcquire(organisation))
+                .orElseGet(LimitDecision.Granted::uncounted);
+        return switch (limit) {
+            case LimitDecision.Granted granted -> run(inbound, request, responses, granted);
+            case LimitDecision.Exceeded exceeded -> responses.overLimit(exceeded.retryAfter());
+            case LimitDecision.Undetermined undetermined ->
+                responses.notRun("LIMIT_UNDETERMINED", 0, undetermined.retryAfter());
+        };
+    }
+
+    private Response run(
+            InboundRequest inbound, MeshRequest request, ClientResponses responses, LimitDecision.Granted granted)
+            throws IOException {
         EntryDispatch dispatch = new EntryDispatch(
                 request,
                 inbound::hasPeerLeft,
@@ -145,7 +155,12 @@
                 responses,
                 cancellationsByNode);
         inbound.onPeerDisconnect(dispatch::onClientDisconnect);
-        return dispatch.run();
+        Response response = dispatch.run();
+        if (dispatch.isKnownNotToHaveRun()) {
+            request.organisation()
+                    .ifPresent(organisation -> dependencies.limiter().giveBack(organisation, granted));
+        }
+        return response;
     }
 
     /**
@@ -174,19 +189,6 @@
                 dependencies);
     }
 
-    /** Takes the request from the limit of its organisation; returns the response to a request that is not within it. */
-    private Optional<Response> refusalByLimit(MeshRequest request, ClientResponses responses) {
-        if (request.organisation().isEmpty()) {
-            return Optional.empty();
-        }
-        return switch (dependencies.limiter().tryAcquire(request.organisation().get())) {
-            case LimitDecision.Granted _ -> Optional.empty();
-            case LimitDecision.Exceeded exceeded -> Optional.of(responses.overLimit(exceeded.retryAfter()));
-            case LimitDecision.Undetermined undetermined ->
-                Optional.of(responses.notRun("LIMIT_UNDETERMINED", 0, undetermined.retryAfter()));
-        };
-    }
-
     /**
      * Admits each call of the local target in time: its refusal would waste the run that waits for it. Where organisations are
      * declared, only a request without a key can be one; the address tells nothing, as clients share the host. A wait behind
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -104,6 +104,7 @@
             Supplier<EndpointView> endpoints,
             IntSupplier fleetSize,
             DecisionLog decisions,
+            RequestLimiter limiter,
             DataPlaneRuntime runtime) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
         this.retryLimit = Objects.requireNonNull(mesh, "mesh is null").repeats();
@@ -132,7 +133,7 @@
                 GuardClient.of(settings.node(), guard, runtime.peers(), loadTracker, conditions),
                 crashMonitor,
                 CoreAdmission.of(nanoseconds, runtime.random()),
-                RequestLimiter.unlimited(),
+                limiter,
                 runtime.timers(),
                 decisions,
                 nanoseconds,
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -79,6 +79,8 @@
     private final RateLimitedStore rateLimitedStore;
     private final ControlPlane control;
     private final MeshConfiguration configuration;
+    private final RequestLimitObserver limitObserver;
+    private final SharedRequestLimiter limiter;
     private final MeshDataPlane data;
     private final AtomicBoolean isStopping = new AtomicBoolean();
     private final NodeMetrics metrics = new NodeMetrics();
@@ -120,12 +122,15 @@
                 },
                 versions);
         this.configuration = meshConfiguration();
+        this.limitObserver = new RequestLimitObserver(settings.node(), writer, System::currentTimeMillis);
+        this.limiter = SharedRequestLimiter.of(settings, control, configuration, channel, limitObserver);
         this.data = new MeshDataPlane(
                 settings,
                 mesh,
                 () -> control.gossip().table().endpointView(),
                 this::countMembers,
                 decisionLog(),
+                limiter,
                 DataPlaneRuntime.ofProcess());
         this.suspicions = suspicionExchange();
         this.suspicionStore = suspicionStore();
@@ -361,9 +366,11 @@
     }
 
     private ControlMessage answerOther(ControlMessage message) {
-        return message instanceof ControlMessage.AskRelay question
-                ? configuration.answer(question)
-                : targetMessages.answer(message);
+        return switch (message) {
+            case ControlMessage.AskRelay question -> configuration.answer(question);
+            case ControlMessage.Take taking -> new ControlMessage.Taken(limiter.answer(taking.request()));
+            default -> targetMessages.answer(message);
+        };
     }
 
     private void run() {
@@ -372,6 +379,7 @@
         gauges.register(configuration::isServing);
         gauges.registerStoreCalls(rateLimitedStore::counters);
         gauges.registerTraffic(channel.traffic(), controlHandler.traffic());
+        limitObserver.register(metrics, limiter.coordinator());
         data.crashMonitor().onChange(suspicions::publish);
         data.crashMonitor().onAgreedTrial(suspicionStore::claimTrial);
         data.crashMonitor().onTrial(new SuspicionReplicator(suspicions, suspicionStore));
@@ -381,6 +389,7 @@
         tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, peerReview::run);
         tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, this::recordNewestVersion);
         tasks.runRepeatedly(loadAnnouncer::run);
+        tasks.runRepeatedly(limiter::run);
         tasks.runEvery(COMPARISON_INTERVAL_MILLISECONDS, suspicions::compareWithOne);
         tasks.runEvery(COMPARISON_INTERVAL_MILLISECONDS, conditions::compareWithOne);
         tasks.runRepeatedly(conditions::announce);
