Carry out rollouts: reports to a judge, its directives, and the status in the store

Every entry reports its counts to the reachable node with the highest id and sends requests to the new version only for a while after an answer. The judge reads the orders by a stale list of the prefix, only while targets of a service run different versions, and writes the status by conditional writes. Without the settings section mesh.rollouts no version is announced, no message is sent and the store is not asked.

RolloutFleetTest runs six whole nodes on loopback: a good version is completed and old targets get nothing after it; a version that fails is rolled back within the exposure. RolloutJudgeTest puts each fault of the fake store at each call and loses the judge each 250 ms.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -40,14 +40,6 @@
     /** Subtracted from the time that a guard is given, so that its refusal arrives before the deadline of this node. */
     private static final Duration REPLY_MARGIN = Duration.ofMillis(25);
 
-    /** Bounds of the time after which a refused client is asked to retry, before jitter. */
-    private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(100);
-
-    private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(1);
-
-    /** Retry times are multiplied by a random factor between this and this plus 1. */
-    private static final double LOWEST_JITTER_FACTOR = 0.5;
-
     /** How long the node of a lost guard may take to accept the connection that shows that it lives. */
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
 
@@ -152,7 +144,7 @@
             long started = dependencies.clockNanoseconds().getAsLong();
             last = attempt(endpoint.get());
             Duration duration = Duration.ofNanos(dependencies.clockNanoseconds().getAsLong() - started);
-            recordOffer(last, duration);
+            recordReply(endpoint.get(), last, duration);
             if (last instanceof GuardReply.Ran ran && !isRetryableFailure(ran)) {
                 return responses.delivered(ran.response(), attempts);
             }
@@ -184,7 +176,10 @@
 
     /** Prefers ready endpoints; without an untried one, any other known endpoint is better than none. */
     private Optional<Endpoint> chooseEndpoint(CrashVerdict verdict) {
-        List<Endpoint> known = dependencies.endpoints().get().endpoints(request.service());
+        List<Endpoint> known = dependencies
+                .rollouts()
+                .eligible(
+                        request.service(), dependencies.endpoints().get().endpoints(request.service()), attempts == 0);
         List<Endpoint> ready = known.stream()
                 .filter(Endpoint::isReady)
                 .filter(endpoint -> !dependencies.conditions().isLeaving(endpoint.node()))
@@ -209,17 +204,10 @@
         return reply;
     }
 
-    private void recordOffer(GuardReply reply, Duration duration) {
-        switch (reply) {
-            case GuardReply.Ran _, GuardReply.Unknown _ -> throttle().recordTaken();
-            case GuardReply.NotRun notRun
-            when notRun.isForLackOfRoom() -> throttle().recordRefused(duration, notRun.retryAfter());
-            case GuardReply.NotRun notRun
-            when notRun.isOvertaken() -> throttle().recordOvertaken(notRun.retryAfter());
-            case GuardReply.NotRun _, GuardReply.Abandoned _, GuardReply.Quarantined _ -> {
-                // These tell nothing of the room at the target.
-            }
-        }
+    private void recordReply(Endpoint endpoint, GuardReply reply, Duration duration) {
+        OfferRecord.record(throttle(), reply, duration);
+        boolean isOverdue = isTimedOut && !isClientDisconnected;
+        dependencies.rollouts().recordReply(request.service(), routeName(), endpoint, reply, isOverdue, duration);
     }
 
     private OfferThrottle throttle() {
@@ -235,6 +223,7 @@
         Set<Cancellation> cancellations = cancellationsByNode.computeIfAbsent(node, _ -> ConcurrentHashMap.newKeySet());
         cancellations.add(cancellation);
         dependencies.loads().recordSent(node);
+        dependencies.rollouts().recordSent(request.service(), endpoint);
         try {
             if (isStopped()) {
                 return new GuardReply.NotRun("DEADLINE", false, Duration.ZERO);
@@ -242,6 +231,7 @@
             return exchange(endpoint, cancellation);
         } finally {
             dependencies.loads().recordEnded(node);
+            dependencies.rollouts().recordEnded(request.service(), endpoint);
             cancellations.remove(cancellation);
             excluded.add(node);
         }
@@ -414,13 +404,8 @@
         };
     }
 
-    /** Returns when a refused client should retry: when a slot is expected, with jitter so that clients don't retry at once. */
     private Duration retryAfter(Duration expected) {
-        Duration longest = shorter(LONGEST_RETRY_AFTER, remaining().dividedBy(3));
-        Duration base =
-                expected.compareTo(SHORTEST_RETRY_AFTER) < 0 ? SHORTEST_RETRY_AFTER : shorter(expected, longest);
-        return Duration.ofNanos((long)
-                (base.toNanos() * (LOWEST_JITTER_FACTOR + dependencies.random().nextDouble())));
+        return ClientRetryTime.after(expected, remaining(), dependencies.random());
     }
 
     // -- helpers
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
@@ -34,6 +34,7 @@
  * @param repeatShare the share of retries among the runs of the local target, whose calls this entry may serve
  * @param admission decides which requests the node's own core has time for
  * @param limiter keeps the limits of organisations
+ * @param rollouts decides which versions of targets a request may go to
  * @param scheduler cancels attempts at their deadline
  * @param clockNanoseconds a clock that never goes back
  * @param random draws the jitter of retry times
@@ -52,6 +53,7 @@
         RepeatShare repeatShare,
         CoreAdmission admission,
         RequestLimiter limiter,
+        RolloutPlacement rollouts,
         ScheduledExecutorService scheduler,
         DecisionLog decisionLog,
         LongSupplier clockNanoseconds,
@@ -72,6 +74,7 @@
         Objects.requireNonNull(repeatShare, "repeatShare is null");
         Objects.requireNonNull(admission, "admission is null");
         Objects.requireNonNull(limiter, "limiter is null");
+        Objects.requireNonNull(rollouts, "rollouts is null");
         Objects.requireNonNull(scheduler, "scheduler is null");
         Objects.requireNonNull(decisionLog, "decisionLog is null");
         Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -64,6 +64,7 @@
     private final TargetConditions conditions = TargetConditions.empty();
     final List<Decision> decisions = new CopyOnWriteArrayList<>();
     boolean isReady = true;
+    RolloutPlacement rollouts = RolloutPlacement.none();
     VersionStatus versionStatus = new VersionStatus.Newest();
 
     /** Adds a guard that gives the same reply to every request. */
@@ -127,6 +128,7 @@
                 RepeatShare.create(),
                 CoreAdmission.of(System::nanoTime, new SplittableRandom(3)),
                 RequestLimiter.unlimited(),
+                rollouts,
                 scheduler,
                 decisions::add,
                 System::nanoTime,
--- a/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.ProxyHeaders;
@@ -36,6 +37,31 @@
         assertThat(text(response)).isEqualTo("whole");
     }
 
+    /** Also the choice among targets that are not ready must not reach a version that is excluded. */
+    @Test
+    void shouldReachOnlyTargetsOfTheRolloutAndRecordTheAnswerWhenVersionsDiffer() throws IOException {
+        FakeRollout rollout = new FakeRollout(NodeId.of("node-1"));
+        fixture.rollouts = rollout;
+        fixture.addGuard(EntryFixture.ran(200, "excluded")).addGuard(EntryFixture.ran(500, "new"));
+        assertThat(send(RequestKind.SINGLE, 1).status()).isEqualTo(500);
+        assertThat(fixture.requestCount(0)).isEqualTo(0);
+        assertThat(rollout.records)
+                .containsExactly("first", "sent node-1", "ended node-1", "bad node-1")
+                .inOrder();
+    }
+
+    @Test
+    void shouldCountARequestOnceWhenItIsSentAgain() throws IOException {
+        FakeRollout rollout = new FakeRollout(NodeId.of("node-0"), NodeId.of("node-1"));
+        fixture.rollouts = rollout;
+        fixture.addGuard(EntryFixture.notRun()).addGuard(EntryFixture.ran(200, "other"));
+        assertThat(text(send(RequestKind.SINGLE, 1))).isEqualTo("other");
+        assertThat(rollout.records)
+                .containsExactly(
+                        "first", "sent node-0", "ended node-0", "again", "sent node-1", "ended node-1", "good node-1")
+                .inOrder();
+    }
+
     @Test
     void shouldTryAnotherGuardWhenTheFirstDidNotRunTheRequest() throws IOException {
         fixture.addGuard(EntryFixture.notRun()).addGuard(EntryFixture.ran(200, "other"));
--- a/node/src/main/java/org/oleanderturn/node/ControlChannel.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlChannel.java
@@ -191,6 +191,16 @@
         }
     }
 
+    /** Reports to the judge of rollouts and returns its directives; empty if it does not know the orders. */
+    Either<ControlFailure, Optional<List<RolloutDirective>>> reportRollouts(
+            Address peer, ControlMessage.RolloutReports reports) {
+        return call(peer, reports, PROBE_TIMEOUT).flatMap(answer -> switch (answer) {
+            case ControlMessage.RolloutDirectives known -> Either.right(Optional.of(known.directives()));
+            case ControlMessage.Noted _ -> Either.right(Optional.empty());
+            default -> Either.left(new ControlFailure.Malformed(answer.toString()));
+        });
+    }
+
     /** Sends what is known of requests under which targets have ended to the given nodes without waiting. */
     void sendSuspicions(List<Address> peers, List<CrashSuspicion> suspicions) {
         Frame frame = frame(new ControlMessage.Suspicions(suspicions));
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -76,11 +76,13 @@
                     ControlMessage.CompareSuspicions _,
                     ControlMessage.Conditions _,
                     ControlMessage.CompareConditions _,
-                    ControlMessage.Load _ -> otherMessages.apply(message);
+                    ControlMessage.Load _,
+                    ControlMessage.RolloutReports _ -> otherMessages.apply(message);
             case ControlMessage.Update _,
                     ControlMessage.Pushed _,
                     ControlMessage.Recollected _,
                     ControlMessage.RelayAnswer _,
+                    ControlMessage.RolloutDirectives _,
                     ControlMessage.Drained _,
                     ControlMessage.Noted _,
                     ControlMessage.NotUnderstood _ -> new ControlMessage.NotUnderstood("an answer is no question");
--- a/node/src/main/java/org/oleanderturn/node/ControlMessage.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlMessage.java
@@ -16,6 +16,7 @@
 import org.oleanderturn.traffic.CrashSuspicion;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.QuarantineRecord;
+import org.oleanderturn.traffic.RolloutReport;
 
 /**
  * The messages that nodes exchange over the control channel, encoded under their simple class names.
@@ -98,6 +99,27 @@
     /** Reports the load of a node's target; answered by {@link Noted}. */
     record Load(NodeId node, LoadReport report) implements ControlMessage {}
 
+    /**
+     * Tells the judge of rollouts what the sender has counted; answered by {@link RolloutDirectives}, or by {@link Noted} where
+     * the receiver does not know the orders.
+     */
+    record RolloutReports(List<RolloutReport> reports) implements ControlMessage {
+
+        /** Copies the list. */
+        public RolloutReports {
+            reports = List.copyOf(reports);
+        }
+    }
+
+    /** Answers {@link RolloutReports} with how far the rollout of each order is; a service without an order is missing. */
+    record RolloutDirectives(List<RolloutDirective> directives) implements ControlMessage {
+
+        /** Copies the list. */
+        public RolloutDirectives {
+            directives = List.copyOf(directives);
+        }
+    }
+
     /** Acknowledges a message that needs no other answer. */
     record Noted() implements ControlMessage {}
 
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -21,6 +21,7 @@
 import org.oleanderturn.mesh.MeshGuard;
 import org.oleanderturn.mesh.RequestLimiter;
 import org.oleanderturn.mesh.ResponsePacer;
+import org.oleanderturn.mesh.RolloutPlacement;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.TargetCallHandler;
 import org.oleanderturn.mesh.TargetCondition;
@@ -101,22 +102,21 @@
             NodeSettings.Mesh mesh,
             Supplier<EndpointView> endpoints,
             IntSupplier fleetSize,
+            RolloutPlacement rollouts,
             DecisionLog decisions,
             DataPlaneRuntime runtime) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
-        Objects.requireNonNull(mesh, "mesh is null");
-        this.retryLimit = mesh.repeats();
+        this.retryLimit = Objects.requireNonNull(mesh, "mesh is null").repeats();
         this.fleetSize = Objects.requireNonNull(fleetSize, "fleetSize is null");
         this.runtime = Objects.requireNonNull(runtime, "runtime is null");
         LongSupplier nanoseconds = runtime.nanoseconds();
         this.retriesKnownSinceNanoseconds = nanoseconds.getAsLong();
         SlotQueue slots = SlotQueue.of(nanoseconds);
-        ServiceName service = settings.target().service();
-        this.target = LocalTarget.of(settings.node(), service, slots, heartbeatTimeout(mesh), nanoseconds);
+        this.target = LocalTarget.of(
+                settings.node(), settings.target().service(), slots, heartbeatTimeout(mesh), nanoseconds);
         this.crashLedger = CrashLedger.of(() -> TimeUnit.NANOSECONDS.toMillis(nanoseconds.getAsLong()));
         this.crashMonitor = CrashMonitor.of(settings.node(), crashLedger, decisions, nanoseconds);
-        target.onCrash(crashMonitor::endTarget);
-        target.onConditionChange(conditions::merge);
+        listenToTarget();
         this.guard = MeshGuard.of(
                 settings.target().address(),
                 target,
@@ -130,7 +130,7 @@
                 nanoseconds);
         this.loadTracker = TargetLoadTracker.of(nanoseconds);
         this.entryDependencies = new MeshEntryDependencies(
-                service,
+                settings.target().service(),
                 endpoints,
                 LeastLatencyBalancer.of(loadTracker, settings.locality(), nanoseconds, runtime.random()),
                 loadTracker,
@@ -143,12 +143,18 @@
                 guard.repeatShare(),
                 CoreAdmission.of(nanoseconds, runtime.random()),
                 RequestLimiter.unlimited(),
+                rollouts,
                 runtime.timers(),
                 decisions,
                 nanoseconds,
                 runtime.random());
     }
 
+    private void listenToTarget() {
+        target.onCrash(crashMonitor::endTarget);
+        target.onConditionChange(conditions::merge);
+    }
+
     private static Duration heartbeatTimeout(NodeSettings.Mesh mesh) {
         return mesh.heartbeat().duration().multipliedBy(TOLERATED_MISSED_HEARTBEATS);
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -79,6 +79,7 @@
     private final RateLimitedStore rateLimitedStore;
     private final ControlPlane control;
     private final MeshConfiguration configuration;
+    private final NodeRollouts rollouts;
     private final MeshDataPlane data;
     private final AtomicBoolean isStopping = new AtomicBoolean();
     private final NodeMetrics metrics = new NodeMetrics();
@@ -120,11 +121,14 @@
                 },
                 versions);
         this.configuration = meshConfiguration();
+        this.rollouts = NodeRollouts.of(
+                settings.node(), mesh.rollouts(), control.gossip(), rateLimitedStore, channel, this::countMembers);
         this.data = new MeshDataPlane(
                 settings,
                 mesh,
                 () -> control.gossip().table().endpointView(),
                 this::countMembers,
+                rollouts.placement(),
                 decisionLog(),
                 DataPlaneRuntime.ofProcess());
         this.suspicions = suspicionExchange();
@@ -361,13 +365,16 @@
     }
 
     private ControlMessage answerOther(ControlMessage message) {
-        return message instanceof ControlMessage.AskRelay question
-                ? configuration.answer(question)
-                : targetMessages.answer(message);
+        return switch (message) {
+            case ControlMessage.AskRelay question -> configuration.answer(question);
+            case ControlMessage.RolloutReports reports -> rollouts.answer(reports);
+            default -> targetMessages.answer(message);
+        };
     }
 
     private void run() {
-        data.target().onStateChange(control.gossip()::announceState);
+        data.target().onStateChange(rollouts.announcer(data.target()));
+        rollouts.start(tasks, metrics);
         MeshGauges gauges = MeshGauges.of(metrics, control, configuration.watcher(), data, writer);
         gauges.register(configuration::isServing);
         gauges.registerStoreCalls(rateLimitedStore::counters);
--- a/node/src/main/java/org/oleanderturn/node/MeshWarmup.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshWarmup.java
@@ -8,6 +8,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.oleanderturn.mesh.RolloutPlacement;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.Address;
@@ -131,6 +132,7 @@
                 changed.mesh().orElseThrow(),
                 () -> EndpointView.of(endpoints),
                 () -> 1,
+                RolloutPlacement.none(),
                 _ -> {
                     // Nobody looks for these requests.
                 },
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -103,6 +103,7 @@
      * @param repeats the limit on retries
      * @param linkMegabitsPerSecond the rate of the host's link in each direction; unknown if absent
      * @param organisations how keys are checked by a node that is cut off; open if absent
+     * @param rollouts the limits on rollouts of a new version of the targets' software; orders are not read if absent
      */
     public record Mesh(
             Address targetCalls,
@@ -111,7 +112,17 @@
             DurationText stopTime,
             RetryLimit repeats,
             Optional<Double> linkMegabitsPerSecond,
-            Optional<Organisations> organisations) {}
+            Optional<Organisations> organisations,
+            Optional<Rollouts> rollouts) {}
+
+    /**
+     * The limits on rollouts of a new version of the targets' software.
+     *
+     * @param share the share of a service's requests that may reach a version which turns out to be bad, from 0 to 1
+     * @param slack requests that may reach it in addition, over all nodes and the whole rollout
+     * @param rollback how long after its 50th bad answer a bad version may still get requests
+     */
+    public record Rollouts(double share, double slack, DurationText rollback) {}
 
     /**
      * How the keys of organisations are checked.
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -52,7 +52,11 @@
             SettingsField.optional("mesh.linkMegabitsPerSecond", decimal("megabits per second", 0, 1_000_000)),
             SettingsField.optional("mesh.organisations", SECTION),
             SettingsField.requiredIn("mesh.organisations", "failClosed", FLAG),
-            SettingsField.requiredIn("mesh.organisations", "revocation", TIME_SPAN));
+            SettingsField.requiredIn("mesh.organisations", "revocation", TIME_SPAN),
+            SettingsField.optional("mesh.rollouts", SECTION),
+            SettingsField.requiredIn("mesh.rollouts", "share", decimal("requests per request", 0, 1)),
+            SettingsField.requiredIn("mesh.rollouts", "slack", decimal("requests", 0, 1_000_000)),
+            SettingsField.requiredIn("mesh.rollouts", "rollback", TIME_SPAN));
 
     private SettingsSchema() {}
 
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
@@ -15,6 +15,7 @@
 import org.oleanderturn.distribution.PeerVersionReport;
 import org.oleanderturn.distribution.VersionListener;
 import org.oleanderturn.mesh.Decision;
+import org.oleanderturn.mesh.RolloutPlacement;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.EndpointView;
@@ -104,6 +105,7 @@
                 settings.mesh().orElseThrow(),
                 EndpointView::empty,
                 () -> 1 + reachable.size(),
+                RolloutPlacement.none(),
                 this::recordDecision,
                 new DataPlaneRuntime(
                         NO_TARGETS,
--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -78,10 +78,17 @@
     private final List<Run> runs = new CopyOnWriteArrayList<>();
     private final AtomicInteger lastAttempt = new AtomicInteger();
     private volatile String pathThatEndsNodes = "";
+    private Optional<NodeSettings.Rollouts> rollouts = Optional.empty();
 
     /** Starts a fleet and waits until each of its nodes knows all others and serves requests. */
     static MeshFleet start(int size) throws IOException {
+        return start(size, Optional.empty());
+    }
+
+    /** Starts a fleet whose settings have the given section on rollouts. */
+    static MeshFleet start(int size, Optional<NodeSettings.Rollouts> rollouts) throws IOException {
         MeshFleet fleet = new MeshFleet();
+        fleet.rollouts = rollouts;
         FakeOperator.configure(fleet.store, 1, SERVICE, MAXIMUM_ATTEMPTS);
         for (int host = 0; host < size; host++) {
             fleet.hosts.add(new Host(fleet.settings(host)));
@@ -106,6 +113,11 @@
         return runs.stream().filter(run -> run.path().equals(path)).toList();
     }
 
+    /** Returns all runs so far. */
+    List<Run> runs() {
+        return List.copyOf(runs);
+    }
+
     /** Returns the runs of a path that began after the third one had ended its target. */
     int runsAfterTheThird(String path) {
         return Math.max(0, runs(path).size() - 3);
@@ -251,7 +263,8 @@
                 DurationText.of("5s"),
                 new NodeSettings.RetryLimit(0.2, 60, DurationText.of("10s")),
                 Optional.empty(),
-                Optional.empty());
+                Optional.empty(),
+                rollouts);
         Region region = Region.of(host % 4 < 2 ? "south" : "north");
         List<Address> join = hosts.isEmpty()
                 ? List.of()
--- a/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedNode.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import org.oleanderturn.distribution.Peer;
 import org.oleanderturn.membership.MemberRecord;
+import org.oleanderturn.mesh.RolloutPlacement;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.Address;
@@ -52,6 +53,7 @@
                 settings.mesh().orElseThrow(),
                 () -> view,
                 () -> 1 + seen.size(),
+                RolloutPlacement.none(),
                 fleet.decisions()::add,
                 new DataPlaneRuntime(
                         network,
--- a/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
@@ -36,6 +36,7 @@
                 DurationText.of("5s"),
                 new NodeSettings.RetryLimit(0.2, 60, DurationText.of("10s")),
                 linkRate,
+                Optional.empty(),
                 Optional.empty());
         return new NodeSettings(
                 NodeId.of(node),
