--- a/node/src/test/java/org/oleanderturn/node/RolloutFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RolloutFleetTest.java
@@ -91,6 +91,19 @@
         }
     }
 
+    /** The next judge has nothing but the reports of the entries and the status. */
+    @Test
+    void shouldCompleteWhenTheJudgeIsLostMeanwhile() throws IOException, InterruptedException {
+        try (MeshFleet fleet = fleet(false)) {
+            order(fleet);
+            send(fleet);
+            Thread.sleep(3_000);
+            fleet.killNode(FLEET_SIZE - 1);
+            MeshFleet.await(() -> isIn(fleet, RolloutState.COMPLETED));
+            stopSending();
+        }
+    }
+
     @Test
     void shouldRollBackWithinTheExposureWhenTheNewVersionFails() throws IOException, InterruptedException {
         try (MeshFleet fleet = fleet(true)) {
--- a/node/src/test/java/org/oleanderturn/node/SettingsReaderTest.java
+++ b/node/src/test/java/org/oleanderturn/node/SettingsReaderTest.java
@@ -9,11 +9,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.oleanderturn.model.DurationText;
 
 /** Guards against settings that are accepted silently although wrong, and against faults that don't say what is expected. */
 class SettingsReaderTest {
@@ -43,6 +45,31 @@
         }
     }
 
+    private static String withMesh(String section) {
+        int end = validSettings.lastIndexOf('}');
+        return validSettings.substring(0, end)
+                + ", \"mesh\": {\"targetCalls\": \"127.0.0.1:1\", \"metrics\": \"127.0.0.1:2\", \"heartbeat\": \"1s\","
+                + " \"stopTime\": \"5s\", \"repeats\": {\"ratio\": 0.2, \"floor\": 60, \"window\": \"10s\"}"
+                + section
+                + "}}";
+    }
+
+    /** Rollouts change what nodes exchange, so they must never be on by default. */
+    @Test
+    void shouldReadLimitsOnRolloutsOnlyWhenTheirSectionIsPresent() {
+        String section = ", \"rollouts\": {\"share\": 0.1, \"slack\": 50, \"rollback\": \"5s\"}";
+        assertThat(parse(withMesh("")).get().mesh().orElseThrow().rollouts()).isEqualTo(Optional.empty());
+        assertThat(parse(withMesh(section)).get().mesh().orElseThrow().rollouts())
+                .isEqualTo(Optional.of(new NodeSettings.Rollouts(0.1, 50, DurationText.of("5s"))));
+        assertThat(parse(withMesh(section.replace("0.1", "1.1"))).isLeft()).isTrue();
+        assertThat(parse(withMesh(section.replace(", \"slack\": 50", ""))).isLeft())
+                .isTrue();
+    }
+
+    private static Either<List<SettingsFault>, NodeSettings> parse(String text) {
+        return SettingsReader.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
     @ParameterizedTest
     @CsvSource(
             delimiter = '|',
