Use no old target from the stage ALL on, and write a rollback when no permission is left

A retry could go to an old target up to 1.25 s after the status said completed, as entries learn of it by their next report; and the new version could get requests as long after rolled_back. Retries in ALL now go to the new version only, and the status rolled_back is written when the last permission has ended, or 2 s after the decision. The last decision moves from 0.85 to 0.8 of the duration to leave time for that.

RolloutMachineTest now asserts that nothing follows the status of a rollback, and RolloutFleetTest counts from the moment of the status; both pass.

--- a/node/src/main/java/org/oleanderturn/node/JudgedRollout.java
+++ b/node/src/main/java/org/oleanderturn/node/JudgedRollout.java
@@ -107,10 +107,10 @@
     }
 
     /** Writes what the status lacks. */
-    void writeStatus(Store store, Object lock) {
+    void writeStatus(Store store, Object lock, long nowMilliseconds) {
         Optional<RolloutStage> end;
         synchronized (lock) {
-            end = machine.unwritten();
+            end = machine.unwritten(nowMilliseconds);
             if (machine.isSettled()) {
                 return;
             }
--- a/node/src/main/java/org/oleanderturn/node/RolloutJudge.java
+++ b/node/src/main/java/org/oleanderturn/node/RolloutJudge.java
@@ -119,7 +119,7 @@
         for (JudgedRollout rollout : judged()) {
             rollout.readStatus(store, this);
             step(rollout);
-            rollout.writeStatus(store, this);
+            rollout.writeStatus(store, this, clockMilliseconds.getAsLong());
         }
         return STEP_INTERVAL_MILLISECONDS;
     }
--- a/node/src/main/java/org/oleanderturn/node/ServiceRollout.java
+++ b/node/src/main/java/org/oleanderturn/node/ServiceRollout.java
@@ -124,13 +124,13 @@
         if (stage == RolloutStage.ROLLED_BACK || current.size() == known.size()) {
             return current;
         }
-        if (current.isEmpty() || (isAllowed && !isFirstAttempt)) {
+        if (current.isEmpty()) {
             return known;
         }
         List<Endpoint> next = known.stream()
                 .filter(endpoint -> isNext(endpoint) && endpoint.isReady())
                 .toList();
-        return isAllowed && !next.isEmpty() && exposure.trySend() ? next : current;
+        return isAllowed && !next.isEmpty() && (!isFirstAttempt || exposure.trySend()) ? next : current;
     }
 
     private boolean isCurrent(Endpoint endpoint) {
--- a/node/src/test/java/org/oleanderturn/node/RolloutFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RolloutFleetTest.java
@@ -81,9 +81,8 @@
             order(fleet);
             send(fleet);
             MeshFleet.await(() -> isIn(fleet, RolloutState.COMPLETED));
-            Thread.sleep(1_500);
             int before = fleet.runs().size();
-            Thread.sleep(1_000);
+            Thread.sleep(2_000);
             stopSending();
             List<MeshFleet.Run> last = fleet.runs().subList(before, fleet.runs().size());
             assertThat(last).isNotEmpty();
@@ -110,10 +109,9 @@
             order(fleet);
             send(fleet);
             MeshFleet.await(() -> isIn(fleet, RolloutState.ROLLED_BACK));
-            Thread.sleep(1_500);
             long exposed = newRuns(fleet);
             assertThat((double) exposed).isAtMost(SHARE * requests.get() + SLACK);
-            Thread.sleep(1_000);
+            Thread.sleep(2_000);
             stopSending();
             assertThat(newRuns(fleet)).isEqualTo(exposed);
         }
--- a/node/src/test/java/org/oleanderturn/node/ServiceRolloutTest.java
+++ b/node/src/test/java/org/oleanderturn/node/ServiceRolloutTest.java
@@ -74,7 +74,7 @@
         assertThat(sentToNext()).isIn(com.google.common.collect.Range.closed(499, 501));
         direct(RolloutStage.ALL, false, 1);
         assertThat(sentToNext()).isEqualTo(REQUESTS);
-        assertThat(entry.eligible(SERVICE, BOTH, false)).isEqualTo(BOTH);
+        assertThat(entry.eligible(SERVICE, BOTH, false)).containsExactly(NEXT);
     }
 
     /** A node that is cut off can't learn that the version is bad. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/RolloutExposure.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RolloutExposure.java
@@ -73,14 +73,14 @@
                 && credit >= 1;
     }
 
-    /** Returns whether an attempt after the first may go to either version: only when the new one gets all requests. */
+    /** Returns whether an attempt after the first goes to the new version: only when that gets all requests. */
     public synchronized boolean isRetryAllowed(long nowNanoseconds) {
         return stage == RolloutStage.ALL && isValid && validUntilNanoseconds - nowNanoseconds > 0;
     }
 
     /** Counts a request that goes to the new version; to be called only after {@link #recordRequest} allowed it. */
     public synchronized boolean trySend() {
-        if (stage == RolloutStage.COMPLETED) {
+        if (stage == RolloutStage.ALL || stage == RolloutStage.COMPLETED) {
             return true;
         }
         if (stage == RolloutStage.ROLLED_BACK || credit < 1) {
--- a/traffic/src/main/java/org/oleanderturn/traffic/RolloutMachine.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RolloutMachine.java
@@ -24,10 +24,11 @@
     private static final double STAGE_PART = 0.15;
 
     /** When a version of which too little is known is given up; the rest is left for the writing. */
-    private static final double LAST_DECISION_PART = 0.85;
+    private static final double LAST_DECISION_PART = 0.8;
 
     private final RolloutOrder order;
     private final long intervalMilliseconds;
+    private final long validityMilliseconds;
     private final long judgedSinceMilliseconds;
     private final Map<NodeId, RolloutReport> reports = new HashMap<>();
     private final Map<NodeId, Long> lastReports = new HashMap<>();
@@ -41,6 +42,7 @@
     private RolloutMachine(RolloutOrder order, RolloutPace pace, long nowMilliseconds) {
         this.order = order;
         this.intervalMilliseconds = pace.interval().toMillis();
+        this.validityMilliseconds = pace.validity().toMillis();
         this.judgedSinceMilliseconds = nowMilliseconds;
         this.startMilliseconds = nowMilliseconds;
         this.stageSinceMilliseconds = nowMilliseconds;
@@ -75,13 +77,17 @@
         return isSettled;
     }
 
-    /** Returns the end that has been decided and is still to be written to the store. */
-    public Optional<RolloutStage> unwritten() {
+    /**
+     * Returns the end that is to be written to the store now; a rollback is written once no entry has a permission any more, so
+     * that the new version gets nothing after it.
+     */
+    public Optional<RolloutStage> unwritten(long nowMilliseconds) {
         if (isSettled) {
             return Optional.empty();
         }
         if (stage == RolloutStage.ROLLED_BACK) {
-            return Optional.of(stage);
+            boolean isOver = nowMilliseconds - stageSinceMilliseconds >= validityMilliseconds;
+            return isOver ? Optional.of(stage) : Optional.empty();
         }
         return isReadyToComplete ? Optional.of(RolloutStage.COMPLETED) : Optional.empty();
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/RolloutStage.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RolloutStage.java
@@ -9,7 +9,7 @@
     CANARY,
     /** The new version was no worse than the old one: both get half. */
     HALF,
-    /** The new version gets all requests that its targets take. */
+    /** The new version gets all requests, so that no entry needs the old one when the rollout is completed. */
     ALL,
     /** The old version gets nothing. */
     COMPLETED,
--- a/traffic/src/test/java/org/oleanderturn/traffic/RolloutMachineTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/RolloutMachineTest.java
@@ -85,6 +85,7 @@
 
     private static void assertRolledBack(RolloutSimulation run, String message) {
         assertWithMessage(message).that(run.end).isEqualTo(RolloutStage.ROLLED_BACK);
+        assertWithMessage(message).that(run.isNextUsedAfterRollback).isFalse();
         assertWithMessage(message).that(run.highestExcess).isAtMost(RolloutSimulation.PACE.slack());
         if (run.fiftiethBadMilliseconds >= 0) {
             assertWithMessage(message)
--- a/traffic/src/test/java/org/oleanderturn/traffic/RolloutSimulation.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/RolloutSimulation.java
@@ -46,6 +46,7 @@
     long fiftiethBadMilliseconds = -1;
     long lastNextMilliseconds;
     long endMilliseconds = -1;
+    boolean isNextUsedAfterRollback;
     RolloutStage end = RolloutStage.CANARY;
 
     RolloutSimulation(long seed, Software next, Faults faults) {
@@ -127,6 +128,7 @@
     private void recordNext(long now, boolean isBad) {
         nextRequests++;
         lastNextMilliseconds = now;
+        isNextUsedAfterRollback = isNextUsedAfterRollback || end == RolloutStage.ROLLED_BACK;
         bad += isBad ? 1 : 0;
         if (bad == 50 && fiftiethBadMilliseconds < 0) {
             fiftiethBadMilliseconds = now;
@@ -173,7 +175,7 @@
         }
         if (isJudgePresent && now % 250 == 0) {
             machine.step(now, ENTRIES);
-            machine.unwritten().ifPresent(stage -> {
+            machine.unwritten(now).ifPresent(stage -> {
                 machine.settle(stage);
                 end = stage;
                 endMilliseconds = now;
