--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +42,7 @@
 import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.CrashLedger;
 import org.oleanderturn.traffic.ExchangeSizes;
+import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
@@ -116,18 +118,9 @@
                 settings.node(), settings.target().service(), slots, heartbeatTimeout(mesh), nanoseconds);
         this.crashLedger = CrashLedger.of(() -> TimeUnit.NANOSECONDS.toMillis(nanoseconds.getAsLong()));
         this.crashMonitor = CrashMonitor.of(settings.node(), crashLedger, decisions, nanoseconds);
-        listenToTarget();
-        this.guard = MeshGuard.of(
-                settings.target().address(),
-                target,
-                slots,
-                runtime.target(),
-                runtime.slotWait(),
-                PlatformProtocolAdapter.instance(),
-                crashMonitor,
-                decisions,
-                ResponsePacer.of(linkSchedule(mesh, nanoseconds), runtime.pause()),
-                nanoseconds);
+        target.onCrash(crashMonitor::endTarget);
+        target.onConditionChange(conditions::merge);
+        this.guard = guard(mesh, slots, decisions, nanoseconds);
         this.loadTracker = TargetLoadTracker.of(nanoseconds);
         this.entryDependencies = new MeshEntryDependencies(
                 settings.target().service(),
@@ -140,7 +133,6 @@
                 this::retryBudget,
                 GuardClient.of(settings.node(), guard, runtime.peers(), loadTracker, conditions),
                 crashMonitor,
-                guard.repeatShare(),
                 CoreAdmission.of(nanoseconds, runtime.random()),
                 RequestLimiter.unlimited(),
                 rollouts,
@@ -150,9 +142,20 @@
                 runtime.random());
     }
 
-    private void listenToTarget() {
-        target.onCrash(crashMonitor::endTarget);
-        target.onConditionChange(conditions::merge);
+    private MeshGuard guard(NodeSettings.Mesh mesh, SlotQueue slots, DecisionLog decisions, LongSupplier nanoseconds) {
+        return MeshGuard.of(
+                settings.target().address(),
+                target,
+                slots,
+                runtime.target(),
+                runtime.slotWait(),
+                PlatformProtocolAdapter.instance(),
+                crashMonitor,
+                decisions,
+                ResponsePacer.of(linkSchedule(mesh, nanoseconds), runtime.pause()),
+                InducedRetries.of(
+                        this::calledBudgets, retryLimit.window().duration().toNanos(), nanoseconds),
+                nanoseconds);
     }
 
     private static Duration heartbeatTimeout(NodeSettings.Mesh mesh) {
@@ -211,6 +214,11 @@
         return bodyBudget.reservedBytes();
     }
 
+    /** Returns the requests of clients so far that were started while another of their connection was in service. */
+    long pipelinedRequests() {
+        return callerListener == null ? 0 : callerListener.pipelinedRequests();
+    }
+
     /** Returns what this node has used of the retry budgets of all services together. */
     WindowedRetryBudget.Usage retryUsage() {
         int retries = 0;
@@ -234,6 +242,17 @@
                         runtime.nanoseconds()));
     }
 
+    /**
+     * Returns the retry budgets of the services that the local target may call. Its own is left out: at this node clients use
+     * it, whose retries must not keep the target from running others'.
+     */
+    private List<WindowedRetryBudget> calledBudgets() {
+        return retryBudgets.entrySet().stream()
+                .filter(entry -> !entry.getKey().equals(settings.target().service()))
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
     /** Returns this node's part of the constant of the retry limit; none while it knows no other node to share it with. */
     private double retryPart() {
         int members = fleetSize.getAsInt();
