--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
@@ -32,6 +32,7 @@
  * @param crashMonitor knows the requests under which targets have ended
  * @param admission decides which requests the node's own core has time for
  * @param limiter keeps the limits of organisations
+ * @param rollouts decides which versions of targets a request may go to
  * @param scheduler cancels attempts at their deadline
  * @param clockNanoseconds a clock that never goes back
  * @param random draws the jitter of retry times
@@ -49,6 +50,7 @@
         CrashMonitor crashMonitor,
         CoreAdmission admission,
         RequestLimiter limiter,
+        RolloutPlacement rollouts,
         ScheduledExecutorService scheduler,
         DecisionLog decisionLog,
         LongSupplier clockNanoseconds,
@@ -68,6 +70,7 @@
         Objects.requireNonNull(crashMonitor, "crashMonitor is null");
         Objects.requireNonNull(admission, "admission is null");
         Objects.requireNonNull(limiter, "limiter is null");
+        Objects.requireNonNull(rollouts, "rollouts is null");
         Objects.requireNonNull(scheduler, "scheduler is null");
         Objects.requireNonNull(decisionLog, "decisionLog is null");
         Objects.requireNonNull(clockNanoseconds, "clockNanoseconds is null");
--- a/node/src/main/java/org/oleanderturn/node/ControlHandler.java
+++ b/node/src/main/java/org/oleanderturn/node/ControlHandler.java
@@ -77,11 +77,13 @@
                     ControlMessage.Conditions _,
                     ControlMessage.CompareConditions _,
                     ControlMessage.Load _,
-                    ControlMessage.Take _ -> otherMessages.apply(message);
+                    ControlMessage.Take _,
+                    ControlMessage.RolloutReports _ -> otherMessages.apply(message);
             case ControlMessage.Update _,
                     ControlMessage.Pushed _,
                     ControlMessage.Recollected _,
                     ControlMessage.RelayAnswer _,
+                    ControlMessage.RolloutDirectives _,
                     ControlMessage.Drained _,
                     ControlMessage.Taken _,
                     ControlMessage.Noted _,
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -22,6 +22,7 @@
 import org.oleanderturn.mesh.MeshGuard;
 import org.oleanderturn.mesh.RequestLimiter;
 import org.oleanderturn.mesh.ResponsePacer;
+import org.oleanderturn.mesh.RolloutPlacement;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.TargetCallHandler;
 import org.oleanderturn.mesh.TargetCondition;
@@ -103,6 +104,7 @@
             NodeSettings.Mesh mesh,
             Supplier<EndpointView> endpoints,
             IntSupplier fleetSize,
+            RolloutPlacement rollouts,
             DecisionLog decisions,
             RequestLimiter limiter,
             DataPlaneRuntime runtime) {
@@ -113,8 +115,8 @@
         LongSupplier nanoseconds = runtime.nanoseconds();
         this.retriesKnownSinceNanoseconds = nanoseconds.getAsLong();
         SlotQueue slots = SlotQueue.of(nanoseconds);
-        ServiceName service = settings.target().service();
-        this.target = LocalTarget.of(settings.node(), service, slots, heartbeatTimeout(mesh), nanoseconds);
+        this.target = LocalTarget.of(
+                settings.node(), settings.target().service(), slots, heartbeatTimeout(mesh), nanoseconds);
         this.crashLedger = CrashLedger.of(() -> TimeUnit.NANOSECONDS.toMillis(nanoseconds.getAsLong()));
         this.crashMonitor = CrashMonitor.of(settings.node(), crashLedger, decisions, nanoseconds);
         target.onCrash(crashMonitor::endTarget);
@@ -122,7 +124,7 @@
         this.guard = guard(mesh, slots, decisions, nanoseconds);
         this.loadTracker = TargetLoadTracker.of(nanoseconds);
         this.entryDependencies = new MeshEntryDependencies(
-                service,
+                settings.target().service(),
                 endpoints,
                 LeastLatencyBalancer.of(loadTracker, settings.locality(), nanoseconds, runtime.random()),
                 loadTracker,
@@ -134,6 +136,7 @@
                 crashMonitor,
                 CoreAdmission.of(nanoseconds, runtime.random()),
                 limiter,
+                rollouts,
                 runtime.timers(),
                 decisions,
                 nanoseconds,
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -28,7 +28,6 @@
 import org.oleanderturn.proxy.ListenerLimits;
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.store.RateLimitedStore;
-import org.oleanderturn.store.StoreSettings;
 import org.oleanderturn.traffic.CrashQuarantine;
 import org.oleanderturn.wire.FrameClient;
 import org.oleanderturn.wire.FrameServer;
@@ -44,17 +43,6 @@
 public final class MeshNode implements AutoCloseable {
     private static final FluentLogger log = FluentLogger.forEnclosingClass();
 
-    /** Timeouts of the store, which usually responds within milliseconds. */
-    private static final Duration STORE_CONNECT_TIMEOUT = Duration.ofMillis(400);
-
-    private static final Duration STORE_RESPONSE_TIMEOUT = Duration.ofSeconds(1);
-
-    /** A connection that stays silent is given up after this and the timeout of a response at the latest. */
-    private static final Duration MAXIMUM_WATCH = Duration.ofSeconds(4);
-
-    /** Size of a burst of store calls, in seconds of the permitted rate. */
-    private static final int STORE_BURST_SECONDS = 2;
-
     /** How long a stopping node still accepts requests: clients leave it after two failed readiness checks. */
     private static final Duration CLIENT_DEPARTURE_DELAY = Duration.ofMillis(2_600);
 
@@ -81,6 +69,7 @@
     private final MeshConfiguration configuration;
     private final RequestLimitObserver limitObserver;
     private final SharedRequestLimiter limiter;
+    private final NodeRollouts rollouts;
     private final MeshDataPlane data;
     private final AtomicBoolean isStopping = new AtomicBoolean();
     private final NodeMetrics metrics = new NodeMetrics();
@@ -100,35 +89,24 @@
         this.settings = settings;
         this.mesh = mesh;
         this.writer = writer;
-        this.store = PlatformStore.of(StoreSettings.of(settings.platform().address())
-                .withTimeouts(STORE_CONNECT_TIMEOUT, STORE_RESPONSE_TIMEOUT)
-                .withMaximumWatch(MAXIMUM_WATCH));
-        int callsPerSecond = settings.platform().callsPerSecond();
-        this.rateLimitedStore =
-                RateLimitedStore.of(store, callsPerSecond, callsPerSecond * STORE_BURST_SECONDS, System::nanoTime);
+        this.store = MeshStore.open(settings.platform());
+        this.rateLimitedStore = MeshStore.limited(store, settings.platform());
         LongSupplier milliseconds = MonotonicClock.start();
         this.channel = ControlChannel.of(
                 frames::call, tasks.executor(), settings.listen().control());
         this.versions = versionJournal(milliseconds);
-        this.control = new ControlPlane(
-                settings,
-                rateLimitedStore,
-                channel,
-                milliseconds,
-                GossipSettings.fastDetection(),
-                (_, directory) -> ZoneLeadership.of(settings.node(), settings.locality(), directory),
-                () -> {
-                    // A periodic task reviews the members, so the gossip protocol never calls back into the node.
-                },
-                versions);
+        this.control = controlPlane(milliseconds);
         this.configuration = meshConfiguration();
         this.limitObserver = new RequestLimitObserver(settings.node(), writer, System::currentTimeMillis);
         this.limiter = SharedRequestLimiter.of(settings, control, configuration, channel, limitObserver);
+        this.rollouts = NodeRollouts.of(
+                settings.node(), mesh.rollouts(), control.gossip(), rateLimitedStore, channel, this::countMembers);
         this.data = new MeshDataPlane(
                 settings,
                 mesh,
                 () -> control.gossip().table().endpointView(),
                 this::countMembers,
+                rollouts.placement(),
                 decisionLog(),
                 limiter,
                 DataPlaneRuntime.ofProcess());
@@ -142,6 +120,20 @@
         this.controlHandler = controlHandler();
     }
 
+    private ControlPlane controlPlane(LongSupplier milliseconds) {
+        return new ControlPlane(
+                settings,
+                rateLimitedStore,
+                channel,
+                milliseconds,
+                GossipSettings.fastDetection(),
+                (_, directory) -> ZoneLeadership.of(settings.node(), settings.locality(), directory),
+                () -> {
+                    // A periodic task reviews the members, so the gossip protocol never calls back into the node.
+                },
+                versions);
+    }
+
     private MeshConfiguration meshConfiguration() {
         return new MeshConfiguration(
                 settings,
@@ -369,12 +361,14 @@
         return switch (message) {
             case ControlMessage.AskRelay question -> configuration.answer(question);
             case ControlMessage.Take taking -> new ControlMessage.Taken(limiter.answer(taking.request()));
+            case ControlMessage.RolloutReports reports -> rollouts.answer(reports);
             default -> targetMessages.answer(message);
         };
     }
 
     private void run() {
-        data.target().onStateChange(control.gossip()::announceState);
+        data.target().onStateChange(rollouts.announcer(data.target()));
+        rollouts.start(tasks, metrics);
         MeshGauges gauges = MeshGauges.of(metrics, control, configuration.watcher(), data, writer);
         gauges.register(configuration::isServing);
         gauges.registerStoreCalls(rateLimitedStore::counters);
--- a/node/src/main/java/org/oleanderturn/node/MeshWarmup.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshWarmup.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.oleanderturn.mesh.RequestLimiter;
+import org.oleanderturn.mesh.RolloutPlacement;
 import org.oleanderturn.mesh.RouteIndex;
 import org.oleanderturn.mesh.VersionStatus;
 import org.oleanderturn.model.Address;
@@ -132,6 +133,7 @@
                 changed.mesh().orElseThrow(),
                 () -> EndpointView.of(endpoints),
                 () -> 1,
+                RolloutPlacement.none(),
                 _ -> {
                     // Nobody looks for these requests.
                 },
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -105,6 +105,7 @@
      * @param linkMegabitsPerSecond the rate of the host's link in each direction; unknown if absent
      * @param organisations how keys are checked by a node that is cut off; open if absent
      * @param requestLimits by how much requests may exceed the limits of organisations; the defaults of the record if absent
+     * @param rollouts the limits on rollouts of a new version of the targets' software; orders are not read if absent
      */
     public record Mesh(
             Address targetCalls,
@@ -114,7 +115,8 @@
             RetryLimit repeats,
             Optional<Double> linkMegabitsPerSecond,
             Optional<Organisations> organisations,
-            Optional<RequestLimits> requestLimits) {}
+            Optional<RequestLimits> requestLimits,
+            Optional<Rollouts> rollouts) {}
 
     /**
      * By how much the requests of an organisation that run on all nodes may exceed its limit in any window.
@@ -135,6 +137,15 @@
         }
     }
 
+    /**
+     * The limits on rollouts of a new version of the targets' software.
+     *
+     * @param share the share of a service's requests that may reach a version which turns out to be bad, from 0 to 1
+     * @param slack requests that may reach it in addition, over all nodes and the whole rollout
+     * @param rollback how long after its 50th bad answer a bad version may still get requests
+     */
+    public record Rollouts(double share, double slack, DurationText rollback) {}
+
     /**
      * How the keys of organisations are checked.
      *
--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -168,6 +168,7 @@
                 retryLimit,
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new NodeSettings(
                 NodeId.of(NAME),
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -56,7 +56,11 @@
             SettingsField.optional("mesh.requestLimits", SECTION),
             SettingsField.requiredIn("mesh.requestLimits", "window", TIME_SPAN),
             SettingsField.requiredIn("mesh.requestLimits", "overage", decimal("share of the limit", 0, 1)),
-            SettingsField.requiredIn("mesh.requestLimits", "slack", decimal("requests", 0, 100_000)));
+            SettingsField.requiredIn("mesh.requestLimits", "slack", decimal("requests", 0, 100_000)),
+            SettingsField.optional("mesh.rollouts", SECTION),
+            SettingsField.requiredIn("mesh.rollouts", "share", decimal("requests per request", 0, 1)),
+            SettingsField.requiredIn("mesh.rollouts", "slack", decimal("requests", 0, 1_000_000)),
+            SettingsField.requiredIn("mesh.rollouts", "rollback", TIME_SPAN));
 
     private SettingsSchema() {}
 
--- a/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
@@ -37,6 +37,7 @@
                 new NodeSettings.RetryLimit(0.2, 60, DurationText.of("10s")),
                 linkRate,
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new NodeSettings(
                 NodeId.of(node),
