Placement: add the setting mesh.placement with EVEN_LOAD, which evens the utilization of targets

LEAST_LATENCY compared averages of the last few run times, so that differences by chance decided and a rarely chosen target kept an old average. EVEN_LOAD compares estimated utilizations only: the reported load, moved to the mean of the region with the report's age, and the requests sent that a report on its way cannot count. The default is unchanged.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -22,8 +21,6 @@
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.traffic.CrashVerdict;
 import org.oleanderturn.traffic.OfferThrottle;
-import org.oleanderturn.traffic.SuspectPlacement;
-import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
 
 /**
@@ -66,6 +63,7 @@
     private final BooleanSupplier isKeyInForce;
     private final MeshEntryDependencies dependencies;
     private final ClientResponses responses;
+    private final EndpointChoice choice;
     private final ConcurrentMap<NodeId, Set<Cancellation>> cancellationsByNode;
     private final Set<NodeId> excluded = new HashSet<>();
     private final AtomicReference<Cancellation> currentCancellation = new AtomicReference<>(Cancellation.create());
@@ -94,6 +92,7 @@
         this.hasClientLeft = Objects.requireNonNull(hasClientLeft, "hasClientLeft is null");
         this.isKeyInForce = Objects.requireNonNull(isKeyInForce, "isKeyInForce is null");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
+        this.choice = new EndpointChoice(request, dependencies);
         this.responses = Objects.requireNonNull(responses, "responses is null");
         this.cancellationsByNode = Objects.requireNonNull(cancellationsByNode, "cancellationsByNode is null");
     }
@@ -142,7 +141,7 @@
                 dependencies.crashMonitor().recordRefusal(request.attemptId(), request.identity(), quarantined);
                 return finish(new GuardReply.Quarantined(CrashMonitor.retryAfter(quarantined)));
             }
-            Optional<Endpoint> endpoint = chooseEndpoint(verdict);
+            Optional<Endpoint> endpoint = choice.choose(verdict, excluded);
             if (endpoint.isEmpty()) {
                 return finish(last);
             }
@@ -182,21 +181,6 @@
                 : responses.refused(HttpStatuses.UNAUTHORIZED, KEY_REMOVED);
     }
 
-    /** Prefers ready endpoints; without an untried one, any other known endpoint is better than none. */
-    private Optional<Endpoint> chooseEndpoint(CrashVerdict verdict) {
-        List<Endpoint> known = dependencies.endpoints().get().endpoints(request.service());
-        List<Endpoint> ready = known.stream()
-                .filter(Endpoint::isReady)
-                .filter(endpoint -> !dependencies.conditions().isLeaving(endpoint.node()))
-                .toList();
-        if (verdict instanceof CrashVerdict.Suspect) {
-            return SuspectPlacement.choose(ready, excluded, request.identity().fingerprint());
-        }
-        double bytes = dependencies.exchangeSizes().expectedBytes(routeName(), kind());
-        Optional<Endpoint> chosen = dependencies.balancer().choose(ready, excluded, bytes);
-        return chosen.isPresent() ? chosen : dependencies.balancer().choose(known, excluded, bytes);
-    }
-
     /** Returns whether to offer the request to a target while most offers are refused; a slot that is free is always used. */
     private boolean isOffered(Endpoint endpoint) {
         return dependencies.loads().hasFreeSlot(endpoint.node()) || throttle().tryOffer();
@@ -229,7 +213,7 @@
     private GuardReply attempt(Endpoint endpoint) {
         attempts++;
         NodeId node = endpoint.node();
-        logPlacement(node);
+        choice.logPlacement(node, attempts);
         Cancellation cancellation = Cancellation.create(this::isClientGone);
         currentCancellation.set(cancellation);
         Set<Cancellation> cancellations = cancellationsByNode.computeIfAbsent(node, _ -> ConcurrentHashMap.newKeySet());
@@ -442,21 +426,4 @@
     private static Duration shorter(Duration first, Duration second) {
         return first.compareTo(second) < 0 ? first : second;
     }
-
-    private void logPlacement(NodeId node) {
-        TargetLoadTracker.TargetLoad load = dependencies.loads().load(node);
-        long ageNanoseconds = dependencies.clockNanoseconds().getAsLong() - load.reportedNanoseconds();
-        dependencies
-                .decisionLog()
-                .record(new Decision.Placed(
-                        request.attemptId(),
-                        attempts,
-                        routeName(),
-                        request.service(),
-                        node,
-                        request.version(),
-                        load.report(),
-                        TimeUnit.NANOSECONDS.toMillis(ageNanoseconds),
-                        remaining()));
-    }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntryDependencies.java
@@ -10,10 +10,10 @@
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.ExchangeSizes;
-import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.OfferThrottles;
 import org.oleanderturn.traffic.RepeatShare;
 import org.oleanderturn.traffic.TargetLoadTracker;
+import org.oleanderturn.traffic.TargetPlacement;
 import org.oleanderturn.traffic.WindowedRetryBudget;
 
 /**
@@ -41,7 +41,7 @@
 public record MeshEntryDependencies(
         ServiceName callerService,
         Supplier<EndpointView> endpoints,
-        LeastLatencyBalancer balancer,
+        TargetPlacement balancer,
         TargetLoadTracker loads,
         TargetConditions conditions,
         ExchangeSizes exchangeSizes,
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -39,6 +39,7 @@
 import org.oleanderturn.proxy.RequestHandler;
 import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.CrashLedger;
+import org.oleanderturn.traffic.EvenLoadBalancer;
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.LinkSchedule;
@@ -46,6 +47,7 @@
 import org.oleanderturn.traffic.OfferThrottles;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.TargetLoadTracker;
+import org.oleanderturn.traffic.TargetPlacement;
 import org.oleanderturn.traffic.WindowedRetryBudget;
 
 /**
@@ -117,22 +119,12 @@
         this.crashMonitor = CrashMonitor.of(settings.node(), crashLedger, decisions, nanoseconds);
         target.onCrash(crashMonitor::endTarget);
         target.onConditionChange(conditions::merge);
-        this.guard = MeshGuard.of(
-                settings.target().address(),
-                target,
-                slots,
-                runtime.target(),
-                runtime.slotWait(),
-                PlatformProtocolAdapter.instance(),
-                crashMonitor,
-                decisions,
-                ResponsePacer.of(linkSchedule(mesh, nanoseconds), runtime.pause()),
-                nanoseconds);
+        this.guard = guard(slots, mesh, decisions);
         this.loadTracker = TargetLoadTracker.of(nanoseconds);
         this.entryDependencies = new MeshEntryDependencies(
                 service,
                 endpoints,
-                LeastLatencyBalancer.of(loadTracker, settings.locality(), nanoseconds, runtime.random()),
+                placement(mesh),
                 loadTracker,
                 conditions,
                 ExchangeSizes.empty(),
@@ -149,6 +141,29 @@
                 runtime.random());
     }
 
+    private MeshGuard guard(SlotQueue slots, NodeSettings.Mesh mesh, DecisionLog decisions) {
+        return MeshGuard.of(
+                settings.target().address(),
+                target,
+                slots,
+                runtime.target(),
+                runtime.slotWait(),
+                PlatformProtocolAdapter.instance(),
+                crashMonitor,
+                decisions,
+                ResponsePacer.of(linkSchedule(mesh, runtime.nanoseconds()), runtime.pause()),
+                runtime.nanoseconds());
+    }
+
+    private TargetPlacement placement(NodeSettings.Mesh mesh) {
+        return switch (mesh.placement().orElse(NodeSettings.Placement.LEAST_LATENCY)) {
+            case LEAST_LATENCY ->
+                LeastLatencyBalancer.of(loadTracker, settings.locality(), runtime.nanoseconds(), runtime.random());
+            case EVEN_LOAD ->
+                EvenLoadBalancer.of(loadTracker, settings.locality(), runtime.nanoseconds(), runtime.random());
+        };
+    }
+
     private static Duration heartbeatTimeout(NodeSettings.Mesh mesh) {
         return mesh.heartbeat().duration().multipliedBy(TOLERATED_MISSED_HEARTBEATS);
     }
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -103,6 +103,7 @@
      * @param repeats the limit on retries
      * @param linkMegabitsPerSecond the rate of the host's link in each direction; unknown if absent
      * @param organisations how keys are checked by a node that is cut off; open if absent
+     * @param placement how the entry chooses targets; by the lowest latency if absent
      */
     public record Mesh(
             Address targetCalls,
@@ -111,7 +112,16 @@
             DurationText stopTime,
             RetryLimit repeats,
             Optional<Double> linkMegabitsPerSecond,
-            Optional<Organisations> organisations) {}
+            Optional<Organisations> organisations,
+            Optional<Placement> placement) {}
+
+    /** How an entry chooses the target of a request. */
+    public enum Placement {
+        /** By the lowest expected latency. */
+        LEAST_LATENCY,
+        /** By the lowest estimated utilization. */
+        EVEN_LOAD
+    }
 
     /**
      * How the keys of organisations are checked.
--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -167,6 +167,7 @@
                 DurationText.of("5s"),
                 retryLimit,
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new NodeSettings(
                 NodeId.of(NAME),
--- a/node/src/main/java/org/oleanderturn/node/SettingsField.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsField.java
@@ -1,6 +1,7 @@
 package org.oleanderturn.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
 import java.util.Objects;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.DurationText;
@@ -64,6 +65,7 @@
                     value.isTextual() && DurationText.parse(value.textValue()).isPresent();
                 case AddressList _ -> isAddressList(value);
                 case Flag _ -> value.isBoolean();
+                case OneOf choice -> value.isTextual() && choice.words().contains(value.textValue());
             };
         }
 
@@ -80,6 +82,7 @@
                     "a number of " + decimal.unit() + " from " + decimal.lowest() + " to " + decimal.highest();
                 case TimeSpan _ -> "a number and its unit, such as \"1500ms\" or \"2.5s\"";
                 case Flag _ -> "true or false";
+                case OneOf choice -> "one of " + String.join(", ", choice.words());
                 case AddressList _ -> "a list of IP addresses and ports, such as [\"127.0.0.1:23001\"]";
             };
         }
@@ -133,6 +136,14 @@
         /** A duration with its unit, as {@link DurationText} parses it. */
         record TimeSpan() implements ValueFormat {}
 
+        /** One of some words. */
+        record OneOf(List<String> words) implements ValueFormat {
+            /** Copies the words. */
+            public OneOf {
+                words = List.copyOf(words);
+            }
+        }
+
         /** A boolean. */
         record Flag() implements ValueFormat {}
 
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,10 @@
     private static final SettingsField.ValueFormat TIME_SPAN = new SettingsField.ValueFormat.TimeSpan();
     private static final SettingsField.ValueFormat FLAG = new SettingsField.ValueFormat.Flag();
     private static final SettingsField.ValueFormat PATH = new SettingsField.ValueFormat.Path();
+    private static final SettingsField.ValueFormat PLACEMENT =
+            new SettingsField.ValueFormat.OneOf(Arrays.stream(NodeSettings.Placement.values())
+                    .map(NodeSettings.Placement::name)
+                    .toList());
     private static final List<SettingsField> FIELDS = List.of(
             SettingsField.required("node", NAME),
             SettingsField.required("region", NAME),
@@ -50,6 +55,7 @@
             SettingsField.requiredIn("mesh.repeats", "floor", decimal("retries per window", 0, 100_000)),
             SettingsField.requiredIn("mesh.repeats", "window", TIME_SPAN),
             SettingsField.optional("mesh.linkMegabitsPerSecond", decimal("megabits per second", 0, 1_000_000)),
+            SettingsField.optional("mesh.placement", PLACEMENT),
             SettingsField.optional("mesh.organisations", SECTION),
             SettingsField.requiredIn("mesh.organisations", "failClosed", FLAG),
             SettingsField.requiredIn("mesh.organisations", "revocation", TIME_SPAN));
--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -251,6 +251,7 @@
                 DurationText.of("5s"),
                 new NodeSettings.RetryLimit(0.2, 60, DurationText.of("10s")),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         Region region = Region.of(host % 4 < 2 ? "south" : "north");
         List<Address> join = hosts.isEmpty()
--- a/traffic/src/main/java/org/oleanderturn/traffic/LeastLatencyBalancer.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LeastLatencyBalancer.java
@@ -21,7 +21,7 @@
  * charged for the network latency and for what the users pay to transfer the bytes. All costs are in percent of the
  * target latency of a request. Thread safe if the random generator is.
  */
-public final class LeastLatencyBalancer {
+public final class LeastLatencyBalancer implements TargetPlacement {
     /** Latency assumed for a target without a report, in percent of the target latency; a typical value. */
     private static final double DEFAULT_SLOWNESS_PERCENT = 35;
 
@@ -105,6 +105,7 @@
      *
      * @param bytes expected bytes of the request and its response
      */
+    @Override
     public Optional<Endpoint> choose(List<Endpoint> endpoints, Set<NodeId> excluded, double bytes) {
         List<Endpoint> candidates = endpoints.stream()
                 .filter(endpoint -> !excluded.contains(endpoint.node()))
--- a/traffic/src/main/java/org/oleanderturn/traffic/TargetLoadTracker.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/TargetLoadTracker.java
@@ -1,6 +1,9 @@
 package org.oleanderturn.traffic;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -18,6 +21,18 @@
     /** A report of this age still tells whether there is room; a run takes about as long. */
     private static final Duration RECENT = Duration.ofMillis(250);
 
+    /**
+     * A request sent this long before a report arrives may not be counted in it: the round trip between the users'
+     * regions is 24 ms.
+     */
+    private static final long UNCOUNTED_NANOSECONDS = Duration.ofMillis(25).toNanos();
+
+    /** Sends older than this no longer correct a report; an even older report is not trusted in any case. */
+    private static final long SENT_MEMORY_NANOSECONDS = Duration.ofSeconds(2).toNanos();
+
+    /** Bounds the memory for each target; more sends than this within the memory exceed the slots of any target. */
+    private static final int REMEMBERED_SENDS = 64;
+
     private final LongSupplier nanoseconds;
     private final ConcurrentHashMap<NodeId, AtomicReference<TargetLoad>> loads = new ConcurrentHashMap<>();
 
@@ -39,16 +54,96 @@
      * @param sentSinceReport requests sent there since the report
      * @param outstanding requests sent there that have not ended
      * @param avoidedUntilNanoseconds until when the target is avoided after a failure, on the tracker's clock
+     * @param measured the newest report by the time of its measurement, which another node may have passed on; empty
+     *     before the first
+     * @param measuredNanoseconds when that report was measured, as far as known, on the tracker's clock
+     * @param sends when the last requests were sent there, in order, on the tracker's clock
      */
     public record TargetLoad(
             Optional<LoadReport> report,
             long reportedNanoseconds,
             int sentSinceReport,
             int outstanding,
-            long avoidedUntilNanoseconds) {
+            long avoidedUntilNanoseconds,
+            Optional<LoadReport> measured,
+            long measuredNanoseconds,
+            List<Long> sends) {
 
         private static TargetLoad unknown(long now) {
-            return new TargetLoad(Optional.empty(), now, 0, 0, now);
+            return new TargetLoad(Optional.empty(), now, 0, 0, now, Optional.empty(), now, List.of());
+        }
+
+        /** Returns how many requests were sent that the newest report may not count, because they met it on the way. */
+        public int sentUncounted() {
+            int count = 0;
+            for (long sent : sends) {
+                count += sent - measuredNanoseconds > -UNCOUNTED_NANOSECONDS ? 1 : 0;
+            }
+            return count;
+        }
+
+        private TargetLoad withReport(LoadReport next, long now) {
+            return new TargetLoad(
+                    Optional.of(next), now, 0, outstanding, avoidedUntilNanoseconds, Optional.of(next), now, sends);
+        }
+
+        private TargetLoad withMeasured(LoadReport next, long measuredAt) {
+            return new TargetLoad(
+                    report,
+                    reportedNanoseconds,
+                    sentSinceReport,
+                    outstanding,
+                    avoidedUntilNanoseconds,
+                    Optional.of(next),
+                    measuredAt,
+                    sends);
+        }
+
+        private TargetLoad withSent(long now) {
+            return new TargetLoad(
+                    report,
+                    reportedNanoseconds,
+                    sentSinceReport + 1,
+                    outstanding + 1,
+                    avoidedUntilNanoseconds,
+                    measured,
+                    measuredNanoseconds,
+                    remembered(now));
+        }
+
+        private List<Long> remembered(long now) {
+            List<Long> recent = new ArrayList<>(sends.size() + 1);
+            for (long sent : sends.subList(Math.max(0, sends.size() - REMEMBERED_SENDS + 1), sends.size())) {
+                if (now - sent < SENT_MEMORY_NANOSECONDS) {
+                    recent.add(sent);
+                }
+            }
+            recent.add(now);
+            return Collections.unmodifiableList(recent);
+        }
+
+        private TargetLoad withEnded() {
+            return new TargetLoad(
+                    report,
+                    reportedNanoseconds,
+                    sentSinceReport,
+                    Math.max(0, outstanding - 1),
+                    avoidedUntilNanoseconds,
+                    measured,
+                    measuredNanoseconds,
+                    sends);
+        }
+
+        private TargetLoad withAvoidance(long until) {
+            return new TargetLoad(
+                    report,
+                    reportedNanoseconds,
+                    sentSinceReport,
+                    outstanding,
+                    until,
+                    measured,
+                    measuredNanoseconds,
+                    sends);
         }
     }
 
@@ -71,46 +166,41 @@
 
     // -- commands
 
-    /** Records a report and resets the number of requests sent since. */
+    /** Records a report that the node itself sent, and resets the number of requests sent since. */
     public void recordReport(NodeId node, LoadReport report) {
         long now = nanoseconds.getAsLong();
+        reference(node).updateAndGet(current -> current.withReport(report, now));
+    }
+
+    /**
+     * Records a report that another node passed on, if it is newer than the known one. It changes only the measured
+     * report.
+     *
+     * @param ageNanoseconds how long ago the target's own node measured it
+     */
+    public void recordPassedOn(NodeId node, LoadReport report, long ageNanoseconds) {
+        long measuredAt = nanoseconds.getAsLong() - ageNanoseconds;
         reference(node)
-                .updateAndGet(current -> new TargetLoad(
-                        Optional.of(report), now, 0, current.outstanding(), current.avoidedUntilNanoseconds()));
+                .updateAndGet(current -> current.measured().isEmpty() || measuredAt - current.measuredNanoseconds() > 0
+                        ? current.withMeasured(report, measuredAt)
+                        : current);
     }
 
     /** Records that a request is sent to a node. */
     public void recordSent(NodeId node) {
-        reference(node)
-                .updateAndGet(current -> new TargetLoad(
-                        current.report(),
-                        current.reportedNanoseconds(),
-                        current.sentSinceReport() + 1,
-                        current.outstanding() + 1,
-                        current.avoidedUntilNanoseconds()));
+        long now = nanoseconds.getAsLong();
+        reference(node).updateAndGet(current -> current.withSent(now));
     }
 
     /** Records that a request sent to a node has ended. */
     public void recordEnded(NodeId node) {
-        reference(node)
-                .updateAndGet(current -> new TargetLoad(
-                        current.report(),
-                        current.reportedNanoseconds(),
-                        current.sentSinceReport(),
-                        Math.max(0, current.outstanding() - 1),
-                        current.avoidedUntilNanoseconds()));
+        reference(node).updateAndGet(TargetLoad::withEnded);
     }
 
     /** Marks a node as avoided for the given time from now. */
     public void avoid(NodeId node, long durationNanoseconds) {
         long until = nanoseconds.getAsLong() + durationNanoseconds;
-        reference(node)
-                .updateAndGet(current -> new TargetLoad(
-                        current.report(),
-                        current.reportedNanoseconds(),
-                        current.sentSinceReport(),
-                        current.outstanding(),
-                        until));
+        reference(node).updateAndGet(current -> current.withAvoidance(until));
     }
 
     /** Discards all data about a node that has left. */
