--- a/traffic/src/main/java/org/oleanderturn/traffic/EvenLoadBalancer.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/EvenLoadBalancer.java
@@ -1,6 +1,7 @@
 package org.oleanderturn.traffic;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -25,7 +26,8 @@
  * <p>Requests leave the region only in the share by which its mean utilization exceeds a limit, or after two targets have
  * refused them; a share that follows the mean does not swing as an order of preference does. They spread over the free
  * slots of other regions in proportion, so that entries with the same reports do not all choose the same target; a
- * target keeps a part of its slots for requests of its own region. Thread safe if the random generator is.
+ * target keeps a part of its slots for requests of its own region. A request that was refused takes the least utilized
+ * target of the region, as there are few of them. Thread safe if the random generator is.
  */
 public final class EvenLoadBalancer implements TargetPlacement {
     /** Time in which a report loses most of its meaning; a run of the users' services takes 30 to 490 ms. */
@@ -206,20 +208,23 @@
             return nearestOf(avoided);
         }
         Level near = Level.of(accepting, false, DEFAULT_SLOTS);
-        Level remote = Level.of(accepting, true, near.means().slots());
         double kilobytes = bytes / BYTES_PER_KILOBYTE;
         List<Candidate> candidates = estimates(near, now);
         boolean isRegionFull =
                 excluded.size() >= REFUSALS_BEFORE_LEAVING && kilobytes <= HIGHEST_KILOBYTES_AFTER_REFUSALS;
         Optional<Candidate> chosen =
                 isRegionFull || random.nextDouble() < overflowShare(near.means().utilization(), kilobytes)
-                        ? elsewhere(remote, now)
+                        ? elsewhere(remote(accepting, near, now))
                         : Optional.empty();
+        if (!excluded.isEmpty()) {
+            chosen = chosen.or(
+                    () -> candidates.stream().min(Comparator.comparingDouble(Candidate::utilizationWithOneMore)));
+        }
         return chosen.or(() -> leastUtilized(candidates, kilobytes).filter(Candidate::hasRoom))
                 .or(() -> drawnByWeight(
                         candidates.stream().filter(Candidate::hasRoom).toList(), Candidate::free))
                 .or(() -> shortestQueue(candidates))
-                .or(() -> shortestQueue(estimates(remote, now)))
+                .or(() -> shortestQueue(remote(accepting, near, now)))
                 .map(Candidate::endpoint);
     }
 
@@ -230,13 +235,17 @@
     }
 
     /** Returns a target of another region with a free slot, in proportion to the free slots. */
-    private Optional<Candidate> elsewhere(Level remote, long now) {
-        List<Candidate> free = estimates(remote, now).stream()
+    private Optional<Candidate> elsewhere(List<Candidate> remote) {
+        List<Candidate> free = remote.stream()
                 .filter(candidate -> candidate.freeForOtherRegions() >= 1)
                 .toList();
         return drawnByWeight(free, Candidate::freeForOtherRegions);
     }
 
+    private List<Candidate> remote(List<Known> accepting, Level near, long now) {
+        return estimates(Level.of(accepting, true, near.means().slots()), now);
+    }
+
     private static boolean isAvoided(TargetLoadTracker.TargetLoad load, long now) {
         boolean isClosed = load.measured().filter(report -> report.slots() == 0).isPresent();
         return isClosed || load.avoidedUntilNanoseconds() - now > 0;
