--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +43,7 @@
 import org.oleanderturn.traffic.CrashLedger;
 import org.oleanderturn.traffic.EvenLoadBalancer;
 import org.oleanderturn.traffic.ExchangeSizes;
+import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
@@ -123,7 +125,7 @@
         this.crashMonitor = CrashMonitor.of(settings.node(), crashLedger, decisions, nanoseconds);
         target.onCrash(crashMonitor::endTarget);
         target.onConditionChange(conditions::merge);
-        this.guard = guard(slots, mesh, decisions);
+        this.guard = guard(mesh, slots, decisions, nanoseconds);
         this.loadTracker = TargetLoadTracker.of(nanoseconds);
         passOnReports(mesh, endpoints);
         this.entryDependencies = new MeshEntryDependencies(
@@ -137,7 +139,6 @@
                 this::retryBudget,
                 GuardClient.of(settings.node(), guard, runtime.peers(), loadTracker, conditions),
                 crashMonitor,
-                guard.repeatShare(),
                 CoreAdmission.of(nanoseconds, runtime.random()),
                 RequestLimiter.unlimited(),
                 runtime.timers(),
@@ -146,7 +147,7 @@
                 runtime.random());
     }
 
-    private MeshGuard guard(SlotQueue slots, NodeSettings.Mesh mesh, DecisionLog decisions) {
+    private MeshGuard guard(NodeSettings.Mesh mesh, SlotQueue slots, DecisionLog decisions, LongSupplier nanoseconds) {
         return MeshGuard.of(
                 settings.target().address(),
                 target,
@@ -156,8 +157,10 @@
                 PlatformProtocolAdapter.instance(),
                 crashMonitor,
                 decisions,
-                ResponsePacer.of(linkSchedule(mesh, runtime.nanoseconds()), runtime.pause()),
-                runtime.nanoseconds());
+                ResponsePacer.of(linkSchedule(mesh, nanoseconds), runtime.pause()),
+                InducedRetries.of(
+                        this::calledBudgets, retryLimit.window().duration().toNanos(), nanoseconds),
+                nanoseconds);
     }
 
     /** Lets replies carry the newest reports of the targets of this service, without further messages. */
@@ -259,6 +262,17 @@
                         runtime.nanoseconds()));
     }
 
+    /**
+     * Returns the retry budgets of the services that the local target may call. Its own is left out: at this node clients use
+     * it, whose retries must not keep the target from running others'.
+     */
+    private List<WindowedRetryBudget> calledBudgets() {
+        return retryBudgets.entrySet().stream()
+                .filter(entry -> !entry.getKey().equals(settings.target().service()))
+                .map(Map.Entry::getValue)
+                .toList();
+    }
+
     /** Returns this node's part of the constant of the retry limit; none while it knows no other node to share it with. */
     private double retryPart() {
         int members = fleetSize.getAsInt();
