--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.proxy.BodyAllowance;
@@ -24,6 +25,7 @@
 import org.oleanderturn.proxy.SendPolicy;
 import org.oleanderturn.proxy.UpstreamExchange;
 import org.oleanderturn.proxy.UpstreamFailure;
+import org.oleanderturn.traffic.AgedReport;
 import org.oleanderturn.traffic.CrashVerdict;
 import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LoadReport;
@@ -44,27 +46,12 @@
     /** The largest body accepted from a target or a node; the users' configurations allow no larger one. */
     static final int BODY_LIMIT_BYTES = 64 * 1024 * 1024;
 
-    /**
-     * The share of its target latency that a request may wait for the rate limit of the target. Another target may have room,
-     * and the client had better come back than wait for long.
-     */
-    private static final double MAXIMUM_PACING_SHARE = 0.5;
-
-    /** The share of the remaining time that a request may wait for a slot; the rest is left for the run. */
-    private static final double MAXIMUM_WAIT_SHARE = 0.6;
-
-    /** The share of its target latency that a large response may wait for the link; it has to cross two links then. */
-    private static final double MAXIMUM_LINK_WAIT_SHARE = 0.5;
-
     /** Short, as the target runs on the same host. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
     /** Keeps a waiting request from looking again and again. */
     private static final Duration SHORTEST_TURN = Duration.ofMillis(1);
 
-    /** A request with less time left is never begun, as its response would come too late for anyone. */
-    private static final Duration SHORTEST_RUN = Duration.ofMillis(30);
-
     private static final double NANOSECONDS_PER_SECOND = 1e9;
 
     /** How long a target may take to accept the connection that shows that it lives; the client may be waiting. */
@@ -74,6 +61,7 @@
     private final LocalTarget target;
     private final SlotQueue slots;
     private final LatencyRatio latencyRatio;
+    private final GuardTimes times;
     private final InducedRetries inducedRetries;
     private final UpstreamExchange client;
     private final SlotWait slotWait;
@@ -82,6 +70,7 @@
     private final DecisionLog decisionLog;
     private final ResponsePacer pacer;
     private final LongSupplier clockNanoseconds;
+    private volatile Supplier<List<AgedReport>> others = List::of;
 
     private MeshGuard(
             Address address,
@@ -99,6 +88,7 @@
         this.target = target;
         this.slots = slots;
         this.latencyRatio = LatencyRatio.create();
+        this.times = new GuardTimes(latencyRatio);
         this.client = client;
         this.slotWait = slotWait;
         this.adapter = adapter;
@@ -180,6 +170,11 @@
         return target.condition().map(TargetCondition::limit).orElse(OptionalDouble.empty());
     }
 
+    /** Sets what is known of the load of other targets, which replies to other nodes carry along. */
+    public void passOn(Supplier<List<AgedReport>> reports) {
+        others = Objects.requireNonNull(reports, "reports is null");
+    }
+
     // -- commands
 
     @Override
@@ -209,14 +204,14 @@
                 Cancellation.create(request::hasPeerLeft));
         request.onPeerDisconnect(guardRequest.cancellation()::cancel);
         GuardReply reply = executeForNode(guardRequest);
-        return GuardReplyCodec.encode(reply, load(), condition());
+        return GuardReplyCodec.withOthers(GuardReplyCodec.encode(reply, load(), condition()), others.get());
     }
 
     /** Runs a request of another node, to which its response crosses this node's link. */
     private GuardReply executeForNode(GuardRequest request) {
         Duration backlog = pacer.backlog();
         boolean isLarge = request.metadata().kind() == RequestKind.DOWNLOAD;
-        if (isLarge && backlog.compareTo(maximumLinkWait(request.metadata())) > 0) {
+        if (isLarge && backlog.compareTo(times.maximumLinkWait(request.metadata())) > 0) {
             return new GuardReply.NotRun("LINK_FULL", false, backlog);
         }
         GuardReply reply = execute(request);
@@ -226,10 +221,6 @@
         return reply;
     }
 
-    private static Duration maximumLinkWait(GuardRequestMetadata metadata) {
-        return Duration.ofNanos((long) (metadata.targetLatency().toNanos() * MAXIMUM_LINK_WAIT_SHARE));
-    }
-
     /** Runs a request if the target has a slot for it in time, and returns the outcome; blocks. */
     GuardReply execute(GuardRequest request) {
         if (!request.metadata().service().equals(target.service())) {
@@ -247,7 +238,8 @@
             return quarantined(request, verdict);
         }
         long started = clockNanoseconds.getAsLong();
-        Duration maximumWait = maximumWait(request.metadata());
+        Duration maximumWait =
+                times.maximumWait(request.metadata(), requestLimit().isPresent());
         SlotTicket ticket = slots.request(slotRequest(request.metadata(), maximumWait));
         try {
             SlotDecision decision = awaitSlot(request, ticket, maximumWait);
@@ -283,12 +275,6 @@
         }
     }
 
-    private Duration maximumWait(GuardRequestMetadata metadata) {
-        double wait = metadata.remaining().toNanos() * MAXIMUM_WAIT_SHARE;
-        double pacingWait = metadata.targetLatency().toNanos() * MAXIMUM_PACING_SHARE;
-        return Duration.ofNanos((long) (requestLimit().isPresent() ? Math.min(wait, pacingWait) : wait));
-    }
-
     private SlotRequest slotRequest(GuardRequestMetadata metadata, Duration maximumWait) {
         Duration expectedRun = latencyRatio.expectedDuration(metadata.targetLatency());
         Duration untilTargetLatency = metadata.targetLatency().minus(metadata.elapsed());
@@ -390,7 +376,7 @@
     private GuardReply send(GuardRequest request, TargetStart start, long started) {
         long sentNanoseconds = clockNanoseconds.getAsLong();
         Duration remaining = request.metadata().remaining().minusNanos(sentNanoseconds - started);
-        if (remaining.compareTo(shortestRun(request.metadata())) < 0) {
+        if (remaining.compareTo(times.shortestRun(request.metadata())) < 0) {
             return new GuardReply.NotRun("DEADLINE", false, Duration.ZERO);
         }
         List<HeaderField> headers = adapter.targetHeaders(
@@ -432,13 +418,6 @@
         });
     }
 
-    /** Returns how much time must be left for a run that may end in time, as targets run some requests faster than usual. */
-    private Duration shortestRun(GuardRequestMetadata metadata) {
-        Duration likely =
-                latencyRatio.expectedDuration(metadata.targetLatency()).dividedBy(2);
-        return likely.compareTo(SHORTEST_RUN) > 0 ? likely : SHORTEST_RUN;
-    }
-
     private boolean isForAttempt(List<HeaderField> headers, ClientRequestMetadata client) {
         Optional<String> echoed = adapter.responseMetadata(headers).attemptId();
         return echoed.isEmpty() || echoed.get().equals(client.attemptId());
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -30,6 +30,7 @@
 import org.oleanderturn.mesh.TargetHealthCheck;
 import org.oleanderturn.mesh.VersionCheck;
 import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointView;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.ServiceName;
@@ -41,6 +42,7 @@
 import org.oleanderturn.proxy.RequestHandler;
 import org.oleanderturn.traffic.CoreAdmission;
 import org.oleanderturn.traffic.CrashLedger;
+import org.oleanderturn.traffic.EvenLoadBalancer;
 import org.oleanderturn.traffic.ExchangeSizes;
 import org.oleanderturn.traffic.InducedRetries;
 import org.oleanderturn.traffic.LeastLatencyBalancer;
@@ -49,6 +51,7 @@
 import org.oleanderturn.traffic.OfferThrottles;
 import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.TargetLoadTracker;
+import org.oleanderturn.traffic.TargetPlacement;
 import org.oleanderturn.traffic.WindowedRetryBudget;
 
 /**
@@ -57,6 +60,9 @@
  * <p>Invariant: the components are created once and never replaced. Thread safe.
  */
 final class MeshDataPlane implements AutoCloseable {
+    /** Reports of other targets in a reply: about 170 bytes, which keep the knowledge of 94 nodes 80 ms old in the median. */
+    private static final int REPORTS_PASSED_ON = 6;
+
     /** Consecutive heartbeats a target may miss before it counts as gone; heartbeats may arrive seconds late. */
     private static final int TOLERATED_MISSED_HEARTBEATS = 5;
 
@@ -123,10 +129,11 @@
         target.onConditionChange(conditions::merge);
         this.guard = guard(mesh, slots, decisions, nanoseconds);
         this.loadTracker = TargetLoadTracker.of(nanoseconds);
+        passOnReports(mesh, endpoints);
         this.entryDependencies = new MeshEntryDependencies(
                 settings.target().service(),
                 endpoints,
-                LeastLatencyBalancer.of(loadTracker, settings.locality(), nanoseconds, runtime.random()),
+                placement(mesh),
                 loadTracker,
                 conditions,
                 ExchangeSizes.empty(),
@@ -159,6 +166,26 @@
                 nanoseconds);
     }
 
+    /** Lets replies carry the newest reports of the targets of this service, without further messages. */
+    private void passOnReports(NodeSettings.Mesh mesh, Supplier<EndpointView> endpoints) {
+        if (mesh.chosenPlacement() == NodeSettings.Placement.EVEN_LOAD) {
+            guard.passOn(() -> loadTracker.newest(
+                    endpoints.get().endpoints(settings.target().service()).stream()
+                            .map(Endpoint::node)
+                            .toList(),
+                    REPORTS_PASSED_ON));
+        }
+    }
+
+    private TargetPlacement placement(NodeSettings.Mesh mesh) {
+        return switch (mesh.chosenPlacement()) {
+            case LEAST_LATENCY ->
+                LeastLatencyBalancer.of(loadTracker, settings.locality(), runtime.nanoseconds(), runtime.random());
+            case EVEN_LOAD ->
+                EvenLoadBalancer.of(loadTracker, settings.locality(), runtime.nanoseconds(), runtime.random());
+        };
+    }
+
     private static Duration heartbeatTimeout(NodeSettings.Mesh mesh) {
         return mesh.heartbeat().duration().multipliedBy(TOLERATED_MISSED_HEARTBEATS);
     }
--- a/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshMetrics.java
@@ -4,10 +4,14 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
 import org.oleanderturn.mesh.Decision;
 import org.oleanderturn.mesh.DecisionLog;
 import org.oleanderturn.mesh.GuardReply;
 import org.oleanderturn.mesh.SlotShare;
+import org.oleanderturn.model.Locality;
+import org.oleanderturn.model.NodeId;
 import org.oleanderturn.traffic.SlotDecision;
 
 /**
@@ -31,9 +35,12 @@
     private final Histogram failedAttemptLatency;
     private final Histogram slotWait;
     private final Histogram readDelay;
+    private final PlacementMetrics placement;
 
-    private MeshMetrics(DecisionLog delegate, NodeMetrics metrics) {
+    private MeshMetrics(
+            DecisionLog delegate, NodeMetrics metrics, Function<NodeId, Optional<Locality.Distance>> distances) {
         this.delegate = delegate;
+        this.placement = PlacementMetrics.of(metrics, distances);
         this.decisions = Counter.builder()
                 .name("oleanderturn_decisions_total")
                 .help("Decisions on requests by kind and outcome.")
@@ -69,18 +76,27 @@
                 "Estimated seconds from the arrival of a request until the node read it.");
     }
 
-    /** Returns a log that registers its metrics with those of the node and passes each decision to the delegate. */
-    static MeshMetrics of(DecisionLog delegate, NodeMetrics metrics) {
+    /**
+     * Returns a log that registers its metrics with those of the node and passes each decision to the delegate.
+     *
+     * @param distances returns the distance of a known node
+     */
+    static MeshMetrics of(
+            DecisionLog delegate, NodeMetrics metrics, Function<NodeId, Optional<Locality.Distance>> distances) {
         Objects.requireNonNull(delegate, "delegate is null");
         Objects.requireNonNull(metrics, "metrics is null");
-        return new MeshMetrics(delegate, metrics);
+        Objects.requireNonNull(distances, "distances is null");
+        return new MeshMetrics(delegate, metrics, distances);
     }
 
     @Override
     public void record(Decision decision) {
         String kind = decision.getClass().getSimpleName();
         switch (decision) {
-            case Decision.Placed _ -> count(kind, "");
+            case Decision.Placed placed -> {
+                count(kind, "");
+                placement.record(placed);
+            }
             case Decision.Guarded guarded -> {
                 count(kind, outcome(guarded.reply()));
                 count(guarded.share());
@@ -96,6 +112,7 @@
             case Decision.AttemptFailed failed -> {
                 count(kind, outcome(failed.reply()));
                 failedAttemptLatency.observe(seconds(failed.duration()));
+                placement.record(failed);
             }
             case Decision.Suspected suspected -> count(kind, String.valueOf(suspected.level()));
             case Decision.SuspectTried tried -> count(kind, String.valueOf(tried.level()));
@@ -145,7 +162,7 @@
         return duration.toNanos() / NANOSECONDS_PER_SECOND;
     }
 
-    private static Histogram histogram(NodeMetrics metrics, String name, String help) {
+    static Histogram histogram(NodeMetrics metrics, String name, String help) {
         return Histogram.builder()
                 .name(name)
                 .help(help)
--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -106,6 +106,7 @@
      * @param organisations how keys are checked by a node that is cut off; open if absent
      * @param requestLimits by how much requests may exceed the limits of organisations; the defaults of the record if absent
      * @param rollouts the limits on rollouts of a new version of the targets' software; orders are not read if absent
+     * @param placement how the entry chooses targets; by the lowest latency if absent
      */
     public record Mesh(
             Address targetCalls,
@@ -116,7 +117,14 @@
             Optional<Double> linkMegabitsPerSecond,
             Optional<Organisations> organisations,
             Optional<RequestLimits> requestLimits,
-            Optional<Rollouts> rollouts) {}
+            Optional<Rollouts> rollouts,
+            Optional<Placement> placement) {
+
+        /** Returns how the entry chooses targets. */
+        Placement chosenPlacement() {
+            return placement.orElse(Placement.LEAST_LATENCY);
+        }
+    }
 
     /**
      * By how much the requests of an organisation that run on all nodes may exceed its limit in any window.
@@ -146,6 +154,14 @@
      */
     public record Rollouts(double share, double slack, DurationText rollback) {}
 
+    /** How an entry chooses the target of a request. */
+    public enum Placement {
+        /** By the lowest expected latency. */
+        LEAST_LATENCY,
+        /** By the lowest estimated utilization. */
+        EVEN_LOAD
+    }
+
     /**
      * How the keys of organisations are checked.
      *
--- a/node/src/test/java/org/oleanderturn/node/FairSharingFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/FairSharingFleetTest.java
@@ -88,7 +88,7 @@
         SimulatedTime.simulate(() -> {
             ConfigurationSnapshot configuration =
                     FakeOperator.snapshotWithOrganisations(SimulatedFleet.SERVICE, MAXIMUM_ATTEMPTS, 1, 0);
-            SimulatedFleet fleet = new SimulatedFleet(1, SLOTS, configuration, 0, Optional.empty());
+            SimulatedFleet fleet = new SimulatedFleet(1, SLOTS, configuration, 0, SimulatedSettings.Variant.usual());
             fleet.setWorkTime(Duration.ofMillis(300), Duration.ofMillis(300));
             fleet.clients()
                     .showCredentials(path ->
@@ -148,7 +148,8 @@
     private static List<Exchange> play(int seed, Bottleneck bottleneck) {
         ConfigurationSnapshot configuration =
                 FakeOperator.snapshotWithOrganisations(SimulatedFleet.SERVICE, MAXIMUM_ATTEMPTS, ORGANISATIONS, 1);
-        SimulatedFleet fleet = new SimulatedFleet(FLEET_SIZE, SLOTS, configuration, seed, Optional.empty());
+        SimulatedFleet fleet =
+                new SimulatedFleet(FLEET_SIZE, SLOTS, configuration, seed, SimulatedSettings.Variant.usual());
         fleet.clients().showCredentials(path -> Optional.of(FakeOperator.credentials(organisation(path))));
         if (bottleneck == Bottleneck.CORES) {
             fleet.hosts().forEach(host -> host.setCore(CORE_SHARE, READ_COST, SEND_COST));
--- a/node/src/test/java/org/oleanderturn/node/LinkFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/LinkFleetTest.java
@@ -4,7 +4,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.platform.FakeOperator;
@@ -38,7 +37,7 @@
                             SLOTS,
                             FakeOperator.snapshot(1, SimulatedFleet.SERVICE, MAXIMUM_ATTEMPTS),
                             seed,
-                            Optional.of(LINK_MEGABITS_PER_SECOND));
+                            SimulatedSettings.Variant.withLink(LINK_MEGABITS_PER_SECOND));
                     load(fleet, LOOKUPS_PER_SECOND, "/lookup/");
                     load(fleet, DOWNLOADS_PER_SECOND, "/download/");
                     fleet.run(DAY.plus(SimulatedFleet.CLIENT_TIMEOUT).plusSeconds(1));
--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -265,7 +265,8 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty(),
-                rollouts);
+                rollouts,
+                Optional.empty());
         Region region = Region.of(host % 4 < 2 ? "south" : "north");
         List<Address> join = hosts.isEmpty()
                 ? List.of()
--- a/node/src/test/java/org/oleanderturn/node/PlacementFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/PlacementFleetTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.mesh.Decision;
+import org.oleanderturn.platform.FakeOperator;
 
 /** Counts where the requests of a large simulated fleet arrive, and which attempts fail, below the targets' capacity. */
 final class PlacementFleetTest {
@@ -59,7 +60,12 @@
     }
 
     private static SimulatedFleet play(int seed) {
-        SimulatedFleet fleet = new SimulatedFleet(FLEET_SIZE, SLOTS, MAXIMUM_ATTEMPTS, seed);
+        SimulatedFleet fleet = new SimulatedFleet(
+                FLEET_SIZE,
+                SLOTS,
+                FakeOperator.snapshot(1, SimulatedFleet.SERVICE, MAXIMUM_ATTEMPTS),
+                seed,
+                SimulatedSettings.Variant.placedBy(NodeSettings.Placement.EVEN_LOAD));
         fleet.hosts().forEach(host -> host.target().setSpeed(speed(host.number())));
         double capacity = IntStream.range(0, FLEET_SIZE)
                 .mapToDouble(number -> SLOTS * speed(number) / MEAN_WORK_SECONDS)
--- a/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedFleet.java
@@ -107,14 +107,15 @@
 
     /** Starts a fleet and lets its nodes find each other. */
     SimulatedFleet(int size, int slots, int maximumAttempts, long seed) {
-        this(size, slots, FakeOperator.snapshot(1, SERVICE, maximumAttempts), seed, Optional.empty());
+        this(size, slots, FakeOperator.snapshot(1, SERVICE, maximumAttempts), seed, SimulatedSettings.Variant.usual());
     }
 
-    /** Starts a fleet with a configuration, whose hosts may have links of a rate in megabits per second that they know. */
-    SimulatedFleet(int size, int slots, ConfigurationSnapshot configuration, long seed, Optional<Double> linkRate) {
+    /** Starts a fleet with a configuration, whose nodes have settings that differ from the usual ones. */
+    SimulatedFleet(
+            int size, int slots, ConfigurationSnapshot configuration, long seed, SimulatedSettings.Variant variant) {
         random = new Random(seed);
         for (int number = 0; number < size; number++) {
-            hosts.add(new SimulatedHost(this, number, slots, configuration, linkRate));
+            hosts.add(new SimulatedHost(this, number, slots, configuration, variant));
         }
         hosts.forEach(SimulatedHost::startNode);
         hosts.forEach(host -> host.target().begin());
