--- a/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
@@ -26,10 +26,11 @@
     private static final long SETTLING_NANOSECONDS = 3_000_000_000L;
 
     /**
-     * The share of members that may be unreachable when a node begins to use its right. These may not know of the node, so
-     * that the rights of all exceed the whole by less than this.
+     * The share of members that may be unreachable when a node begins to use its right: a few lost hosts must not keep all
+     * others from serving after a restart of the fleet. Only nodes with a new name are unknown to these members, so that the
+     * rights of all exceed the whole by the product of both shares at most.
      */
-    private static final double UNREACHABLE_SHARE = 0.04;
+    private static final double UNREACHABLE_SHARE = 0.1;
 
     private record Count(long nanoseconds, int members) {}
 
