--- a/node/src/main/java/org/oleanderturn/node/NodeSettings.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeSettings.java
@@ -1,6 +1,7 @@
 package org.oleanderturn.node;
 
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import org.oleanderturn.model.Address;
@@ -106,7 +107,8 @@
      * @param organisations how keys are checked by a node that is cut off; open if absent
      * @param requestLimits by how much requests may exceed the limits of organisations; the defaults of the record if absent
      * @param rollouts the limits on rollouts of a new version of the targets' software; orders are not read if absent
-     * @param placement how the entry chooses targets; by the lowest latency if absent
+     * @param placement how the entry chooses targets; if absent, by the number of regions
+     * @param regions the names of the deployment's regions, separated by commas; one may be named several times
      */
     public record Mesh(
             Address targetCalls,
@@ -118,11 +120,18 @@
             Optional<Organisations> organisations,
             Optional<RequestLimits> requestLimits,
             Optional<Rollouts> rollouts,
-            Optional<Placement> placement) {
+            Optional<Placement> placement,
+            Optional<String> regions) {
+        /** With more than one other region, the overflow of one has to be divided, and may swing between the others. */
+        private static final int REGIONS_FOR_EVEN_LOAD = 3;
 
         /** Returns how the entry chooses targets. */
         Placement chosenPlacement() {
-            return placement.orElse(Placement.LEAST_LATENCY);
+            long count = regions.stream()
+                    .flatMap(names -> Arrays.stream(names.split(",", -1)))
+                    .distinct()
+                    .count();
+            return placement.orElse(count < REGIONS_FOR_EVEN_LOAD ? Placement.LEAST_LATENCY : Placement.EVEN_LOAD);
         }
     }
 
--- a/node/src/main/java/org/oleanderturn/node/Rehearsal.java
+++ b/node/src/main/java/org/oleanderturn/node/Rehearsal.java
@@ -170,6 +170,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new NodeSettings(
                 NodeId.of(NAME),
--- a/node/src/main/java/org/oleanderturn/node/SettingsField.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsField.java
@@ -1,6 +1,7 @@
 package org.oleanderturn.node;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
 import org.oleanderturn.model.Address;
@@ -65,6 +66,9 @@
                     value.isTextual() && DurationText.parse(value.textValue()).isPresent();
                 case AddressList _ -> isAddressList(value);
                 case Flag _ -> value.isBoolean();
+                case NameList _ ->
+                    value.isTextual()
+                            && Arrays.stream(value.textValue().split(",", -1)).allMatch(Names::isWellFormed);
                 case OneOf choice -> value.isTextual() && choice.words().contains(value.textValue());
             };
         }
@@ -82,6 +86,7 @@
                     "a number of " + decimal.unit() + " from " + decimal.lowest() + " to " + decimal.highest();
                 case TimeSpan _ -> "a number and its unit, such as \"1500ms\" or \"2.5s\"";
                 case Flag _ -> "true or false";
+                case NameList _ -> "names, separated by commas";
                 case OneOf choice -> "one of " + String.join(", ", choice.words());
                 case AddressList _ -> "a list of IP addresses and ports, such as [\"127.0.0.1:23001\"]";
             };
@@ -144,6 +149,9 @@
             }
         }
 
+        /** Names as {@link Names} defines them, separated by commas. */
+        record NameList() implements ValueFormat {}
+
         /** A boolean. */
         record Flag() implements ValueFormat {}
 
--- a/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
+++ b/node/src/main/java/org/oleanderturn/node/SettingsSchema.java
@@ -56,6 +56,7 @@
             SettingsField.requiredIn("mesh.repeats", "window", TIME_SPAN),
             SettingsField.optional("mesh.linkMegabitsPerSecond", decimal("megabits per second", 0, 1_000_000)),
             SettingsField.optional("mesh.placement", PLACEMENT),
+            SettingsField.optional("mesh.regions", new SettingsField.ValueFormat.NameList()),
             SettingsField.optional("mesh.organisations", SECTION),
             SettingsField.requiredIn("mesh.organisations", "failClosed", FLAG),
             SettingsField.requiredIn("mesh.organisations", "revocation", TIME_SPAN),
--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -266,6 +266,7 @@
                 Optional.empty(),
                 Optional.empty(),
                 rollouts,
+                Optional.empty(),
                 Optional.empty());
         Region region = Region.of(host % 4 < 2 ? "south" : "north");
         List<Address> join = hosts.isEmpty()
--- a/node/src/test/java/org/oleanderturn/node/SettingsReaderTest.java
+++ b/node/src/test/java/org/oleanderturn/node/SettingsReaderTest.java
@@ -54,6 +54,25 @@
                 + "}}";
     }
 
+    /** The placement of earlier deployments must not change by what a template states of their regions. */
+    @Test
+    void shouldPlaceByEvenLoadOnlyWhereItIsChosenOrThreeRegionsAreNamed() {
+        assertThat(placement("")).isEqualTo(NodeSettings.Placement.LEAST_LATENCY);
+        assertThat(placement(", \"regions\": \"north,south,north\"")).isEqualTo(NodeSettings.Placement.LEAST_LATENCY);
+        assertThat(placement(", \"regions\": \"north,south,west,south\"")).isEqualTo(NodeSettings.Placement.EVEN_LOAD);
+        assertThat(placement(", \"regions\": \"north,south,west\", \"placement\": \"LEAST_LATENCY\""))
+                .isEqualTo(NodeSettings.Placement.LEAST_LATENCY);
+        assertThat(placement(", \"placement\": \"EVEN_LOAD\"")).isEqualTo(NodeSettings.Placement.EVEN_LOAD);
+    }
+
+    private static NodeSettings.Placement placement(String section) {
+        return SettingsReader.parse(withMesh(section).getBytes(StandardCharsets.UTF_8))
+                .get()
+                .mesh()
+                .orElseThrow()
+                .chosenPlacement();
+    }
+
     /** Rollouts change what nodes exchange, so they must never be on by default. */
     @Test
     void shouldReadLimitsOnRolloutsOnlyWhenTheirSectionIsPresent() {
--- a/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedSettings.java
@@ -59,7 +59,8 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty(),
-                variant.placement());
+                variant.placement(),
+                Optional.empty());
         return new NodeSettings(
                 NodeId.of(node),
                 Region.of(number % 2 == 0 ? PLATFORM_REGION : "north"),
