Explain where a request would go, without sending it

oleanderturn query placement asks a node at mesh.metrics. The node repeats its own choice 400 times and names each target's share, what keeps a target from being chosen, and the report that the node goes by. Nothing is sent or counted, neither the store nor a relay is asked, and only the digest of a key goes to the node. Tests: PlacementExplainerTest, PlacementQueryTest.

--- a/command/src/main/java/org/oleanderturn/command/CommandLineInterface.java
+++ b/command/src/main/java/org/oleanderturn/command/CommandLineInterface.java
@@ -165,6 +165,11 @@
                 add(queries, new ExplainQuery(), "explain"),
                 "Shows the timeline of one request, merged from the log files of nodes.",
                 "query explain 52728f88bc824ba5 hobart-*.log");
+        addHelp(
+                add(queries, new PlacementQuery(), "placement"),
+                "Shows where the queried node would send a request now, and why; the request is not sent."
+                        + " Ask a node at its address mesh.metrics.",
+                "query placement GET /balance/17 --host ledger --node 127.0.0.1:9090");
     }
 
     private static CommandLine add(CommandLine parent, Object operation, String name, String... aliases) {
--- a/command/src/main/java/org/oleanderturn/command/FailoverClient.java
+++ b/command/src/main/java/org/oleanderturn/command/FailoverClient.java
@@ -15,6 +15,8 @@
 import org.oleanderturn.model.DrainOutcome;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.OperatorPaths;
+import org.oleanderturn.model.PlacementExplanation;
+import org.oleanderturn.model.PlacementQuestion;
 import org.oleanderturn.model.Proposal;
 import org.oleanderturn.model.ProposalId;
 import org.oleanderturn.model.Refusal;
@@ -55,6 +57,12 @@
         return firstDecoded(node -> client.post(node, OperatorPaths.CHECK, body), ConfigurationCheck.class);
     }
 
+    /** Returns where the first node that answers would send a request; the request is not sent. */
+    public Either<CommandFailure, PlacementExplanation> explainPlacement(PlacementQuestion question) {
+        byte[] body = Codec.json().encode(question);
+        return firstDecoded(node -> client.post(node, OperatorPaths.PLACEMENT, body), PlacementExplanation.class);
+    }
+
     /** Returns the outcome of a proposal, querying nodes until one reports a final outcome. */
     public Either<CommandFailure, ChangeOutcome> outcome(ProposalId id) {
         return queryOutcome(ChangeOutcomeAccumulator.of(id), id).result();
--- a/mesh/src/main/java/org/oleanderturn/mesh/EndpointChoice.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EndpointChoice.java
@@ -12,6 +12,7 @@
 import org.oleanderturn.traffic.CrashVerdict;
 import org.oleanderturn.traffic.SuspectPlacement;
 import org.oleanderturn.traffic.TargetLoadTracker;
+import org.oleanderturn.traffic.TargetPlacement;
 
 /** Chooses the endpoints of one request's attempts and logs the choices. Immutable and thread safe. */
 final class EndpointChoice {
@@ -33,17 +34,28 @@
                 .rollouts()
                 .eligible(
                         request.service(), dependencies.endpoints().get().endpoints(request.service()), isFirstAttempt);
-        List<Endpoint> ready = known.stream()
-                .filter(Endpoint::isReady)
-                .filter(endpoint -> !dependencies.conditions().isLeaving(endpoint.node()))
-                .toList();
+        List<Endpoint> ready = accepting(known, dependencies.conditions());
         if (verdict instanceof CrashVerdict.Suspect) {
             return SuspectPlacement.choose(ready, excluded, request.identity().fingerprint());
         }
         Route route = request.match().route();
         double bytes = dependencies.exchangeSizes().expectedBytes(route.name(), route.kind());
-        Optional<Endpoint> chosen = dependencies.balancer().choose(ready, excluded, bytes);
-        return chosen.isPresent() ? chosen : dependencies.balancer().choose(known, excluded, bytes);
+        return balance(dependencies.balancer(), ready, known, excluded, bytes);
+    }
+
+    /** Returns the endpoints that accept new requests. */
+    static List<Endpoint> accepting(List<Endpoint> known, TargetConditions conditions) {
+        return known.stream()
+                .filter(Endpoint::isReady)
+                .filter(endpoint -> !conditions.isLeaving(endpoint.node()))
+                .toList();
+    }
+
+    /** Returns the balancer's choice among the endpoints that accept requests, or else among all known ones. */
+    static Optional<Endpoint> balance(
+            TargetPlacement balancer, List<Endpoint> ready, List<Endpoint> known, Set<NodeId> excluded, double bytes) {
+        Optional<Endpoint> chosen = balancer.choose(ready, excluded, bytes);
+        return chosen.isPresent() ? chosen : balancer.choose(known, excluded, bytes);
     }
 
     /** Logs that an attempt is sent to a node, with the newest report of its load. */
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -82,7 +82,12 @@
         if (callRank.isPresent()) {
             return callRank.getAsInt();
         }
-        int routePriority = match.route().effectivePriority();
+        return rank(match.route(), organisation);
+    }
+
+    /** Returns the rank of a request that is no call of the local target. */
+    static int rank(Route route, Optional<Organisation> organisation) {
+        int routePriority = route.effectivePriority();
         return organisation
                 .flatMap(Organisation::priority)
                 .map(priority -> priority * RANKS_PER_PRIORITY + routePriority)
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -46,6 +46,7 @@
     static final LoadReport IDLE = new LoadReport(9, 0, 0, 30);
     private static final LoadReport FULL = new LoadReport(9, 9, 9, 30);
     private static final Duration SLOW_REFUSAL = Duration.ofMillis(60);
+    private static final Locality LOCALITY = Locality.of("south", "zone-0");
     private static final Service SERVICE = Service.of("service", 9, 100);
     private static final int TIMEOUT_MILLISECONDS = 2_000;
 
@@ -90,6 +91,19 @@
     }
 
     MeshEntry entry(RequestKind kind, int attempts, ProtocolAdapter adapter) {
+        RouteIndex index = index(kind, attempts);
+        return MeshEntry.of(
+                () -> index, () -> isReady, _ -> versionStatus, Authenticator.failOpen(), adapter, dependencies());
+    }
+
+    /** Returns an explainer of the choices of an entry for lookups. */
+    PlacementExplainer explainer() {
+        RouteIndex index = index(RequestKind.LOOKUP, 3);
+        return PlacementExplainer.of(
+                () -> index, () -> isReady, Authenticator.failOpen(), LOCALITY, "LEAST_LATENCY", dependencies());
+    }
+
+    private static RouteIndex index(RequestKind kind, int attempts) {
         TrafficPolicy policy =
                 new TrafficPolicy(TrafficPolicyName.of("policy"), TIMEOUT_MILLISECONDS, attempts, 0, 0, 0, 0, 0);
         Route route = new Route(
@@ -103,13 +117,16 @@
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty());
-        RouteIndex index = RouteIndex.of(ConfigurationSnapshot.of(
+        return RouteIndex.of(ConfigurationSnapshot.of(
                 ConfigurationVersion.of(1), Configuration.of(List.of(SERVICE), List.of(route), List.of(policy))));
-        LeastLatencyBalancer balancer = LeastLatencyBalancer.of(
-                loads, Locality.of("south", "zone-0"), System::nanoTime, new SplittableRandom(1));
+    }
+
+    private MeshEntryDependencies dependencies() {
+        LeastLatencyBalancer balancer =
+                LeastLatencyBalancer.of(loads, LOCALITY, System::nanoTime, new SplittableRandom(1));
         WindowedRetryBudget retryBudget = WindowedRetryBudget.of(
                 1, () -> 0, Duration.ofSeconds(10).toNanos(), System.nanoTime(), System::nanoTime);
-        MeshEntryDependencies dependencies = new MeshEntryDependencies(
+        return new MeshEntryDependencies(
                 SERVICE.name(),
                 () -> EndpointView.of(endpoints),
                 balancer,
@@ -131,8 +148,22 @@
                 decisions::add,
                 System::nanoTime,
                 new SplittableRandom(2));
-        return MeshEntry.of(
-                () -> index, () -> isReady, _ -> versionStatus, Authenticator.failOpen(), adapter, dependencies);
+    }
+
+    /** Marks a guard's target as draining. */
+    void drain(int guard) {
+        endpoints.set(guard, withState(endpoints.get(guard), EndpointState.DRAINING));
+    }
+
+    private static Endpoint withState(Endpoint endpoint, EndpointState state) {
+        return new Endpoint(
+                endpoint.node(),
+                endpoint.address(),
+                endpoint.locality(),
+                endpoint.service(),
+                endpoint.slots(),
+                state,
+                endpoint.incarnation());
     }
 
     /** Records a report of a guard whose slots are all free. */
--- a/model/src/main/java/org/oleanderturn/model/OperatorPaths.java
+++ b/model/src/main/java/org/oleanderturn/model/OperatorPaths.java
@@ -20,6 +20,11 @@
     public static final String DRAIN = "/v1/drain";
     /** {@code POST} with a node id appended: a {@link DrainOutcome}. */
     public static final String UNDRAIN = "/v1/undrain";
+    /**
+     * {@code POST} with a {@link PlacementQuestion}: a {@link PlacementExplanation}. Served beside the metrics of nodes on the
+     * users' platform.
+     */
+    public static final String PLACEMENT = "/v1/placement";
     /** {@code GET}: the metrics in the Prometheus text format. */
     public static final String METRICS = "/metrics";
 
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -20,6 +21,7 @@
 import org.oleanderturn.mesh.MeshEntry;
 import org.oleanderturn.mesh.MeshEntryDependencies;
 import org.oleanderturn.mesh.MeshGuard;
+import org.oleanderturn.mesh.PlacementExplainer;
 import org.oleanderturn.mesh.RequestLimiter;
 import org.oleanderturn.mesh.ResponsePacer;
 import org.oleanderturn.mesh.RolloutPlacement;
@@ -98,12 +100,14 @@
     private final LocalTarget target;
     private final MeshGuard guard;
     private final MeshEntryDependencies entryDependencies;
+    private final String placement;
     private volatile NodeSettings.RetryLimit retryLimit;
     private volatile boolean isUsed;
     private volatile long retriesKnownSinceNanoseconds;
     private HttpListener callerListener;
     private HttpListener peerListener;
     private MeshEntry entry;
+    private volatile PlacementExplainer explainer;
 
     MeshDataPlane(
             NodeSettings settings,
@@ -116,6 +120,7 @@
             DataPlaneRuntime runtime) {
         this.settings = Objects.requireNonNull(settings, "settings is null");
         this.retryLimit = Objects.requireNonNull(mesh, "mesh is null").repeats();
+        this.placement = mesh.chosenPlacement().name();
         this.fleetSize = Objects.requireNonNull(fleetSize, "fleetSize is null");
         this.runtime = Objects.requireNonNull(runtime, "runtime is null");
         LongSupplier nanoseconds = runtime.nanoseconds();
@@ -227,6 +232,11 @@
         return TargetCallHandler.of(adapter, target, check);
     }
 
+    /** Returns what explains choices of the entry; empty until the entry serves. */
+    Optional<PlacementExplainer> explainer() {
+        return Optional.ofNullable(explainer);
+    }
+
     /** Returns whether a client or another node has sent a request since the start. */
     boolean isUsed() {
         return isUsed;
@@ -298,6 +308,8 @@
                 authenticator(versionCheck),
                 PlatformProtocolAdapter.instance(),
                 entryDependencies);
+        explainer = PlacementExplainer.of(
+                routes, isReady, authenticator(versionCheck), settings.locality(), placement, entryDependencies);
         return entry;
     }
 
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -249,10 +250,11 @@
         return Response.text(404, "text/plain", "not found\n");
     }
 
-    private Response handleObservability(InboundRequest request) {
+    private Response handleObservability(InboundRequest request) throws IOException {
         return switch (request.path()) {
             case OperatorPaths.METRICS -> Response.text(200, METRICS_CONTENT_TYPE, metrics.text());
             case OperatorPaths.STATE -> Response.json(200, state());
+            case OperatorPaths.PLACEMENT -> new PlacementHandler(data::explainer).handle(request);
             default -> Response.text(404, "text/plain", "not found\n");
         };
     }
