--- a/command/src/main/java/org/oleanderturn/command/CommandLineInterface.java
+++ b/command/src/main/java/org/oleanderturn/command/CommandLineInterface.java
@@ -169,7 +169,7 @@
                 add(queries, new PlacementQuery(), "placement"),
                 "Shows where the queried node would send a request now, and why; the request is not sent."
                         + " Ask a node at its address mesh.metrics.",
-                "query placement GET /balance/17 --host ledger --node 127.0.0.1:9090");
+                "query placement --host ledger --path /balance/17 --node 127.0.0.1:9090");
     }
 
     private static CommandLine add(CommandLine parent, Object operation, String name, String... aliases) {
--- a/command/src/main/java/org/oleanderturn/command/PlacementFormatter.java
+++ b/command/src/main/java/org/oleanderturn/command/PlacementFormatter.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import org.oleanderturn.model.PlacementExplanation;
 import org.oleanderturn.model.PlacementExplanation.Candidate;
+import org.oleanderturn.model.PlacementExplanation.LimitState;
 import org.oleanderturn.model.PlacementExplanation.ReportedLoad;
 import org.oleanderturn.model.PlacementExplanation.ServicePlacement;
 
@@ -33,6 +34,7 @@
                                 .map(name -> "organisation " + name)
                                 .orElse("no organisation"),
                         routed.rank()));
+        routed.limit().ifPresent(limit -> lines.add(format(limit)));
         lines.add("at most %d attempts in %d ms; placement %s, about %d bytes"
                 .formatted(
                         routed.maximumAttempts(),
@@ -43,6 +45,14 @@
         return String.join(System.lineSeparator(), lines);
     }
 
+    private static String format(LimitState limit) {
+        String next = limit.refusedForMilliseconds()
+                .map("refused without asking for another %d ms"::formatted)
+                .orElseGet(() -> "asks " + limit.holder() + " for further ones");
+        return "limit %s requests per second at all nodes; %d tokens at this node, %s"
+                .formatted(limit.requestsPerSecond(), limit.tokens(), next);
+    }
+
     private static String format(ServicePlacement service) {
         String heading = "service %s, weight %d; targets by their share of %d choices"
                 .formatted(service.service(), service.weight(), service.draws());
--- a/command/src/main/java/org/oleanderturn/command/PlacementQuery.java
+++ b/command/src/main/java/org/oleanderturn/command/PlacementQuery.java
@@ -10,19 +10,18 @@
 import org.oleanderturn.model.PlacementQuestion;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Parameters;
 
 /** Shows where a node would send a request now, and why; the request is not sent. Used by one thread. */
 @Command
 final class PlacementQuery implements Operation {
-    @Parameters(index = "0", paramLabel = "METHOD", description = "The request's HTTP method.")
-    private String method;
+    @Option(names = "--host", paramLabel = "HOST", required = true, description = "The virtual host, without a port.")
+    private String host;
 
-    @Parameters(index = "1", paramLabel = "PATH", description = "The request's path and query.")
+    @Option(names = "--path", paramLabel = "PATH", required = true, description = "The request's path and query.")
     private String path;
 
-    @Option(names = "--host", paramLabel = "HOST", required = true, description = "The virtual host, without a port.")
-    private String host;
+    @Option(names = "--method", paramLabel = "METHOD", description = "The request's HTTP method (default: GET).")
+    private String method = "GET";
 
     @Option(
             names = "--key-file",
--- a/command/src/test/java/org/oleanderturn/command/PlacementQueryTest.java
+++ b/command/src/test/java/org/oleanderturn/command/PlacementQueryTest.java
@@ -16,8 +16,10 @@
 import org.oleanderturn.model.KeyDigest;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.PlacementExplanation;
 import org.oleanderturn.model.PlacementExplanation.Candidate;
+import org.oleanderturn.model.PlacementExplanation.LimitState;
 import org.oleanderturn.model.PlacementExplanation.ReportedLoad;
 import org.oleanderturn.model.PlacementExplanation.ServicePlacement;
 import org.oleanderturn.model.PlacementExplanation.Standing;
@@ -32,7 +34,8 @@
             ConfigurationVersion.of(42),
             RouteName.of("balance"),
             RequestKind.LOOKUP,
-            Optional.empty(),
+            Optional.of(OrganisationName.of("acme")),
+            Optional.of(new LimitState(4.5, 2, NodeId.of("hobart-3"), Optional.empty())),
             1,
             900,
             3,
@@ -71,10 +74,11 @@
     @Test
     void shouldShowTheTargetsWithTheirReasons() {
         node.respondsTo(PLACEMENT, ROUTED);
-        CommandRun run = CommandRun.of(List.of(node), "query", "placement", "get", "/balance/7", "--host", "ledger");
+        CommandRun run = CommandRun.of(List.of(node), "query", "placement", "--host", "ledger", "--path", "/balance/7");
         assertThat(run.errors()).isEmpty();
         assertThat(run.code()).isEqualTo(0);
-        assertThat(run.output()).contains("route balance (LOOKUP) by version 42, no organisation, rank 1");
+        assertThat(run.output()).contains("route balance (LOOKUP) by version 42, organisation acme, rank 1");
+        assertThat(run.output()).contains("2 tokens at this node, asks hobart-3 for further ones");
         assertThat(run.output()).containsMatch("hobart-1 +75% +SAME_ZONE +ELIGIBLE +2 +0 +6 +35 +83 +1");
         assertThat(run.output()).containsMatch("hobart-2 +0% +SAME_REGION +LEAVING +- +- +- +- +- +0");
     }
@@ -85,7 +89,7 @@
         Path file = Files.writeString(folder.resolve("key"), "secret-key\n");
         node.respondsTo(PLACEMENT, new PlacementExplanation.Refused(ConfigurationVersion.of(42), 401, "UNKNOWN_KEY"));
         CommandRun run = CommandRun.of(
-                List.of(node), "query", "placement", "GET", "/a", "--host", "ledger", "--key-file", file.toString());
+                List.of(node), "query", "placement", "--host", "ledger", "--path", "/a", "--key-file", file.toString());
         assertThat(run.output()).contains("refused by version 42: 401 UNKNOWN_KEY");
         PlacementQuestion question = Codec.json()
                 .decode(node.bodies().getFirst().getBytes(StandardCharsets.UTF_8), PlacementQuestion.class)
@@ -97,7 +101,7 @@
     @Test
     void shouldReportAKeyFileThatCannotBeRead() {
         CommandRun run = CommandRun.of(
-                List.of(node), "query", "placement", "GET", "/a", "--host", "ledger", "--key-file", "no-such-file");
+                List.of(node), "query", "placement", "--host", "ledger", "--path", "/a", "--key-file", "no-such-file");
         assertThat(run.code()).isEqualTo(2);
         assertThat(run.errors()).contains("UnreadableFile");
         assertThat(node.requests()).isEmpty();
--- a/mesh/src/main/java/org/oleanderturn/mesh/PlacementExplainer.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/PlacementExplainer.java
@@ -110,6 +110,7 @@
                 route.name(),
                 route.kind(),
                 routed.organisation().map(Organisation::name),
+                routed.organisation().flatMap(dependencies.limiter()::state),
                 rank(routed, route),
                 Math.toIntExact(routed.match().policy().timeoutMilliseconds()),
                 routed.match().policy().maximumAttempts(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/RequestLimiter.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RequestLimiter.java
@@ -1,6 +1,8 @@
 package org.oleanderturn.mesh;
 
+import java.util.Optional;
 import org.oleanderturn.model.Organisation;
+import org.oleanderturn.model.PlacementExplanation;
 
 /** Keeps the limits on the requests of organisations. Implementations are thread safe. */
 public interface RequestLimiter {
@@ -11,6 +13,11 @@
     /** Takes back a request that was granted and certainly did not run, so that its client's retry is not counted twice. */
     default void giveBack(Organisation organisation, LimitDecision.Granted granted) {}
 
+    /** Returns what this node knows of the limit of an organisation; empty without a limit. Takes nothing and asks nobody. */
+    default Optional<PlacementExplanation.LimitState> state(Organisation organisation) {
+        return Optional.empty();
+    }
+
     /** Returns a limiter that grants every request. */
     static RequestLimiter unlimited() {
         return _ -> LimitDecision.Granted.uncounted();
--- a/model/src/main/java/org/oleanderturn/model/PlacementExplanation.java
+++ b/model/src/main/java/org/oleanderturn/model/PlacementExplanation.java
@@ -46,6 +46,7 @@
      * The request would be routed.
      *
      * @param organisation the organisation that holds the key; empty for a request without one
+     * @param limit what the node knows of the organisation's limit; empty if there is none
      * @param rank the rank in queues, 0 first, of the priorities of organisation and route
      * @param placement the setting by which the node chooses targets
      * @param expectedBytes bytes that the node expects of the request and its response
@@ -56,6 +57,7 @@
             RouteName route,
             RequestKind kind,
             Optional<OrganisationName> organisation,
+            Optional<LimitState> limit,
             int rank,
             int timeoutMilliseconds,
             int maximumAttempts,
@@ -70,11 +72,30 @@
             Objects.requireNonNull(route, "route is null");
             Objects.requireNonNull(kind, "kind is null");
             organisation = organisation == null ? Optional.empty() : organisation;
+            limit = limit == null ? Optional.empty() : limit;
             Objects.requireNonNull(placement, "placement is null");
             services = List.copyOf(services);
         }
     }
 
+    /**
+     * What one node knows of the limit of an organisation, which all nodes keep together.
+     *
+     * @param requestsPerSecond the limit
+     * @param tokens requests that the node may take now without asking
+     * @param holder the node that it asks for further ones
+     * @param refusedForMilliseconds how long it refuses requests without asking, after it was told that there is no token;
+     *     empty if it would ask
+     */
+    record LimitState(double requestsPerSecond, int tokens, NodeId holder, Optional<Long> refusedForMilliseconds) {
+
+        /** Throws {@link NullPointerException} if the holder is null. */
+        public LimitState {
+            Objects.requireNonNull(holder, "holder is null");
+            refusedForMilliseconds = refusedForMilliseconds == null ? Optional.empty() : refusedForMilliseconds;
+        }
+    }
+
     /**
      * The targets of one service.
      *
--- a/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
+++ b/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
@@ -21,6 +21,7 @@
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.OrganisationName;
+import org.oleanderturn.model.PlacementExplanation;
 import org.oleanderturn.model.RequestLimit;
 import org.oleanderturn.traffic.LimitMember;
 import org.oleanderturn.traffic.RequestLimitCoordinator;
@@ -143,6 +144,18 @@
         return decision;
     }
 
+    @Override
+    public Optional<PlacementExplanation.LimitState> state(Organisation organisation) {
+        OrganisationName name = organisation.name();
+        return organisation
+                .limit()
+                .map(limit -> new PlacementExplanation.LimitState(
+                        limit.requestsPerSecond(),
+                        coordinator.available(name),
+                        coordinator.holder(),
+                        coordinator.shortage(name).map(Duration::toMillis)));
+    }
+
     private LimitDecision decide(OrganisationName name, OptionalLong token) {
         if (token.isPresent()) {
             return new LimitDecision.Granted(token.getAsLong());
--- a/proxy/src/test/java/org/oleanderturn/proxy/PipeliningTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/PipeliningTest.java
@@ -64,8 +64,8 @@
         client.send(RawClient.get("/2"));
         awaitStarted("/2");
         // The connection has pipelined before, and is checked every 20 ms; the period of the loop is 100 ms. The
-        // shortest time
-        // counts, as a busy machine may delay some checks.
+        // shortest
+        // time counts, as a busy machine may delay some checks.
         long shortest = Long.MAX_VALUE;
         for (String path : List.of("/3", "/4", "/5", "/6")) {
             long sent = System.nanoTime();
--- a/traffic/src/main/java/org/oleanderturn/traffic/RequestLimitCoordinator.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RequestLimitCoordinator.java
@@ -151,6 +151,11 @@
         return pool.share();
     }
 
+    /** Returns the tokens of an organisation that are at hand for requests at this node. */
+    public int available(OrganisationName organisation) {
+        return batches.available(organisation);
+    }
+
     /** Returns how many nodes the limits are divided by. */
     public int members() {
         return membership.members();
--- a/traffic/src/main/java/org/oleanderturn/traffic/TokenBatches.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/TokenBatches.java
@@ -65,6 +65,12 @@
 
     // -- queries
 
+    /** Returns the tokens of an organisation that are at hand. */
+    int available(OrganisationName organisation) {
+        Account account = accounts.get(organisation);
+        return account == null ? 0 : atHand(account);
+    }
+
     /** Returns after what time a token is expected; empty when it is not known that there are none. */
     Optional<Duration> shortage(OrganisationName organisation) {
         long now = nanoseconds.getAsLong();
