--- a/traffic/src/test/java/org/oleanderturn/traffic/RequestLimitFleetTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/RequestLimitFleetTest.java
@@ -106,6 +106,12 @@
         assertThat((double) refused / tried).isLessThan(0.005);
     }
 
+    /** Requests above a limit must not make the nodes ask each other again and again. */
+    @Test
+    void shouldKeepTheBoundOfBytesPerNodeWhenOneOrganisationSendsTenTimesItsRate() {
+        assertThat(play(89, 30, 2).bytesPerSecondPerNode()).isLessThan(2_000);
+    }
+
     @Test
     void shouldSendNoMoreBytesPerNodeWhenTheFleetIsLarge() {
         Result small = play(89, 15, -1);
