Follow the members once a second where no limits are declared, and do not ask the store for relays then

Cause: every node reviewed the members each 300 ms for limits that no configuration declares. A limit that is declared later is used after the usual 3 s.

--- a/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
+++ b/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
@@ -38,6 +38,9 @@
     /** How often to look whether a holder must be asked: several times during the validity of a batch. */
     private static final long INTERVAL_MILLISECONDS = 100;
 
+    /** How often a node without limits reviews the members: less than the time before new ones use their right. */
+    private static final long IDLE_INTERVAL_MILLISECONDS = 1_000;
+
     /** Reviewing the members of a large mesh costs about a millisecond. */
     private static final int ROUNDS_PER_REVIEW = 3;
 
@@ -240,13 +243,14 @@
     /** Reviews the members and asks the holder when that is due; returns the delay before the next run, in milliseconds. */
     long run() {
         updateLimits();
-        if (rounds++ % ROUNDS_PER_REVIEW == 0) {
+        boolean isUsed = coordinator.isUsed();
+        if (!isUsed || rounds++ % ROUNDS_PER_REVIEW == 0) {
             updateMembers(members.get());
         }
         if (coordinator.isExchangeDue()) {
             exchange(coordinator.holder(), Optional.empty());
         }
-        return INTERVAL_MILLISECONDS;
+        return isUsed ? INTERVAL_MILLISECONDS : IDLE_INTERVAL_MILLISECONDS;
     }
 
     private void updateMembers(List<MemberRecord> records) {
@@ -259,7 +263,9 @@
                 .filter(record -> record.liveness() != Liveness.LEFT)
                 .map(SharedRequestLimiter::member)
                 .toList();
-        coordinator.updateMembers(acting, isComplete.test(records));
+        // Without limits the store is not asked for its relays; the node then begins to use its right 3 s after it
+        // knows one.
+        coordinator.updateMembers(acting, coordinator.isUsed() && isComplete.test(records));
     }
 
     private static LimitMember member(MemberRecord record) {
