Testbed: close the port of a relay before a cut returns

A socket that a virtual thread accepts from is closed by that thread when it next runs, not by close(), so the port stayed open while no processor was free.

The relay waits now until its accepting thread has ended, at most 10 s.

--- a/testbed/src/main/java/org/oleanderturn/testbed/FaultRelay.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/FaultRelay.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -10,9 +11,14 @@
 import java.net.Socket;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.oleanderturn.model.Address;
 
 /**
@@ -26,6 +32,7 @@
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
     private static final int BUFFER_BYTES = 16_384;
     private static final int BACKLOG_CONNECTIONS = 256;
+    private static final int STOP_TIMEOUT_MILLISECONDS = 10_000;
 
     private final Address upstream;
     private final InetSocketAddress listenAddress;
@@ -34,6 +41,7 @@
     private final Object lock = new Object();
     private FaultRelayMode mode = new FaultRelayMode.Healed();
     private ServerSocket listener;
+    private Future<?> accepting = CompletableFuture.completedFuture(null);
     private boolean isClosed;
 
     private FaultRelay(Address upstream, ServerSocket listener) {
@@ -72,9 +80,9 @@
     // -- commands
 
     /**
-     * Changes the mode, at once and for open connections too.
+     * Changes the mode, for open connections too, before it returns.
      *
-     * @throws IOException when the relay was cut and its port can't be bound again
+     * @throws IOException when the relay was cut and its port can't be bound again, or when it can't be cut within 10 s
      */
     public void setMode(FaultRelayMode next) throws IOException {
         Objects.requireNonNull(next, "next is null");
@@ -83,6 +91,7 @@
             lock.notifyAll();
             if (next instanceof FaultRelayMode.Cut) {
                 closeAll();
+                awaitStopOfAccepting();
                 return;
             }
             if (listener.isClosed() && !isClosed) {
@@ -108,6 +117,21 @@
         sockets.forEach(FaultRelay::closeQuietly);
     }
 
+    /**
+     * Waits for the accepting thread. A socket that a virtual thread accepts from is closed by that thread, so the port
+     * accepts connections until it has run.
+     */
+    private void awaitStopOfAccepting() throws IOException {
+        try {
+            accepting.get(STOP_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupt) {
+            Thread.currentThread().interrupt();
+            throw new InterruptedIOException("interrupted while the relay stopped accepting");
+        } catch (ExecutionException | TimeoutException cause) {
+            throw new IOException("relay didn't stop accepting", cause);
+        }
+    }
+
     // -- connections
 
     private static ServerSocket listen(InetSocketAddress address) throws IOException {
@@ -118,7 +142,7 @@
     }
 
     private void startAccepting(ServerSocket serverSocket) {
-        executor.execute(() -> {
+        accepting = executor.submit(() -> {
             while (!serverSocket.isClosed()) {
                 try {
                     Socket caller = serverSocket.accept();
--- a/testbed/src/test/java/org/oleanderturn/testbed/FaultRelayTest.java
+++ b/testbed/src/test/java/org/oleanderturn/testbed/FaultRelayTest.java
@@ -8,7 +8,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -17,6 +22,7 @@
 final class FaultRelayTest {
     private static final int SHORT_TIMEOUT_MILLISECONDS = 100;
     private static final int LONG_TIMEOUT_MILLISECONDS = 10_000;
+    private static final Duration BUSY_TIME = Duration.ofMillis(300);
 
     private ServerSocket upstream;
     private FaultRelay relay;
@@ -52,6 +58,28 @@
         assertBytesAreForwardedBothWays();
     }
 
+    // Guards against a port that still accepts after the relay was cut, as its thread had no processor to close it.
+    @Test
+    void shouldRefuseConnectionsWhenCutWhileAllProcessorsAreBusy() throws IOException, InterruptedException {
+        int threads = 2 * Runtime.getRuntime().availableProcessors();
+        long end = System.nanoTime() + BUSY_TIME.toNanos();
+        CountDownLatch busy = new CountDownLatch(threads / 2);
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int index = 0; index < threads; index++) {
+                executor.execute(() -> {
+                    busy.countDown();
+                    while (System.nanoTime() < end) {
+                        Thread.onSpinWait();
+                    }
+                });
+            }
+            assertThat(busy.await(LONG_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS))
+                    .isTrue();
+            relay.setMode(new FaultRelayMode.Cut());
+            assertThrows(IOException.class, this::connect);
+        }
+    }
+
     @Test
     void shouldHoldBytesWhenFrozenAndForwardThemWhenHealed() throws IOException {
         try (Socket caller = connect();
