--- a/mesh/src/main/java/org/oleanderturn/mesh/LatencyRatio.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/LatencyRatio.java
@@ -17,7 +17,7 @@
     private static final int LOWEST_PERCENT = 1;
 
     /** Stands in for the average before the first sample; the users' target latencies are about three times the run time. */
-    private static final double INITIAL_RATIO = 0.33;
+    static final double INITIAL_RATIO = 0.33;
 
     private static final int PERCENT = 100;
 
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -134,7 +134,11 @@
             return responses.notRun(NODE_BUSY, 0, dependencies.admission().retryAfter(inbound.coreDelay()));
         }
         LimitDecision limit = request.organisation()
-                .map(organisation -> dependencies.limiter().tryAcquire(organisation))
+                .map(organisation -> dependencies
+                        .limiter()
+                        .tryAcquire(
+                                organisation,
+                                request.isLate(dependencies.clockNanoseconds().getAsLong())))
                 .orElseGet(LimitDecision.Granted::uncounted);
         return switch (limit) {
             case LimitDecision.Granted granted -> run(inbound, request, responses, granted);
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -94,6 +94,16 @@
                 .orElse(routePriority);
     }
 
+    /** Returns whether a run that begins now would probably end after the target latency, from the client's first attempt. */
+    boolean isLate(long nowNanoseconds) {
+        if (match.route().targetLatencyMilliseconds().isEmpty()) {
+            return false;
+        }
+        Duration elapsed = earlierWait.plusNanos(nowNanoseconds - receivedNanoseconds);
+        double spare = match.route().targetLatencyMilliseconds().get() * (1 - LatencyRatio.INITIAL_RATIO);
+        return elapsed.toMillis() > spare;
+    }
+
     /** Returns whether the request may be a call that a run of the local target waits for. */
     boolean isPossibleCall() {
         return callRank.isPresent();
--- a/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
+++ b/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
@@ -23,6 +23,7 @@
 import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.PlacementExplanation;
 import org.oleanderturn.model.RequestLimit;
+import org.oleanderturn.traffic.LateRequests;
 import org.oleanderturn.traffic.LimitMember;
 import org.oleanderturn.traffic.RequestLimitCoordinator;
 import org.oleanderturn.traffic.TokenAnswer;
@@ -64,6 +65,7 @@
     private final Predicate<List<MemberRecord>> isComplete;
     private final LongSupplier nanoseconds;
     private final RequestLimitObserver observer;
+    private final LateRequests late;
     private volatile Map<NodeId, Address> addresses = Map.of();
     private volatile ConfigurationSnapshot known = ConfigurationSnapshot.empty();
     private long rounds;
@@ -92,6 +94,7 @@
         this.isComplete = Objects.requireNonNull(isComplete, "isComplete is null");
         this.nanoseconds = Objects.requireNonNull(nanoseconds, "nanoseconds is null");
         this.observer = Objects.requireNonNull(observer, "observer is null");
+        this.late = LateRequests.of(nanoseconds);
     }
 
     /** Returns the limiter of a node of the users' platform; settings without a tolerance have the usual one. */
@@ -130,21 +133,30 @@
     // -- entry
 
     @Override
-    public LimitDecision tryAcquire(Organisation organisation) {
+    public LimitDecision tryAcquire(Organisation organisation, boolean isLate) {
         if (organisation.limit().isEmpty()) {
             return LimitDecision.Granted.uncounted();
         }
         updateLimits();
         OrganisationName name = organisation.name();
+        Optional<Duration> refusal = isLate ? late.refusal(name) : Optional.empty();
+        LimitDecision decision =
+                refusal.isPresent() ? new LimitDecision.Exceeded(coordinator.spread(refusal.get())) : acquire(name);
+        if (!isLate && decision instanceof LimitDecision.Exceeded) {
+            late.recordRefusal(name);
+        }
+        observer.record(name, decision, coordinator);
+        return decision;
+    }
+
+    private LimitDecision acquire(OrganisationName name) {
         coordinator.recordTry(name);
         OptionalLong token = coordinator.take(name);
         if (token.isEmpty() && coordinator.shortage(name).isEmpty()) {
             ask(name);
             token = coordinator.take(name);
         }
-        LimitDecision decision = decide(name, token);
-        observer.record(name, decision, coordinator);
-        return decision;
+        return decide(name, token);
     }
 
     @Override
@@ -289,6 +301,7 @@
                 organisation.limit().ifPresent(limit -> limits.put(organisation.name(), limit));
             }
             coordinator.updateLimits(limits);
+            late.retain(limits.keySet());
             known = current;
         }
     }
--- a/node/src/test/java/org/oleanderturn/node/SharedRequestLimiterTest.java
+++ b/node/src/test/java/org/oleanderturn/node/SharedRequestLimiterTest.java
@@ -49,7 +49,7 @@
     void shouldAnswerUndeterminedWhenHolderDoesNotKnowTheMessage() {
         SharedRequestLimiter limiter = limiter();
         limiter.run();
-        assertThat(limiter.tryAcquire(LIMITED)).isInstanceOf(LimitDecision.Undetermined.class);
+        assertThat(limiter.tryAcquire(LIMITED, false)).isInstanceOf(LimitDecision.Undetermined.class);
         assertThat(asked).isAtLeast(1);
     }
 
@@ -58,11 +58,11 @@
         SharedRequestLimiter limiter = limiter();
         limiter.run();
         answer = Either.right(new TokenAnswer(1, 1, Map.of(LIMITED.name(), 1), Map.of()));
-        LimitDecision first = limiter.tryAcquire(LIMITED);
+        LimitDecision first = limiter.tryAcquire(LIMITED, false);
         int askedForFirst = asked;
         assertThat(first).isInstanceOf(LimitDecision.Granted.class);
         limiter.giveBack(LIMITED, (LimitDecision.Granted) first);
-        assertThat(limiter.tryAcquire(LIMITED)).isInstanceOf(LimitDecision.Granted.class);
+        assertThat(limiter.tryAcquire(LIMITED, false)).isInstanceOf(LimitDecision.Granted.class);
         assertThat(asked).isEqualTo(askedForFirst);
     }
 
@@ -71,13 +71,28 @@
         SharedRequestLimiter limiter = limiter();
         limiter.run();
         answer = Either.right(new TokenAnswer(1, 1, Map.of(), Map.of(LIMITED.name(), 500)));
-        assertThat(limiter.tryAcquire(LIMITED)).isInstanceOf(LimitDecision.Exceeded.class);
+        assertThat(limiter.tryAcquire(LIMITED, false)).isInstanceOf(LimitDecision.Exceeded.class);
         int askedForFirst = asked;
-        LimitDecision second = limiter.tryAcquire(LIMITED);
+        LimitDecision second = limiter.tryAcquire(LIMITED, false);
         assertThat(((LimitDecision.Exceeded) second).retryAfter()).isAtLeast(Duration.ofMillis(500));
         assertThat(asked).isEqualTo(askedForFirst);
     }
 
+    // Guards against late requests that take the tokens of an organisation of which requests in time are refused.
+    @Test
+    void shouldRefuseLateRequestsOnlyWhenARequestInTimeWasRefused() {
+        SharedRequestLimiter limiter = limiter();
+        limiter.run();
+        answer = Either.right(new TokenAnswer(1, 1, Map.of(LIMITED.name(), 1), Map.of()));
+        assertThat(limiter.tryAcquire(LIMITED, true)).isInstanceOf(LimitDecision.Granted.class);
+        answer = Either.right(new TokenAnswer(1, 1, Map.of(), Map.of(LIMITED.name(), 1)));
+        assertThat(limiter.tryAcquire(LIMITED, false)).isInstanceOf(LimitDecision.Exceeded.class);
+        nanoseconds.addAndGet(Duration.ofMillis(400).toNanos());
+        answer = Either.right(new TokenAnswer(1, 1, Map.of(LIMITED.name(), 1), Map.of()));
+        assertThat(limiter.tryAcquire(LIMITED, true)).isInstanceOf(LimitDecision.Exceeded.class);
+        assertThat(limiter.tryAcquire(LIMITED, false)).isInstanceOf(LimitDecision.Granted.class);
+    }
+
     @Test
     void shouldKeepMessagesWhenTheyAreEncoded() {
         TokenRequest request = new TokenRequest(
