Read only the newest version from the store when other nodes have passed it on

A trial that printed the calls to the store: a value is 200 KB and takes 0.24 s on the link to the other region. While versions came every 0.66 s, a watch that had missed some returned the value of each: 400 KB in 1.0 s, later 800 KB in 4.3 s. Relays confirmed nothing for that long, so that all nodes of their zones read the store too, over the same link. Ruled out: a node that had just started, calls of the version check (they carry no value), request traffic.

A node that got a newer version from others than it has seen in the store reads the key now instead of watching it: one value, whatever it missed. The new test found a watch before.

--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -128,6 +128,10 @@
     private final AtomicLong firstPeer = new AtomicLong(NO_PEER_YET);
     private long lastVersionNanoseconds;
     private Duration nextWait = WATCH_TIMEOUT;
+
+    /** The version held at the last read because of it: a store that came back from an older copy may never have it. */
+    private ConfigurationVersion overtakenBy = ConfigurationVersion.none();
+
     private boolean isReader;
     private int failures;
 
@@ -280,9 +284,11 @@
         long sent = clockNanoseconds.getAsLong();
         Duration wait = nextWait;
         nextWait = WATCH_TIMEOUT;
-        Either<StoreFailure, Optional<StoredValue>> read = hasRead
+        ConfigurationVersion held = holder.version();
+        boolean isOvertaken = isOvertaken(held);
+        Either<StoreFailure, Optional<StoredValue>> read = hasRead && !isOvertaken
                 ? store.watch(OperatorConfiguration.KEY, seenRevision, wait, this::beginReception)
-                : store.get(OperatorConfiguration.KEY);
+                : store.get(OperatorConfiguration.KEY, this::beginReception);
         if (read.isLeft()) {
             recordFailure(read.getLeft());
             failures++;
@@ -294,6 +300,7 @@
         failures = 0;
         lastResponseNanoseconds = clockNanoseconds.getAsLong();
         hasRead = true;
+        overtakenBy = isOvertaken ? held : overtakenBy;
         holder.record(new VersionEvent.StoreRead());
         if (read.get().isPresent()) {
             observe(read.get().get(), sent);
@@ -319,6 +326,18 @@
         return 0;
     }
 
+    /**
+     * Returns whether other nodes have passed on a version that this node has not seen in the store yet. A watch would then
+     * return the whole value of each version since, which together can fill the link to the store for seconds.
+     */
+    private boolean isOvertaken(ConfigurationVersion held) {
+        return !held.equals(overtakenBy)
+                && confirmation
+                        .get()
+                        .filter(confirmed -> held.isAfter(confirmed.version()))
+                        .isPresent();
+    }
+
     private void recordFailure(StoreFailure cause) {
         if (failure.getAndSet(Optional.of(cause)).isEmpty()) {
             log.atWarning().log("platform store is unavailable: %s", cause);
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
@@ -121,7 +121,12 @@
 
     @Override
     public Either<StoreFailure, Optional<StoredValue>> get(String key) {
-        return call(OptionalLong.empty(), Duration.ZERO)
+        return get(key, () -> {});
+    }
+
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> get(String key, Runnable onResponse) {
+        return call(OptionalLong.empty(), Duration.ZERO, onResponse)
                 .map(events -> events.stream().findFirst().map(event -> {
                     confirm(event.revision(), event.revision());
                     return value(key, event);
@@ -196,6 +201,10 @@
 
     /** Reads the key, or waits for what changed it after a revision. */
     private Either<StoreFailure, List<Content.Event>> call(OptionalLong after, Duration wait) {
+        return call(after, wait, after.isPresent() && after.getAsLong() != Long.MAX_VALUE ? onFirstPart : () -> {});
+    }
+
+    private Either<StoreFailure, List<Content.Event>> call(OptionalLong after, Duration wait, Runnable onResponse) {
         content.calls++;
         SimulatedTime time = fleet.time();
         SimulatedTime.Pending<Either<StoreFailure, Answer>> begun = time.pending();
@@ -220,9 +229,7 @@
             hasTimedOut[0] = true;
             return Either.left(new StoreFailure.Undetermined("timed out"));
         }
-        if (after.isPresent() && after.getAsLong() != Long.MAX_VALUE) {
-            onFirstPart.run();
-        }
+        onResponse.run();
         var _ = complete.await(WATCH_TIMEOUT);
         if (answer.get().isRight()) {
             host.parse(answer.get().get().bytes());
--- a/node/src/test/java/org/oleanderturn/node/OperatorConfigurationWatcherTest.java
+++ b/node/src/test/java/org/oleanderturn/node/OperatorConfigurationWatcherTest.java
@@ -127,6 +127,41 @@
         assertThat(watcher.unknownWords()).isEmpty();
     }
 
+    // Guards against the values of all missed versions in one response, which can fill the link to the store for
+    // seconds.
+    @Test
+    void shouldReadOnlyTheNewestVersionWhenOtherNodesHavePassedOnNewerOnes() {
+        FakeOperator.configure(stored, 1, SERVICE, 1);
+        watcher.runOnce();
+        for (int version = 2; version <= 4; version++) {
+            FakeOperator.configure(stored, version, SERVICE, 1);
+        }
+        adoptFromAnotherNode(4);
+        watcher.runOnce();
+        assertThat(stored.calls("/api/kv-watch")).isEqualTo(0);
+        assertThat(watcher.confirmation().orElseThrow().version()).isEqualTo(ConfigurationVersion.of(4));
+    }
+
+    // Guards against reading the value again and again from a store that came back from an older copy.
+    @Test
+    void shouldReadOnceForEachVersionOfOtherNodesWhenTheStoreDoesNotHaveIt() {
+        FakeOperator.configure(stored, 1, SERVICE, 1);
+        watcher.runOnce();
+        adoptFromAnotherNode(4);
+        watcher.runOnce();
+        FakeOperator.configure(stored, 5, SERVICE, 1);
+        watcher.runOnce();
+        assertThat(stored.calls("/api/kv-key")).isEqualTo(2);
+        assertThat(watcher.confirmation().orElseThrow().version()).isEqualTo(ConfigurationVersion.of(5));
+    }
+
+    private void adoptFromAnotherNode(int version) {
+        plane.holder()
+                .adopt(OperatorConfiguration.decode(FakeOperator.value(version, SERVICE, 1))
+                        .get()
+                        .snapshot());
+    }
+
     private void write(int version, String text, String replacement) {
         String value = new String(FakeOperator.value(version, SERVICE, 1), StandardCharsets.UTF_8);
         stored.write(OperatorConfiguration.KEY, value.replace(text, replacement).getBytes(StandardCharsets.UTF_8));
--- a/store/src/main/java/org/oleanderturn/store/RateLimitedStore.java
+++ b/store/src/main/java/org/oleanderturn/store/RateLimitedStore.java
@@ -59,6 +59,11 @@
         return limited(StoreOperation.GET, () -> store.get(key));
     }
 
+    @Override
+    public Either<StoreFailure, Optional<StoredValue>> get(String key, Runnable onResponse) {
+        return limited(StoreOperation.GET, () -> store.get(key, onResponse));
+    }
+
     @Override
     public Either<StoreFailure, List<StoredValue>> list(String prefix) {
         return limited(StoreOperation.LIST, () -> store.list(prefix));
--- a/store/src/main/java/org/oleanderturn/store/Store.java
+++ b/store/src/main/java/org/oleanderturn/store/Store.java
@@ -18,6 +18,18 @@
     /** Reads a key; empty when it is absent. */
     Either<StoreFailure, Optional<StoredValue>> get(String key);
 
+    /**
+     * Reads a key as {@link #get(String)} does.
+     *
+     * @param onResponse is run when the head of the response has arrived, which may be long before a large value has; also
+     *     where the response turns out to be a failure
+     */
+    default Either<StoreFailure, Optional<StoredValue>> get(String key, Runnable onResponse) {
+        Either<StoreFailure, Optional<StoredValue>> response = get(key);
+        onResponse.run();
+        return response;
+    }
+
     /** Reads every key that starts with the prefix, sorted by key. */
     Either<StoreFailure, List<StoredValue>> list(String prefix);
 
