--- a/node/src/test/java/org/oleanderturn/node/OperatorConfigurationWatcherTest.java
+++ b/node/src/test/java/org/oleanderturn/node/OperatorConfigurationWatcherTest.java
@@ -138,7 +138,7 @@
         }
         adoptFromAnotherNode(4);
         watcher.runOnce();
-        assertThat(stored.calls("/api/kv-watch")).isEqualTo(0);
+        assertThat(stored.watches()).isEqualTo(0);
         assertThat(watcher.confirmation().orElseThrow().version()).isEqualTo(ConfigurationVersion.of(4));
     }
 
@@ -151,7 +151,7 @@
         watcher.runOnce();
         FakeOperator.configure(stored, 5, SERVICE, 1);
         watcher.runOnce();
-        assertThat(stored.calls("/api/kv-key")).isEqualTo(2);
+        assertThat(stored.reads()).isEqualTo(2);
         assertThat(watcher.confirmation().orElseThrow().version()).isEqualTo(ConfigurationVersion.of(5));
     }
 
