Forget a node that has left when its last request ends

recordEnded created the entry of a node anew after its removal, as an attempt that waits for a lost node always ends after it. The entry stayed for good, and reports that other nodes still passed on were kept. An unknown node now stays unknown.

shouldReturnNoReportWhenTheNodeWasRemoved fails before and passes now.

--- a/traffic/src/main/java/org/oleanderturn/traffic/TargetLoadTracker.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/TargetLoadTracker.java
@@ -232,9 +232,12 @@
         reference(node).updateAndGet(current -> current.withSent(now));
     }
 
-    /** Records that a request sent to a node has ended. */
+    /** Records that a request sent to a node has ended; of a node that has left, nothing is remembered again. */
     public void recordEnded(NodeId node) {
-        reference(node).updateAndGet(TargetLoad::withEnded);
+        AtomicReference<TargetLoad> known = loads.get(node);
+        if (known != null) {
+            known.updateAndGet(TargetLoad::withEnded);
+        }
     }
 
     /** Marks a node as avoided for the given time from now. */
--- a/traffic/src/test/java/org/oleanderturn/traffic/TargetLoadTrackerTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/TargetLoadTrackerTest.java
@@ -88,12 +88,15 @@
         assertThat(loads.newest(List.of(NODE), 1)).isEmpty();
     }
 
+    /** Fails when the end of a request remembers a node that has left, which then never goes and takes reports passed on. */
     @Test
     void shouldReturnNoReportWhenTheNodeWasRemoved() {
         loads.recordReport(NODE, REPORT);
         loads.recordSent(NODE);
         loads.remove(NODE);
         loads.recordEnded(NODE);
+        loads.recordPassedOn(NODE, REPORT, 0);
+        assertThat(loads.newest(List.of(NODE), 1)).isEmpty();
         assertThat(loads.load(NODE).report()).isEqualTo(Optional.empty());
         assertThat(loads.load(NODE).outstanding()).isEqualTo(0);
     }
