Count no ended request as one that a report may have missed

A request that was refused or answered within 25 ms counted as load of its target until the next report, however late that came. The number is now bounded by the requests that are outstanding.

shouldNotCountARequestWhenItHasEnded fails before and passes now. LEAST_LATENCY does not use the number, except of reports that nodes with EVEN_LOAD pass on.

--- a/traffic/src/main/java/org/oleanderturn/traffic/TargetLoadTracker.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/TargetLoadTracker.java
@@ -79,13 +79,16 @@
             return new TargetLoad(Optional.empty(), now, 0, 0, now, Optional.empty(), now, List.of());
         }
 
-        /** Returns how many requests were sent that the newest report may not count, because they met it on the way. */
+        /**
+         * Returns how many requests were sent that the newest report may not count, because they met it on the way. Those that
+         * have ended load the target no longer, so there are at most as many as are outstanding.
+         */
         public int sentUncounted() {
             int count = 0;
             for (long sent : sends) {
                 count += sent - measuredNanoseconds > -UNCOUNTED_NANOSECONDS ? 1 : 0;
             }
-            return count;
+            return Math.min(count, outstanding);
         }
 
         private TargetLoad withReport(LoadReport next, long now) {
--- a/traffic/src/test/java/org/oleanderturn/traffic/TargetLoadTrackerTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/TargetLoadTrackerTest.java
@@ -52,6 +52,16 @@
         assertThat(loads.load(NODE).sentUncounted()).isEqualTo(0);
     }
 
+    /** Fails when a target that has refused a request counts it as load until its next report, however late that comes. */
+    @Test
+    void shouldNotCountARequestWhenItHasEnded() {
+        loads.recordSent(NODE);
+        clock.set(Duration.ofMillis(5).toNanos());
+        loads.recordReport(NODE, REPORT);
+        loads.recordEnded(NODE);
+        assertThat(loads.load(NODE).sentUncounted()).isEqualTo(0);
+    }
+
     /** Fails when an older report that another node passes on replaces a newer one, or changes what the default choice uses. */
     @Test
     void shouldKeepTheNewerMeasurementWhenAnOlderReportIsPassedOn() {
