Judge each other region by its own recent reports

The estimate for a target of another region moved to the mean of all other regions together, of reports of any age. Now the mean is one of each region; a report weighs less by its age (time constant 1 s), and a utilization of 0.5 is assumed with the weight of a tenth of a target.

--- a/traffic/src/main/java/org/oleanderturn/traffic/EvenLoadBalancer.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/EvenLoadBalancer.java
@@ -2,17 +2,21 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Region;
 
 /**
  * Load balancer that keeps the utilization of the targets of a region even, by estimates of their load now.
@@ -20,8 +24,9 @@
  * <p>A report tells less the older it is: its requests end, and other entries send new ones. The estimate therefore moves
  * from the reported load to the mean utilization of the region with the age of the report (Dahlin, "Interpreting Stale
  * Load Information"; Mitzenmacher, "How Useful Is Old Information?"), so that a target with an old report is neither
- * preferred nor avoided for it. Measured run times only weigh how often a target is drawn for comparison; as a cost they
- * would let the chance of a few runs decide, since a target that is rarely chosen keeps an old average.
+ * preferred nor avoided for it. The mean counts old reports for little, so that another region, of which reports are rare, is
+ * tried again some seconds after it was full. Measured run times only weigh how often a target is drawn for comparison; as a
+ * cost they would let the chance of a few runs decide, since a target that is rarely chosen keeps an old average.
  *
  * <p>Requests leave the region only in the share by which its mean utilization exceeds a limit, or after two targets have
  * refused them; a share that follows the mean does not swing as an order of preference does. They spread over the free
@@ -33,6 +38,12 @@
     /** Time in which a report loses most of its meaning; a run of the users' services takes 30 to 490 ms. */
     private static final double REPORT_LIFE_NANOSECONDS = 250e6;
 
+    /** Time in which a report loses most of its weight in the mean of its region, whose load changes within seconds. */
+    private static final double MEAN_LIFE_NANOSECONDS = 1e9;
+
+    /** Weight of the default utilization in a mean, in targets; reports of a whole region outweigh it for some seconds. */
+    private static final double DEFAULT_WEIGHT = 0.1;
+
     /** Utilization that a target of another zone must be below one of this zone, as its bytes are charged for. */
     private static final double ZONE_MARGIN = 0.2;
 
@@ -115,6 +126,15 @@
         boolean isRemote() {
             return distance == Locality.Distance.OTHER_REGION;
         }
+
+        Region region() {
+            return endpoint.locality().region();
+        }
+
+        /** Returns how long ago the newest report was measured, in nanoseconds. */
+        double age(long now) {
+            return Math.max(0, now - load.measuredNanoseconds());
+        }
     }
 
     /**
@@ -147,7 +167,13 @@
         }
     }
 
-    /** Mean utilization, slots and slowness of the targets of a region, as far as reported. */
+    /**
+     * Means of the targets of a region, as far as reported.
+     *
+     * @param utilization requests that run or wait, as a part of the slots; new reports count more than old ones
+     * @param slots slots of a target
+     * @param slownessPercent slowness of a target; 0 if unknown
+     */
     private record Means(double utilization, double slots, double slownessPercent) {
         /** Returns the slowness of a target in proportion, within bounds, as it is an average of few runs. */
         double slownessOf(LoadReport report) {
@@ -156,33 +182,29 @@
                     : Math.clamp(report.slownessPercent() / slownessPercent, 1 / HIGHEST_SLOWNESS, HIGHEST_SLOWNESS);
         }
 
-        static Means of(List<Known> targets, double usualSlots) {
+        static Means of(List<Known> targets, double usualSlots, long now) {
             double used = 0;
+            double weightedSlots = 0;
             double slots = 0;
             double slowness = 0;
             int count = 0;
             for (Known target : targets) {
                 Optional<LoadReport> report = target.load().measured();
                 if (report.isPresent() && report.get().slots() > 0) {
-                    used += report.get().running() + report.get().waiting();
+                    double weight = Math.exp(-target.age(now) / MEAN_LIFE_NANOSECONDS);
+                    used += weight * (report.get().running() + report.get().waiting());
+                    weightedSlots += weight * report.get().slots();
                     slots += report.get().slots();
                     slowness += report.get().slownessPercent();
                     count++;
                 }
             }
-            return count == 0
-                    ? new Means(DEFAULT_UTILIZATION, usualSlots, 0)
-                    : new Means(used / slots, slots / count, slowness / count);
-        }
-    }
-
-    /** The targets of the region or of the others, and their means. */
-    private record Level(List<Known> targets, Means means) {
-        static Level of(List<Known> accepting, boolean isRemote, double usualSlots) {
-            List<Known> targets = accepting.stream()
-                    .filter(known -> known.isRemote() == isRemote)
-                    .toList();
-            return new Level(targets, Means.of(targets, usualSlots));
+            if (count == 0) {
+                return new Means(DEFAULT_UTILIZATION, usualSlots, 0);
+            }
+            double assumed = DEFAULT_WEIGHT * slots / count;
+            double utilization = (used + assumed * DEFAULT_UTILIZATION) / (weightedSlots + assumed);
+            return new Means(utilization, slots / count, slowness / count);
         }
     }
 
@@ -207,15 +229,15 @@
         if (accepting.isEmpty()) {
             return nearestOf(avoided);
         }
-        Level near = Level.of(accepting, false, DEFAULT_SLOTS);
+        List<Known> near = accepting.stream().filter(known -> !known.isRemote()).toList();
+        Means means = Means.of(near, DEFAULT_SLOTS, now);
         double kilobytes = bytes / BYTES_PER_KILOBYTE;
-        List<Candidate> candidates = estimates(near, now);
+        List<Candidate> candidates = estimates(near, means, now);
         boolean isRegionFull =
                 excluded.size() >= REFUSALS_BEFORE_LEAVING && kilobytes <= HIGHEST_KILOBYTES_AFTER_REFUSALS;
-        Optional<Candidate> chosen =
-                isRegionFull || random.nextDouble() < overflowShare(near.means().utilization(), kilobytes)
-                        ? elsewhere(remote(accepting, near, now))
-                        : Optional.empty();
+        Optional<Candidate> chosen = isRegionFull || random.nextDouble() < overflowShare(means.utilization(), kilobytes)
+                ? elsewhere(remote(accepting, means, now))
+                : Optional.empty();
         if (!excluded.isEmpty()) {
             chosen = chosen.or(
                     () -> candidates.stream().min(Comparator.comparingDouble(Candidate::utilizationWithOneMore)));
@@ -224,7 +246,7 @@
                 .or(() -> drawnByWeight(
                         candidates.stream().filter(Candidate::hasRoom).toList(), Candidate::free))
                 .or(() -> shortestQueue(candidates))
-                .or(() -> shortestQueue(remote(accepting, near, now)))
+                .or(() -> shortestQueue(remote(accepting, means, now)))
                 .map(Candidate::endpoint);
     }
 
@@ -242,8 +264,14 @@
         return drawnByWeight(free, Candidate::freeForOtherRegions);
     }
 
-    private List<Candidate> remote(List<Known> accepting, Level near, long now) {
-        return estimates(Level.of(accepting, true, near.means().slots()), now);
+    /** Returns the estimates for the targets of other regions, each region by its own mean. */
+    private List<Candidate> remote(List<Known> accepting, Means near, long now) {
+        Map<Region, List<Known>> byRegion = accepting.stream()
+                .filter(Known::isRemote)
+                .collect(Collectors.groupingBy(Known::region, LinkedHashMap::new, Collectors.toList()));
+        return byRegion.values().stream()
+                .flatMap(targets -> estimates(targets, Means.of(targets, near.slots(), now), now).stream())
+                .toList();
     }
 
     private static boolean isAvoided(TargetLoadTracker.TargetLoad load, long now) {
@@ -321,10 +349,8 @@
 
     // -- estimates
 
-    private List<Candidate> estimates(Level level, long now) {
-        return level.targets().stream()
-                .map(known -> estimate(known, level.means(), now))
-                .toList();
+    private List<Candidate> estimates(List<Known> targets, Means means, long now) {
+        return targets.stream().map(known -> estimate(known, means, now)).toList();
     }
 
     private Candidate estimate(Known known, Means means, long now) {
@@ -334,10 +360,9 @@
             return new Candidate(known.endpoint(), known.distance(), load, means.slots(), 1);
         }
         LoadReport report = target.measured().get();
-        long age = Math.max(0, now - target.measuredNanoseconds());
         double usual = means.utilization() * report.slots();
         double reported = report.running() + report.waiting();
-        double remaining = usual + (reported - usual) * Math.exp(-age / reportLifeNanoseconds);
+        double remaining = usual + (reported - usual) * Math.exp(-known.age(now) / reportLifeNanoseconds);
         double load = Math.max(remaining + target.sentUncounted(), target.outstanding());
         return new Candidate(known.endpoint(), known.distance(), load, report.slots(), means.slownessOf(report));
     }
--- a/traffic/src/test/java/org/oleanderturn/traffic/EvenLoadBalancerTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/EvenLoadBalancerTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
@@ -85,6 +86,30 @@
                 .isEqualTo(Optional.of(far));
     }
 
+    /** Fails when a region that was full some seconds ago gets nothing, so that no newer report comes of it. */
+    @Test
+    void shouldTryAnotherRegionWhenItsReportsAreOld() {
+        reportAll(FULL);
+        clock.set(Duration.ofSeconds(10).toNanos());
+        List.of(near, alsoNear, otherZone).forEach(endpoint -> loads.recordReport(endpoint.node(), FULL));
+        Map<Endpoint, Integer> chosen = choose(all, FEW_BYTES);
+        assertThat(chosen.getOrDefault(far, 0)).isGreaterThan(CHOICES / 20);
+    }
+
+    /** Fails when a region is held for full because a third one is. */
+    @Test
+    void shouldTryAnotherRegionWhenAThirdOneIsFull() {
+        Locality third = Locality.of("third", "zone");
+        List<Endpoint> full =
+                List.of(near, alsoNear, otherZone, endpoint("third-1", third), endpoint("third-2", third));
+        loads.recordReport(far.node(), IDLE);
+        clock.set(Duration.ofSeconds(10).toNanos());
+        full.forEach(endpoint -> loads.recordReport(endpoint.node(), FULL));
+        List<Endpoint> endpoints = Stream.concat(full.stream(), Stream.of(far)).toList();
+        assertThat(balancer.choose(endpoints, Set.of(near.node(), alsoNear.node()), 0))
+                .isEqualTo(Optional.of(far));
+    }
+
     /** Fails when failed or closed targets are chosen while others accept, or none when no other is left. */
     @Test
     void shouldUseAvoidedTargetsOnlyWhenNoOtherIsLeft() {
