Trust a report of a free slot for as long as it takes to fill

When most targets of a region were full, all entries sent to the few that reported free slots: a target that had reported 2 of 6 slots as taken had 25 waiting 60 ms later (300 nodes, 0.7 of capacity). Within a run, as many requests arrive as run, so a report below the mean now loses its meaning within a run times the ratio of free to used slots, at most as slowly as before and at least in 5 ms.

--- a/traffic/src/main/java/org/oleanderturn/traffic/EvenLoadBalancer.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/EvenLoadBalancer.java
@@ -24,9 +24,10 @@
  * <p>A report tells less the older it is: its requests end, and other entries send new ones. The estimate therefore moves
  * from the reported load to the mean utilization of the region with the age of the report (Dahlin, "Interpreting Stale
  * Load Information"; Mitzenmacher, "How Useful Is Old Information?"), so that a target with an old report is neither
- * preferred nor avoided for it. The mean counts old reports for little, so that another region, of which reports are rare, is
- * tried again some seconds after it was full. Measured run times only weigh how often a target is drawn for comparison; as a
- * cost they would let the chance of a few runs decide, since a target that is rarely chosen keeps an old average.
+ * preferred nor avoided for it. It does so faster from below the mean while the region has few free slots, as all entries
+ * send there. The mean counts old reports for little, so that another region, of which reports are rare, is tried again some
+ * seconds after it was full. Measured run times only weigh how often a target is drawn for comparison; as a cost they would
+ * let the chance of a few runs decide, since a target that is rarely chosen keeps an old average.
  *
  * <p>Requests leave the region only in the share by which its mean utilization exceeds a limit, or after two targets have
  * refused them; a share that follows the mean does not swing as an order of preference does. They spread over the free
@@ -44,6 +45,12 @@
     /** Weight of the default utilization in a mean, in targets; reports of a whole region outweigh it for some seconds. */
     private static final double DEFAULT_WEIGHT = 0.1;
 
+    /** Mean run of the targets as a part of the life of a report: 100 ms of 250 ms. */
+    private static final double RUN_PER_REPORT_LIFE = 0.4;
+
+    /** Least part of its life for which a report of a free slot counts: 5 ms, as requests are that long on their way. */
+    private static final double SHORTEST_LIFE_SHARE = 0.02;
+
     /** Utilization that a target of another zone must be below one of this zone, as its bytes are charged for. */
     private static final double ZONE_MARGIN = 0.2;
 
@@ -171,10 +178,19 @@
      * Means of the targets of a region, as far as reported.
      *
      * @param utilization requests that run or wait, as a part of the slots; new reports count more than old ones
+     * @param free free slots as a part of the slots, weighted likewise
      * @param slots slots of a target
      * @param slownessPercent slowness of a target; 0 if unknown
      */
-    private record Means(double utilization, double slots, double slownessPercent) {
+    private record Means(double utilization, double free, double slots, double slownessPercent) {
+        /**
+         * Returns the share of the life of a report for which it tells of a free slot. While the region has few, all entries
+         * send to the targets that report them: within a run, as many requests arrive as run now, and they fill the free slots.
+         */
+        double lifeShareOfFreeSlots() {
+            return Math.clamp(RUN_PER_REPORT_LIFE * free / utilization, SHORTEST_LIFE_SHARE, 1);
+        }
+
         /** Returns the slowness of a target in proportion, within bounds, as it is an average of few runs. */
         double slownessOf(LoadReport report) {
             return slownessPercent == 0 || report.slownessPercent() == 0
@@ -184,6 +200,7 @@
 
         static Means of(List<Known> targets, double usualSlots, long now) {
             double used = 0;
+            double free = 0;
             double weightedSlots = 0;
             double slots = 0;
             double slowness = 0;
@@ -193,6 +210,8 @@
                 if (report.isPresent() && report.get().slots() > 0) {
                     double weight = Math.exp(-target.age(now) / MEAN_LIFE_NANOSECONDS);
                     used += weight * (report.get().running() + report.get().waiting());
+                    free += weight
+                            * Math.max(0, report.get().slots() - report.get().running());
                     weightedSlots += weight * report.get().slots();
                     slots += report.get().slots();
                     slowness += report.get().slownessPercent();
@@ -200,11 +219,12 @@
                 }
             }
             if (count == 0) {
-                return new Means(DEFAULT_UTILIZATION, usualSlots, 0);
+                return new Means(DEFAULT_UTILIZATION, 1 - DEFAULT_UTILIZATION, usualSlots, 0);
             }
             double assumed = DEFAULT_WEIGHT * slots / count;
             double utilization = (used + assumed * DEFAULT_UTILIZATION) / (weightedSlots + assumed);
-            return new Means(utilization, slots / count, slowness / count);
+            double freeShare = (free + assumed * (1 - DEFAULT_UTILIZATION)) / (weightedSlots + assumed);
+            return new Means(utilization, freeShare, slots / count, slowness / count);
         }
     }
 
@@ -362,7 +382,8 @@
         LoadReport report = target.measured().get();
         double usual = means.utilization() * report.slots();
         double reported = report.running() + report.waiting();
-        double remaining = usual + (reported - usual) * Math.exp(-known.age(now) / reportLifeNanoseconds);
+        double life = reportLifeNanoseconds * (reported < usual ? means.lifeShareOfFreeSlots() : 1);
+        double remaining = usual + (reported - usual) * Math.exp(-known.age(now) / life);
         double load = Math.max(remaining + target.sentUncounted(), target.outstanding());
         return new Candidate(known.endpoint(), known.distance(), load, report.slots(), means.slownessOf(report));
     }
--- a/traffic/src/test/java/org/oleanderturn/traffic/EvenLoadBalancerTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/EvenLoadBalancerTest.java
@@ -110,6 +110,17 @@
                 .isEqualTo(Optional.of(far));
     }
 
+    /** Fails when all entries send to the one target that had a free slot in the last report that they share. */
+    @Test
+    void shouldNotTrustAFreeSlotForLongWhenTheRegionHasFew() {
+        List<Endpoint> region = List.of(near, alsoNear, otherZone);
+        region.forEach(endpoint -> loads.recordReport(endpoint.node(), new LoadReport(9, 9, 1, 30)));
+        loads.recordReport(alsoNear.node(), new LoadReport(9, 6, 0, 30));
+        assertThat(choose(region, FEW_BYTES)).containsExactly(alsoNear, CHOICES);
+        clock.set(Duration.ofMillis(60).toNanos());
+        assertThat(choose(region, FEW_BYTES).getOrDefault(alsoNear, 0)).isLessThan(CHOICES * 9 / 10);
+    }
+
     /** Fails when failed or closed targets are chosen while others accept, or none when no other is left. */
     @Test
     void shouldUseAvoidedTargetsOnlyWhenNoOtherIsLeft() {
