--- a/traffic/src/test/java/org/oleanderturn/traffic/TargetLoadTrackerTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/TargetLoadTrackerTest.java
@@ -52,6 +52,16 @@
         assertThat(loads.load(NODE).sentUncounted()).isEqualTo(0);
     }
 
+    /** Fails when a target that has refused a request counts it as load until its next report, however late that comes. */
+    @Test
+    void shouldNotCountARequestWhenItHasEnded() {
+        loads.recordSent(NODE);
+        clock.set(Duration.ofMillis(5).toNanos());
+        loads.recordReport(NODE, REPORT);
+        loads.recordEnded(NODE);
+        assertThat(loads.load(NODE).sentUncounted()).isEqualTo(0);
+    }
+
     /** Fails when an older report that another node passes on replaces a newer one, or changes what the default choice uses. */
     @Test
     void shouldKeepTheNewerMeasurementWhenAnOlderReportIsPassedOn() {
@@ -88,12 +98,15 @@
         assertThat(loads.newest(List.of(NODE), 1)).isEmpty();
     }
 
+    /** Fails when the end of a request remembers a node that has left, which then never goes and takes reports passed on. */
     @Test
     void shouldReturnNoReportWhenTheNodeWasRemoved() {
         loads.recordReport(NODE, REPORT);
         loads.recordSent(NODE);
         loads.remove(NODE);
         loads.recordEnded(NODE);
+        loads.recordPassedOn(NODE, REPORT, 0);
+        assertThat(loads.newest(List.of(NODE), 1)).isEmpty();
         assertThat(loads.load(NODE).report()).isEqualTo(Optional.empty());
         assertThat(loads.load(NODE).outstanding()).isEqualTo(0);
     }
