Keep a connection open behind a response that did not announce its end

Whether the connection closes was decided twice: in the header of the response, and again after its body. When a drain began between the two, the connection closed behind a response without 'Connection: close', and a request that the client had sent since was lost. The decision of the header now holds, and the next response announces the end. One comparison of headers and one lock less for each request.

PipeliningTest.shouldServeTheNextRequestWhenTheListenerBeginsToDrainDuringAResponse got the end of the connection instead of the second response before.

--- a/proxy/src/main/java/org/oleanderturn/proxy/ConnectionServer.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ConnectionServer.java
@@ -61,8 +61,7 @@
         this.service = new HttpService(
                 HttpProcessors.server(SERVER_NAME),
                 handler,
-                (_, response, context) ->
-                        ((ServerExchange) context.getAttribute(ServerExchange.ATTRIBUTE)).isKeptAlive(response),
+                (_, _, context) -> ((ServerExchange) context.getAttribute(ServerExchange.ATTRIBUTE)).isKeptAlive(),
                 null);
     }
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestPipeline.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestPipeline.java
@@ -17,7 +17,6 @@
 import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.impl.io.HttpService;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
@@ -327,28 +326,29 @@
 
     // -- responses
 
-    /** Waits until the response may be written, and states in it whether the connection is closed behind it. */
-    void prepareResponse(long number, ClassicHttpResponse response) throws IOException {
+    /**
+     * Waits until the response may be written, and states in it whether the connection is closed behind it.
+     *
+     * @return whether it is
+     */
+    boolean prepareResponse(long number, ClassicHttpResponse response) throws IOException {
         order.awaitTurn(number);
         if (response.getCode() < HttpStatus.SC_SUCCESS) {
-            return;
+            return false;
         }
-        boolean isClosing = !ConnectionReuse.isKeepAlive(response, isDraining.getAsBoolean());
-        if (!isClosing) {
+        boolean isWanted = !ConnectionReuse.isKeepAlive(response, isDraining.getAsBoolean());
+        if (!isWanted) {
             // What is found later may have been sent because of the response, and has not waited for it.
             readArrived();
             startArrived();
         }
-        if (closesAfter(number, response)) {
+        boolean isClosing = order.closesAfter(number, isWanted || input.hasOverflowed());
+        if (isClosing) {
             response.setHeader(HttpHeaders.CONNECTION, "close");
-        } else if (isClosing) {
+        } else if (isWanted) {
             response.removeHeaders(HttpHeaders.CONNECTION);
         }
-    }
-
-    boolean closesAfter(long number, HttpResponse response) {
-        boolean isWanted = !ConnectionReuse.isKeepAlive(response, isDraining.getAsBoolean()) || input.hasOverflowed();
-        return order.closesAfter(number, isWanted);
+        return isClosing;
     }
 
     void closeBehind(long number) throws IOException {
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerExchange.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerExchange.java
@@ -11,7 +11,6 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.EndpointDetails;
 import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.ProtocolVersion;
 import org.apache.hc.core5.http.io.HttpServerConnection;
 import org.apache.hc.core5.io.CloseMode;
@@ -30,6 +29,7 @@
     private final WatchedConnection connection;
     private Optional<ReceivedRequest> received;
     private OptionalLong number;
+    private boolean isClosing;
 
     private ServerExchange(RequestPipeline pipeline, Optional<ReceivedRequest> received, OptionalLong number) {
         this.pipeline = Objects.requireNonNull(pipeline, "pipeline is null");
@@ -70,9 +70,12 @@
         return Duration.ZERO;
     }
 
-    /** Returns whether the connection stays open behind the response. */
-    boolean isKeptAlive(HttpResponse response) {
-        return number.isPresent() && !pipeline.closesAfter(number.getAsLong(), response);
+    /**
+     * Returns whether the connection stays open behind the response, as its header told the client: a client that was not told
+     * may have sent its next request by now.
+     */
+    boolean isKeptAlive() {
+        return number.isPresent() && !isClosing;
     }
 
     // -- the request
@@ -111,7 +114,7 @@
 
     @Override
     public void sendResponseHeader(ClassicHttpResponse response) throws HttpException, IOException {
-        pipeline.prepareResponse(number.orElseThrow(), response);
+        isClosing = pipeline.prepareResponse(number.orElseThrow(), response);
         connection.sendResponseHeader(response);
     }
 
--- a/proxy/src/test/java/org/oleanderturn/proxy/PipelinedHandler.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/PipelinedHandler.java
@@ -1,7 +1,10 @@
 package org.oleanderturn.proxy;
 
 import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Set;
@@ -19,6 +22,7 @@
     private static final int BIG_BYTES = 30_000_000;
 
     private final Map<String, CountDownLatch> holds = new ConcurrentHashMap<>();
+    private final Map<String, Runnable> actions = new ConcurrentHashMap<>();
     private final Map<String, Duration> readDelays = new ConcurrentHashMap<>();
     private final Map<String, Duration> coreDelays = new ConcurrentHashMap<>();
     private final Set<String> started = ConcurrentHashMap.newKeySet();
@@ -52,9 +56,32 @@
         if (path.startsWith("/big")) {
             return Response.text(200, "text/plain", "x".repeat(BIG_BYTES));
         }
+        if (actions.containsKey(path)) {
+            return Response.of(200, List.of(), streamed(path));
+        }
         return Response.text(path.startsWith("/busy") ? 503 : 200, "text/plain", path);
     }
 
+    private Response.Body streamed(String path) {
+        return new Response.Body.Streamed(path.length(), new Response.BodySource() {
+            @Override
+            public void writeTo(OutputStream output) throws IOException {
+                actions.get(path).run();
+                output.write(path.getBytes(StandardCharsets.US_ASCII));
+            }
+
+            @Override
+            public void close() {
+                // Nothing is held.
+            }
+        });
+    }
+
+    /** Runs an action while the response to the requests with a path is written, after its head. */
+    void runWhileWriting(String path, Runnable action) {
+        actions.put(path, action);
+    }
+
     /** Lets the requests with a path wait until it is released. */
     void hold(String... paths) {
         for (String path : paths) {
--- a/proxy/src/test/java/org/oleanderturn/proxy/PipeliningTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/PipeliningTest.java
@@ -241,6 +241,16 @@
         assertThat(handler.hasStarted("/3")).isFalse();
     }
 
+    /** A client that was not told that the connection closes may have sent its next request already. */
+    @Test
+    void shouldServeTheNextRequestWhenTheListenerBeginsToDrainDuringAResponse() throws Exception {
+        handler.runWhileWriting("/slow", listener::disableKeepAlive);
+        client.send(RawClient.get("/slow"));
+        assertResponses("200 /slow");
+        client.send(RawClient.get("/2"));
+        assertResponses("200 close /2", "end");
+    }
+
     @Test
     void shouldNotRunARequestWhenItsHeadIsCut() throws Exception {
         handler.hold("/1", "/2");
