Do not touch the input of a connection while a check reads a request from it

The thread of a connection returned the parser's input to the stream, and marked the connection idle, without the lock under which a check reads a further request. When the last response was written during such a read, both threads used the parser's buffer. A drain closed the connection at that moment although the request had arrived.

PipeliningTest.shouldServeARequestThatIsReadWhileTheLastResponseIsWritten got the end of the connection before.

--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestPipeline.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestPipeline.java
@@ -104,7 +104,7 @@
                 ServerExchange exchange = ServerExchange.first(this);
                 run(exchange);
                 order.awaitFollowers();
-                serverConnection.finishRequest(held.isPresent());
+                finishRequests();
             }
             if (connection.isOpen()) {
                 close();
@@ -141,11 +141,21 @@
         }
     }
 
+    /** Waits for a check that reads a further request, which would otherwise be forgotten. */
+    private void finishRequests() {
+        parsing.lock();
+        try {
+            serverConnection.finishRequest(held.isPresent());
+        } finally {
+            parsing.unlock();
+        }
+    }
+
     /** Reads a request while no other is in service; empty if the connection has ended. */
     Optional<ReceivedRequest> receiveFirst() throws IOException {
-        connection.putBackInput(lastArrivalNanoseconds);
         parsing.lock();
         try {
+            connection.putBackInput(lastArrivalNanoseconds);
             if (held.isEmpty()) {
                 input.skipEmptyLines();
             }
--- a/proxy/src/main/java/org/oleanderturn/proxy/WatchedConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/WatchedConnection.java
@@ -62,8 +62,13 @@
 
     static WatchedConnection of(Http1Config settings, AcceptedChannel channel) {
         // The default parser factory ignores the limit of the settings on the number of headers.
-        return new WatchedConnection(
-                settings, channel, new BufferCapture(new DefaultHttpRequestParserFactory(settings)));
+        return of(settings, channel, new DefaultHttpRequestParserFactory(settings));
+    }
+
+    /** Returns a connection whose requests are read by the parsers of a factory. */
+    static WatchedConnection of(
+            Http1Config settings, AcceptedChannel channel, HttpMessageParserFactory<ClassicHttpRequest> parsers) {
+        return new WatchedConnection(settings, channel, new BufferCapture(parsers));
     }
 
     /** Fails, unlike the library, when the connection ends before the empty line that closes the head. */
--- a/proxy/src/test/java/org/oleanderturn/proxy/PipeliningTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/PipeliningTest.java
@@ -2,17 +2,36 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.HttpProcessors;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParserFactory;
+import org.apache.hc.core5.http.impl.io.HttpService;
+import org.apache.hc.core5.http.io.HttpMessageParser;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.oleanderturn.model.Address;
 
 /** Guards against responses in another order than their requests, and against requests that run when they must not. */
 @Timeout(60)
@@ -136,6 +155,80 @@
         }
     }
 
+    /**
+     * A check may read a further request while the last response is written. The connection must not look idle meanwhile, and
+     * its thread must not read as well.
+     */
+    @Test
+    void shouldServeARequestThatIsReadWhileTheLastResponseIsWritten() throws Exception {
+        CountDownLatch isParsed = new CountDownLatch(1);
+        CountDownLatch mayReturn = new CountDownLatch(1);
+        try (ServerSocketChannel server =
+                        ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+                RawClient raw =
+                        new RawClient(Address.of("127.0.0.1", server.socket().getLocalPort()));
+                ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            RequestPipeline pipeline = pipeline(server.accept(), executor, message -> {
+                if (message.getPath().equals("/2")) {
+                    isParsed.countDown();
+                    await(mayReturn);
+                }
+            });
+            Future<?> served = executor.submit(() -> serve(pipeline));
+            handler.hold("/1");
+            raw.send(RawClient.get("/1"));
+            awaitStarted("/1");
+            raw.send(RawClient.get("/2"));
+            executor.execute(() -> {
+                while (isParsed.getCount() > 0) {
+                    pipeline.checkInput();
+                }
+            });
+            await(isParsed);
+            handler.release("/1");
+            assertThat(raw.readResponse()).isEqualTo("200 /1");
+            Thread.sleep(SETTLE_MILLISECONDS);
+            // It takes two calls to find a connection idle.
+            pipeline.serverConnection().closeIfIdle();
+            pipeline.serverConnection().closeIfIdle();
+            mayReturn.countDown();
+            assertThat(raw.readResponse()).isEqualTo("200 /2");
+            raw.close();
+            served.get(WAIT_MILLISECONDS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static Void serve(RequestPipeline pipeline) throws IOException, HttpException {
+        pipeline.serve();
+        return null;
+    }
+
+    /** Returns a pipeline without a listener, which runs an action with each request that it has read. */
+    private RequestPipeline pipeline(SocketChannel accepted, Executor executor, Consumer<ClassicHttpRequest> onRead)
+            throws IOException {
+        Http1Config settings = Http1Config.custom().build();
+        AcceptedChannel channel = AcceptedChannel.of(accepted, BodyReservation.unlimited());
+        HttpMessageParser<ClassicHttpRequest> parser = new DefaultHttpRequestParserFactory(settings).create(settings);
+        WatchedConnection connection = WatchedConnection.of(settings, channel, _ -> (buffer, source) -> {
+            ClassicHttpRequest message = parser.parse(buffer, source);
+            if (message != null) {
+                onRead.accept(message);
+            }
+            return message;
+        });
+        connection.bind();
+        ServerConnection serverConnection = ServerConnection.of(channel, connection, ListenerLimits.defaults());
+        HttpService service = new HttpService(
+                HttpProcessors.server("test"),
+                RequestHandlerAdapter.of(handler, () -> false, () -> Duration.ZERO, BodyReservation::unlimited),
+                (_, _, context) -> ((ServerExchange) context.getAttribute(ServerExchange.ATTRIBUTE)).isKeptAlive(),
+                null);
+        RequestPipeline pipeline =
+                new RequestPipeline(connection, serverConnection, channel, service, executor, () -> false, () -> {});
+        serverConnection.setPipeline(pipeline);
+        return pipeline;
+    }
+
     // -- closing
 
     @Test
@@ -184,6 +277,16 @@
         assertThat(handler.hasStarted("/3")).isFalse();
     }
 
+    /** A client that was not told that the connection closes may have sent its next request already. */
+    @Test
+    void shouldServeTheNextRequestWhenTheListenerBeginsToDrainDuringAResponse() throws Exception {
+        handler.runWhileWriting("/slow", listener::disableKeepAlive);
+        client.send(RawClient.get("/slow"));
+        assertResponses("200 /slow");
+        client.send(RawClient.get("/2"));
+        assertResponses("200 close /2", "end");
+    }
+
     @Test
     void shouldAnswerEarlierRequestsAndCancelLaterOnesWhenOneFails() throws Exception {
         handler.hold("/1", "/3");
@@ -241,16 +344,6 @@
         assertThat(handler.hasStarted("/3")).isFalse();
     }
 
-    /** A client that was not told that the connection closes may have sent its next request already. */
-    @Test
-    void shouldServeTheNextRequestWhenTheListenerBeginsToDrainDuringAResponse() throws Exception {
-        handler.runWhileWriting("/slow", listener::disableKeepAlive);
-        client.send(RawClient.get("/slow"));
-        assertResponses("200 /slow");
-        client.send(RawClient.get("/2"));
-        assertResponses("200 close /2", "end");
-    }
-
     @Test
     void shouldNotRunARequestWhenItsHeadIsCut() throws Exception {
         handler.hold("/1", "/2");
@@ -270,6 +363,11 @@
         }
     }
 
+    private static void await(CountDownLatch latch) {
+        assertThat(Uninterruptibles.awaitUninterruptibly(latch, WAIT_MILLISECONDS, TimeUnit.MILLISECONDS))
+                .isTrue();
+    }
+
     private void awaitStarted(String... paths) throws InterruptedException {
         for (String path : paths) {
             awaitTrue(() -> handler.hasStarted(path));
