Look for the room of a retried run when it begins, not only before it waits

A guard looked whether the retry budgets had room for the calls of a retried run when the request arrived, and charged them after the wait for a slot. Retried runs that waited together all saw the same room, so the calls exceeded the limit. The room is now looked for and charged in one step before the run; the look on arrival stays, as it spares the wait. Runs before the window are forgotten also when none has begun since: they made the calls of a present run look few.

--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -227,7 +227,7 @@
             return new GuardReply.NotRun("WRONG_SERVICE", false, Duration.ZERO);
         }
         if (request.metadata().isRepeat() && !inducedRetries.hasRoom()) {
-            return new GuardReply.NotRun("RETRY_BUDGET", false, Duration.ZERO);
+            return overRetryBudget();
         }
         request.metadata()
                 .condition()
@@ -325,6 +325,10 @@
         };
     }
 
+    private static GuardReply overRetryBudget() {
+        return new GuardReply.NotRun("RETRY_BUDGET", false, Duration.ZERO);
+    }
+
     private GuardReply quarantined(GuardRequest request, CrashVerdict.Quarantined verdict) {
         crashMonitor.recordRefusal(request.client().attemptId(), request.identity(), verdict);
         return new GuardReply.Quarantined(CrashMonitor.retryAfter(verdict));
@@ -340,8 +344,9 @@
                     ? quarantined(request, verdict)
                     : new GuardReply.Quarantined(CrashMonitor.trialRetryAfter());
         }
-        inducedRetries.recordRun(request.metadata().isRepeat());
-        GuardReply reply = send(request, start, started);
+        GuardReply reply = inducedRetries.tryRecordRun(request.metadata().isRepeat())
+                ? send(request, start, started)
+                : overRetryBudget();
         switch (reply) {
             case GuardReply.Ran _ -> crashMonitor.completeRun(start, run.get());
             case GuardReply.NotRun notRun -> {
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -5,9 +5,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
@@ -29,8 +33,10 @@
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.SlotQueue;
+import org.oleanderturn.traffic.SlotRequest;
 import org.oleanderturn.traffic.SlotTicket;
 import org.oleanderturn.traffic.TargetLoadTracker;
+import org.oleanderturn.traffic.WindowedRetryBudget;
 
 final class GuardClientTest {
     private static final ServiceName SERVICE = ServiceName.of("bookings");
@@ -38,7 +44,10 @@
     private static final Locality LOCALITY = Locality.of("south", "hobart");
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
+    private static final long WINDOW_NANOSECONDS = Duration.ofMinutes(1).toNanos();
+
     private final AtomicInteger runs = new AtomicInteger();
+    private final List<WindowedRetryBudget> called = new CopyOnWriteArrayList<>();
     private final HttpListener target = HttpListener.start("127.0.0.1", 0, _ -> run(), ListenerLimits.defaults())
             .get();
     private final UpstreamClient client = UpstreamClient.of(4);
@@ -56,7 +65,7 @@
             CrashMonitor.of(LOCAL_NODE, CrashLedger.of(() -> 0), _ -> {}, System::nanoTime),
             _ -> {},
             ResponsePacer.of(LinkSchedule.unlimited(System::nanoTime), Thread::sleep),
-            InducedRetries.none(),
+            InducedRetries.of(() -> called, WINDOW_NANOSECONDS, System::nanoTime),
             System::nanoTime);
     private final HttpListener peers =
             HttpListener.start("127.0.0.1", 0, guard, ListenerLimits.defaults()).get();
@@ -132,6 +141,28 @@
         assertThat(runs.get()).isEqualTo(0);
     }
 
+    /** Retried runs that wait for a slot have all seen the same room, which is enough for one of them. */
+    @Test
+    @Timeout(30)
+    void shouldRefuseARetriedRunWhenAnotherHasUsedTheRoomDuringItsWait() {
+        long longAgo = System.nanoTime() - WINDOW_NANOSECONDS;
+        WindowedRetryBudget budget = WindowedRetryBudget.of(1, () -> 0, WINDOW_NANOSECONDS, longAgo, System::nanoTime);
+        budget.recordRequest();
+        called.add(budget);
+        localTarget.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, SERVICE, 1, false));
+        SlotTicket busy = slots.request(SlotRequest.within(TIMEOUT, 1, Duration.ofMillis(1), TIMEOUT, TIMEOUT));
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int count = 0; count < 2; count++) {
+                executor.execute(() -> guard.execute(request(true)));
+            }
+            while (slots.state().waiting() < 2) {
+                Thread.onSpinWait();
+            }
+            slots.release(busy);
+        }
+        assertThat(runs.get()).isEqualTo(1);
+    }
+
     private int slotsOf(NodeId node) {
         return loads.load(node).report().map(LoadReport::slots).orElse(0);
     }
@@ -153,6 +184,10 @@
     }
 
     private static GuardRequest request() {
+        return request(false);
+    }
+
+    private static GuardRequest request(boolean isRepeat) {
         GuardRequestMetadata metadata = new GuardRequestMetadata(
                 SERVICE,
                 ServiceName.of("caller"),
@@ -162,7 +197,7 @@
                 Duration.ofMillis(600),
                 Duration.ZERO,
                 1,
-                false,
+                isRepeat,
                 Optional.empty(),
                 Optional.empty(),
                 Optional.empty());
--- a/traffic/src/main/java/org/oleanderturn/traffic/InducedRetries.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/InducedRetries.java
@@ -15,7 +15,8 @@
  * each call of such a run counts as a retry at the service that is called, although it is sent for the first time. Nobody
  * knows which calls these are, so that each retried run is charged the calls of an average run before it begins.
  *
- * <p>Invariant: a retried run is charged before its first call. Thread safe.
+ * <p>Invariant: a retried run is charged before its first call, and begins only if the charge fits into the budgets. Thread
+ * safe.
  */
 public final class InducedRetries {
     /** Bounds the charge while few runs are known; a run makes fewer calls. */
@@ -59,7 +60,8 @@
     // -- queries
 
     /** Returns whether the budgets have room for the calls of a further retried run. */
-    public boolean hasRoom() {
+    public synchronized boolean hasRoom() {
+        expire(nanoseconds.getAsLong());
         for (WindowedRetryBudget budget : calledBudgets.get()) {
             if (!budget.hasRoomForInduced(callsOfARun(budget))) {
                 return false;
@@ -69,27 +71,37 @@
     }
 
     /** Returns how many requests this node sent to a service for each run; clients' requests are counted with the calls. */
-    private synchronized double callsOfARun(WindowedRetryBudget budget) {
+    private double callsOfARun(WindowedRetryBudget budget) {
         return Math.min(MOST_CALLS_OF_A_RUN, budget.requests() / (double) Math.max(1, runs.size()));
     }
 
     // -- commands
 
-    /** Records that a run begins, and charges its calls if it is a retry. */
-    public void recordRun(boolean isRetry) {
+    /**
+     * Records that a run begins, and charges its calls if it is a retry. Room that was seen before the wait for a slot may have
+     * been used by other runs since.
+     *
+     * @return whether the run may begin; otherwise nothing is recorded
+     */
+    public synchronized boolean tryRecordRun(boolean isRetry) {
+        if (isRetry && !hasRoom()) {
+            return false;
+        }
+        long now = nanoseconds.getAsLong();
+        expire(now);
         if (isRetry) {
             for (WindowedRetryBudget budget : calledBudgets.get()) {
                 budget.recordInduced(callsOfARun(budget));
             }
         }
-        addRun();
+        runs.addLast(now);
+        return true;
     }
 
-    private synchronized void addRun() {
-        long now = nanoseconds.getAsLong();
+    /** Forgets the runs before the window, as the budgets forget their requests. */
+    private void expire(long now) {
         while (!runs.isEmpty() && runs.peekFirst() - (now - windowNanoseconds) < 0) {
             runs.removeFirst();
         }
-        runs.addLast(now);
     }
 }
--- a/traffic/src/test/java/org/oleanderturn/traffic/InducedRetryTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/InducedRetryTest.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.traffic;
 
+import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -52,11 +54,10 @@
             Node guard = nodes.get(random.nextInt(NODES));
             entry.own.recordRequest();
             boolean isShed = random.nextDouble() < SHED_SHARE;
-            boolean isRetried = isShed && entry.own.tryWithdraw() && guard.induced.hasRoom();
-            if (isShed && !isRetried) {
+            boolean isRetried = isShed && entry.own.tryWithdraw();
+            if ((isShed && !isRetried) || !guard.induced.tryRecordRun(isRetried)) {
                 continue;
             }
-            guard.induced.recordRun(isRetried);
             for (int call = 0; call < CALLS_OF_A_RUN; call++) {
                 guard.called.recordRequest();
                 calls.addLast(clock.get());
@@ -72,6 +73,38 @@
         }
     }
 
+    /** Of runs that have seen room before any of them began, only as many may begin as there is room for. */
+    @Test
+    void shouldRefuseARunWhenOthersHaveUsedTheRoomThatItSaw() {
+        Node node = new Node();
+        clock.addAndGet(WINDOW);
+        for (int count = 0; count < 2; count++) {
+            assertThat(node.induced.tryRecordRun(false)).isTrue();
+            node.called.recordRequest();
+            node.called.recordRequest();
+        }
+        assertThat(node.induced.hasRoom()).isTrue();
+        long begun = IntStream.range(0, 30)
+                .filter(_ -> node.induced.tryRecordRun(true))
+                .count();
+        // The limit is 5.3 calls, and the charges of the first four runs are 2, 1.3, 1 and 0.8.
+        assertThat(begun).isEqualTo(4);
+    }
+
+    /** Runs of long ago would make the calls of a present one look like none. */
+    @Test
+    void shouldForgetRunsBeforeTheWindow() {
+        Node node = new Node();
+        for (int count = 0; count < 1_000; count++) {
+            assertThat(node.induced.tryRecordRun(false)).isTrue();
+        }
+        clock.addAndGet(2 * WINDOW);
+        for (int count = 0; count < 20; count++) {
+            node.called.recordRequest();
+        }
+        assertThat(node.induced.hasRoom()).isFalse();
+    }
+
     private void forget(Deque<Long> times) {
         while (times.peekFirst() != null && times.peekFirst() < clock.get() - WINDOW) {
             times.removeFirst();
