Judge: permit nothing before the status is read, and keep orders reported during a read

A node that takes over as judge told entries the stage CANARY with a permission between its read of the orders and that of the status, or for as long as the status could not be read. An entry that had restarted as well sent requests to a version that was rolled back. Permissions now wait for the first read of the status; stages and rollbacks don't.

An order that an entry reported while a read was under way was taken for removed when that read did not contain it, although it may have been written after the store had answered. The entry then used all targets until the next read. Only orders reported before the read began are taken for removed.

RolloutJudgeTest.shouldPermitNothingBeforeItHasReadTheStatus and shouldNotTellThatAnOrderIsRemovedWhenItWasReportedDuringTheRead fail on the code before.

--- a/node/src/main/java/org/oleanderturn/node/JudgedRollout.java
+++ b/node/src/main/java/org/oleanderturn/node/JudgedRollout.java
@@ -29,6 +29,7 @@
     private final RolloutMachine machine;
     private OptionalLong statusRevision = OptionalLong.empty();
     private boolean isStarted;
+    private volatile boolean isStatusKnown;
 
     private JudgedRollout(RolloutMachine machine) {
         this.machine = machine;
@@ -43,11 +44,15 @@
         return machine;
     }
 
+    /**
+     * Returns what entries are told; they get no permission before the status has been read, as another judge may have rolled
+     * the version back.
+     */
     RolloutDirective directive(long nowMilliseconds) {
         return new RolloutDirective(
                 machine.order(),
                 machine.stage(),
-                machine.isPermitting(nowMilliseconds),
+                isStatusKnown && machine.isPermitting(nowMilliseconds),
                 machine.isSettled(),
                 machine.elapsed(nowMilliseconds));
     }
@@ -76,6 +81,7 @@
             statusRevision = OptionalLong.of(stored.map(StoredValue::revision).orElse(StoredValue.ABSENT));
             isStarted = false;
             stored.ifPresent(value -> observe(value, lock));
+            isStatusKnown = true;
         });
     }
 
--- a/node/src/main/java/org/oleanderturn/node/RolloutJudge.java
+++ b/node/src/main/java/org/oleanderturn/node/RolloutJudge.java
@@ -169,8 +169,10 @@
 
     private void readOrders() {
         boolean isNewest;
+        Set<Long> asked;
         synchronized (this) {
             isNewest = isNewestNeeded;
+            asked = Set.copyOf(askedOrders);
             isNewestNeeded = false;
             isTried = true;
             readMilliseconds = clockMilliseconds.getAsLong();
@@ -179,10 +181,15 @@
                 isNewest ? store.list(RolloutKeys.ORDER_PREFIX) : store.listStale(RolloutKeys.ORDER_PREFIX);
         read.peekLeft(failure ->
                 log.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("orders of rollouts can't be read: %s", failure));
-        read.peek(stored -> observe(stored, isNewest));
+        read.peek(stored -> observe(stored, isNewest, asked));
     }
 
-    private synchronized void observe(List<StoredValue> values, boolean isNewest) {
+    /**
+     * Takes over the orders that a read returned.
+     *
+     * @param asked the orders that reports were about when the read began; a later one may have been written meanwhile
+     */
+    private synchronized void observe(List<StoredValue> values, boolean isNewest, Set<Long> asked) {
         isRead = true;
         Map<ServiceName, RolloutOrder> orders = new HashMap<>();
         for (StoredValue stored : values) {
@@ -193,8 +200,8 @@
         }
         if (isNewest) {
             rollouts.keySet().retainAll(orders.keySet());
-            removedOrders.addAll(askedOrders);
-            askedOrders.clear();
+            removedOrders.addAll(asked);
+            askedOrders.removeAll(asked);
         } else if (!orders.keySet().containsAll(rollouts.keySet())) {
             isNewestNeeded = true;
         }
--- a/node/src/test/java/org/oleanderturn/node/RolloutJudgeTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RolloutJudgeTest.java
@@ -194,6 +194,33 @@
         assertThat(judge.answer(reports).orElseThrow()).isEmpty();
     }
 
+    /** An order may be written, and reported by an entry, between the answer of the store and its arrival. */
+    @Test
+    void shouldNotTellThatAnOrderIsRemovedWhenItWasReportedDuringTheRead() {
+        judge.run();
+        assertThat(judge.answer(List.of(report(0, RolloutStage.CANARY, 77, 3_000, false))))
+                .isEqualTo(Optional.empty());
+        List<RolloutReport> later = List.of(report(0, RolloutStage.CANARY, 78, 3_000, false));
+        store.runBeforeCall(() -> judge.answer(later));
+        judge.run();
+        assertThat(judge.answer(later)).isEqualTo(Optional.empty());
+    }
+
+    /** Entries that restarted with the judge would send requests to a version that was rolled back. */
+    @Test
+    void shouldPermitNothingBeforeItHasReadTheStatus() {
+        begin("v2");
+        run(8_000, 1, true);
+        assertThat(state()).isEqualTo(Optional.of(RolloutState.ROLLED_BACK));
+        judge = judge();
+        store.scriptFaults(FakeStore.Fault.NONE, FakeStore.Fault.UNREACHABLE);
+        judge.run();
+        assertThat(judge.answer(List.of()).orElseThrow().getFirst().isPermitted())
+                .isFalse();
+        judge.run();
+        assertThat(judge.answer(List.of()).orElseThrow().getFirst().isSettled()).isTrue();
+    }
+
     @Test
     void shouldTellNothingWhenTheOrdersCannotBeRead() {
         store.setDefaultFault(FakeStore.Fault.UNREACHABLE);
