Report rollouts to the preferred judge again after it was silent

An entry that got no answer from the judge three times asked the next node for the rest of the rollout. The count of failures was an index into the list of reachable nodes, so when the judge left that list, these entries asked the node after the new judge. Entries then reported to different judges, and a judge to which not more than half of them report neither goes on to the next stage nor gives the version up. JudgeChoice goes back after four answers of the other node, and at once when another node is preferred.

ServiceRolloutTest.shouldAskThePreferredJudgeAgainWhenOneNodeWasSilentForAWhile asks the second node for ever with the old rule.

--- a/node/src/main/java/org/oleanderturn/node/RolloutReporter.java
+++ b/node/src/main/java/org/oleanderturn/node/RolloutReporter.java
@@ -3,12 +3,15 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.model.NodeId;
 
@@ -26,8 +29,6 @@
     /** A node that is asked for the first time reads the orders before it answers. */
     private static final long RETRY_INTERVAL_MILLISECONDS = 400;
 
-    private static final int ATTEMPTS_AT_A_JUDGE = 3;
-
     /** Limits the reports that reach the judge to 72 per second, which with their answers are below 20 KB. */
     private static final long INTERVAL_MILLISECONDS_PER_PEER = 14;
 
@@ -37,7 +38,7 @@
     private final ControlChannel channel;
     private final Supplier<List<MemberRecord>> peers;
     private final LongSupplier clockNanoseconds;
-    private int failures;
+    private final JudgeChoice choice = new JudgeChoice();
 
     RolloutReporter(
             NodeId self,
@@ -57,17 +58,17 @@
     /** Reports once if there is something to report; returns the delay before the next run, in milliseconds. */
     long run() {
         if (!entry.isRolling() && !entry.hasSeveralVersions()) {
-            failures = 0;
+            choice.reset();
             return IDLE_INTERVAL_MILLISECONDS;
         }
         List<MemberRecord> reachable = peers.get();
         long sent = clockNanoseconds.getAsLong();
         Optional<List<RolloutDirective>> directives = ask(reachable);
         if (directives.isEmpty()) {
-            failures++;
+            choice.recordSilence();
             return RETRY_INTERVAL_MILLISECONDS;
         }
-        failures -= failures % ATTEMPTS_AT_A_JUDGE;
+        choice.recordAnswer();
         entry.apply(directives.get(), sent);
         return Math.max(entry.pace().interval().toMillis(), reachable.size() * INTERVAL_MILLISECONDS_PER_PEER);
     }
@@ -78,21 +79,19 @@
     }
 
     private Optional<List<RolloutDirective>> ask(List<MemberRecord> reachable) {
-        List<MemberRecord> sorted = reachable.stream()
-                .sorted(Comparator.comparing(MemberRecord::node).reversed())
-                .toList();
-        int own = (int)
-                sorted.stream().filter(peer -> peer.node().compareTo(self) > 0).count();
-        int index = failures / ATTEMPTS_AT_A_JUDGE % (sorted.size() + 1);
+        Map<NodeId, MemberRecord> records = new HashMap<>();
+        reachable.forEach(peer -> records.put(peer.node(), peer));
+        NodeId asked = choice.choose(Stream.concat(Stream.of(self), records.keySet().stream())
+                .sorted(Comparator.reverseOrder())
+                .toList());
         ControlMessage.RolloutReports reports = entry.reports();
-        if (index == own) {
+        if (asked.equals(self)) {
             return judge.answer(reports.reports());
         }
-        MemberRecord asked = sorted.get(index < own ? index : index - 1);
         Either<ControlFailure, Optional<List<RolloutDirective>>> answer =
-                channel.reportRollouts(asked.controlAddress(), reports);
+                channel.reportRollouts(records.get(asked).controlAddress(), reports);
         answer.peekLeft(failure -> log.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-                "rollouts were not reported to %s: %s", asked.node(), failure));
+                "rollouts were not reported to %s: %s", asked, failure));
         return answer.getOrElse(Optional.empty());
     }
 }
--- a/node/src/test/java/org/oleanderturn/node/ServiceRolloutTest.java
+++ b/node/src/test/java/org/oleanderturn/node/ServiceRolloutTest.java
@@ -130,4 +130,28 @@
         known = List.of(NEXT, endpoint("d", Optional.of("v2")), endpoint("e", Optional.empty()));
         assertThat(entry.hasSeveralVersions()).isFalse();
     }
+
+    // -- the judge that an entry asks
+
+    /** Entries that stay with different judges leave none with the reports of more than half of the nodes. */
+    @Test
+    void shouldAskThePreferredJudgeAgainWhenOneNodeWasSilentForAWhile() {
+        JudgeChoice choice = new JudgeChoice();
+        List<NodeId> nodes = List.of(NodeId.of("c"), NodeId.of("b"), NodeId.of("a"));
+        for (int attempt = 0; attempt < 3; attempt++) {
+            assertThat(choice.choose(nodes)).isEqualTo(NodeId.of("c"));
+            choice.recordSilence();
+        }
+        for (int round = 0; round < 2; round++) {
+            for (int answer = 0; answer < 4; answer++) {
+                assertThat(choice.choose(nodes)).isEqualTo(NodeId.of("b"));
+                choice.recordAnswer();
+            }
+            assertThat(choice.choose(nodes)).isEqualTo(NodeId.of("c"));
+            choice.recordSilence();
+        }
+        assertThat(choice.choose(nodes)).isEqualTo(NodeId.of("b"));
+        List<NodeId> left = List.of(NodeId.of("b"), NodeId.of("a"));
+        assertThat(choice.choose(left)).isEqualTo(NodeId.of("b"));
+    }
 }
