Test what the metrics of shares, limits, placement and rollouts count

No test covered slot_decisions, entry_refusals, limit_*, choices, choice_load_age, refused_as_full and rollout_*. The gauges of rollouts are registered by a method that needs no whole node.

--- a/node/src/main/java/org/oleanderturn/node/NodeRollouts.java
+++ b/node/src/main/java/org/oleanderturn/node/NodeRollouts.java
@@ -88,14 +88,19 @@
         parts.ifPresent(known -> {
             tasks.runRepeatedly(known.judge()::run);
             tasks.runRepeatedly(known.reporter()::run);
-            metrics.gauge(
-                    "oleanderturn_rollout_requests",
-                    "Requests that this entry sent to new versions under the orders that it knows.",
-                    known.entry()::nextRequests);
-            metrics.gauge(
-                    "oleanderturn_rollouts_judged",
-                    "Rollouts that this node judges and that have not ended.",
-                    known.judge()::unsettled);
+            register(metrics, known.entry(), known.judge());
         });
     }
+
+    /** Registers the gauges of what this node does in rollouts. */
+    static void register(NodeMetrics metrics, RolloutEntry entry, RolloutJudge judge) {
+        metrics.gauge(
+                "oleanderturn_rollout_requests",
+                "Requests that this entry sent to new versions under the orders that it knows.",
+                entry::nextRequests);
+        metrics.gauge(
+                "oleanderturn_rollouts_judged",
+                "Rollouts that this node judges and that have not ended.",
+                judge::unsettled);
+    }
 }
--- a/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -11,7 +11,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
@@ -31,6 +33,7 @@
 import org.oleanderturn.mesh.TargetStart;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RouteName;
@@ -64,6 +67,11 @@
     private final JsonDecisionLog decisions =
             new JsonDecisionLog(NODE, writer, versions, () -> Optional.of(Duration.ofMillis(300)), () -> 1);
 
+    private final NodeMetrics metrics = new NodeMetrics();
+    private final Map<NodeId, Locality.Distance> distances = new HashMap<>();
+    private final MeshMetrics metered =
+            MeshMetrics.of(decisions, metrics, node -> Optional.ofNullable(distances.get(node)));
+
     @Test
     void shouldWriteTheDocumentedFieldsWhenADecisionIsRecorded() throws IOException {
         String id = requestId(false);
@@ -145,6 +153,78 @@
                         "status", "reason", "attempts", "readMilliseconds", "takenMilliseconds", "configuration");
     }
 
+    // -- metrics of the decisions
+
+    @Test
+    void shouldCountSlotDecisionsByReasonAndShareOfTheOrganisation() {
+        OrganisationName acme = OrganisationName.of("acme");
+        metered.record(guarded("a", new SlotShare(12, Optional.empty(), true, Optional.empty())));
+        metered.record(guarded("b", new SlotShare(12, Optional.of(acme), false, Optional.empty())));
+        for (SlotDecision.Reason reason : SlotDecision.Reason.values()) {
+            metered.record(guarded("c", new SlotShare(12, Optional.of(acme), true, Optional.of(reason))));
+        }
+        assertThat(samples("oleanderturn_slot_decisions_total"))
+                .containsExactly(
+                        "{decision=\"GRANTED\",share=\"none\"} 1.0",
+                        "{decision=\"GRANTED\",share=\"within\"} 1.0",
+                        "{decision=\"FULL\",share=\"over\"} 1.0",
+                        "{decision=\"OVERTAKEN\",share=\"over\"} 1.0",
+                        "{decision=\"RATE_LIMITED\",share=\"over\"} 1.0",
+                        "{decision=\"CLOSED\",share=\"over\"} 1.0",
+                        "{decision=\"SHEDDING\",share=\"over\"} 1.0",
+                        "{decision=\"WITHDRAWN\",share=\"over\"} 1.0");
+    }
+
+    @Test
+    void shouldCountRefusalsOfTheEntryByReasonAndShareOfTheOrganisation() {
+        for (String reason : List.of("SERVICE_FULL", "SERVICE_FULL", "NODE_BUSY")) {
+            metered.record(
+                    new Decision.Withheld("a", reason, 12, OrganisationName.of("acme"), reason.equals("SERVICE_FULL")));
+        }
+        assertThat(samples("oleanderturn_entry_refusals_total"))
+                .containsExactly(
+                        "{reason=\"SERVICE_FULL\",share=\"over\"} 2.0", "{reason=\"NODE_BUSY\",share=\"within\"} 1.0");
+    }
+
+    /** A report that there was none of must not look like a fresh one. */
+    @Test
+    void shouldCountChoicesByDistanceAndMeasureTheAgeOfKnownLoadsOnly() {
+        metered.record(placed("a"));
+        distances.put(NODE, Locality.Distance.OTHER_REGION);
+        metered.record(new Decision.Placed(
+                "b",
+                1,
+                RouteName.of("route"),
+                ServiceName.of("bookings"),
+                NODE,
+                VERSION,
+                Optional.empty(),
+                0,
+                Duration.ofMillis(700)));
+        assertThat(samples("oleanderturn_choices_total"))
+                .containsExactly("{distance=\"unknown\"} 1.0", "{distance=\"other_region\"} 1.0");
+        assertThat(samples("oleanderturn_choice_load_age_seconds_count")).containsExactly(" 1");
+        assertThat(samples("oleanderturn_choice_load_age_seconds_sum")).containsExactly(" 0.02");
+    }
+
+    @Test
+    void shouldCountAttemptsThatWereRefusedForLackOfRoomOnly() {
+        for (String reason : List.of("FULL", "RATE_LIMITED", "SHEDDING", "MEMORY_FULL", "OVERTAKEN", "DEADLINE")) {
+            GuardReply reply = new GuardReply.NotRun(reason, false, Duration.ZERO);
+            metered.record(new Decision.AttemptFailed(
+                    "a", 1, NODE, reply, FINGERPRINT, Duration.ZERO, false, new WindowedRetryBudget.Usage(2, 12.5)));
+        }
+        assertThat(samples("oleanderturn_refused_as_full_total")).containsExactly(" 4.0");
+    }
+
+    private List<String> samples(String metric) {
+        return metrics.text()
+                .lines()
+                .filter(line -> line.startsWith(metric + "{") || line.startsWith(metric + " "))
+                .map(line -> line.substring(metric.length()))
+                .toList();
+    }
+
     // -- helpers
 
     /** Returns an id that is sampled, or one that is not. */
@@ -170,12 +250,22 @@
     }
 
     private static Decision guarded(String id, GuardReply reply) {
+        return guarded(
+                id,
+                reply,
+                new SlotShare(
+                        12, Optional.of(OrganisationName.of("acme")), true, Optional.of(SlotDecision.Reason.FULL)));
+    }
+
+    private static Decision guarded(String id, SlotShare share) {
+        return guarded(id, FULL_REPLY, share);
+    }
+
+    private static Decision guarded(String id, GuardReply reply, SlotShare share) {
         ServiceName service = ServiceName.of("bookings");
         LocalTarget target =
                 LocalTarget.of(NodeId.of("node-1"), service, SlotQueue.of(() -> 0), Duration.ofSeconds(5), () -> 0);
         target.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, service, 9, false));
-        SlotShare share = new SlotShare(
-                12, Optional.of(OrganisationName.of("acme")), true, Optional.of(SlotDecision.Reason.FULL));
         return new Decision.Guarded(id, 1, reply, share, STAGES, LOAD, target.status(), OptionalDouble.of(8));
     }
 
--- a/node/src/test/java/org/oleanderturn/node/RolloutJudgeTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RolloutJudgeTest.java
@@ -9,10 +9,16 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.EndpointView;
+import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RolloutState;
 import org.oleanderturn.model.RolloutStatus;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.model.SoftwareVersion;
 import org.oleanderturn.platform.FakeOperator;
 import org.oleanderturn.platform.RolloutKeys;
 import org.oleanderturn.store.FakeStore;
@@ -228,6 +234,33 @@
         assertThat(judge.answer(List.of())).isEqualTo(Optional.empty());
     }
 
+    @Test
+    void shouldCountRequestsToNewVersionsAndRolloutsThatHaveNotEnded() {
+        Endpoint next = new Endpoint(
+                NodeId.of("next"),
+                Address.of("10.0.0.1", 80),
+                Locality.of("south", "zone"),
+                SERVICE,
+                6,
+                EndpointState.READY,
+                1,
+                Optional.of(SoftwareVersion.of("v2")));
+        RolloutEntry entry =
+                new RolloutEntry(NodeId.of("self"), PACE, () -> EndpointView.of(List.of(next)), () -> 1, () -> now);
+        NodeMetrics metrics = new NodeMetrics();
+        NodeRollouts.register(metrics, entry, judge);
+        begin("v2");
+        run(500, 1, false);
+        entry.recordSent(SERVICE, next);
+        entry.apply(judge.answer(List.of()).orElseThrow(), now);
+        entry.recordSent(SERVICE, next);
+        // The first was sent before the order was known.
+        assertThat(metrics.text()).contains("oleanderturn_rollout_requests 1.0\n");
+        assertThat(metrics.text()).contains("oleanderturn_rollouts_judged 1.0\n");
+        run(14_000, 1, false);
+        assertThat(metrics.text()).contains("oleanderturn_rollouts_judged 0.0\n");
+    }
+
     private void assertEnd(boolean isBad, String message) {
         assertWithMessage(message)
                 .that(state())
--- a/node/src/test/java/org/oleanderturn/node/SharedRequestLimiterTest.java
+++ b/node/src/test/java/org/oleanderturn/node/SharedRequestLimiterTest.java
@@ -43,6 +43,8 @@
     private final ConfigurationSnapshot snapshot = ConfigurationSnapshot.of(
             ConfigurationVersion.of(1), Configuration.empty().withOrganisations(Optional.of(List.of(LIMITED))));
     private Either<ControlFailure, TokenAnswer> answer = Either.left(new ControlFailure.Malformed("NotUnderstood"));
+    private final RequestLimitObserver observer =
+            new RequestLimitObserver(SELF, LogWriter.start(OutputStream.nullOutputStream()), () -> 0);
     private int asked;
 
     @Test
@@ -108,6 +110,32 @@
         assertThat(ControlFrames.decode(frames.encode(taken, false)).get()).isEqualTo(taken);
     }
 
+    @Test
+    void shouldCountDecisionsMessagesAndMembers() {
+        SharedRequestLimiter limiter = limiter();
+        NodeMetrics metrics = new NodeMetrics();
+        observer.register(metrics, limiter.coordinator());
+        limiter.run();
+        assertThat(limiter.tryAcquire(LIMITED, false)).isInstanceOf(LimitDecision.Undetermined.class);
+        answer = Either.right(new TokenAnswer(1, 1, Map.of(LIMITED.name(), 1), Map.of(LIMITED.name(), 500)));
+        nanoseconds.addAndGet(Duration.ofSeconds(3).toNanos());
+        limiter.run();
+        assertThat(limiter.tryAcquire(LIMITED, false)).isInstanceOf(LimitDecision.Granted.class);
+        while (limiter.tryAcquire(LIMITED, false) instanceof LimitDecision.Granted) {
+            answer = Either.right(new TokenAnswer(1, 1, Map.of(), Map.of(LIMITED.name(), 500)));
+        }
+        observer.recordBorrowed(3);
+        String text = metrics.text();
+        assertThat(text).contains("oleanderturn_limit_decisions_total{decision=\"undetermined\"} 1.0\n");
+        assertThat(text).contains("oleanderturn_limit_decisions_total{decision=\"exceeded\"} 1.0\n");
+        assertThat(text).containsMatch("oleanderturn_limit_decisions_total\\{decision=\"granted\"} [1-9]");
+        assertThat(text).contains("oleanderturn_limit_messages_total " + (double) asked + "\n");
+        assertThat(text).contains("oleanderturn_limit_tokens_borrowed_total 3.0\n");
+        assertThat(text).contains("oleanderturn_limit_members 2.0\n");
+        assertThat(text)
+                .contains("oleanderturn_limit_share " + limiter.coordinator().heldShare() + "\n");
+    }
+
     private SharedRequestLimiter limiter() {
         RequestLimitCoordinator coordinator = RequestLimitCoordinator.of(
                 SELF,
@@ -126,7 +154,7 @@
                 () -> List.of(member(HOLDER, 1), member(SELF, 2)),
                 _ -> true,
                 nanoseconds::get,
-                new RequestLimitObserver(SELF, LogWriter.start(OutputStream.nullOutputStream()), () -> 0));
+                observer);
     }
 
     private Either<ControlFailure, TokenAnswer> takeTokens(Address holder, TokenRequest request, Duration timeout) {
