Merge the guards and guard requests of three test classes into a fixture

GuardClientTest, EndlessAnswerTest and MisattributedAnswerTest each made the same guard and the same request.

--- a/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
@@ -13,9 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
-import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.BodyMemoryBudget;
 import org.oleanderturn.proxy.BodyReservation;
 import org.oleanderturn.proxy.BufferedResponse;
@@ -29,16 +27,10 @@
 import org.oleanderturn.proxy.ResponseMatcher;
 import org.oleanderturn.proxy.SendPolicy;
 import org.oleanderturn.proxy.UpstreamClient;
-import org.oleanderturn.traffic.CrashLedger;
-import org.oleanderturn.traffic.InducedRetries;
-import org.oleanderturn.traffic.LinkSchedule;
-import org.oleanderturn.traffic.SlotQueue;
-import org.oleanderturn.traffic.SlotTicket;
 
 /** Tests what a client gets when the body of a target's or a guard's answer does not end. */
 @Timeout(60)
 final class EndlessAnswerTest {
-    private static final ServiceName SERVICE = ServiceName.of("service");
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final int BUDGET_BYTES = 8_000_000;
     private static final int LIMIT_BYTES = 1_000_000;
@@ -81,25 +73,9 @@
     void shouldNotTakeTheTargetForEndedWhenItsAnswerDoesNotEnd() throws Exception {
         try (HttpListener target = HttpListener.start("127.0.0.1", 0, endless(), ListenerLimits.defaults())
                 .get()) {
-            SlotQueue slots = SlotQueue.of(System::nanoTime);
-            NodeId node = NodeId.of("own");
-            LocalTarget localTarget = LocalTarget.of(node, SERVICE, slots, Duration.ofMinutes(1), System::nanoTime);
-            localTarget.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, SERVICE, 9, false));
-            MeshGuard guard = MeshGuard.of(
-                    target.address(),
-                    localTarget,
-                    slots,
-                    client,
-                    SlotTicket::await,
-                    new FakeProtocolAdapter(Optional.empty()),
-                    CrashMonitor.of(node, CrashLedger.of(() -> 0), _ -> {}, System::nanoTime),
-                    _ -> {},
-                    ResponsePacer.of(LinkSchedule.unlimited(System::nanoTime), Thread::sleep),
-                    InducedRetries.none(),
-                    System::nanoTime);
-
-            assertThat(guard.execute(guardRequest())).isEqualTo(GuardReply.Unknown.of("ANSWER_LIMIT_MEMORY"));
-            assertThat(localTarget.activeStart()).isPresent();
+            GuardFixture guarded = GuardFixture.open(target.address(), client);
+            assertThat(guarded.guard.execute(guardRequest())).isEqualTo(GuardReply.Unknown.of("ANSWER_LIMIT_MEMORY"));
+            assertThat(guarded.target.activeStart()).isPresent();
             assertThat(closed.await(30, TimeUnit.SECONDS)).isTrue();
             assertThat(budget.reservedBytes()).isEqualTo(0);
         }
@@ -136,31 +112,7 @@
     }
 
     private GuardRequest guardRequest() {
-        GuardRequestMetadata metadata = new GuardRequestMetadata(
-                SERVICE,
-                ServiceName.of("caller"),
-                RequestKind.LOOKUP,
-                1,
-                TIMEOUT,
-                Duration.ofMillis(600),
-                Duration.ZERO,
-                1,
-                false,
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty());
-        return new GuardRequest(
-                "GET",
-                "/a/x",
-                List.of(),
-                new byte[0],
-                RequestIdentity.of("GET", "/a/x", new byte[0]),
-                new ClientRequestMetadata("id-1", Optional.of(TIMEOUT), "host.example"),
-                metadata,
-                Duration.ZERO,
-                TIMEOUT,
-                BodyReservation.of(budget),
-                Cancellation.create());
+        return GuardFixture.request("id-1", RequestKind.LOOKUP, TIMEOUT, false, BodyReservation.of(budget));
     }
 
     private static String text(BufferedResponse response) {
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -18,9 +18,7 @@
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
-import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.BodyReservation;
-import org.oleanderturn.proxy.Cancellation;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.HttpListener;
 import org.oleanderturn.proxy.ListenerLimits;
@@ -28,19 +26,14 @@
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamClient;
 import org.oleanderturn.traffic.AgedReport;
-import org.oleanderturn.traffic.CrashLedger;
 import org.oleanderturn.traffic.InducedRetries;
-import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
-import org.oleanderturn.traffic.SlotQueue;
 import org.oleanderturn.traffic.SlotRequest;
 import org.oleanderturn.traffic.SlotTicket;
 import org.oleanderturn.traffic.TargetLoadTracker;
 import org.oleanderturn.traffic.WindowedRetryBudget;
 
 final class GuardClientTest {
-    private static final ServiceName SERVICE = ServiceName.of("bookings");
-    private static final NodeId LOCAL_NODE = NodeId.of("own");
     private static final Locality LOCALITY = Locality.of("south", "hobart");
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
@@ -52,24 +45,13 @@
             .get();
     private final UpstreamClient client = UpstreamClient.of(4);
     private final TargetLoadTracker loads = TargetLoadTracker.of(System::nanoTime);
-    private final SlotQueue slots = SlotQueue.of(System::nanoTime);
-    private final LocalTarget localTarget =
-            LocalTarget.of(LOCAL_NODE, SERVICE, slots, Duration.ofMinutes(1), System::nanoTime);
-    private final MeshGuard guard = MeshGuard.of(
-            target.address(),
-            localTarget,
-            slots,
-            client,
-            SlotTicket::await,
-            new FakeProtocolAdapter(Optional.empty()),
-            CrashMonitor.of(LOCAL_NODE, CrashLedger.of(() -> 0), _ -> {}, System::nanoTime),
-            _ -> {},
-            ResponsePacer.of(LinkSchedule.unlimited(System::nanoTime), Thread::sleep),
-            InducedRetries.of(() -> called, WINDOW_NANOSECONDS, System::nanoTime),
-            System::nanoTime);
+    private final GuardFixture fixture = new GuardFixture(
+            target.address(), client, InducedRetries.of(() -> called, WINDOW_NANOSECONDS, System::nanoTime));
+    private final MeshGuard guard = fixture.guard;
     private final HttpListener peers =
             HttpListener.start("127.0.0.1", 0, guard, ListenerLimits.defaults()).get();
-    private final GuardClient guards = GuardClient.of(LOCAL_NODE, guard, client, loads, TargetConditions.empty());
+    private final GuardClient guards =
+            GuardClient.of(GuardFixture.NODE, guard, client, loads, TargetConditions.empty());
 
     @AfterEach
     void close() {
@@ -81,7 +63,8 @@
     @Test
     void shouldGetTheSameReplyWhenTheGuardIsLocalOrRemote() {
         openTarget();
-        GuardReply.Ran localReply = (GuardReply.Ran) guards.call(endpoint(LOCAL_NODE, peers.address()), request());
+        GuardReply.Ran localReply =
+                (GuardReply.Ran) guards.call(endpoint(GuardFixture.NODE, peers.address()), request());
         GuardReply.Ran remoteReply =
                 (GuardReply.Ran) guards.call(endpoint(NodeId.of("other"), peers.address()), request());
         assertThat(localReply.response().status()).isEqualTo(200);
@@ -96,7 +79,8 @@
     void shouldReachTheLocalGuardWhenItsAddressRefusesConnections() {
         openTarget();
         Address unusedAddress = Address.of("127.0.0.1", 1);
-        assertThat(guards.call(endpoint(LOCAL_NODE, unusedAddress), request())).isInstanceOf(GuardReply.Ran.class);
+        assertThat(guards.call(endpoint(GuardFixture.NODE, unusedAddress), request()))
+                .isInstanceOf(GuardReply.Ran.class);
         assertThat(guards.call(endpoint(NodeId.of("other"), unusedAddress), request()))
                 .isInstanceOf(GuardReply.NotRun.class);
     }
@@ -104,9 +88,9 @@
     @Test
     void shouldRecordTheReportedLoadWhenAGuardReplies() {
         openTarget();
-        var _ = guards.call(endpoint(LOCAL_NODE, peers.address()), request());
+        var _ = guards.call(endpoint(GuardFixture.NODE, peers.address()), request());
         var _ = guards.call(endpoint(NodeId.of("other"), peers.address()), request());
-        assertThat(slotsOf(LOCAL_NODE)).isEqualTo(9);
+        assertThat(slotsOf(GuardFixture.NODE)).isEqualTo(9);
         assertThat(slotsOf(NodeId.of("other"))).isEqualTo(9);
     }
 
@@ -115,19 +99,19 @@
     void shouldRecordTheLoadOfOtherTargetsWhenAReplyPassesItOn() {
         NodeId third = NodeId.of("third");
         LoadReport report = new LoadReport(6, 5, 1, 30);
-        guard.passOn(() -> List.of(new AgedReport(third, report, 0), new AgedReport(LOCAL_NODE, report, 0)));
+        guard.passOn(() -> List.of(new AgedReport(third, report, 0), new AgedReport(GuardFixture.NODE, report, 0)));
         openTarget();
         assertThat(loads.load(third).measured()).isEqualTo(Optional.empty());
         GuardReply.Ran reply = (GuardReply.Ran) guards.call(endpoint(NodeId.of("other"), peers.address()), request());
         assertThat(loads.load(third).measured()).isEqualTo(Optional.of(report));
-        assertThat(loads.load(LOCAL_NODE).measured()).isEqualTo(Optional.empty());
+        assertThat(loads.load(GuardFixture.NODE).measured()).isEqualTo(Optional.empty());
         assertThat(slotsOf(NodeId.of("other"))).isEqualTo(9);
         assertThat(reply.response().header(ProxyHeaders.LOAD)).isEqualTo(Optional.empty());
     }
 
     @Test
     void shouldNotRunWhenTheLocalTargetIsClosed() {
-        GuardReply reply = guards.call(endpoint(LOCAL_NODE, peers.address()), request());
+        GuardReply reply = guards.call(endpoint(GuardFixture.NODE, peers.address()), request());
         assertThat(reply).isInstanceOf(GuardReply.NotRun.class);
         assertThat(runs.get()).isEqualTo(0);
     }
@@ -137,7 +121,8 @@
         openTarget();
         GuardRequest request = request();
         request.cancellation().cancel();
-        assertThat(guards.call(endpoint(LOCAL_NODE, peers.address()), request)).isInstanceOf(GuardReply.NotRun.class);
+        assertThat(guards.call(endpoint(GuardFixture.NODE, peers.address()), request))
+                .isInstanceOf(GuardReply.NotRun.class);
         assertThat(runs.get()).isEqualTo(0);
     }
 
@@ -149,16 +134,16 @@
         WindowedRetryBudget budget = WindowedRetryBudget.of(1, () -> 0, WINDOW_NANOSECONDS, longAgo, System::nanoTime);
         budget.recordRequest();
         called.add(budget);
-        localTarget.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, SERVICE, 1, false));
-        SlotTicket busy = slots.request(SlotRequest.within(TIMEOUT, 1, Duration.ofMillis(1), TIMEOUT, TIMEOUT));
+        fixture.open(1);
+        SlotTicket busy = fixture.slots.request(SlotRequest.within(TIMEOUT, 1, Duration.ofMillis(1), TIMEOUT, TIMEOUT));
         try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
             for (int count = 0; count < 2; count++) {
                 executor.execute(() -> guard.execute(request(true)));
             }
-            while (slots.state().waiting() < 2) {
+            while (fixture.slots.state().waiting() < 2) {
                 Thread.onSpinWait();
             }
-            slots.release(busy);
+            fixture.slots.release(busy);
         }
         assertThat(runs.get()).isEqualTo(1);
     }
@@ -168,7 +153,7 @@
     }
 
     private void openTarget() {
-        localTarget.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, SERVICE, 9, false));
+        fixture.open(9);
     }
 
     private Response run() {
@@ -180,7 +165,7 @@
     }
 
     private static Endpoint endpoint(NodeId node, Address address) {
-        return new Endpoint(node, address, LOCALITY, SERVICE, 9, EndpointState.READY, 1);
+        return new Endpoint(node, address, LOCALITY, GuardFixture.SERVICE, 9, EndpointState.READY, 1);
     }
 
     private static GuardRequest request() {
@@ -188,30 +173,6 @@
     }
 
     private static GuardRequest request(boolean isRepeat) {
-        GuardRequestMetadata metadata = new GuardRequestMetadata(
-                SERVICE,
-                ServiceName.of("caller"),
-                RequestKind.LOOKUP,
-                1,
-                TIMEOUT,
-                Duration.ofMillis(600),
-                Duration.ZERO,
-                1,
-                isRepeat,
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty());
-        return new GuardRequest(
-                "GET",
-                "/a/1",
-                List.of(HeaderField.of("Id", "id-1")),
-                new byte[0],
-                RequestIdentity.of("GET", "/a/1", new byte[0]),
-                new ClientRequestMetadata("id-1", Optional.of(TIMEOUT), "host.example"),
-                metadata,
-                Duration.ZERO,
-                TIMEOUT,
-                BodyReservation.unlimited(),
-                Cancellation.create());
+        return GuardFixture.request("id-1", RequestKind.LOOKUP, TIMEOUT, isRepeat, BodyReservation.unlimited());
     }
 }
--- a/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
@@ -21,23 +21,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.oleanderturn.model.Address;
-import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
-import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.BodyReservation;
-import org.oleanderturn.proxy.Cancellation;
-import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.UpstreamClient;
-import org.oleanderturn.traffic.CrashLedger;
-import org.oleanderturn.traffic.InducedRetries;
-import org.oleanderturn.traffic.LinkSchedule;
-import org.oleanderturn.traffic.SlotQueue;
-import org.oleanderturn.traffic.SlotTicket;
 
 /** Tests the guard against targets that write answers of other requests, or answers that belong to none. */
 @Timeout(60)
 final class MisattributedAnswerTest {
-    private static final ServiceName SERVICE = ServiceName.of("service");
     private static final Duration TIME_LIMIT = Duration.ofSeconds(10);
 
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
@@ -102,10 +92,11 @@
     private List<String> replies(UnaryOperator<String> answers, String... ids) throws IOException {
         try (ServerSocket target = new ServerSocket(0, 4, InetAddress.getLoopbackAddress())) {
             executor.execute(() -> accept(target, answers));
-            MeshGuard guard = guard(Address.of("127.0.0.1", target.getLocalPort()));
+            MeshGuard guard = GuardFixture.open(Address.of("127.0.0.1", target.getLocalPort()), client).guard;
             List<String> replies = new ArrayList<>();
             for (String id : ids) {
-                replies.add(describe(guard.execute(request(id))));
+                replies.add(describe(guard.execute(
+                        GuardFixture.request(id, RequestKind.SINGLE, TIME_LIMIT, false, BodyReservation.unlimited()))));
             }
             assertThat(requests).containsExactlyElementsIn(ids).inOrder();
             requests.clear();
@@ -113,53 +104,6 @@
         }
     }
 
-    private MeshGuard guard(Address address) {
-        SlotQueue slots = SlotQueue.of(System::nanoTime);
-        NodeId node = NodeId.of("own");
-        LocalTarget localTarget = LocalTarget.of(node, SERVICE, slots, Duration.ofMinutes(1), System::nanoTime);
-        localTarget.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, SERVICE, 9, false));
-        return MeshGuard.of(
-                address,
-                localTarget,
-                slots,
-                client,
-                SlotTicket::await,
-                new FakeProtocolAdapter(Optional.empty()),
-                CrashMonitor.of(node, CrashLedger.of(() -> 0), _ -> {}, System::nanoTime),
-                _ -> {},
-                ResponsePacer.of(LinkSchedule.unlimited(System::nanoTime), Thread::sleep),
-                InducedRetries.none(),
-                System::nanoTime);
-    }
-
-    private static GuardRequest request(String id) {
-        GuardRequestMetadata metadata = new GuardRequestMetadata(
-                SERVICE,
-                ServiceName.of("caller"),
-                RequestKind.SINGLE,
-                1,
-                TIME_LIMIT,
-                Duration.ofMillis(600),
-                Duration.ZERO,
-                1,
-                false,
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty());
-        return new GuardRequest(
-                "GET",
-                "/a/x",
-                List.of(HeaderField.of("Id", id)),
-                new byte[0],
-                RequestIdentity.of("GET", "/a/x", new byte[0]),
-                new ClientRequestMetadata(id, Optional.of(TIME_LIMIT), "host.example"),
-                metadata,
-                Duration.ZERO,
-                TIME_LIMIT,
-                BodyReservation.unlimited(),
-                Cancellation.create());
-    }
-
     private static String describe(GuardReply reply) {
         return switch (reply) {
             case GuardReply.Ran ran ->
