Take fewer locks and ask the kernel less on connections that do not pipeline

The checks of a connection took the lock of its stream or of its response order to find that nothing was sent ahead, watched or in service: about ten times for each request, and twice for each idle connection every 100 ms. They read volatile fields now; what they decide is still decided under the locks. A round of the loop that looks for the client of a busy connection reads what has arrived, so that it no longer asks for the number of bytes (FIONREAD) as well. The question before each response stays: without it the wait of a request that arrived meanwhile would count as too short.

--- a/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/LookaheadInputStream.java
@@ -50,6 +50,10 @@
     /** When the source was last known to hold no unread byte; what is found later did not arrive before it. */
     private long emptyNanoseconds = System.nanoTime();
 
+    // Written under the lock. Where nobody sends ahead, or nothing is watched, they spare taking it.
+    private volatile boolean isAhead;
+    private volatile boolean isWatched;
+
     private boolean isReading;
     private boolean areChecksEnded;
     private volatile boolean hasEnded;
@@ -90,6 +94,7 @@
             isEndKnown = hasEnded;
             if (!isEndKnown) {
                 onEnd.put(key, action);
+                isWatched = true;
             }
             isOnly = onEnd.size() <= 1;
         } finally {
@@ -103,17 +108,25 @@
 
     /** Removes an action; what was read ahead is kept for the next read. */
     void unwatch(Object key) {
+        if (!isWatched) {
+            return;
+        }
         lock.lock();
         try {
             onEnd.remove(key);
+            isWatched = !onEnd.isEmpty();
         } finally {
             lock.unlock();
         }
     }
 
-    /** Looks for the end if there is an action to run. */
-    void checkWatched() {
+    /** Reads what has arrived and looks for the end if there is an action to run; returns whether there was one. */
+    boolean checkWatched() {
+        if (!isWatched) {
+            return false;
+        }
         check(true);
+        return true;
     }
 
     /** Reads what has arrived, and returns whether the input has ended. */
@@ -160,7 +173,9 @@
             if (isEnd && !onEnd.isEmpty()) {
                 actions = new ArrayList<>(onEnd.values());
                 onEnd.clear();
+                isWatched = false;
             }
+            isAhead = ahead.size() > 0;
         } finally {
             lock.unlock();
         }
@@ -242,6 +257,9 @@
 
     /** Returns whether the whole head of a further request has been read ahead. */
     boolean hasHeadAhead() {
+        if (!isAhead) {
+            return false;
+        }
         lock.lock();
         try {
             return ahead.headLength() > 0;
@@ -252,6 +270,9 @@
 
     /** Returns a time at or before the arrival of the first byte that was read ahead; empty if there is none. */
     OptionalLong arrivalNanoseconds() {
+        if (!isAhead) {
+            return OptionalLong.empty();
+        }
         lock.lock();
         try {
             return ahead.arrivalNanoseconds();
@@ -262,9 +283,13 @@
 
     /** Drops the empty lines before a request, which some clients send behind a body; they are not part of it. */
     void skipEmptyLines() {
+        if (!isAhead) {
+            return;
+        }
         lock.lock();
         try {
             ahead.skipEmptyLines();
+            isAhead = ahead.size() > 0;
         } finally {
             lock.unlock();
         }
@@ -275,6 +300,7 @@
         lock.lock();
         try {
             ahead.putBack(bytes, arrivalNanoseconds);
+            isAhead = true;
         } finally {
             lock.unlock();
         }
@@ -298,7 +324,9 @@
         try {
             if (ahead.size() > 0) {
                 hasReadBytes = true;
-                return ahead.take(bytes, offset, length);
+                int count = ahead.take(bytes, offset, length);
+                isAhead = ahead.size() > 0;
+                return count;
             }
             if (hasEnded || hasOverflowed) {
                 hasReadEnd = true;
--- a/proxy/src/main/java/org/oleanderturn/proxy/RequestPipeline.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RequestPipeline.java
@@ -235,7 +235,7 @@
     }
 
     /** Starts the requests that have arrived whole, as far as they may run concurrently with those in service. */
-    private void startArrived() {
+    void startArrived() {
         boolean isFurtherPossible = true;
         while (isFurtherPossible && order.hasRoom() && input.hasHeadAhead()) {
             // A request whose client has left must not run.
--- a/proxy/src/main/java/org/oleanderturn/proxy/ResponseOrder.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ResponseOrder.java
@@ -17,12 +17,14 @@
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition changed = lock.newCondition();
     private final int limit;
-    private long started;
-    private long answered;
-    private int runningFollowers;
-    private boolean areFollowersAllowed;
-    private boolean isSealed;
-    private boolean hasFailed;
+
+    // Written under the lock, and read without it where the answer of a moment ago is as good.
+    private volatile long started;
+    private volatile long answered;
+    private volatile int runningFollowers;
+    private volatile boolean areFollowersAllowed;
+    private volatile boolean isSealed;
+    private volatile boolean hasFailed;
 
     /** Returns an order in which at most the given number of requests are in service at a time. */
     ResponseOrder(int limit) {
@@ -33,31 +35,21 @@
 
     /** Returns the number of requests that were started and are not answered. */
     int inService() {
-        lock.lock();
-        try {
-            return (int) (started - answered);
-        } finally {
-            lock.unlock();
-        }
+        long finished = answered;
+        return (int) (started - finished);
     }
 
-    /** Returns whether a follower may be started now. */
+    /**
+     * Returns whether a follower may be started now. The permission is read last: it is withdrawn before a request that allows
+     * none is started.
+     */
     boolean hasRoom() {
-        lock.lock();
-        try {
-            return areFollowersAllowed && !isSealed && started > answered && started - answered < limit;
-        } finally {
-            lock.unlock();
-        }
+        int inService = inService();
+        return inService > 0 && inService < limit && !isSealed && areFollowersAllowed;
     }
 
     boolean isSealed() {
-        lock.lock();
-        try {
-            return isSealed;
-        } finally {
-            lock.unlock();
-        }
+        return isSealed;
     }
 
     // -- commands
@@ -67,12 +59,24 @@
         lock.lock();
         try {
             areFollowersAllowed = false;
-            return started++;
+            return countStarted();
         } finally {
             lock.unlock();
         }
     }
 
+    /** Counts a request under the lock, and returns its number. */
+    private long countStarted() {
+        long number = started;
+        started = number + 1;
+        return number;
+    }
+
+    private void countFollowers(int difference) {
+        int known = runningFollowers;
+        runningFollowers = known + difference;
+    }
+
     void allowFollowers() {
         lock.lock();
         try {
@@ -89,8 +93,8 @@
             if (!hasRoom()) {
                 return OptionalLong.empty();
             }
-            runningFollowers++;
-            return OptionalLong.of(started++);
+            countFollowers(1);
+            return OptionalLong.of(countStarted());
         } finally {
             lock.unlock();
         }
@@ -128,6 +132,9 @@
      * @throws ConnectionClosedException if a response before it could not be written
      */
     void awaitTurn(long number) throws ConnectionClosedException {
+        if (answered >= number && !hasFailed) {
+            return;
+        }
         lock.lock();
         try {
             while (answered < number && !hasFailed) {
@@ -167,7 +174,7 @@
     void endFollower() {
         lock.lock();
         try {
-            runningFollowers--;
+            countFollowers(-1);
             changed.signalAll();
         } finally {
             lock.unlock();
@@ -176,6 +183,9 @@
 
     /** Waits until no follower is running. */
     void awaitFollowers() {
+        if (runningFollowers == 0) {
+            return;
+        }
         lock.lock();
         try {
             while (runningFollowers > 0) {
--- a/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ServerConnection.java
@@ -130,9 +130,15 @@
 
     /** Looks for further requests, and for a disconnect if the watch delay of the oldest watched request has passed. */
     void checkPeer(long nowNanoseconds) {
-        pipeline.ifPresent(RequestPipeline::checkInput);
-        if (nowNanoseconds - watchDueNanoseconds >= 0) {
-            channel.input().checkWatched();
+        boolean isDue = nowNanoseconds - watchDueNanoseconds >= 0;
+        boolean isRead = isDue && channel.input().checkWatched();
+        if (pipeline.isEmpty()) {
+            return;
+        }
+        if (isRead) {
+            pipeline.get().startArrived();
+        } else {
+            pipeline.get().checkInput();
         }
     }
 
