--- a/node/src/test/java/org/oleanderturn/node/RolloutJudgeTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RolloutJudgeTest.java
@@ -9,10 +9,16 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Endpoint;
+import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.EndpointView;
+import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RolloutState;
 import org.oleanderturn.model.RolloutStatus;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.model.SoftwareVersion;
 import org.oleanderturn.platform.FakeOperator;
 import org.oleanderturn.platform.RolloutKeys;
 import org.oleanderturn.store.FakeStore;
@@ -194,6 +200,33 @@
         assertThat(judge.answer(reports).orElseThrow()).isEmpty();
     }
 
+    /** An order may be written, and reported by an entry, between the answer of the store and its arrival. */
+    @Test
+    void shouldNotTellThatAnOrderIsRemovedWhenItWasReportedDuringTheRead() {
+        judge.run();
+        assertThat(judge.answer(List.of(report(0, RolloutStage.CANARY, 77, 3_000, false))))
+                .isEqualTo(Optional.empty());
+        List<RolloutReport> later = List.of(report(0, RolloutStage.CANARY, 78, 3_000, false));
+        store.runBeforeCall(() -> judge.answer(later));
+        judge.run();
+        assertThat(judge.answer(later)).isEqualTo(Optional.empty());
+    }
+
+    /** Entries that restarted with the judge would send requests to a version that was rolled back. */
+    @Test
+    void shouldPermitNothingBeforeItHasReadTheStatus() {
+        begin("v2");
+        run(8_000, 1, true);
+        assertThat(state()).isEqualTo(Optional.of(RolloutState.ROLLED_BACK));
+        judge = judge();
+        store.scriptFaults(FakeStore.Fault.NONE, FakeStore.Fault.UNREACHABLE);
+        judge.run();
+        assertThat(judge.answer(List.of()).orElseThrow().getFirst().isPermitted())
+                .isFalse();
+        judge.run();
+        assertThat(judge.answer(List.of()).orElseThrow().getFirst().isSettled()).isTrue();
+    }
+
     @Test
     void shouldTellNothingWhenTheOrdersCannotBeRead() {
         store.setDefaultFault(FakeStore.Fault.UNREACHABLE);
@@ -201,6 +234,33 @@
         assertThat(judge.answer(List.of())).isEqualTo(Optional.empty());
     }
 
+    @Test
+    void shouldCountRequestsToNewVersionsAndRolloutsThatHaveNotEnded() {
+        Endpoint next = new Endpoint(
+                NodeId.of("next"),
+                Address.of("10.0.0.1", 80),
+                Locality.of("south", "zone"),
+                SERVICE,
+                6,
+                EndpointState.READY,
+                1,
+                Optional.of(SoftwareVersion.of("v2")));
+        RolloutEntry entry =
+                new RolloutEntry(NodeId.of("self"), PACE, () -> EndpointView.of(List.of(next)), () -> 1, () -> now);
+        NodeMetrics metrics = new NodeMetrics();
+        NodeRollouts.register(metrics, entry, judge);
+        begin("v2");
+        run(500, 1, false);
+        entry.recordSent(SERVICE, next);
+        entry.apply(judge.answer(List.of()).orElseThrow(), now);
+        entry.recordSent(SERVICE, next);
+        // The first was sent before the order was known.
+        assertThat(metrics.text()).contains("oleanderturn_rollout_requests 1.0\n");
+        assertThat(metrics.text()).contains("oleanderturn_rollouts_judged 1.0\n");
+        run(14_000, 1, false);
+        assertThat(metrics.text()).contains("oleanderturn_rollouts_judged 0.0\n");
+    }
+
     private void assertEnd(boolean isBad, String message) {
         assertWithMessage(message)
                 .that(state())
