--- a/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/ClientResponses.java
@@ -20,6 +20,9 @@
 final class ClientResponses {
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
+    /** When a client may retry at a node that lacks a version or can't confirm its own; a transfer takes about as long. */
+    private static final Duration VERSION_RETRY_AFTER = Duration.ofMillis(400);
+
     private final String attemptId;
     private final Duration readDelay;
     private final long receivedNanoseconds;
@@ -72,6 +75,19 @@
         return textResponse(status, reason);
     }
 
+    /** Returns a refusal of a request that the configuration does not allow, and that did not run and will not. */
+    Response denied(RoutingDenial denial, int attempts) {
+        ClientResponses versioned = withVersion(denial.version());
+        return switch (denial) {
+            case RoutingDenial.Forbidden forbidden -> {
+                versioned.logResponse(forbidden.status(), forbidden.reason(), attempts, Optional.empty());
+                yield textResponse(forbidden.status(), forbidden.reason());
+            }
+            case RoutingDenial.Undetermined undetermined ->
+                versioned.notRun(undetermined.reason(), attempts, VERSION_RETRY_AFTER);
+        };
+    }
+
     /** Returns a response that leaves open whether the request ran. */
     Response unknown(int status, String reason, int attempts) {
         logResponse(status, reason, attempts, Optional.empty());
--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.mesh;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Objects;
@@ -11,6 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
@@ -37,14 +40,12 @@
 
     private static final String QUARANTINED = "QUARANTINED";
 
-    private static final String KEY_REMOVED = "KEY_REMOVED";
-
     /** Stands in for the target latency of a route that states none. */
     private static final int DEFAULT_TARGET_LATENCY_MILLISECONDS = 1_000;
 
     private final MeshRequest request;
     private final BooleanSupplier hasClientLeft;
-    private final BooleanSupplier isKeyInForce;
+    private final Supplier<Either<RoutingDenial, ConfigurationVersion>> keyCheck;
     private final MeshEntryDependencies dependencies;
     private final ClientResponses responses;
     private final EntryOffers offers;
@@ -65,18 +66,18 @@
      * Creates a dispatch.
      *
      * @param hasClientLeft asks the client's connection, on the thread that runs the dispatch
-     * @param isKeyInForce returns whether the key of the request has not been removed since
+     * @param keyCheck returns the version that still holds the key of the request, or why it may not run
      */
     EntryDispatch(
             MeshRequest request,
             BooleanSupplier hasClientLeft,
-            BooleanSupplier isKeyInForce,
+            Supplier<Either<RoutingDenial, ConfigurationVersion>> keyCheck,
             MeshEntryDependencies dependencies,
             ClientResponses responses,
             ConcurrentMap<NodeId, Set<Cancellation>> cancellationsByNode) {
         this.request = Objects.requireNonNull(request, "request is null");
         this.hasClientLeft = Objects.requireNonNull(hasClientLeft, "hasClientLeft is null");
-        this.isKeyInForce = Objects.requireNonNull(isKeyInForce, "isKeyInForce is null");
+        this.keyCheck = Objects.requireNonNull(keyCheck, "keyCheck is null");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
         this.choice = new EndpointChoice(request, dependencies);
         this.responses = Objects.requireNonNull(responses, "responses is null");
@@ -125,8 +126,9 @@
     private Response attemptUntilDone() {
         GuardReply last = new GuardReply.NotRun("NO_ENDPOINT", false, Duration.ZERO);
         while (!isStopped()) {
-            if (!isKeyInForce.getAsBoolean()) {
-                return refuseRemovedKey();
+            Either<RoutingDenial, ConfigurationVersion> checked = keyCheck.get();
+            if (checked.isLeft()) {
+                return denyKey(checked.getLeft());
             }
             CrashVerdict verdict = dependencies.crashMonitor().verdict(request.identity());
             if (verdict instanceof CrashVerdict.Quarantined quarantined) {
@@ -167,11 +169,11 @@
         return finish(last);
     }
 
-    private Response refuseRemovedKey() {
+    private Response denyKey(RoutingDenial denial) {
         isKnownNotToHaveRun = !mayHaveRun;
         return mayHaveRun
-                ? responses.unknown(HttpStatuses.BAD_GATEWAY, KEY_REMOVED, attempts)
-                : responses.refused(HttpStatuses.UNAUTHORIZED, KEY_REMOVED);
+                ? responses.withVersion(denial.version()).unknown(HttpStatuses.BAD_GATEWAY, denial.reason(), attempts)
+                : responses.denied(denial, attempts);
     }
 
     /** Ends a request that is offered to no target, and remembers when one expects room. */
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -36,9 +36,6 @@
     /** When a client may retry at a node that is not ready; a node takes about as long to start. */
     private static final Duration NOT_READY_RETRY_AFTER = Duration.ofMillis(500);
 
-    /** When a client may retry at a node that lacks a version or can't confirm its own; a transfer takes about as long. */
-    private static final Duration VERSION_RETRY_AFTER = Duration.ofMillis(400);
-
     /** When a client may retry at a node whose memory for bodies is used up; most requests end within this time. */
     private static final Duration MEMORY_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -119,7 +116,7 @@
         // Again, as the key may have been removed while the body was read.
         Either<RoutingDenial, RequestRouter.Routed> routed = router.route(request.method(), request.path(), client);
         if (routed.isLeft()) {
-            return deny(routed.getLeft(), responses);
+            return responses.denied(routed.getLeft(), 0);
         }
         ClientResponses routedResponses =
                 responses.withVersion(routed.get().index().snapshot().version());
@@ -154,7 +151,7 @@
         EntryDispatch dispatch = new EntryDispatch(
                 request,
                 inbound::hasPeerLeft,
-                () -> router.isKeyInForce(request),
+                () -> router.recheckKey(request),
                 dependencies,
                 responses,
                 cancellationsByNode);
@@ -180,7 +177,8 @@
         Either<RoutingDenial, RequestRouter.Routed> routed = router.route(request.method(), request.path(), client);
         return routed.isRight()
                 ? Optional.empty()
-                : Optional.of(deny(routed.getLeft(), responses(request, client, index, receivedNanoseconds)));
+                : Optional.of(
+                        responses(request, client, index, receivedNanoseconds).denied(routed.getLeft(), 0));
     }
 
     private ClientResponses responses(
@@ -221,15 +219,6 @@
                                 dependencies.admission().isOverShare(request.rank(), organisation))));
     }
 
-    private static Response deny(RoutingDenial denial, ClientResponses responses) {
-        ClientResponses versioned = responses.withVersion(denial.version());
-        return switch (denial) {
-            case RoutingDenial.Forbidden forbidden -> versioned.refused(forbidden.status(), forbidden.reason());
-            case RoutingDenial.Undetermined undetermined ->
-                versioned.notRun(undetermined.reason(), 0, VERSION_RETRY_AFTER);
-        };
-    }
-
     /** Takes no requests that come too late for the end of the node, and lets the others end before it. */
     public void stop(EntryStop announced) {
         stop.set(Optional.of(announced));
--- a/mesh/src/main/java/org/oleanderturn/mesh/RequestRouter.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RequestRouter.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Organisation;
@@ -14,6 +15,8 @@
  * newest in force. Thread safe.
  */
 final class RequestRouter {
+    private static final String KEY_UNCONFIRMED = "KEY_UNCONFIRMED";
+
     private final Supplier<RouteIndex> routes;
     private final VersionCheck versionCheck;
     private final Authenticator authenticator;
@@ -44,6 +47,10 @@
     private enum Refusal {
         NO_ROUTE,
         UNKNOWN_KEY,
+        /** The key was in force when the request came. */
+        REMOVED_KEY,
+        /** The key is another organisation's since the request came. */
+        MOVED_KEY,
         UNCONFIRMED_KEY
     }
 
@@ -54,35 +61,52 @@
         return routes.get();
     }
 
-    /** Returns whether the organisation of a request still holds the key that the request carries. */
-    boolean isKeyInForce(MeshRequest request) {
-        if (request.organisation().isEmpty()) {
-            return true;
-        }
-        RouteIndex index = routes.get();
-        return !index.areKeysRequired()
-                || !(request.client().credentials() instanceof ClientCredentials.Key key)
-                || index.organisation(key.digest()).isPresent();
-    }
-
     /** Returns where a request goes; blocks for a bounded time to make sure of the version before it is forbidden. */
     Either<RoutingDenial, Routed> route(String method, String path, ClientRequestMetadata client) {
+        return decide(index -> find(index, method, path, client));
+    }
+
+    /**
+     * Returns the version in force if the organisation that sent a request still holds its key by it; blocks for a bounded
+     * time to make sure of the version before the request is forbidden.
+     */
+    Either<RoutingDenial, ConfigurationVersion> recheckKey(MeshRequest request) {
+        return request.organisation().isEmpty()
+                ? Either.right(routes.get().snapshot().version())
+                : decide(index -> findKey(index, request, request.organisation().get()));
+    }
+
+    private <T> Either<RoutingDenial, T> decide(Function<RouteIndex, Either<Refusal, T>> decision) {
         RouteIndex index = routes.get();
-        Either<Refusal, Routed> found = find(index, method, path, client);
+        Either<Refusal, T> found = decision.apply(index);
         if (found.isRight()) {
             return Either.right(found.get());
         }
+        ConfigurationVersion version = index.snapshot().version();
         if (found.getLeft() == Refusal.UNCONFIRMED_KEY) {
-            return Either.left(new RoutingDenial.Undetermined(
-                    "KEY_UNCONFIRMED", index.snapshot().version()));
+            return Either.left(new RoutingDenial.Undetermined(KEY_UNCONFIRMED, version));
         }
-        VersionStatus status = versionCheck.check(index.snapshot().version());
+        VersionStatus status = versionCheck.check(version);
         // The check may have brought a newer version.
         RouteIndex newest = routes.get();
-        return find(newest, method, path, client)
+        return decision.apply(newest)
                 .mapLeft(refusal -> denial(refusal, status, newest.snapshot().version()));
     }
 
+    private Either<Refusal, ConfigurationVersion> findKey(RouteIndex index, MeshRequest request, Organisation sender) {
+        return switch (authenticator.authenticate(
+                index, request.match().route(), request.client().credentials())) {
+            case Authentication.Admitted admitted ->
+                admitted.organisation()
+                                .filter(holder -> !holder.name().equals(sender.name()))
+                                .isPresent()
+                        ? Either.left(Refusal.MOVED_KEY)
+                        : Either.right(index.snapshot().version());
+            case Authentication.UnknownKey _ -> Either.left(Refusal.REMOVED_KEY);
+            case Authentication.Unconfirmed _ -> Either.left(Refusal.UNCONFIRMED_KEY);
+        };
+    }
+
     private Either<Refusal, Routed> find(RouteIndex index, String method, String path, ClientRequestMetadata client) {
         Optional<RouteIndex.Match> match = index.find(client.host(), method, path);
         if (match.isEmpty()) {
@@ -98,15 +122,23 @@
 
     private static RoutingDenial denial(Refusal refusal, VersionStatus status, ConfigurationVersion version) {
         if (refusal == Refusal.UNCONFIRMED_KEY) {
-            return new RoutingDenial.Undetermined("KEY_UNCONFIRMED", version);
+            return new RoutingDenial.Undetermined(KEY_UNCONFIRMED, version);
         }
         return switch (status) {
-            case VersionStatus.Newest _ ->
-                refusal == Refusal.NO_ROUTE
-                        ? new RoutingDenial.Forbidden(HttpStatuses.NOT_FOUND, "NO_ROUTE", version)
-                        : new RoutingDenial.Forbidden(HttpStatuses.UNAUTHORIZED, "UNKNOWN_KEY", version);
+            case VersionStatus.Newest _ -> denialByNewest(refusal, version);
             case VersionStatus.Behind _ -> new RoutingDenial.Undetermined("CONFIGURATION_BEHIND", version);
             case VersionStatus.Unconfirmed _ -> new RoutingDenial.Undetermined("CONFIGURATION_UNCONFIRMED", version);
         };
     }
+
+    private static RoutingDenial denialByNewest(Refusal refusal, ConfigurationVersion version) {
+        return switch (refusal) {
+            case NO_ROUTE -> new RoutingDenial.Forbidden(HttpStatuses.NOT_FOUND, "NO_ROUTE", version);
+            case UNKNOWN_KEY -> new RoutingDenial.Forbidden(HttpStatuses.UNAUTHORIZED, "UNKNOWN_KEY", version);
+            case REMOVED_KEY -> new RoutingDenial.Forbidden(HttpStatuses.UNAUTHORIZED, "KEY_REMOVED", version);
+            // The client may send it again for the other organisation.
+            case MOVED_KEY -> new RoutingDenial.Undetermined("KEY_MOVED", version);
+            case UNCONFIRMED_KEY -> new RoutingDenial.Undetermined(KEY_UNCONFIRMED, version);
+        };
+    }
 }
--- a/mesh/src/main/java/org/oleanderturn/mesh/RoutingDenial.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RoutingDenial.java
@@ -9,6 +9,9 @@
     /** Returns the version of the configuration by which the request is not routed. */
     ConfigurationVersion version();
 
+    /** Returns why, as the response states it. */
+    String reason();
+
     /** The newest version in force does not allow the request. */
     record Forbidden(int status, String reason, ConfigurationVersion version) implements RoutingDenial {
         /** Throws a {@link NullPointerException} when a component is null. */
--- a/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EntryFixture.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -10,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import org.oleanderturn.model.Configuration;
 import org.oleanderturn.model.ConfigurationSnapshot;
@@ -17,8 +19,11 @@
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.EndpointView;
+import org.oleanderturn.model.KeyDigest;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Organisation;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.RouteName;
@@ -66,6 +71,9 @@
     boolean isReady = true;
     RolloutPlacement rollouts = RolloutPlacement.none();
     VersionStatus versionStatus = new VersionStatus.Newest();
+    Authenticator authenticator = Authenticator.failOpen();
+    private final AtomicReference<RouteIndex> index = new AtomicReference<>(RouteIndex.empty());
+    private Optional<List<Organisation>> organisations = Optional.empty();
 
     /** Adds a guard that gives the same reply to every request. */
     EntryFixture addGuard(GuardReply reply) {
@@ -91,9 +99,20 @@
     }
 
     MeshEntry entry(RequestKind kind, int attempts, ProtocolAdapter adapter) {
-        RouteIndex index = index(kind, attempts);
-        return MeshEntry.of(
-                () -> index, () -> isReady, _ -> versionStatus, Authenticator.failOpen(), adapter, dependencies());
+        index.set(index(kind, attempts));
+        return MeshEntry.of(index::get, () -> isReady, _ -> versionStatus, authenticator, adapter, dependencies());
+    }
+
+    /** Lets the next version, or the first one before an entry is made, declare organisations with one key each. */
+    void declare(Map<String, String> keysByOrganisation) {
+        organisations = Optional.of(keysByOrganisation.entrySet().stream()
+                .map(entry -> Organisation.of(
+                        OrganisationName.of(entry.getKey()), List.of(KeyDigest.ofKey(entry.getValue()))))
+                .toList());
+        ConfigurationSnapshot held = index.get().snapshot();
+        index.set(RouteIndex.of(ConfigurationSnapshot.of(
+                ConfigurationVersion.of(held.version().number() + 1),
+                held.configuration().withOrganisations(organisations))));
     }
 
     /** Returns an explainer of the choices of an entry for lookups. */
@@ -103,7 +122,7 @@
                 () -> index, () -> isReady, Authenticator.failOpen(), LOCALITY, "LEAST_LATENCY", dependencies());
     }
 
-    private static RouteIndex index(RequestKind kind, int attempts) {
+    private RouteIndex index(RequestKind kind, int attempts) {
         TrafficPolicy policy =
                 new TrafficPolicy(TrafficPolicyName.of("policy"), TIMEOUT_MILLISECONDS, attempts, 0, 0, 0, 0, 0);
         Route route = new Route(
@@ -118,7 +137,9 @@
                 Optional.empty(),
                 Optional.empty());
         return RouteIndex.of(ConfigurationSnapshot.of(
-                ConfigurationVersion.of(1), Configuration.of(List.of(SERVICE), List.of(route), List.of(policy))));
+                ConfigurationVersion.of(1),
+                Configuration.of(List.of(SERVICE), List.of(route), List.of(policy))
+                        .withOrganisations(organisations)));
     }
 
     private MeshEntryDependencies dependencies() {
--- a/mesh/src/test/java/org/oleanderturn/mesh/FakeProtocolAdapter.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/FakeProtocolAdapter.java
@@ -3,12 +3,13 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.oleanderturn.model.KeyDigest;
 import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.InboundRequest;
 
-/** An adapter that reads the headers "Id", "Signed" and "Not-Executed"; every call of a target is malformed. */
+/** An adapter that reads the headers "Id", "Key", "Signed" and "Not-Executed"; every call of a target is malformed. */
 final class FakeProtocolAdapter implements ProtocolAdapter {
     private final Optional<Duration> timeout;
 
@@ -18,7 +19,10 @@
 
     @Override
     public ClientRequestMetadata clientMetadata(InboundRequest request) {
-        return new ClientRequestMetadata(request.header("Id").orElse(""), timeout, "host.example");
+        ClientCredentials credentials = request.header("Key")
+                .<ClientCredentials>map(key -> new ClientCredentials.Key(KeyDigest.ofKey(key)))
+                .orElseGet(ClientCredentials::none);
+        return new ClientRequestMetadata(request.header("Id").orElse(""), timeout, "host.example", credentials);
     }
 
     @Override
--- a/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -268,6 +270,64 @@
                 .inOrder();
     }
 
+    /** Guards against a second attempt for a key that a newer version removed during the first one. */
+    @Test
+    void shouldMakeNoSecondAttemptWhenTheKeyIsRemovedDuringTheFirst() throws IOException {
+        Response refused = sendWithKey(EntryFixture.notRun(), () -> fixture.declare(Map.of("first", "key-2")));
+        assertThat(refused.status()).isEqualTo(401);
+        assertThat(text(refused)).isEqualTo("KEY_REMOVED\n");
+        Decision.Answered answered = (Decision.Answered) fixture.decisions.getLast();
+        assertThat(answered.version()).isEqualTo(ConfigurationVersion.of(2));
+    }
+
+    @Test
+    void shouldNotSayThatARequestDidNotRunWhenItMayHaveAndTheKeyIsRemoved() throws IOException {
+        Response refused = sendWithKey(EntryFixture.unknown(), () -> fixture.declare(Map.of("first", "key-2")));
+        assertThat(refused.status()).isEqualTo(502);
+    }
+
+    /** The entry forbade requests by a version that was not the newest, whose key the newest had again. */
+    @Test
+    void shouldNotForbidARequestByAVersionThatIsNotTheNewestWhenItsKeyIsRemoved() throws IOException {
+        assertNotRun(
+                sendWithKey(EntryFixture.notRun(), () -> {
+                    fixture.declare(Map.of("first", "key-2"));
+                    fixture.versionStatus = new VersionStatus.Behind(ConfigurationVersion.of(3));
+                }),
+                "CONFIGURATION_BEHIND");
+    }
+
+    /** A request ran on for the organisation that no longer had its key. */
+    @Test
+    void shouldMakeNoSecondAttemptWhenTheKeyIsAnotherOrganisationsSince() throws IOException {
+        assertNotRun(
+                sendWithKey(EntryFixture.notRun(), () -> fixture.declare(Map.of("first", "key-2", "second", "key-1"))),
+                "KEY_MOVED");
+    }
+
+    /** A node that is cut off and fails closed made further attempts with keys that it could not confirm. */
+    @Test
+    void shouldMakeNoSecondAttemptWhenTheKeyCanNoLongerBeConfirmed() throws IOException {
+        AtomicReference<Duration> age = new AtomicReference<>(Duration.ZERO);
+        fixture.authenticator = Authenticator.failClosed(Duration.ofSeconds(5), () -> Optional.of(age.get()));
+        assertNotRun(sendWithKey(EntryFixture.notRun(), () -> age.set(Duration.ofSeconds(6))), "KEY_UNCONFIRMED");
+    }
+
+    /** Sends a request of organisation "first" to a guard that does something before it replies, and to no other one. */
+    private Response sendWithKey(GuardReply reply, Runnable atFirstGuard) throws IOException {
+        fixture.addGuard(_ -> {
+                    atFirstGuard.run();
+                    return GuardReplyCodec.encode(reply, EntryFixture.IDLE, Optional.empty());
+                })
+                .addGuard(EntryFixture.ran(200, "second"));
+        fixture.declare(Map.of("first", "key-1"));
+        MeshEntry entry = fixture.entry(RequestKind.LOOKUP, 2, new FakeProtocolAdapter(Optional.empty()));
+        Response response = entry.handle(new FakeRequest(
+                "/a/x", List.of(HeaderField.of("Id", "a1"), HeaderField.of("Key", "key-1"))));
+        assertThat(fixture.requestCount(1)).isEqualTo(0);
+        return response;
+    }
+
     private Response send(RequestKind kind, int attempts) throws IOException {
         return fixture.entry(kind, attempts, new FakeProtocolAdapter(Optional.empty()))
                 .handle(FakeRequest.of("/a/x"));
