Refuse a request whose key is removed while it waits at a guard

A request that waited for a slot ran after a newer version had removed its key, as the guard knew the organisation's name only.

The entry now tells the guard in Oleanderturn-Checked-Key by which version it admitted the key, and the first 8 bytes of the key's digest. A guard that holds that version or a newer one without the key refuses the request as not run, KEY_REMOVED: on arrival, when it would be granted a slot, and at once for all that wait when a version is adopted. The queue refuses it itself, so that no slot, no token of the target's rate and no run of zero length is counted.

One header instead of two; without organisations none is sent. A guard that holds an older version lets the request run.

Without the refusal in the queue the new test of SlotQueueTest and two of GuardClientTest fail; without the comparison of versions, the third of GuardClientTest; with further attempts after KEY_REMOVED, one of MeshEntryTest.

--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -40,6 +40,8 @@
 
     private static final String QUARANTINED = "QUARANTINED";
 
+    private static final String CONFIGURATION_BEHIND = "CONFIGURATION_BEHIND";
+
     /** Stands in for the target latency of a route that states none. */
     private static final int DEFAULT_TARGET_LATENCY_MILLISECONDS = 1_000;
 
@@ -143,7 +145,7 @@
                 return finish(attempts > 0 ? last : withhold());
             }
             long started = dependencies.clockNanoseconds().getAsLong();
-            last = attempt(endpoint.get());
+            last = attempt(endpoint.get(), checked.get());
             Duration duration = Duration.ofNanos(dependencies.clockNanoseconds().getAsLong() - started);
             recordReply(endpoint.get(), last, duration);
             if (last instanceof GuardReply.Ran ran && !isRetryableFailure(ran)) {
@@ -176,6 +178,12 @@
                 : responses.denied(denial, attempts);
     }
 
+    /** Ends a request whose key a guard knows to be removed; this node may not have heard of that version yet. */
+    private Response denyKeyOfGuard() {
+        return denyKey(keyCheck.get()
+                .fold(denial -> denial, version -> new RoutingDenial.Undetermined(CONFIGURATION_BEHIND, version)));
+    }
+
     /** Ends a request that is offered to no target, and remembers when one expects room. */
     private GuardReply withhold() {
         GuardReply reply = offers.withhold();
@@ -189,7 +197,7 @@
         dependencies.rollouts().recordReply(request.service(), routeName(), endpoint, reply, isOverdue, duration);
     }
 
-    private GuardReply attempt(Endpoint endpoint) {
+    private GuardReply attempt(Endpoint endpoint, ConfigurationVersion checked) {
         attempts++;
         NodeId node = endpoint.node();
         choice.logPlacement(node, attempts);
@@ -203,7 +211,7 @@
             if (isStopped()) {
                 return new GuardReply.NotRun("DEADLINE", false, Duration.ZERO);
             }
-            return exchange(endpoint, cancellation);
+            return exchange(endpoint, checked, cancellation);
         } finally {
             dependencies.loads().recordEnded(node);
             dependencies.rollouts().recordEnded(request.service(), endpoint);
@@ -212,9 +220,9 @@
         }
     }
 
-    private GuardReply exchange(Endpoint endpoint, Cancellation cancellation) {
+    private GuardReply exchange(Endpoint endpoint, ConfigurationVersion checked, Cancellation cancellation) {
         GuardReply reply = WatchedExchange.of(dependencies.guardClient(), dependencies.crashMonitor())
-                .call(endpoint, guardRequest(endpoint.node(), cancellation));
+                .call(endpoint, guardRequest(endpoint.node(), checked, cancellation));
         if (reply instanceof GuardReply.Ran ran) {
             dependencies
                     .exchangeSizes()
@@ -225,7 +233,7 @@
                 : reply;
     }
 
-    private GuardRequest guardRequest(NodeId node, Cancellation cancellation) {
+    private GuardRequest guardRequest(NodeId node, ConfigurationVersion checked, Cancellation cancellation) {
         Duration remaining = remaining();
         Route route = request.match().route();
         Duration guardTime =
@@ -246,7 +254,8 @@
                         .find(node)
                         .filter(TargetCondition::isBinding)
                         .map(TargetCondition::headerValue),
-                request.organisationName());
+                request.organisationName(),
+                request.checkedKey(checked));
         return new GuardRequest(
                 request.method(),
                 request.path(),
@@ -299,6 +308,7 @@
             return false;
         }
         return switch (reply) {
+            case GuardReply.NotRun notRun when notRun.isForRemovedKey() -> false;
             case GuardReply.NotRun notRun when !notRun.isRejectedByTarget() -> ++refusals < MAXIMUM_REFUSALS;
             case GuardReply.NotRun _ -> decideTargetRetry();
             case GuardReply.Ran _, GuardReply.Unknown _ -> {
@@ -331,6 +341,7 @@
         isKnownNotToHaveRun = isRefusal && !mayHaveRun;
         return switch (last) {
             case GuardReply.Ran ran -> responses.delivered(ran.response(), attempts);
+            case GuardReply.NotRun notRun when notRun.isForRemovedKey() -> denyKeyOfGuard();
             case GuardReply.NotRun notRun
             when !mayHaveRun ->
                 responses.notRun(notRun.reason(), attempts, retryAfter(soonestRetry.orElse(Duration.ZERO)));
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardReply.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardReply.java
@@ -47,6 +47,11 @@
             return REASONS_FOR_LACK_OF_ROOM.contains(reason);
         }
 
+        /** Returns whether the guard knows of a version that removed the key of the request. */
+        boolean isForRemovedKey() {
+            return !isRejectedByTarget && reason.equals(SlotDecision.Reason.KEY_REMOVED.name());
+        }
+
         /** Returns whether the target rejected the request for lack of room. */
         boolean isShedByTarget() {
             return isRejectedByTarget && TargetReplies.isShed(reason);
--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardRequestMetadata.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardRequestMetadata.java
@@ -34,6 +34,7 @@
  * @param suspicion what the entry knows of the request, if targets have ended under it
  * @param condition what the entry knows of the guard's target, as headers state it; empty if it binds nobody
  * @param organisation the organisation that sent the request; empty for an anonymous one
+ * @param key the key of the organisation that the request was admitted by; empty where the entry tells none
  */
 record GuardRequestMetadata(
         ServiceName service,
@@ -47,7 +48,8 @@
         boolean isRepeat,
         Optional<CrashSuspicion> suspicion,
         Optional<String> condition,
-        Optional<OrganisationName> organisation) {
+        Optional<OrganisationName> organisation,
+        Optional<CheckedKey> key) {
 
     GuardRequestMetadata {
         Objects.requireNonNull(service, "service is null");
@@ -59,6 +61,7 @@
         Objects.requireNonNull(suspicion, "suspicion is null");
         Objects.requireNonNull(condition, "condition is null");
         Objects.requireNonNull(organisation, "organisation is null");
+        Objects.requireNonNull(key, "key is null");
     }
 
     /** Decodes the headers of a request; the left side names one of the headers among which one is missing or malformed. */
@@ -96,7 +99,8 @@
                 HeaderField.find(headers, ProxyHeaders.TARGET_CONDITION),
                 HeaderField.find(headers, ProxyHeaders.ORGANISATION)
                         .filter(Names::isWellFormed)
-                        .map(OrganisationName::of)));
+                        .map(OrganisationName::of),
+                HeaderField.find(headers, ProxyHeaders.CHECKED_KEY).flatMap(CheckedKey::parse)));
     }
 
     /** Returns the metadata after some time, which the request has spent. */
@@ -113,7 +117,15 @@
                 isRepeat,
                 suspicion,
                 condition,
-                organisation);
+                organisation,
+                key);
+    }
+
+    /** Returns whether an index shows that the organisation no longer has the key that the request was admitted by. */
+    boolean isKeyRemovedBy(RouteIndex index) {
+        return organisation.isPresent()
+                && key.filter(checked -> checked.isRemovedBy(index, organisation.get()))
+                        .isPresent();
     }
 
     /** Encodes the metadata as headers. */
@@ -132,6 +144,7 @@
         }
         condition.ifPresent(known -> headers.add(HeaderField.of(ProxyHeaders.TARGET_CONDITION, known)));
         organisation.ifPresent(known -> headers.add(HeaderField.of(ProxyHeaders.ORGANISATION, known)));
+        key.ifPresent(checked -> headers.add(HeaderField.of(ProxyHeaders.CHECKED_KEY, checked.headerValue())));
         suspicion.ifPresent(known -> headers.add(HeaderField.of(ProxyHeaders.SUSPICION, known.headerValue())));
         return headers;
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -40,7 +40,8 @@
  * Runs requests of entries on the local target, no more at once than the target has slots.
  *
  * <p>Invariants: a request is sent to the target at most once; the reply is {@link GuardReply.NotRun} only for a request that
- * was not sent, or that the target says it did not run; nothing is sent to a target that leaves. Thread safe.
+ * was not sent, or that the target says it did not run; nothing is sent to a target that leaves, and no request whose key is
+ * known to be removed. Thread safe.
  */
 public final class MeshGuard implements RequestHandler {
     /** The largest body accepted from a target or a node; the users' configurations allow no larger one. */
@@ -71,6 +72,7 @@
     private final ResponsePacer pacer;
     private final LongSupplier clockNanoseconds;
     private volatile Supplier<List<AgedReport>> others = List::of;
+    private volatile Supplier<RouteIndex> routes = RouteIndex::empty;
 
     private MeshGuard(
             Address address,
@@ -175,8 +177,18 @@
         others = Objects.requireNonNull(reports, "reports is null");
     }
 
+    /** Sets the index in force, by which removed keys are known; until then none is. */
+    public void checkKeysBy(Supplier<RouteIndex> index) {
+        routes = Objects.requireNonNull(index, "index is null");
+    }
+
     // -- commands
 
+    /** Refuses the waiting requests whose keys the index in force no longer has. */
+    public void refuseRemovedKeys() {
+        slots.refuseRemovedKeys();
+    }
+
     @Override
     public Response handle(InboundRequest request) throws IOException {
         // The entry's time has run since the request arrived, not since it was read.
@@ -240,7 +252,9 @@
         long started = clockNanoseconds.getAsLong();
         Duration maximumWait =
                 times.maximumWait(request.metadata(), requestLimit().isPresent());
-        SlotTicket ticket = slots.request(slotRequest(request.metadata(), maximumWait));
+        SlotTicket ticket = slots.request(
+                slotRequest(request.metadata(), maximumWait),
+                () -> request.metadata().isKeyRemovedBy(routes.get()));
         try {
             SlotDecision decision = awaitSlot(request, ticket, maximumWait);
             long decided = clockNanoseconds.getAsLong();
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshRequest.java
@@ -113,6 +113,13 @@
         return organisation.map(Organisation::name);
     }
 
+    /** Returns what to tell a guard of the key, by the version that still holds it; empty for an anonymous request. */
+    Optional<CheckedKey> checkedKey(ConfigurationVersion checked) {
+        return organisation.isPresent() && client.credentials() instanceof ClientCredentials.Key key
+                ? Optional.of(CheckedKey.of(checked, key.digest()))
+                : Optional.empty();
+    }
+
     String attemptId() {
         return client.attemptId();
     }
--- a/mesh/src/main/java/org/oleanderturn/mesh/RouteIndex.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RouteIndex.java
@@ -8,10 +8,13 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.oleanderturn.model.ConfigurationSnapshot;
 import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.KeyDigest;
 import org.oleanderturn.model.Organisation;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.Route;
 import org.oleanderturn.model.TrafficPolicy;
 import org.oleanderturn.model.TrafficPolicyName;
@@ -23,19 +26,22 @@
  * thread safe.
  */
 public final class RouteIndex {
-    private static final RouteIndex EMPTY = new RouteIndex(ConfigurationSnapshot.empty(), Map.of(), Map.of());
+    private static final RouteIndex EMPTY = new RouteIndex(ConfigurationSnapshot.empty(), Map.of(), Map.of(), Map.of());
 
     private final ConfigurationSnapshot snapshot;
     private final Map<String, List<Match>> matchesByHost;
     private final Map<KeyDigest, Organisation> organisationsByKey;
+    private final Map<OrganisationName, Set<String>> keyPrefixes;
 
     private RouteIndex(
             ConfigurationSnapshot snapshot,
             Map<String, List<Match>> matchesByHost,
-            Map<KeyDigest, Organisation> organisationsByKey) {
+            Map<KeyDigest, Organisation> organisationsByKey,
+            Map<OrganisationName, Set<String>> keyPrefixes) {
         this.snapshot = snapshot;
         this.matchesByHost = matchesByHost;
         this.organisationsByKey = organisationsByKey;
+        this.keyPrefixes = keyPrefixes;
     }
 
     /** A route with its traffic policy. */
@@ -66,7 +72,7 @@
                 Comparator.comparingInt(match -> -match.route().pathPrefix().length());
         matchesByHost.replaceAll(
                 (_, matches) -> matches.stream().sorted(longestFirst).toList());
-        return new RouteIndex(snapshot, Map.copyOf(matchesByHost), organisationsByKey(snapshot));
+        return new RouteIndex(snapshot, Map.copyOf(matchesByHost), organisationsByKey(snapshot), keyPrefixes(snapshot));
     }
 
     private static Map<KeyDigest, Organisation> organisationsByKey(ConfigurationSnapshot snapshot) {
@@ -78,6 +84,15 @@
         return Map.copyOf(organisations);
     }
 
+    private static Map<OrganisationName, Set<String>> keyPrefixes(ConfigurationSnapshot snapshot) {
+        return snapshot.configuration().organisations().orElse(List.of()).stream()
+                .collect(Collectors.toUnmodifiableMap(
+                        Organisation::name,
+                        organisation -> organisation.keys().stream()
+                                .map(KeyDigest::prefix)
+                                .collect(Collectors.toUnmodifiableSet())));
+    }
+
     /** Returns the index of the empty snapshot, which has no routes. */
     public static RouteIndex empty() {
         return EMPTY;
@@ -103,6 +118,11 @@
         return Optional.ofNullable(organisationsByKey.get(key));
     }
 
+    /** Returns whether an organisation holds a key whose digest begins with the given prefix. */
+    boolean hasKey(OrganisationName name, String digestPrefix) {
+        return keyPrefixes.getOrDefault(name, Set.of()).contains(digestPrefix);
+    }
+
     /** Returns the route of a host with the longest prefix of the path; host names are compared without regard to case. */
     public Optional<Match> find(String host, String method, String path) {
         for (Match match : matchesByHost.getOrDefault(lowerCase(host), List.of())) {
--- a/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/EndlessAnswerTest.java
@@ -148,6 +148,7 @@
                 false,
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new GuardRequest(
                 "GET",
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -5,14 +5,21 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.KeyDigest;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Organisation;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.BodyReservation;
@@ -29,6 +36,7 @@
 import org.oleanderturn.traffic.LinkSchedule;
 import org.oleanderturn.traffic.LoadReport;
 import org.oleanderturn.traffic.SlotQueue;
+import org.oleanderturn.traffic.SlotRequest;
 import org.oleanderturn.traffic.SlotTicket;
 import org.oleanderturn.traffic.TargetLoadTracker;
 
@@ -37,8 +45,13 @@
     private static final NodeId LOCAL_NODE = NodeId.of("own");
     private static final Locality LOCALITY = Locality.of("south", "hobart");
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final OrganisationName ORGANISATION = OrganisationName.of("first");
+    private static final KeyDigest KEY = KeyDigest.ofKey("key-1");
+    private static final KeyDigest OTHER_KEY = KeyDigest.ofKey("key-2");
+    private static final GuardReply REMOVED = new GuardReply.NotRun("KEY_REMOVED", false, Duration.ZERO);
 
     private final AtomicInteger runs = new AtomicInteger();
+    private SlotTicket occupying;
     private final HttpListener target = HttpListener.start("127.0.0.1", 0, _ -> run(), ListenerLimits.defaults())
             .get();
     private final UpstreamClient client = UpstreamClient.of(4);
@@ -132,6 +145,74 @@
         assertThat(runs.get()).isEqualTo(0);
     }
 
+    /** Guards against a run for a key that a newer version removed while its request waited for a slot. */
+    @Test
+    void shouldRefuseAWaitingRequestAtOnceWhenANewerVersionRemovesItsKey() {
+        hold(2, KEY, OTHER_KEY);
+        CompletableFuture<GuardReply> removed = waitForSlot(2, KEY, 1);
+        CompletableFuture<GuardReply> kept = waitForSlot(2, OTHER_KEY, 2);
+        hold(3, OTHER_KEY);
+        guard.refuseRemovedKeys();
+        assertThat(removed.join()).isEqualTo(REMOVED);
+        assertThat(kept.isDone()).isFalse();
+        slots.release(occupying);
+        assertThat(kept.join()).isInstanceOf(GuardReply.Ran.class);
+        assertThat(runs.get()).isEqualTo(1);
+    }
+
+    @Test
+    void shouldRefuseARequestWhenItsSlotIsGrantedAfterItsKeyWasRemoved() {
+        hold(2, KEY, OTHER_KEY);
+        CompletableFuture<GuardReply> removed = waitForSlot(2, KEY, 1);
+        hold(3, OTHER_KEY);
+        slots.release(occupying);
+        assertThat(removed.join()).isEqualTo(REMOVED);
+        assertThat(guards.call(endpoint(NodeId.of("other"), peers.address()), request(Optional.of(checked(2, KEY)))))
+                .isEqualTo(REMOVED);
+        assertThat(runs.get()).isEqualTo(0);
+    }
+
+    /** A guard that lacks the version that added a key must not take it for a removed one. */
+    @Test
+    void shouldRunARequestWhenTheGuardHoldsAnOlderVersionThanTheEntry() {
+        hold(2, OTHER_KEY);
+        openTarget();
+        GuardRequest request = request(Optional.of(checked(3, KEY)));
+        assertThat(guards.call(endpoint(NodeId.of("other"), peers.address()), request))
+                .isInstanceOf(GuardReply.Ran.class);
+        hold(4);
+        assertThat(guards.call(endpoint(NodeId.of("other"), peers.address()), request()))
+                .isInstanceOf(GuardReply.Ran.class);
+    }
+
+    /** Lets the guard hold a version in which the organisation has the given keys. */
+    private void hold(int version, KeyDigest... keys) {
+        Configuration configuration = Configuration.empty()
+                .withOrganisations(Optional.of(List.of(Organisation.of(ORGANISATION, List.of(keys)))));
+        RouteIndex index = RouteIndex.of(ConfigurationSnapshot.of(ConfigurationVersion.of(version), configuration));
+        guard.checkKeysBy(() -> index);
+    }
+
+    private static CheckedKey checked(int version, KeyDigest key) {
+        return CheckedKey.of(ConfigurationVersion.of(version), key);
+    }
+
+    /** Sends a request of another node while the only slot is taken; returns when it waits as one of the given number. */
+    private CompletableFuture<GuardReply> waitForSlot(int version, KeyDigest key, int waiting) {
+        if (waiting == 1) {
+            localTarget.applyReport(new TargetReport(new TargetStart("i-1", 1), 1, SERVICE, 1, false));
+            occupying = slots.request(SlotRequest.of(0, TIMEOUT));
+        }
+        CompletableFuture<GuardReply> reply = CompletableFuture.supplyAsync(
+                () -> guards.call(
+                        endpoint(NodeId.of("other"), peers.address()), request(Optional.of(checked(version, key)))),
+                Thread::startVirtualThread);
+        while (slots.state().waiting() < waiting) {
+            Thread.onSpinWait();
+        }
+        return reply;
+    }
+
     private int slotsOf(NodeId node) {
         return loads.load(node).report().map(LoadReport::slots).orElse(0);
     }
@@ -153,6 +234,10 @@
     }
 
     private static GuardRequest request() {
+        return request(Optional.empty());
+    }
+
+    private static GuardRequest request(Optional<CheckedKey> key) {
         GuardRequestMetadata metadata = new GuardRequestMetadata(
                 SERVICE,
                 ServiceName.of("caller"),
@@ -165,7 +250,8 @@
                 false,
                 Optional.empty(),
                 Optional.empty(),
-                Optional.empty());
+                key.map(_ -> ORGANISATION),
+                key);
         return new GuardRequest(
                 "GET",
                 "/a/1",
--- a/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MeshEntryTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.ConfigurationVersion;
+import org.oleanderturn.model.KeyDigest;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.proxy.HeaderField;
@@ -313,21 +314,56 @@
         assertNotRun(sendWithKey(EntryFixture.notRun(), () -> age.set(Duration.ofSeconds(6))), "KEY_UNCONFIRMED");
     }
 
+    @Test
+    void shouldMakeNoSecondAttemptWhenAGuardKnowsThatTheKeyIsRemoved() throws IOException {
+        GuardReply removed = new GuardReply.NotRun("KEY_REMOVED", false, Duration.ZERO);
+        assertNotRun(sendWithKey(removed, () -> {}), "CONFIGURATION_BEHIND");
+    }
+
+    @Test
+    void shouldForbidTheRequestWhenAGuardAndTheNewestVersionSayThatTheKeyIsRemoved() throws IOException {
+        GuardReply removed = new GuardReply.NotRun("KEY_REMOVED", false, Duration.ZERO);
+        Response refused = sendWithKey(removed, () -> fixture.declare(Map.of("first", "key-2")));
+        assertThat(refused.status()).isEqualTo(401);
+    }
+
     /** Sends a request of organisation "first" to a guard that does something before it replies, and to no other one. */
     private Response sendWithKey(GuardReply reply, Runnable atFirstGuard) throws IOException {
-        fixture.addGuard(_ -> {
+        AtomicReference<Optional<String>> checkedKey = new AtomicReference<>(Optional.empty());
+        fixture.addGuard(request -> {
+                    checkedKey.set(request.header(ProxyHeaders.CHECKED_KEY));
                     atFirstGuard.run();
                     return GuardReplyCodec.encode(reply, EntryFixture.IDLE, Optional.empty());
                 })
                 .addGuard(EntryFixture.ran(200, "second"));
         fixture.declare(Map.of("first", "key-1"));
         MeshEntry entry = fixture.entry(RequestKind.LOOKUP, 2, new FakeProtocolAdapter(Optional.empty()));
+        // A client can't state what an entry checked.
         Response response = entry.handle(new FakeRequest(
-                "/a/x", List.of(HeaderField.of("Id", "a1"), HeaderField.of("Key", "key-1"))));
+                "/a/x",
+                List.of(
+                        HeaderField.of("Id", "a1"),
+                        HeaderField.of("Key", "key-1"),
+                        HeaderField.of(ProxyHeaders.CHECKED_KEY, "9:0000000000000000"))));
+        assertThat(checkedKey.get())
+                .isEqualTo(Optional.of("1:" + KeyDigest.ofKey("key-1").prefix()));
         assertThat(fixture.requestCount(1)).isEqualTo(0);
         return response;
     }
 
+    /** Without organisations, nodes send each other the same bytes as before. */
+    @Test
+    void shouldTellTheGuardOfNoKeyWhenNoOrganisationsAreDeclared() throws IOException {
+        AtomicReference<Optional<String>> checkedKey = new AtomicReference<>(Optional.of("unset"));
+        fixture.addGuard(request -> {
+            checkedKey.set(request.header(ProxyHeaders.CHECKED_KEY));
+            return GuardReplyCodec.encode(EntryFixture.ran(200, "x"), EntryFixture.IDLE, Optional.empty());
+        });
+        MeshEntry entry = fixture.entry(RequestKind.LOOKUP, 1, new FakeProtocolAdapter(Optional.empty()));
+        entry.handle(new FakeRequest("/a/x", List.of(HeaderField.of("Id", "a1"), HeaderField.of("Key", "key-1"))));
+        assertThat(checkedKey.get()).isEqualTo(Optional.empty());
+    }
+
     private Response send(RequestKind kind, int attempts) throws IOException {
         return fixture.entry(kind, attempts, new FakeProtocolAdapter(Optional.empty()))
                 .handle(FakeRequest.of("/a/x"));
--- a/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/MisattributedAnswerTest.java
@@ -145,6 +145,7 @@
                 false,
                 Optional.empty(),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.empty());
         return new GuardRequest(
                 "GET",
--- a/model/src/main/java/org/oleanderturn/model/KeyDigest.java
+++ b/model/src/main/java/org/oleanderturn/model/KeyDigest.java
@@ -13,6 +13,9 @@
  * and thread safe.
  */
 public record KeyDigest(@JsonValue String hexadecimal) implements Comparable<KeyDigest> {
+    /** 8 bytes, which two keys of an organisation don't share by chance. */
+    private static final int PREFIX_DIGITS = 16;
+
     private static final Pattern FORMAT = Pattern.compile("[0-9a-f]{64}");
 
     /** Throws {@link IllegalArgumentException} if the text is not a digest; the message does not contain the text. */
@@ -34,6 +37,11 @@
                 Digest.compute(key.getBytes(StandardCharsets.UTF_8)).hexadecimal());
     }
 
+    /** Returns the first 8 bytes of the digest in hexadecimal, which tell the keys of one organisation apart. */
+    public String prefix() {
+        return hexadecimal.substring(0, PREFIX_DIGITS);
+    }
+
     @Override
     public int compareTo(KeyDigest other) {
         return hexadecimal.compareTo(other.hexadecimal);
--- a/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshConfiguration.java
@@ -105,8 +105,10 @@
      * Starts the periodic tasks.
      *
      * @param onAdopted is told each version that the node adopts; must not block
+     * @param onRoutesChanged is called after the routes and keys have changed; must not block
      */
-    void start(TaskRunner tasks, Consumer<ConfigurationVersion> onAdopted) {
+    void start(TaskRunner tasks, Consumer<ConfigurationVersion> onAdopted, Runnable onRoutesChanged) {
+        plane.holder().addListener(_ -> onRoutesChanged.run());
         plane.start(tasks, onAdopted, () -> {});
         tasks.runRepeatedly(watcher::runOnce);
         tasks.runRepeatedly(relayCheck::runOnce);
--- a/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshDataPlane.java
@@ -299,8 +299,14 @@
 
     // -- commands
 
+    /** Refuses requests that wait for the local target with a key that the version in force has removed. */
+    void refuseRemovedKeys() {
+        guard.refuseRemovedKeys();
+    }
+
     /** Returns the handler of clients' requests. */
     RequestHandler serve(Supplier<RouteIndex> routes, BooleanSupplier isReady, VersionCheck versionCheck) {
+        guard.checkKeysBy(routes);
         entry = MeshEntry.of(
                 routes,
                 isReady,
--- a/node/src/main/java/org/oleanderturn/node/MeshNode.java
+++ b/node/src/main/java/org/oleanderturn/node/MeshNode.java
@@ -386,7 +386,7 @@
         data.crashMonitor().onTrial(new SuspicionReplicator(suspicions, suspicionStore));
         data.start(tasks);
         control.startMembership(tasks);
-        configuration.start(tasks, control.gossip()::advanceHeldVersion);
+        configuration.start(tasks, control.gossip()::advanceHeldVersion, data::refuseRemovedKeys);
         tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, peerReview::run);
         tasks.runEvery(MEMBER_REVIEW_INTERVAL_MILLISECONDS, this::recordNewestVersion);
         tasks.runRepeatedly(loadAnnouncer::run);
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationNode.java
@@ -158,10 +158,13 @@
 
     void start() {
         SimulatedTasks tasks = new SimulatedTasks(fleet.time(), life);
-        configuration.start(tasks, version -> {
-            hold(host.number(), new Holding(host.life(), version));
-            fleet.recordAdoption(host, version);
-        });
+        configuration.start(
+                tasks,
+                version -> {
+                    hold(host.number(), new Holding(host.life(), version));
+                    fleet.recordAdoption(host, version);
+                },
+                () -> {});
         fleet.time().at(fleet.jittered(GOSSIP_INTERVAL), this::gossip);
     }
 
--- a/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshConfigurationTest.java
@@ -43,7 +43,7 @@
     void shouldServeByTheRoutesOfAVersionThatAPeerPushedBeforeTheTasksStarted() {
         MeshConfiguration configuration = configuration();
         plane.holder().adopt(snapshot(1));
-        configuration.start(new SimulatedTasks(time, new SimulatedTime.Life()), _ -> {});
+        configuration.start(new SimulatedTasks(time, new SimulatedTime.Life()), _ -> {}, () -> {});
         makeReady();
         assertThat(configuration.isServing()).isTrue();
         assertThat(configuration.routes().snapshot()).isEqualTo(snapshot(1));
@@ -61,7 +61,7 @@
                             .isEmpty());
         });
         created.add(configuration());
-        created.getFirst().start(new SimulatedTasks(time, new SimulatedTime.Life()), _ -> {});
+        created.getFirst().start(new SimulatedTasks(time, new SimulatedTime.Life()), _ -> {}, () -> {});
         plane.holder().adopt(snapshot(1));
         assertThat(deniedWhileServing).containsExactly(false);
     }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
@@ -43,6 +43,7 @@
             lowerCase(ProxyHeaders.CALLER_SERVICE),
             lowerCase(ProxyHeaders.LOAD),
             lowerCase(ProxyHeaders.ORGANISATION),
+            lowerCase(ProxyHeaders.CHECKED_KEY),
             lowerCase(ProxyHeaders.TARGET_CONDITION),
             lowerCase(ProxyHeaders.RETRY_AFTER_MILLISECONDS));
 
--- a/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/ProxyHeaders.java
@@ -53,6 +53,8 @@
     public static final String LOAD = "Oleanderturn-Load";
     /** Between nodes: the organisation that sent the request. */
     public static final String ORGANISATION = "Oleanderturn-Organisation";
+    /** Between nodes: the key that the organisation used, by a part of its digest, and the version that it was checked by. */
+    public static final String CHECKED_KEY = "Oleanderturn-Checked-Key";
     /** What the process of the guard's target asks of the nodes. */
     public static final String TARGET_CONDITION = "Oleanderturn-Target-Condition";
 
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotDecision.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotDecision.java
@@ -33,6 +33,8 @@
         OVERTAKEN,
         /** The target limits its rate, and the expected wait exceeds the maximum wait of the request. */
         RATE_LIMITED,
+        /** A newer configuration removed the key that the request was sent with. */
+        KEY_REMOVED,
         /** The target sheds everything that it is sent, and gets nothing for a moment. */
         SHEDDING,
         /** The caller cancelled the request, or its time ran out in the queue. */
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotQueue.java
@@ -9,6 +9,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
 /**
@@ -27,7 +28,8 @@
  * give way to the others, and only as many of them wait as keep the slots busy.
  *
  * <p>Invariants: no more requests hold a slot than the target has, and no more are granted one than its rate allows; a
- * refused request never holds one; each ticket is settled exactly once. Thread safe.
+ * refused request never holds one; none is granted to a request whose key is known to be removed; each ticket is settled
+ * exactly once. Thread safe.
  */
 public final class SlotQueue {
     /**
@@ -129,10 +131,19 @@
     }
 
     /** Requests a slot; the returned ticket is already settled if a slot was free or the request was refused. */
-    public synchronized SlotTicket request(SlotRequest request) {
+    public SlotTicket request(SlotRequest request) {
+        return request(request, () -> false);
+    }
+
+    /**
+     * Requests a slot as {@link #request(SlotRequest)} does.
+     *
+     * @param isKeyRemoved returns whether the key of the request has been removed, after which it gets no slot; must not block
+     */
+    public synchronized SlotTicket request(SlotRequest request, BooleanSupplier isKeyRemoved) {
         long now = nanoseconds.getAsLong();
         recordArrival(now);
-        SlotTicket ticket = new SlotTicket(request, nextSequence++, now);
+        SlotTicket ticket = new SlotTicket(request, isKeyRemoved, nextSequence++, now);
         if (!state.isOpen()) {
             ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.CLOSED, Duration.ZERO));
             return ticket;
@@ -156,6 +167,11 @@
         }
     }
 
+    /** Refuses the waiting requests whose keys have been removed, and grants slots to others that can be served now. */
+    public synchronized void refuseRemovedKeys() {
+        grantFreeSlots();
+    }
+
     /** Records that the target shed a request. */
     public synchronized void recordShed() {
         long now = nanoseconds.getAsLong();
@@ -296,6 +312,7 @@
     }
 
     private void grantFreeSlots() {
+        waiting.removeIf(this::tryRefuseForItsKey);
         long now = nanoseconds.getAsLong();
         while (state.isOpen() && state.running() < usableSlots(now) && !waiting.isEmpty() && tryPass(now)) {
             SlotTicket ticket = Collections.min(waiting, servingOrder(now));
@@ -304,6 +321,15 @@
         }
     }
 
+    /** A grant that is given back would count as a very short run, and use up the rate of the target. */
+    private boolean tryRefuseForItsKey(SlotTicket ticket) {
+        boolean isRemoved = ticket.isKeyRemoved();
+        if (isRemoved) {
+            ticket.settle(new SlotDecision.Refused(SlotDecision.Reason.KEY_REMOVED, Duration.ZERO));
+        }
+        return isRemoved;
+    }
+
     private boolean tryPass(long now) {
         return pacer.isEmpty() || pacer.get().tryPass(now);
     }
--- a/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/SlotTicket.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.oleanderturn.model.OrganisationName;
 
@@ -19,6 +20,7 @@
     private static final long SHORTEST_RUN_NANOSECONDS = 1_000_000;
 
     private final SlotRequest request;
+    private final BooleanSupplier isKeyRemoved;
     private final long sequence;
     private final long requestedNanoseconds;
     private final CompletableFuture<SlotDecision> decision = new CompletableFuture<>();
@@ -26,8 +28,9 @@
     private volatile long grantedNanoseconds;
     private volatile boolean isOverShare;
 
-    SlotTicket(SlotRequest request, long sequence, long requestedNanoseconds) {
+    SlotTicket(SlotRequest request, BooleanSupplier isKeyRemoved, long sequence, long requestedNanoseconds) {
         this.request = request;
+        this.isKeyRemoved = isKeyRemoved;
         this.sequence = sequence;
         this.requestedNanoseconds = requestedNanoseconds;
     }
@@ -42,6 +45,11 @@
         return request.organisation();
     }
 
+    /** Returns whether the key that the request was sent with has been removed since. */
+    boolean isKeyRemoved() {
+        return isKeyRemoved.getAsBoolean();
+    }
+
     /** Returns how long the request is expected to hold its slot, in nanoseconds; never zero, so that each run counts. */
     long expectedRunNanoseconds() {
         return Math.max(SHORTEST_RUN_NANOSECONDS, request.expectedRun().toNanos());
--- a/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/SlotQueueTest.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
@@ -324,6 +325,32 @@
         }
     }
 
+    /** Guards against runs for removed keys, and against their grants counting as runs of no length at all. */
+    @Test
+    void shouldRefuseARequestWhoseKeyIsRemovedBeforeItGetsASlot() {
+        AtomicBoolean isRemoved = new AtomicBoolean();
+        queue.open(1);
+        SlotTicket running = queue.request(SlotRequest.of(0, LONG_WAIT), isRemoved::get);
+        SlotTicket first = queue.request(SlotRequest.of(0, LONG_WAIT), isRemoved::get);
+        SlotTicket other = queue.request(SlotRequest.of(1, LONG_WAIT));
+        isRemoved.set(true);
+        assertThat(reason(queue.request(SlotRequest.of(0, LONG_WAIT), isRemoved::get)))
+                .isEqualTo(SlotDecision.Reason.KEY_REMOVED);
+        queue.refuseRemovedKeys();
+        assertThat(reason(first)).isEqualTo(SlotDecision.Reason.KEY_REMOVED);
+        assertThat(isGranted(running)).isTrue();
+        double average = queue.state().averageRunNanoseconds();
+        assertThat(other.decision().isPresent()).isFalse();
+        isRemoved.set(false);
+        SlotTicket second = queue.request(SlotRequest.of(0, LONG_WAIT), isRemoved::get);
+        isRemoved.set(true);
+        clock.addAndGet((long) average);
+        queue.release(running);
+        assertThat(reason(second)).isEqualTo(SlotDecision.Reason.KEY_REMOVED);
+        assertThat(isGranted(other)).isTrue();
+        assertThat(queue.state().averageRunNanoseconds()).isWithin(1).of(average);
+    }
+
     private static boolean isGranted(SlotTicket ticket) {
         return ticket.decision().filter(SlotDecision.Granted.class::isInstance).isPresent();
     }
