--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -28,6 +28,7 @@
 import org.oleanderturn.platform.FakeTarget;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Cancellation;
+import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.OutboundRequest;
 import org.oleanderturn.proxy.ResponseMatcher;
 import org.oleanderturn.proxy.SendPolicy;
@@ -41,14 +42,14 @@
  * <p>Used by one thread; requests may be sent by several.
  */
 final class MeshFleet implements AutoCloseable {
-    private static final String SERVICE = "orders";
+    static final String SERVICE = "orders";
     private static final String LOOPBACK = "127.0.0.1";
     private static final Duration STEP_LIMIT = Duration.ofSeconds(20);
     private static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(3);
     private static final long POLL_NANOSECONDS = Duration.ofMillis(20).toNanos();
     private static final int BODY_LIMIT_BYTES = 65_536;
     private static final int LOG_CLOSE_MILLISECONDS = 500;
-    private static final int MAXIMUM_ATTEMPTS = 3;
+    static final int MAXIMUM_ATTEMPTS = 3;
     private static final int LOWEST_PORT = 10_000;
 
     /** From here on the operating system gives ports to connections. */
@@ -141,8 +142,13 @@
 
     /** Returns the page of a node's metrics. */
     String metrics(int host) {
+        return page(host, "/metrics");
+    }
+
+    /** Returns a page that a node has for its operator; empty if it does not answer. */
+    String page(int host, String path) {
         Address address = hosts.get(host).settings.mesh().orElseThrow().metrics();
-        return get(address, "/metrics")
+        return get(address, path)
                 .map(response -> new String(response.body(), StandardCharsets.UTF_8))
                 .getOrElse("");
     }
@@ -150,11 +156,14 @@
     // -- requests
 
     /** Sends a request to the node of a host as a new attempt of a client. */
-    Either<UpstreamFailure, BufferedResponse> send(int host, String path) {
+    Either<UpstreamFailure, BufferedResponse> send(int host, String path, HeaderField... added) {
+        List<HeaderField> headers = new ArrayList<>(
+                FakeOperator.clientHeaders("a" + lastAttempt.incrementAndGet(), CLIENT_TIMEOUT.toMillis()));
+        headers.addAll(List.of(added));
         OutboundRequest request = new OutboundRequest(
                 path.startsWith("/single/") ? "POST" : "GET",
                 path,
-                FakeOperator.clientHeaders("a" + lastAttempt.incrementAndGet(), CLIENT_TIMEOUT.toMillis()),
+                headers,
                 new byte[0],
                 SendPolicy.NEW_CONNECTION,
                 CLIENT_TIMEOUT,
@@ -163,8 +172,8 @@
         return client.exchange(caller, request, ResponseMatcher.framed(), BODY_LIMIT_BYTES, Cancellation.create());
     }
 
-    int status(int host, String path) {
-        return send(host, path).map(BufferedResponse::status).getOrElse(0);
+    int status(int host, String path, HeaderField... added) {
+        return send(host, path, added).map(BufferedResponse::status).getOrElse(0);
     }
 
     // -- faults
