--- a/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/EntryDispatch.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.mesh;
 
+import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Objects;
@@ -11,6 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
@@ -37,14 +40,14 @@
 
     private static final String QUARANTINED = "QUARANTINED";
 
-    private static final String KEY_REMOVED = "KEY_REMOVED";
+    private static final String CONFIGURATION_BEHIND = "CONFIGURATION_BEHIND";
 
     /** Stands in for the target latency of a route that states none. */
     private static final int DEFAULT_TARGET_LATENCY_MILLISECONDS = 1_000;
 
     private final MeshRequest request;
     private final BooleanSupplier hasClientLeft;
-    private final BooleanSupplier isKeyInForce;
+    private final Supplier<Either<RoutingDenial, ConfigurationVersion>> keyCheck;
     private final MeshEntryDependencies dependencies;
     private final ClientResponses responses;
     private final EntryOffers offers;
@@ -65,18 +68,18 @@
      * Creates a dispatch.
      *
      * @param hasClientLeft asks the client's connection, on the thread that runs the dispatch
-     * @param isKeyInForce returns whether the key of the request has not been removed since
+     * @param keyCheck returns the version that still holds the key of the request, or why it may not run
      */
     EntryDispatch(
             MeshRequest request,
             BooleanSupplier hasClientLeft,
-            BooleanSupplier isKeyInForce,
+            Supplier<Either<RoutingDenial, ConfigurationVersion>> keyCheck,
             MeshEntryDependencies dependencies,
             ClientResponses responses,
             ConcurrentMap<NodeId, Set<Cancellation>> cancellationsByNode) {
         this.request = Objects.requireNonNull(request, "request is null");
         this.hasClientLeft = Objects.requireNonNull(hasClientLeft, "hasClientLeft is null");
-        this.isKeyInForce = Objects.requireNonNull(isKeyInForce, "isKeyInForce is null");
+        this.keyCheck = Objects.requireNonNull(keyCheck, "keyCheck is null");
         this.dependencies = Objects.requireNonNull(dependencies, "dependencies is null");
         this.choice = new EndpointChoice(request, dependencies);
         this.responses = Objects.requireNonNull(responses, "responses is null");
@@ -125,8 +128,9 @@
     private Response attemptUntilDone() {
         GuardReply last = new GuardReply.NotRun("NO_ENDPOINT", false, Duration.ZERO);
         while (!isStopped()) {
-            if (!isKeyInForce.getAsBoolean()) {
-                return refuseRemovedKey();
+            Either<RoutingDenial, ConfigurationVersion> checked = keyCheck.get();
+            if (checked.isLeft()) {
+                return denyKey(checked.getLeft());
             }
             CrashVerdict verdict = dependencies.crashMonitor().verdict(request.identity());
             if (verdict instanceof CrashVerdict.Quarantined quarantined) {
@@ -141,7 +145,7 @@
                 return finish(attempts > 0 ? last : withhold());
             }
             long started = dependencies.clockNanoseconds().getAsLong();
-            last = attempt(endpoint.get());
+            last = attempt(endpoint.get(), checked.get());
             Duration duration = Duration.ofNanos(dependencies.clockNanoseconds().getAsLong() - started);
             recordReply(endpoint.get(), last, duration);
             if (last instanceof GuardReply.Ran ran && !isRetryableFailure(ran)) {
@@ -167,11 +171,17 @@
         return finish(last);
     }
 
-    private Response refuseRemovedKey() {
+    private Response denyKey(RoutingDenial denial) {
         isKnownNotToHaveRun = !mayHaveRun;
         return mayHaveRun
-                ? responses.unknown(HttpStatuses.BAD_GATEWAY, KEY_REMOVED, attempts)
-                : responses.refused(HttpStatuses.UNAUTHORIZED, KEY_REMOVED);
+                ? responses.withVersion(denial.version()).unknown(HttpStatuses.BAD_GATEWAY, denial.reason(), attempts)
+                : responses.denied(denial, attempts);
+    }
+
+    /** Ends a request whose key a guard knows to be removed; this node may not have heard of that version yet. */
+    private Response denyKeyOfGuard() {
+        return denyKey(keyCheck.get()
+                .fold(denial -> denial, version -> new RoutingDenial.Undetermined(CONFIGURATION_BEHIND, version)));
     }
 
     /** Ends a request that is offered to no target, and remembers when one expects room. */
@@ -187,7 +197,7 @@
         dependencies.rollouts().recordReply(request.service(), routeName(), endpoint, reply, isOverdue, duration);
     }
 
-    private GuardReply attempt(Endpoint endpoint) {
+    private GuardReply attempt(Endpoint endpoint, ConfigurationVersion checked) {
         attempts++;
         NodeId node = endpoint.node();
         choice.logPlacement(node, attempts);
@@ -201,7 +211,7 @@
             if (isStopped()) {
                 return new GuardReply.NotRun("DEADLINE", false, Duration.ZERO);
             }
-            return exchange(endpoint, cancellation);
+            return exchange(endpoint, checked, cancellation);
         } finally {
             dependencies.loads().recordEnded(node);
             dependencies.rollouts().recordEnded(request.service(), endpoint);
@@ -210,9 +220,9 @@
         }
     }
 
-    private GuardReply exchange(Endpoint endpoint, Cancellation cancellation) {
+    private GuardReply exchange(Endpoint endpoint, ConfigurationVersion checked, Cancellation cancellation) {
         GuardReply reply = WatchedExchange.of(dependencies.guardClient(), dependencies.crashMonitor())
-                .call(endpoint, guardRequest(endpoint.node(), cancellation));
+                .call(endpoint, guardRequest(endpoint.node(), checked, cancellation));
         if (reply instanceof GuardReply.Ran ran) {
             dependencies
                     .exchangeSizes()
@@ -223,7 +233,7 @@
                 : reply;
     }
 
-    private GuardRequest guardRequest(NodeId node, Cancellation cancellation) {
+    private GuardRequest guardRequest(NodeId node, ConfigurationVersion checked, Cancellation cancellation) {
         Duration remaining = remaining();
         Route route = request.match().route();
         Duration guardTime =
@@ -244,7 +254,8 @@
                         .find(node)
                         .filter(TargetCondition::isBinding)
                         .map(TargetCondition::headerValue),
-                request.organisationName());
+                request.organisationName(),
+                request.checkedKey(checked));
         return new GuardRequest(
                 request.method(),
                 request.path(),
@@ -297,6 +308,7 @@
             return false;
         }
         return switch (reply) {
+            case GuardReply.NotRun notRun when notRun.isForRemovedKey() -> false;
             case GuardReply.NotRun notRun when !notRun.isRejectedByTarget() -> ++refusals < MAXIMUM_REFUSALS;
             case GuardReply.NotRun _ -> decideTargetRetry();
             case GuardReply.Ran _, GuardReply.Unknown _ -> {
@@ -329,6 +341,7 @@
         isKnownNotToHaveRun = isRefusal && !mayHaveRun;
         return switch (last) {
             case GuardReply.Ran ran -> responses.delivered(ran.response(), attempts);
+            case GuardReply.NotRun notRun when notRun.isForRemovedKey() -> denyKeyOfGuard();
             case GuardReply.NotRun notRun
             when !mayHaveRun ->
                 responses.notRun(notRun.reason(), attempts, retryAfter(soonestRetry.orElse(Duration.ZERO)));
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardClientTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -13,10 +14,16 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.oleanderturn.model.Address;
+import org.oleanderturn.model.Configuration;
+import org.oleanderturn.model.ConfigurationSnapshot;
+import org.oleanderturn.model.ConfigurationVersion;
 import org.oleanderturn.model.Endpoint;
 import org.oleanderturn.model.EndpointState;
+import org.oleanderturn.model.KeyDigest;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Organisation;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.proxy.BodyReservation;
 import org.oleanderturn.proxy.HeaderField;
@@ -36,11 +43,16 @@
 final class GuardClientTest {
     private static final Locality LOCALITY = Locality.of("south", "hobart");
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final OrganisationName ORGANISATION = OrganisationName.of("first");
+    private static final KeyDigest KEY = KeyDigest.ofKey("key-1");
+    private static final KeyDigest OTHER_KEY = KeyDigest.ofKey("key-2");
+    private static final GuardReply REMOVED = new GuardReply.NotRun("KEY_REMOVED", false, Duration.ZERO);
 
     private static final long WINDOW_NANOSECONDS = Duration.ofMinutes(1).toNanos();
 
     private final AtomicInteger runs = new AtomicInteger();
     private final List<WindowedRetryBudget> called = new CopyOnWriteArrayList<>();
+    private SlotTicket occupying;
     private final HttpListener target = HttpListener.start("127.0.0.1", 0, _ -> run(), ListenerLimits.defaults())
             .get();
     private final UpstreamClient client = UpstreamClient.of(4);
@@ -148,6 +160,74 @@
         assertThat(runs.get()).isEqualTo(1);
     }
 
+    /** Guards against a run for a key that a newer version removed while its request waited for a slot. */
+    @Test
+    void shouldRefuseAWaitingRequestAtOnceWhenANewerVersionRemovesItsKey() {
+        hold(2, KEY, OTHER_KEY);
+        CompletableFuture<GuardReply> removed = waitForSlot(2, KEY, 1);
+        CompletableFuture<GuardReply> kept = waitForSlot(2, OTHER_KEY, 2);
+        hold(3, OTHER_KEY);
+        guard.refuseRemovedKeys();
+        assertThat(removed.join()).isEqualTo(REMOVED);
+        assertThat(kept.isDone()).isFalse();
+        fixture.slots.release(occupying);
+        assertThat(kept.join()).isInstanceOf(GuardReply.Ran.class);
+        assertThat(runs.get()).isEqualTo(1);
+    }
+
+    @Test
+    void shouldRefuseARequestWhenItsSlotIsGrantedAfterItsKeyWasRemoved() {
+        hold(2, KEY, OTHER_KEY);
+        CompletableFuture<GuardReply> removed = waitForSlot(2, KEY, 1);
+        hold(3, OTHER_KEY);
+        fixture.slots.release(occupying);
+        assertThat(removed.join()).isEqualTo(REMOVED);
+        assertThat(guards.call(endpoint(NodeId.of("other"), peers.address()), request(Optional.of(checked(2, KEY)))))
+                .isEqualTo(REMOVED);
+        assertThat(runs.get()).isEqualTo(0);
+    }
+
+    /** A guard that lacks the version that added a key must not take it for a removed one. */
+    @Test
+    void shouldRunARequestWhenTheGuardHoldsAnOlderVersionThanTheEntry() {
+        hold(2, OTHER_KEY);
+        fixture.open(9);
+        GuardRequest request = request(Optional.of(checked(3, KEY)));
+        assertThat(guards.call(endpoint(NodeId.of("other"), peers.address()), request))
+                .isInstanceOf(GuardReply.Ran.class);
+        hold(4);
+        assertThat(guards.call(endpoint(NodeId.of("other"), peers.address()), request()))
+                .isInstanceOf(GuardReply.Ran.class);
+    }
+
+    /** Lets the guard hold a version in which the organisation has the given keys. */
+    private void hold(int version, KeyDigest... keys) {
+        Configuration configuration = Configuration.empty()
+                .withOrganisations(Optional.of(List.of(Organisation.of(ORGANISATION, List.of(keys)))));
+        RouteIndex index = RouteIndex.of(ConfigurationSnapshot.of(ConfigurationVersion.of(version), configuration));
+        guard.checkKeysBy(() -> index);
+    }
+
+    private static CheckedKey checked(int version, KeyDigest key) {
+        return CheckedKey.of(ConfigurationVersion.of(version), key);
+    }
+
+    /** Sends a request of another node while the only slot is taken; returns when it waits as one of the given number. */
+    private CompletableFuture<GuardReply> waitForSlot(int version, KeyDigest key, int waiting) {
+        if (waiting == 1) {
+            fixture.open(1);
+            occupying = fixture.slots.request(SlotRequest.of(0, TIMEOUT));
+        }
+        CompletableFuture<GuardReply> reply = CompletableFuture.supplyAsync(
+                () -> guards.call(
+                        endpoint(NodeId.of("other"), peers.address()), request(Optional.of(checked(version, key)))),
+                Thread::startVirtualThread);
+        while (fixture.slots.state().waiting() < waiting) {
+            Thread.onSpinWait();
+        }
+        return reply;
+    }
+
     private int slotsOf(NodeId node) {
         return loads.load(node).report().map(LoadReport::slots).orElse(0);
     }
@@ -175,4 +255,15 @@
     private static GuardRequest request(boolean isRepeat) {
         return GuardFixture.request("id-1", RequestKind.LOOKUP, TIMEOUT, isRepeat, BodyReservation.unlimited());
     }
+
+    private static GuardRequest request(Optional<CheckedKey> key) {
+        return GuardFixture.request(
+                "id-1",
+                RequestKind.LOOKUP,
+                TIMEOUT,
+                false,
+                key.map(_ -> ORGANISATION),
+                key,
+                BodyReservation.unlimited());
+    }
 }
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardFixture.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RequestKind;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.BodyReservation;
@@ -60,6 +61,18 @@
      */
     static GuardRequest request(
             String id, RequestKind kind, Duration timeLimit, boolean isRepeat, BodyReservation bodies) {
+        return request(id, kind, timeLimit, isRepeat, Optional.empty(), Optional.empty(), bodies);
+    }
+
+    /** Returns a request as above, of an organisation, whose entry checked the given key. */
+    static GuardRequest request(
+            String id,
+            RequestKind kind,
+            Duration timeLimit,
+            boolean isRepeat,
+            Optional<OrganisationName> organisation,
+            Optional<CheckedKey> key,
+            BodyReservation bodies) {
         GuardRequestMetadata metadata = new GuardRequestMetadata(
                 SERVICE,
                 ServiceName.of("caller"),
@@ -72,7 +85,8 @@
                 isRepeat,
                 Optional.empty(),
                 Optional.empty(),
-                Optional.empty());
+                organisation,
+                key);
         return new GuardRequest(
                 "GET",
                 "/a/x",
