Spread the nodes of a zone evenly over its holders of limits

Cause: each node chose its holder by a hash alone, so that of 1,100 nodes some holders had 30 of 275 and others 15. The busiest sent 36.8 KB/s, and those with few nodes had less than one token of small limits.

Change: no holder has more than its part of the nodes of the zone; a node keeps its holder when others come and go, as far as that one has room. There is one holder for each 25 nodes instead of 24, so that 1,100 nodes have 44 holders instead of 48.

--- a/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
@@ -4,10 +4,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 import org.oleanderturn.model.Locality;
 import org.oleanderturn.model.NodeId;
 
@@ -19,8 +21,11 @@
  * {@link #update} must be called by one thread at a time; the queries are thread safe.
  */
 final class LimitMembership {
-    /** How many nodes of a zone share a holder at most. */
-    private static final int NODES_PER_HOLDER = 24;
+    /**
+     * How many nodes of a zone share a holder at most. With 24 a fleet of 1,100 nodes has 48 holders instead of 44, which have so
+     * little of a small limit that they send a tenth more than those of 89 nodes, mostly to borrow.
+     */
+    private static final int NODES_PER_HOLDER = 25;
 
     /** Longer than a right that is given, so that those of an earlier process of this node, or of one that left, have ended. */
     private static final long SETTLING_NANOSECONDS = 3_000_000_000L;
@@ -42,6 +47,8 @@
     private volatile int members = 1;
     private volatile boolean isActive;
     private volatile List<NodeId> holders = List.of();
+    private volatile List<NodeId> nearHolders = List.of();
+    private volatile List<NodeId> farHolders = List.of();
     private volatile NodeId preferred;
 
     LimitMembership(NodeId self, Locality locality, LongSupplier nanoseconds) {
@@ -69,6 +76,16 @@
         return holders;
     }
 
+    /** Returns the reachable holders of this node's region. */
+    List<NodeId> nearHolders() {
+        return nearHolders;
+    }
+
+    /** Returns the reachable holders of other regions. */
+    List<NodeId> farHolders() {
+        return farHolders;
+    }
+
     /** Returns the holder of this node. */
     NodeId preferred() {
         return preferred;
@@ -108,19 +125,22 @@
                 .sorted(Comparator.comparing(LimitMember::node))
                 .forEach(member -> byZone.computeIfAbsent(member.locality(), _ -> new ArrayList<>())
                         .add(member.node()));
-        List<NodeId> chosen = new ArrayList<>();
-        preferred = self;
-        byZone.forEach((zone, nodes) -> {
-            int number = (nodes.size() + NODES_PER_HOLDER - 1) / NODES_PER_HOLDER;
-            List<NodeId> ofZone = nodes.subList(0, number);
-            chosen.addAll(ofZone);
-            if (zone.equals(locality)) {
-                preferred = ofZone.stream()
-                        .max(Comparator.comparingInt(this::affinity))
-                        .orElse(self);
+        List<NodeId> near = new ArrayList<>();
+        List<NodeId> far = new ArrayList<>();
+        NodeId mine = self;
+        for (Map.Entry<Locality, List<NodeId>> zone : byZone.entrySet()) {
+            List<NodeId> nodes = zone.getValue();
+            List<NodeId> ofZone = nodes.subList(0, (nodes.size() + NODES_PER_HOLDER - 1) / NODES_PER_HOLDER);
+            (zone.getKey().region().equals(locality.region()) ? near : far).addAll(ofZone);
+            if (zone.getKey().equals(locality)) {
+                mine = assigned(nodes, ofZone);
             }
-        });
-        holders = List.copyOf(chosen);
+        }
+        preferred = mine;
+        nearHolders = List.copyOf(near);
+        farHolders = List.copyOf(far);
+        near.addAll(far);
+        holders = List.copyOf(near);
     }
 
     private int distance(Locality zone) {
@@ -130,12 +150,40 @@
         return zone.region().equals(locality.region()) ? 1 : 2;
     }
 
-    /** Spreads the nodes of a zone over its holders; a holder is its own. */
-    private int affinity(NodeId holder) {
-        int hash = (holder.value() + '/' + self.value()).hashCode();
+    /**
+     * Returns the holder of this node among those of its zone. No holder has more than its part of the nodes: with an uneven
+     * spread the busiest sends more than its bound, and the smallest has less than one token of small limits.
+     */
+    private NodeId assigned(List<NodeId> nodes, List<NodeId> ofZone) {
+        int room = (nodes.size() + ofZone.size() - 1) / ofZone.size();
+        Map<NodeId, Integer> free = new HashMap<>();
+        ofZone.forEach(holder -> free.put(holder, room - 1));
+        if (free.containsKey(self)) {
+            return self;
+        }
+        for (NodeId node : nodes.subList(ofZone.size(), nodes.size())) {
+            NodeId holder = nearest(node, ofZone.stream().filter(candidate -> free.get(candidate) > 0));
+            if (node.equals(self)) {
+                return holder;
+            }
+            free.merge(holder, -1, Integer::sum);
+        }
+        // A node that drains is not among those that the holders are divided by.
+        return nearest(self, ofZone.stream());
+    }
+
+    private static NodeId nearest(NodeId node, Stream<NodeId> candidates) {
+        return candidates
+                .max(Comparator.comparingInt(candidate -> affinity(candidate, node)))
+                .orElse(node);
+    }
+
+    /** A node keeps its holder when others come and go, as far as that one has room. */
+    private static int affinity(NodeId holder, NodeId node) {
+        int hash = 31 * holder.value().hashCode() + node.value().hashCode();
         // Names that differ in a digit have hashes that differ little.
         int mixed = (hash ^ (hash >>> 16)) * 0x85ebca6b;
         mixed = (mixed ^ (mixed >>> 13)) * 0xc2b2ae35;
-        return holder.equals(self) ? Integer.MAX_VALUE : mixed ^ (mixed >>> 16);
+        return mixed ^ (mixed >>> 16);
     }
 }
