Never put an older version's limits in force again

Cause: a thread read the configuration, waited for the lock, and then put the limits of what it had read in force, although another thread had meanwhile taken a newer version. The next call repaired it.

Change: the configuration is read under the lock.

--- a/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
+++ b/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
@@ -290,11 +290,12 @@
     /** Compares objects, as each version is another one, and comparing contents for each request would cost too much. */
     @SuppressWarnings("ReferenceEquality")
     private void updateLimits() {
-        ConfigurationSnapshot current = configuration.get();
-        if (current == known) {
+        if (configuration.get() == known) {
             return;
         }
         synchronized (this) {
+            // Read under the lock: a thread that waited for it must not put an older version in force again.
+            ConfigurationSnapshot current = configuration.get();
             Map<OrganisationName, RequestLimit> limits = new HashMap<>();
             for (Organisation organisation :
                     current.configuration().organisations().orElse(List.of())) {
--- a/node/src/test/java/org/oleanderturn/node/SharedRequestLimiterTest.java
+++ b/node/src/test/java/org/oleanderturn/node/SharedRequestLimiterTest.java
@@ -5,11 +5,14 @@
 import io.vavr.control.Either;
 import java.io.OutputStream;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.mesh.LimitDecision;
@@ -40,7 +43,8 @@
             OrganisationName.of("first"), List.of(), Optional.empty(), Optional.of(new RequestLimit(10, 10)));
 
     private final AtomicLong nanoseconds = new AtomicLong(1_000_000_000L);
-    private final ConfigurationSnapshot snapshot = ConfigurationSnapshot.of(
+    private final Deque<ConfigurationSnapshot> staleReads = new ArrayDeque<>();
+    private ConfigurationSnapshot snapshot = ConfigurationSnapshot.of(
             ConfigurationVersion.of(1), Configuration.empty().withOrganisations(Optional.of(List.of(LIMITED))));
     private Either<ControlFailure, TokenAnswer> answer = Either.left(new ControlFailure.Malformed("NotUnderstood"));
     private final RequestLimitObserver observer =
@@ -95,6 +99,42 @@
         assertThat(limiter.tryAcquire(LIMITED, false)).isInstanceOf(LimitDecision.Granted.class);
     }
 
+    /** Guards against an entry that takes as many batches as requests wait at once: most of the tokens would expire. */
+    @Test
+    void shouldAskForOneBatchWhenRequestsWaitAtTheSameTime() {
+        SharedRequestLimiter limiter = limiter();
+        limiter.run();
+        answer = Either.right(new TokenAnswer(1, 1, Map.of(), Map.of()));
+        IntStream.range(0, 50).forEach(_ -> limiter.tryAcquire(LIMITED, false));
+        nanoseconds.addAndGet(Duration.ofSeconds(1).toNanos());
+        IntStream.range(0, 3).forEach(_ -> limiter.run());
+        TokenRequest first = limiter.coordinator().request(HOLDER, Optional.of(LIMITED.name()));
+        assertThat(first.wanted()).containsKey(LIMITED.name());
+        assertThat(limiter.coordinator()
+                        .request(HOLDER, Optional.of(LIMITED.name()))
+                        .wanted())
+                .isEmpty();
+        limiter.coordinator().accept(HOLDER, first, answer.get(), nanoseconds.get());
+        assertThat(limiter.coordinator()
+                        .request(HOLDER, Optional.of(LIMITED.name()))
+                        .wanted())
+                .containsKey(LIMITED.name());
+    }
+
+    /** Guards against a removed limit that a slower thread puts in force again. */
+    @Test
+    void shouldKeepTheNewestLimitsWhenAThreadHasReadAnOlderVersion() {
+        SharedRequestLimiter limiter = limiter();
+        ConfigurationSnapshot limited = snapshot;
+        limiter.run();
+        snapshot = ConfigurationSnapshot.of(ConfigurationVersion.of(2), Configuration.empty());
+        limiter.run();
+        assertThat(limiter.coordinator().isUsed()).isFalse();
+        staleReads.add(limited);
+        limiter.run();
+        assertThat(limiter.coordinator().isUsed()).isFalse();
+    }
+
     @Test
     void shouldKeepMessagesWhenTheyAreEncoded() {
         TokenRequest request = new TokenRequest(
@@ -150,7 +190,7 @@
                 SELF,
                 coordinator,
                 this::takeTokens,
-                () -> snapshot,
+                () -> staleReads.isEmpty() ? snapshot : staleReads.poll(),
                 () -> List.of(member(HOLDER, 1), member(SELF, 2)),
                 _ -> true,
                 nanoseconds::get,
