Test limits with three real nodes of which the holder is killed

Cause: limits were tested in virtual time and with one limiter, never with nodes that exchange tokens and forward requests.

Change: three nodes of two zones on loopback share a limit of 20 requests a second with a burst of 10, under clients far above it; the windows are counted at the targets, and the holder of two nodes is killed.

--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -28,6 +28,7 @@
 import org.oleanderturn.platform.FakeTarget;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Cancellation;
+import org.oleanderturn.proxy.HeaderField;
 import org.oleanderturn.proxy.OutboundRequest;
 import org.oleanderturn.proxy.ResponseMatcher;
 import org.oleanderturn.proxy.SendPolicy;
@@ -54,6 +55,7 @@
     /** From here on the operating system gives ports to connections. */
     private static final int LOWEST_EPHEMERAL_PORT = 32_768;
 
+    private static final int ZONES = 4;
     private static final Set<Integer> RETURNED_PORTS = ConcurrentHashMap.newKeySet();
 
     /** A request that a target began to run, and when. */
@@ -79,6 +81,7 @@
     private final AtomicInteger lastAttempt = new AtomicInteger();
     private volatile String pathThatEndsNodes = "";
     private Optional<NodeSettings.Rollouts> rollouts = Optional.empty();
+    private int zones = ZONES;
 
     /** Starts a fleet and waits until each of its nodes knows all others and serves requests. */
     static MeshFleet start(int size) throws IOException {
@@ -89,6 +92,17 @@
     static MeshFleet start(int size, Optional<NodeSettings.Rollouts> rollouts) throws IOException {
         MeshFleet fleet = new MeshFleet();
         fleet.rollouts = rollouts;
+        return start(fleet, size);
+    }
+
+    /** Starts a fleet of which the first zones have all nodes. */
+    static MeshFleet startInZones(int size, int zones) throws IOException {
+        MeshFleet fleet = new MeshFleet();
+        fleet.zones = zones;
+        return start(fleet, size);
+    }
+
+    private static MeshFleet start(MeshFleet fleet, int size) throws IOException {
         FakeOperator.configure(fleet.store, 1, SERVICE, MAXIMUM_ATTEMPTS);
         for (int host = 0; host < size; host++) {
             fleet.hosts.add(new Host(fleet.settings(host)));
@@ -151,10 +165,17 @@
 
     /** Sends a request to the node of a host as a new attempt of a client. */
     Either<UpstreamFailure, BufferedResponse> send(int host, String path) {
+        return send(host, path, List.of());
+    }
+
+    /** Sends a request with further headers. */
+    Either<UpstreamFailure, BufferedResponse> send(int host, String path, List<HeaderField> further) {
+        List<HeaderField> headers = new ArrayList<>(further);
+        headers.addAll(FakeOperator.clientHeaders("a" + lastAttempt.incrementAndGet(), CLIENT_TIMEOUT.toMillis()));
         OutboundRequest request = new OutboundRequest(
                 path.startsWith("/single/") ? "POST" : "GET",
                 path,
-                FakeOperator.clientHeaders("a" + lastAttempt.incrementAndGet(), CLIENT_TIMEOUT.toMillis()),
+                headers,
                 new byte[0],
                 SendPolicy.NEW_CONNECTION,
                 CLIENT_TIMEOUT,
@@ -268,14 +289,15 @@
                 rollouts,
                 Optional.empty(),
                 Optional.empty());
-        Region region = Region.of(host % 4 < 2 ? "south" : "north");
+        int zone = host % zones;
+        Region region = Region.of(zone < ZONES / 2 ? "south" : "north");
         List<Address> join = hosts.isEmpty()
                 ? List.of()
                 : List.of(hosts.getFirst().settings.listen().control());
         return new NodeSettings(
                 NodeId.of("node-" + host),
                 region,
-                AvailabilityZone.of("zone-" + host % 4),
+                AvailabilityZone.of("zone-" + zone),
                 Region.of("south"),
                 new NodeSettings.Listen(freeAddress(), freeAddress(), freeAddress(), freeAddress()),
                 new NodeSettings.Platform(store.address(), 100, 1_000),
--- a/node/src/test/java/org/oleanderturn/node/SharedRequestLimiterTest.java
+++ b/node/src/test/java/org/oleanderturn/node/SharedRequestLimiterTest.java
@@ -11,9 +11,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.oleanderturn.membership.MemberRecord;
 import org.oleanderturn.mesh.LimitDecision;
 import org.oleanderturn.model.Address;
@@ -30,7 +35,10 @@
 import org.oleanderturn.model.Region;
 import org.oleanderturn.model.RequestLimit;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.platform.FakeOperator;
+import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.traffic.RequestLimitCoordinator;
+import org.oleanderturn.traffic.RequestLimitTerms;
 import org.oleanderturn.traffic.TokenAnswer;
 import org.oleanderturn.traffic.TokenRequest;
 
@@ -176,6 +184,79 @@
                 .contains("oleanderturn_limit_share " + limiter.coordinator().heldShare() + "\n");
     }
 
+    /**
+     * Guards against real nodes that exceed a limit, or stop granting, when the holder of two of three is killed: nobody may use
+     * the rights that it held before their lease has ended, and the others must go on by theirs.
+     */
+    @Test
+    @Timeout(120)
+    void shouldKeepEveryWindowWithinTheLimitWhenTheHolderOfRealNodesIsKilled() throws Exception {
+        RequestLimit limit = new RequestLimit(20, 10);
+        RequestLimitTerms terms = NodeSettings.RequestLimits.defaults().terms();
+        Set<Integer> statuses = ConcurrentHashMap.newKeySet();
+        AtomicBoolean isSending = new AtomicBoolean(true);
+        try (MeshFleet fleet = MeshFleet.startInZones(3, 2)) {
+            FakeOperator.configureLimited(fleet.store(), 2, "orders", 3, 20, 10);
+            for (int host = 0; host < 3; host++) {
+                int entry = host;
+                MeshFleet.await(() -> limitedStatus(fleet, entry) == 200);
+            }
+            List<Thread> clients = IntStream.range(0, 3)
+                    .mapToObj(host -> Thread.ofVirtual().start(() -> {
+                        while (isSending.get()) {
+                            statuses.add(limitedStatus(fleet, host));
+                            LockSupport.parkNanos(Duration.ofMillis(15).toNanos());
+                        }
+                    }))
+                    .toList();
+            Thread.sleep(terms.window().plusSeconds(2));
+            int before = mostRuns(fleet, terms.window());
+            fleet.killNode(0);
+            // Longer than the lease of the rights that the killed holder had.
+            Thread.sleep(Duration.ofSeconds(4));
+            int known = fleet.runs().size();
+            Thread.sleep(terms.window());
+            int after = fleet.runs().size() - known;
+            isSending.set(false);
+            for (Thread client : clients) {
+                client.join();
+            }
+            int most = mostRuns(fleet, terms.window());
+            System.out.printf(
+                    "runs in a window: %d before, %d after, %d at most, statuses %s%n", before, after, most, statuses);
+            assertThat((double) most).isAtMost(terms.bound(limit));
+            assertThat((double) before)
+                    .isAtLeast(0.8 * limit.requestsPerSecond() * terms.window().toSeconds());
+            // Two of three nodes that count are left.
+            assertThat((double) after)
+                    .isAtLeast(0.5 * limit.requestsPerSecond() * terms.window().toSeconds());
+            assertThat(statuses).containsAtLeast(200, 429);
+        }
+    }
+
+    private static int limitedStatus(MeshFleet fleet, int host) {
+        return fleet.send(host, "/lookup/limited", List.of(FakeOperator.credentials(0)))
+                .map(BufferedResponse::status)
+                .getOrElse(0);
+    }
+
+    /** Returns the largest number of runs that targets began in any window. */
+    private static int mostRuns(MeshFleet fleet, Duration window) {
+        List<Long> times = fleet.runs("/lookup/limited").stream()
+                .map(MeshFleet.Run::nanoseconds)
+                .sorted()
+                .toList();
+        int most = 0;
+        int begin = 0;
+        for (int end = 0; end < times.size(); end++) {
+            while (times.get(end) - times.get(begin) >= window.toNanos()) {
+                begin++;
+            }
+            most = Math.max(most, end - begin + 1);
+        }
+        return most;
+    }
+
     private SharedRequestLimiter limiter() {
         RequestLimitCoordinator coordinator = RequestLimitCoordinator.of(
                 SELF,
