--- a/node/src/test/java/org/oleanderturn/node/MeshFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/MeshFleet.java
@@ -55,6 +55,7 @@
     /** From here on the operating system gives ports to connections. */
     private static final int LOWEST_EPHEMERAL_PORT = 32_768;
 
+    private static final int ZONES = 4;
     private static final Set<Integer> RETURNED_PORTS = ConcurrentHashMap.newKeySet();
 
     /** A request that a target began to run, and when. */
@@ -80,6 +81,7 @@
     private final AtomicInteger lastAttempt = new AtomicInteger();
     private volatile String pathThatEndsNodes = "";
     private Optional<NodeSettings.Rollouts> rollouts = Optional.empty();
+    private int zones = ZONES;
 
     /** Starts a fleet and waits until each of its nodes knows all others and serves requests. */
     static MeshFleet start(int size) throws IOException {
@@ -90,6 +92,17 @@
     static MeshFleet start(int size, Optional<NodeSettings.Rollouts> rollouts) throws IOException {
         MeshFleet fleet = new MeshFleet();
         fleet.rollouts = rollouts;
+        return start(fleet, size);
+    }
+
+    /** Starts a fleet of which the first zones have all nodes. */
+    static MeshFleet startInZones(int size, int zones) throws IOException {
+        MeshFleet fleet = new MeshFleet();
+        fleet.zones = zones;
+        return start(fleet, size);
+    }
+
+    private static MeshFleet start(MeshFleet fleet, int size) throws IOException {
         FakeOperator.configure(fleet.store, 1, SERVICE, MAXIMUM_ATTEMPTS);
         for (int host = 0; host < size; host++) {
             fleet.hosts.add(new Host(fleet.settings(host)));
@@ -277,14 +290,15 @@
                 rollouts,
                 Optional.empty(),
                 Optional.empty());
-        Region region = Region.of(host % 4 < 2 ? "south" : "north");
+        int zone = host % zones;
+        Region region = Region.of(zone < ZONES / 2 ? "south" : "north");
         List<Address> join = hosts.isEmpty()
                 ? List.of()
                 : List.of(hosts.getFirst().settings.listen().control());
         return new NodeSettings(
                 NodeId.of("node-" + host),
                 region,
-                AvailabilityZone.of("zone-" + host % 4),
+                AvailabilityZone.of("zone-" + zone),
                 Region.of("south"),
                 new NodeSettings.Listen(freeAddress(), freeAddress(), freeAddress(), freeAddress()),
                 new NodeSettings.Platform(store.address(), 100, 1_000),
