--- a/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -172,7 +172,8 @@
                         "{decision=\"RATE_LIMITED\",share=\"over\"} 1.0",
                         "{decision=\"CLOSED\",share=\"over\"} 1.0",
                         "{decision=\"SHEDDING\",share=\"over\"} 1.0",
-                        "{decision=\"WITHDRAWN\",share=\"over\"} 1.0");
+                        "{decision=\"WITHDRAWN\",share=\"over\"} 1.0",
+                        "{decision=\"KEY_REMOVED\",share=\"over\"} 1.0");
     }
 
     @Test
