Limits: use rights sooner after all nodes restarted

Those 3 s have two reasons. A right that an earlier process gave must have ended; that holds 3 s after the start. And all nodes must know of a new member; gossip needs less, so 1.5 s without a change are enough.

--- a/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
@@ -17,7 +17,7 @@
  * How many nodes share the limits, which of them are holders, and whether this node may use its right yet.
  *
  * <p>Invariants: the number of members rises at once and falls only after every right that was given under it has ended; a
- * node that has just started uses its right only after it has known a steady number of members for longer than that.
+ * node uses its right only when it has run for longer than that and has known a steady number of members for a while.
  * {@link #update} must be called by one thread at a time; the queries are thread safe.
  */
 final class LimitMembership {
@@ -30,6 +30,12 @@
     /** Longer than a right that is given, so that those of an earlier process of this node, or of one that left, have ended. */
     private static final long SETTLING_NANOSECONDS = 3_000_000_000L;
 
+    /**
+     * For so long the number of members has to be unchanged: gossip reaches all nodes sooner. After a restart of all nodes,
+     * members come one after another for seconds, and no request is granted until then.
+     */
+    private static final long STEADY_NANOSECONDS = 1_500_000_000L;
+
     /**
      * The share of members that may be unreachable when a node begins to use its right: a few lost hosts must not keep all
      * others from serving after a restart of the fleet. Only nodes with a new name are unknown to these members, so that the
@@ -43,6 +49,7 @@
     private final Locality locality;
     private final LongSupplier nanoseconds;
     private final Deque<Count> counts = new ArrayDeque<>();
+    private final long startedNanoseconds;
     private long steadySinceNanoseconds;
     private volatile int members = 1;
     private volatile boolean isActive;
@@ -56,7 +63,8 @@
         this.locality = locality;
         this.nanoseconds = nanoseconds;
         this.preferred = self;
-        this.steadySinceNanoseconds = nanoseconds.getAsLong();
+        this.startedNanoseconds = nanoseconds.getAsLong();
+        this.steadySinceNanoseconds = startedNanoseconds;
     }
 
     // -- queries
@@ -111,7 +119,9 @@
         members = counts.stream().mapToInt(Count::members).max().orElse(1);
         long unreachable =
                 known.stream().filter(member -> !member.isReachable()).count();
-        if (now - steadySinceNanoseconds > SETTLING_NANOSECONDS && unreachable <= UNREACHABLE_SHARE * known.size()) {
+        boolean isSettled = now - startedNanoseconds > SETTLING_NANOSECONDS;
+        boolean isSteady = now - steadySinceNanoseconds > STEADY_NANOSECONDS;
+        if (isSettled && isSteady && unreachable <= UNREACHABLE_SHARE * known.size()) {
             isActive = true;
         }
         chooseHolders(known);
