--- a/review/rig-2/FinalFault.java
+++ b/review/rig-2/FinalFault.java
@@ -49,7 +49,9 @@
         record.write("the machines are back");
         Deployment.pause(RECOVERY_SECONDS * 1_000L);
         double after = servedShare("later than the recovery time", AFTER_SECONDS);
-        if (before < 0.25) {
+        boolean areReady = machines.stream().allMatch(Deployment::isReady);
+        record.write("all nodes say that they are ready: %s", areReady);
+        if (before < 0.25 || !areReady) {
             return 2;
         }
         record.write(after < 0.25 ? "RECOVER is broken" : "RECOVER held");
--- a/review/rig-2/SamePath.java
+++ b/review/rig-2/SamePath.java
@@ -136,7 +136,8 @@
                 STABLE_WINDOW_SECONDS,
                 ALLOWED_RETRIES,
                 retries > ALLOWED_RETRIES ? "is broken" : "held");
-        if (machines.get(2).upstream().runs().isEmpty()) {
+        boolean hasCrashed = !machines.get(0).upstream().isCrashing() || !crashing.isEmpty();
+        if (!hasCrashed || machines.stream().anyMatch(machine -> machine.upstream().runs().isEmpty())) {
             return 2;
         }
         return retries > ALLOWED_RETRIES ? 1 : 0;
