Http: reject responses with a malformed line in the head

Clients got a 200 for an answer whose head had a field name with a blank or a control byte in it, a control byte in a value, a folded line, or a status line of another form. Where the line should have told the length, its field was dropped and the body was taken to end with the connection; otherwise the line was passed on. Health checks took such an answer too.

Cause: the library parses lines leniently. It trims and skips blanks, joins folded lines, and takes whatever precedes a colon for a name.

Each line of a head is now checked by the grammar of RFC 9110 and RFC 9112 before the library parses it, at the connection that reads the answers of targets, of their health checks and of other nodes. A malformed head is a lost answer: a client gets 502, as the request may have run. The checks stand in a module of their own, for the other clients to use. A head that breaks off and a status that is none of HTTP are found there too, in place of the checks of UpstreamConnection. A line that ends with a single line feed is still accepted, which RFC 9112, section 2.2 permits.

The status 000 was rejected before.

--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -10,15 +10,10 @@
 import java.nio.channels.SocketChannel;
 import java.time.Duration;
 import java.util.Optional;
-import org.apache.hc.core5.http.ClassicHttpResponse;
-import org.apache.hc.core5.http.ConnectionClosedException;
-import org.apache.hc.core5.http.HttpException;
-import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
-import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParserFactory;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
 import org.apache.hc.core5.util.Timeout;
+import org.oleanderturn.http.ResponseConnection;
 import org.oleanderturn.model.Address;
 
 /**
@@ -27,11 +22,9 @@
  *
  * <p>Not thread safe: used by one thread at a time.
  */
-final class UpstreamConnection extends DefaultBHttpClientConnection {
+final class UpstreamConnection extends ResponseConnection {
     private static final Timeout PROBE_TIMEOUT = Timeout.ofMilliseconds(1);
 
-    private static final int HIGHEST_STATUS = 599;
-
     private final SocketChannel channel;
     private Optional<ReceiveLimits> limits = Optional.empty();
     private volatile boolean isProbing;
@@ -40,8 +33,7 @@
     private volatile long lastReceivedNanoseconds = System.nanoTime();
 
     private UpstreamConnection(Http1Config settings, SocketChannel channel) {
-        // The default parser factory ignores the limit of the settings on the number of headers.
-        super(settings, null, null, null, null, null, new DefaultHttpResponseParserFactory(settings));
+        super(settings);
         this.channel = channel;
     }
 
@@ -63,22 +55,6 @@
         }
     }
 
-    /**
-     * Reads the head of a response; unlike the library, fails when the connection ends before the empty line that closes the
-     * head, or when the status is above those of HTTP. The library itself fails on other malformed ones.
-     */
-    @Override
-    public ClassicHttpResponse receiveResponseHeader() throws HttpException, IOException {
-        ClassicHttpResponse response = super.receiveResponseHeader();
-        if (hasReadEnd) {
-            throw new ConnectionClosedException("the connection ended within the head of the response");
-        }
-        if (response.getCode() > HIGHEST_STATUS) {
-            throw new ProtocolException("the response has the invalid status " + response.getCode());
-        }
-        return response;
-    }
-
     /**
      * Returns whether a read has found the end of the connection. The end is not read while the framing of a message says
      * where it is complete.
