Http: reject responses that misstate the length of their body

Clients got an answer whose head stated the length in a way that HTTP does not allow: a length with a sign, a length beside a transfer coding, a transfer coding in HTTP/1.0, in an interim response or with a status that has no body. The body was then one of several that the target may have meant. An answer that repeated one length, as a list or in two fields, was lost although HTTP allows it.

Cause: the library reads a length as any number that Java parses, prefers a transfer coding to a length, refuses every list, and looks at neither where the status has no body.

The length is now checked as soon as the head has been read, for any status, and a length that is repeated is replaced by a single one, so that all that reads it later sees the same. What is malformed, ambiguous or ruled out by version or status is a lost answer (502). A 204 with a length of 0 is still accepted, as servers send it.

--- a/http/src/main/java/org/oleanderturn/http/ResponseParser.java
+++ b/http/src/main/java/org/oleanderturn/http/ResponseParser.java
@@ -40,6 +40,7 @@
         if (lines.fault().isPresent()) {
             throw new MalformedResponseException(lines.fault().get());
         }
+        BodyLength.check(response);
         return response;
     }
 
--- a/http/src/test/java/org/oleanderturn/http/ResponseSamples.java
+++ b/http/src/test/java/org/oleanderturn/http/ResponseSamples.java
@@ -25,7 +25,9 @@
 
     /** Returns all responses that HTTP does not allow. */
     public static List<String> malformed(String... fields) {
-        return malformedLines(fields);
+        return Stream.of(malformedLines(fields), malformedLengths(fields))
+                .flatMap(List::stream)
+                .toList();
     }
 
     /** Returns responses with a line in the head that is no status line or no field. */
@@ -96,6 +98,51 @@
                 .toList();
     }
 
+    /** Returns responses with a field that should tell the length of the body and does not. */
+    public static List<String> malformedLengths(String... fields) {
+        Stream<String> lengths = Stream.of(
+                        "",
+                        "-10",
+                        "+10",
+                        "0xa",
+                        "a",
+                        "10x",
+                        "1 0",
+                        "10.0",
+                        "10,",
+                        "10,,10",
+                        "10, 11",
+                        "10;",
+                        "10\r\nContent-Length: 11",
+                        "10\r\nContent-Length:",
+                        "99999999999999999999")
+                .map(value -> message(STATUS_LINE, BODY, with(fields, "Content-Length: " + value)));
+        String chunks = "a\r\n" + BODY + "\r\n0\r\n\r\n";
+        Stream<String> encodings = Stream.of(
+                        "",
+                        "gzip",
+                        "identity",
+                        "xchunked",
+                        "chunked x",
+                        "chunked;a=b",
+                        "gzip, chunked",
+                        "chunked, gzip",
+                        "chunked, chunked",
+                        "chunked\r\nTransfer-Encoding: chunked",
+                        "chunked\r\nTransfer-Encoding: gzip",
+                        "chunked\r\nContent-Length: 10",
+                        "chunked\r\nContent-Length: 25")
+                .map(value -> message(STATUS_LINE, chunks, with(fields, "Transfer-Encoding: " + value)));
+        Stream<String> others = Stream.of(
+                message("HTTP/1.0 200 OK", chunks, with(fields, CHUNKED)),
+                message("HTTP/1.1 204 No Content", "", with(fields, LENGTH)),
+                message("HTTP/1.1 204 No Content", "", with(fields, CHUNKED)),
+                message("HTTP/1.1 304 Not Modified", "", with(fields, "Content-Length: x")),
+                message("HTTP/1.1 103 Early Hints", sized(STATUS_LINE, fields), LENGTH),
+                message("HTTP/1.1 103 Early Hints", sized(STATUS_LINE, fields), CHUNKED));
+        return Stream.of(lengths, encodings, others).flatMap(all -> all).toList();
+    }
+
     /** Returns responses with the body that HTTP allows and whose end does not depend on that of the connection. */
     public static List<String> wellFormed(String... fields) {
         Stream<String> heads = Stream.of(
@@ -106,6 +153,9 @@
                         "Content-Length:10",
                         "Content-Length: \t 10 \t ",
                         "Content-Length: 010",
+                        "Content-Length: 10, 10",
+                        "Content-Length: 10,10 , 10",
+                        "Content-Length: 10\r\ncontent-length: 10",
                         "Content-Length: 10\r\nName:",
                         "Content-Length: 10\r\nName: \t ",
                         "Content-Length: 10\r\nName: a  b\tc: d",
--- a/node/src/test/java/org/oleanderturn/node/MalformedAnswerTest.java
+++ b/node/src/test/java/org/oleanderturn/node/MalformedAnswerTest.java
@@ -51,6 +51,11 @@
         assertUnknown(ResponseSamples::malformedLines);
     }
 
+    @Test
+    void shouldLeaveOpenWhetherTheRequestRanWhenTheLengthIsMalformed() {
+        assertUnknown(ResponseSamples::malformedLengths);
+    }
+
     @Test
     void shouldDeliverTheAnswerWhenHttpAllowsIt() {
         assertDelivered(ResponseSamples::wellFormed, ResponseSamples.BODY, false);
--- a/proxy/src/test/java/org/oleanderturn/proxy/MalformedResponseTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/MalformedResponseTest.java
@@ -39,6 +39,13 @@
                 .isEmpty();
     }
 
+    @Test
+    void shouldLoseTheResponseWhenTheLengthOfItsBodyIsMalformed() throws IOException {
+        assertThat(taken(ResponseSamples.malformedLengths(), ANY)).isEmpty();
+        assertThat(taken(ResponseSamples.malformedLengths(), ResponseMatcher.framed()))
+                .isEmpty();
+    }
+
     @Test
     void shouldTakeTheResponseWhenHttpAllowsIt() throws IOException {
         assertTaken(ResponseSamples.wellFormed(), ResponseSamples.BODY, false, ANY);
@@ -55,6 +62,17 @@
         assertTaken(ResponseSamples.withoutBody(), "", false, ANY);
     }
 
+    /** The length of a response without a body is forwarded, where the response would have that body otherwise. */
+    @Test
+    void shouldReturnOneLengthWhenItIsRepeated() throws IOException {
+        try (RawPeer peer = RawPeer.keepingConnections(_ -> "HTTP/1.1 304\r\nContent-Length: 7, 7\r\n\r\n")) {
+            UpstreamResponse response =
+                    client.send(address(peer), request(), Cancellation.create()).get();
+            assertThat(response.length()).isEqualTo(7);
+            response.close();
+        }
+    }
+
     // -- helpers
 
     /** Returns the samples that are taken for a response, or after which the next request gets none. */
