Http: reject malformed lines of the chunked coding and of trailers

Clients got a whole answer for a body whose chunks or trailer section were malformed: a size with a sign or blanks, an extension that is none, a line that ends without a carriage return, a folded line, a field name with a blank or a control byte, or a field that restates the length behind the body.

Cause: the library reads a size as any number that Java parses, after removing what stands around it, ignores what follows it, ends lines at any line feed, and parses trailers as leniently as heads. A read of a single byte takes the end of the connection within a chunk for the end of the body; only a check after the body made up for that.

The lines are now read and checked by the grammar of RFC 9112, section 7.1 before the library sees them. Each line has to end with CRLF here, as the permission to accept a single line feed covers the head only. Every read fails at the end of the connection, which replaces the check after the body. A body that is collected is lost (502); one that is being streamed ends the connection to its receiver.

--- a/http/src/main/java/org/oleanderturn/http/LineSyntax.java
+++ b/http/src/main/java/org/oleanderturn/http/LineSyntax.java
@@ -1,7 +1,9 @@
 package org.oleanderturn.http;
 
+import java.util.HexFormat;
+
 /**
- * The syntax of the lines of a response, by RFC 9110, section 5 and RFC 9112, sections 4 and 5.
+ * The syntax of the lines of a response, by RFC 9110, section 5 and RFC 9112, sections 4, 5 and 7.1.
  *
  * <p>Stateless and thread safe.
  */
@@ -36,12 +38,52 @@
         return colon > 0 && isAt(line, colon, ':') && isText(line, colon + 1);
     }
 
+    /** Returns whether a line is the size of a chunk, which extensions may follow. */
+    static boolean isChunkSize(CharSequence line) {
+        int end = 0;
+        while (end < line.length() && HexFormat.isHexDigit(line.charAt(end))) {
+            end++;
+        }
+        return end > 0 && isChunkExtensions(line, end);
+    }
+
+    private static boolean isChunkExtensions(CharSequence line, int start) {
+        int position = start;
+        while (position < line.length()) {
+            int semicolon = endOfBlanks(line, position);
+            int name = endOfBlanks(line, semicolon + 1);
+            int nameEnd = endOfToken(line, name);
+            if (!isAt(line, semicolon, ';') || nameEnd == name) {
+                return false;
+            }
+            int equalsSign = endOfBlanks(line, nameEnd);
+            if (isAt(line, equalsSign, '=')) {
+                int value = endOfBlanks(line, equalsSign + 1);
+                position = isAt(line, value, '"') ? endOfQuotedString(line, value) : endOfToken(line, value);
+                if (position <= value) {
+                    return false;
+                }
+            } else {
+                position = nameEnd;
+            }
+        }
+        return true;
+    }
+
     // -- parts of a line
 
     private static boolean isAt(CharSequence line, int position, char expected) {
         return position < line.length() && line.charAt(position) == expected;
     }
 
+    private static int endOfBlanks(CharSequence line, int start) {
+        int end = start;
+        while (isAt(line, end, ' ') || isAt(line, end, '\t')) {
+            end++;
+        }
+        return end;
+    }
+
     private static int endOfToken(CharSequence line, int start) {
         int end = start;
         while (end < line.length() && isTokenCharacter(line.charAt(end))) {
@@ -50,6 +92,23 @@
         return end;
     }
 
+    /** Returns the position behind the closing quotation mark; the start if there is none. */
+    private static int endOfQuotedString(CharSequence line, int start) {
+        for (int position = start + 1; position < line.length(); position++) {
+            char character = line.charAt(position);
+            if (character == '"') {
+                return position + 1;
+            }
+            if (character == '\\') {
+                position++;
+            }
+            if (position == line.length() || !isTextCharacter(line.charAt(position))) {
+                return start;
+            }
+        }
+        return start;
+    }
+
     private static boolean isText(CharSequence line, int start) {
         for (int position = start; position < line.length(); position++) {
             if (!isTextCharacter(line.charAt(position))) {
--- a/http/src/test/java/org/oleanderturn/http/ResponseSamples.java
+++ b/http/src/test/java/org/oleanderturn/http/ResponseSamples.java
@@ -25,7 +25,7 @@
 
     /** Returns all responses that HTTP does not allow. */
     public static List<String> malformed(String... fields) {
-        return Stream.of(malformedLines(fields), malformedLengths(fields))
+        return Stream.of(malformedLines(fields), malformedLengths(fields), malformedChunks(fields))
                 .flatMap(List::stream)
                 .toList();
     }
@@ -143,6 +143,58 @@
         return Stream.of(lengths, encodings, others).flatMap(all -> all).toList();
     }
 
+    /** Returns responses with a line in the chunked coding or in the trailer section that is malformed. */
+    public static List<String> malformedChunks(String... fields) {
+        Stream<String> sizes = Stream.of(
+                        "",
+                        " a",
+                        "a ",
+                        "+a",
+                        "-a",
+                        "0xa",
+                        "g",
+                        "a b",
+                        "a\0",
+                        "a\rb",
+                        "a,",
+                        "a;",
+                        "a;\1",
+                        "a; =b",
+                        "a;b=",
+                        "a;b=\"",
+                        "a;b=\"c",
+                        "a;b c",
+                        "a;b=c ",
+                        "a;;b",
+                        "fffffffffffffffffa",
+                        "\200")
+                .map(size -> chunked(size + LINE_END + BODY + "\r\n0\r\n\r\n", fields));
+        Stream<String> lineEnds = Stream.of(
+                        "a\n" + BODY + "\r\n0\r\n\r\n",
+                        "a\r\n" + BODY + "\n0\r\n\r\n",
+                        "a\r\n" + BODY + "\r\n0\n\r\n",
+                        "a\r\n" + BODY + "\r\n0\r\n\n",
+                        "a\r\n" + BODY + "x\r\n0\r\n\r\n",
+                        "a\r\n" + BODY + " \r\n0\r\n\r\n",
+                        "a\r\n" + BODY + "\r\n\r\n0\r\n\r\n",
+                        "a\r\r\n" + BODY + "\r\n0\r\n\r\n")
+                .map(body -> chunked(body, fields));
+        Stream<String> trailers = Stream.of(
+                        "garbage",
+                        ": value",
+                        "Na me: value",
+                        "Name : value",
+                        " Name: value",
+                        "Na\0me: value",
+                        "Name: val\0ue",
+                        "Name: val\rue",
+                        "Name: value\r\n folded",
+                        "Content-Length: 10",
+                        "Transfer-Encoding: chunked")
+                .map(line -> chunked("a\r\n" + BODY + "\r\n0\r\n" + line + "\r\n\r\n", fields));
+        return Stream.of(sizes, lineEnds, trailers).flatMap(all -> all).toList();
+    }
+
     /** Returns responses with the body that HTTP allows and whose end does not depend on that of the connection. */
     public static List<String> wellFormed(String... fields) {
         Stream<String> heads = Stream.of(
--- a/node/src/test/java/org/oleanderturn/node/MalformedAnswerTest.java
+++ b/node/src/test/java/org/oleanderturn/node/MalformedAnswerTest.java
@@ -56,6 +56,11 @@
         assertUnknown(ResponseSamples::malformedLengths);
     }
 
+    @Test
+    void shouldLeaveOpenWhetherTheRequestRanWhenAChunkIsMalformed() {
+        assertUnknown(ResponseSamples::malformedChunks);
+    }
+
     @Test
     void shouldDeliverTheAnswerWhenHttpAllowsIt() {
         assertDelivered(ResponseSamples::wellFormed, ResponseSamples.BODY, false);
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamConnection.java
@@ -28,7 +28,6 @@
     private final SocketChannel channel;
     private Optional<ReceiveLimits> limits = Optional.empty();
     private volatile boolean isProbing;
-    private boolean hasReadEnd;
     private volatile long lastUsedNanoseconds = System.nanoTime();
     private volatile long lastReceivedNanoseconds = System.nanoTime();
 
@@ -55,14 +54,6 @@
         }
     }
 
-    /**
-     * Returns whether a read has found the end of the connection. The end is not read while the framing of a message says
-     * where it is complete.
-     */
-    boolean hasReadEnd() {
-        return hasReadEnd;
-    }
-
     /** Applies the limits to all reads until they are replaced or removed. */
     void limitReads(ReceiveLimits readLimits) {
         limits = Optional.of(readLimits);
@@ -153,7 +144,6 @@
             }
             int count = in.read(bytes, offset, length);
             lastReceivedNanoseconds = System.nanoTime();
-            hasReadEnd = hasReadEnd || count < 0;
             if (limits.isPresent() && count > 0) {
                 limits.get().recordRead(count);
             }
--- a/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/UpstreamResponse.java
@@ -9,7 +9,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import org.apache.hc.core5.http.ClassicHttpResponse;
-import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.util.Timeout;
@@ -90,7 +89,7 @@
         if (bytes.length > limitBytes) {
             return Optional.empty();
         }
-        endBody(entity);
+        connection.markResponseRead();
         return Optional.of(bytes);
     }
 
@@ -108,7 +107,7 @@
                         entity.getContentLength(),
                         allowance.limitBytes(),
                         allowance.reservation());
-        endBody(entity);
+        connection.markResponseRead();
         return body;
     }
 
@@ -118,15 +117,6 @@
         if (entity != null) {
             copy(entity.getContent(), output);
         }
-        endBody(entity);
-    }
-
-    /** Checks that a chunked body ended with its last chunk: the library takes a size that breaks off for a shorter one. */
-    private void endBody(HttpEntity entity) throws IOException {
-        if (entity != null && entity.isChunked() && connection.connection().hasReadEnd()) {
-            hasReadFailed = true;
-            throw new ConnectionClosedException("the connection ended within a chunked body");
-        }
         connection.markResponseRead();
     }
 
--- a/proxy/src/test/java/org/oleanderturn/proxy/MalformedResponseTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/MalformedResponseTest.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.vavr.control.Either;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -46,6 +48,29 @@
                 .isEmpty();
     }
 
+    @Test
+    void shouldLoseTheResponseWhenALineOfItsChunksIsMalformed() throws IOException {
+        assertThat(taken(ResponseSamples.malformedChunks(), ANY)).isEmpty();
+        assertThat(taken(ResponseSamples.malformedChunks(), ResponseMatcher.framed()))
+                .isEmpty();
+    }
+
+    /** A streamed response has been passed on in part; the exception ends the connection to its receiver. */
+    @Test
+    void shouldFailToWriteTheBodyWhenALineOfItsChunksIsMalformed() throws IOException {
+        for (String sample : ResponseSamples.malformedChunks()) {
+            try (RawPeer peer = RawPeer.endingConnections(_ -> sample);
+                    UpstreamResponse response = client.send(address(peer), request(), Cancellation.create())
+                            .get()) {
+                assertThrows(
+                        IOException.class,
+                        () -> response.writeTo(OutputStream.nullOutputStream()),
+                        ResponseSamples.visible(sample));
+                assertThat(response.hasReadFailed()).isTrue();
+            }
+        }
+    }
+
     @Test
     void shouldTakeTheResponseWhenHttpAllowsIt() throws IOException {
         assertTaken(ResponseSamples.wellFormed(), ResponseSamples.BODY, false, ANY);
