Store: take only responses that HTTP allows

The store's client took malformed responses as it was with those of targets: with a line that is no field, a misstated length or malformed chunks. Besides, it took a body in chunks for whole when the connection ended behind the first digit of the last size, where the check that targets' answers had was missing. A write that had no sound response counted as done, a read as its value.

Cause: the connection used the library's lenient reader, and a parser of its own for heads that break off.

StoreConnection is a ResponseConnection now, whose checks replace that parser.

--- a/store/src/main/java/org/oleanderturn/store/StoreConnection.java
+++ b/store/src/main/java/org/oleanderturn/store/StoreConnection.java
@@ -8,15 +8,15 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.SocketHolder;
+import org.oleanderturn.http.ResponseConnection;
 
 /**
  * A connection to the store that bounds what is kept of a response, and the whole time that one takes.
  *
  * <p>Not thread safe: used by one thread at a time.
  */
-final class StoreConnection extends DefaultBHttpClientConnection {
+final class StoreConnection extends ResponseConnection {
     /** A dozen values of the largest size in base64; a watch that has more fails, and its key is read again. */
     private static final int MAXIMUM_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
@@ -27,7 +27,7 @@
     private final LimitedInput input;
 
     private StoreConnection(LimitedInput input) {
-        super(HEAD_LIMITS, null, null, null, null, null, _ -> new CompleteHeadParser(HEAD_LIMITS));
+        super(HEAD_LIMITS);
         this.input = input;
     }
 
