Command: take only responses that HTTP allows

The command line took malformed responses of a node, and could print "accepted" for one that is none.

Cause: OperatorClient used the library's lenient reader.

It reads through ResponseConnection now. A malformed response is AnswerLost: the request was sent, and its outcome is open.

--- a/command/src/main/java/org/oleanderturn/command/OperatorClient.java
+++ b/command/src/main/java/org/oleanderturn/command/OperatorClient.java
@@ -20,7 +20,6 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.HttpProcessors;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
@@ -28,6 +27,7 @@
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.net.URIAuthority;
+import org.oleanderturn.http.ResponseConnection;
 import org.oleanderturn.model.Address;
 
 /**
@@ -86,7 +86,7 @@
         AtomicBoolean isExpired = new AtomicBoolean();
         CompletableFuture<Void> deadlineTask =
                 CompletableFuture.runAsync(() -> expire(isExpired, socket), deadlineExecutor);
-        try (DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(Http1Config.DEFAULT)) {
+        try (ResponseConnection connection = new ResponseConnection(Http1Config.DEFAULT)) {
             connection.bind(socket);
             HttpRequestExecutor executor = new HttpRequestExecutor();
             HttpCoreContext context = HttpCoreContext.create();
