Testbed: take only responses that HTTP allows

The load command counted malformed responses as answers, ended with an unexpected exception for the status 000, and counted an interim response as the answer. The check of its reports waited without end, or ended with an unexpected exception, when a target's counts came in a response whose length is malformed or repeated.

Cause: LoadClient used the library's lenient reader and read one head only; LoadCheckCommand used the client of the JDK without a time limit.

LoadClient reads through ResponseConnection now, and the library's executor skips interim responses.

--- a/testbed/src/main/java/org/oleanderturn/testbed/LoadCheckCommand.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/LoadCheckCommand.java
@@ -2,19 +2,24 @@
 
 import io.vavr.control.Either;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import org.oleanderturn.model.Address;
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.DecodeFailure;
+import org.oleanderturn.proxy.BufferedResponse;
+import org.oleanderturn.proxy.Cancellation;
+import org.oleanderturn.proxy.OutboundRequest;
+import org.oleanderturn.proxy.ResponseMatcher;
+import org.oleanderturn.proxy.SendPolicy;
+import org.oleanderturn.proxy.UpstreamClient;
+import org.oleanderturn.proxy.UpstreamFailure;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -29,6 +34,11 @@
         mixinStandardHelpOptions = true,
         description = "Compares load reports with what targets ran.")
 public final class LoadCheckCommand implements Callable<Integer> {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(30);
+
+    /** Enough for the keys of a million bookings. */
+    private static final int RESPONSE_LIMIT_BYTES = 64 * 1_024 * 1_024;
 
     @Option(names = "--report", required = true, description = "A report written by the load command; repeatable.")
     private List<Path> reports;
@@ -40,7 +50,7 @@
     private List<String> killedEntries = List.of();
 
     @Override
-    public Integer call() throws IOException, InterruptedException {
+    public Integer call() throws IOException {
         Map<String, Integer> runs = new TreeMap<>();
         for (String target : targets) {
             TargetCounts counts = decode(fetch(target), TargetCounts.class);
@@ -60,11 +70,27 @@
     record TargetCounts(
             String target, long served, long shed, long cancelled, long running, Map<String, Integer> bookings) {}
 
-    private static byte[] fetch(String target) throws IOException, InterruptedException {
-        try (HttpClient client = HttpClient.newHttpClient()) {
-            HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + target + "/admin/counts"))
-                    .build();
-            return client.send(request, HttpResponse.BodyHandlers.ofByteArray()).body();
+    /** Returns the body of a target's response; fails unless the response is complete. */
+    static byte[] fetch(String target) throws IOException {
+        OutboundRequest request = new OutboundRequest(
+                "GET",
+                "/admin/counts",
+                List.of(),
+                new byte[0],
+                SendPolicy.NEW_CONNECTION,
+                CONNECT_TIMEOUT,
+                RESPONSE_TIMEOUT);
+        try (UpstreamClient client = UpstreamClient.of(1)) {
+            Either<UpstreamFailure, BufferedResponse> response = client.exchange(
+                    Address.parse(target),
+                    request,
+                    ResponseMatcher.framed(),
+                    RESPONSE_LIMIT_BYTES,
+                    Cancellation.create());
+            if (response.isLeft()) {
+                throw new IOException("no counts from " + target + ": " + response.getLeft());
+            }
+            return response.get().body();
         }
     }
 
--- a/testbed/src/main/java/org/oleanderturn/testbed/LoadClient.java
+++ b/testbed/src/main/java/org/oleanderturn/testbed/LoadClient.java
@@ -14,9 +14,11 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
+import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.InputStreamEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.oleanderturn.http.ResponseConnection;
 import org.oleanderturn.model.Address;
 import org.oleanderturn.proxy.ProxyHeaders;
 
@@ -29,6 +31,7 @@
     private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
     private static final int ANSWER_TIMEOUT_MILLISECONDS = 30_000;
     private static final int BUFFER_BYTES = 8_192;
+    private static final HttpRequestExecutor EXECUTOR = new HttpRequestExecutor();
 
     private LoadClient() {}
 
@@ -56,15 +59,11 @@
 
     private static LoadAttempt exchange(Socket socket, BasicClassicHttpRequest message) throws IOException {
         boolean isResponseStarted = false;
-        try (DefaultBHttpClientConnection connection = new DefaultBHttpClientConnection(Http1Config.DEFAULT)) {
+        try (ResponseConnection connection = new ResponseConnection(Http1Config.DEFAULT)) {
             socket.setSoTimeout(ANSWER_TIMEOUT_MILLISECONDS);
             connection.bind(socket);
-            connection.sendRequestHeader(message);
-            connection.sendRequestEntity(message);
-            connection.flush();
-            ClassicHttpResponse response = connection.receiveResponseHeader();
+            ClassicHttpResponse response = EXECUTOR.execute(message, connection, HttpCoreContext.create());
             isResponseStarted = true;
-            connection.receiveResponseEntity(response);
             return completeAttempt(response, readBody(response.getEntity()));
         } catch (IOException | HttpException cause) {
             return new LoadAttempt.Broken(cause.toString(), isResponseStarted);
