Mesh: tell requests apart by host, calling service and organisation, too

Cause: RequestIdentity was method, path and body. A completed run of the harmless request cleared the crashing one, and a crash put both under suspicion.

Change: the identity is what a target is sent of the request and of its sender: method, host without port and case, path and query, body, calling service, organisation. Route, service and version are left out, so that entry and guard of every node compute the same. Ledger, exchange between nodes and copy in the store are keyed by it.

JsonDecisionLogTest, CrashLedgerTest and the fixtures only follow the signature.

--- a/mesh/src/main/java/org/oleanderturn/mesh/GuardRequestMetadata.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/GuardRequestMetadata.java
@@ -16,6 +16,7 @@
 import org.oleanderturn.proxy.InboundRequest;
 import org.oleanderturn.proxy.ProxyHeaders;
 import org.oleanderturn.traffic.CrashSuspicion;
+import org.oleanderturn.traffic.RequestSender;
 
 /**
  * What an entry states about an attempt beside the client's request; sent as headers.
@@ -128,6 +129,11 @@
                         .isPresent();
     }
 
+    /** Returns who sends the request, as the target is told. */
+    RequestSender sender() {
+        return RequestSender.of(caller, organisation);
+    }
+
     /** Encodes the metadata as headers. */
     List<HeaderField> headers() {
         List<HeaderField> headers = new ArrayList<>();
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshEntry.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.Organisation;
 import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.proxy.Cancellation;
 import org.oleanderturn.proxy.HeaderField;
@@ -22,6 +23,7 @@
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamFailure;
 import org.oleanderturn.traffic.CoreAdmission;
+import org.oleanderturn.traffic.RequestSender;
 import org.oleanderturn.traffic.TrafficSplitter;
 
 /**
@@ -266,7 +268,14 @@
                 request.path(),
                 headersToForward(request, routed.index()),
                 body,
-                RequestIdentity.of(request.method(), request.path(), body),
+                RequestIdentity.of(
+                        request.method(),
+                        client.host(),
+                        request.path(),
+                        RequestSender.of(
+                                dependencies.callerService(),
+                                routed.organisation().map(Organisation::name)),
+                        body),
                 client,
                 match,
                 service,
--- a/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/MeshGuard.java
@@ -202,13 +202,19 @@
                     load(),
                     condition());
         }
+        ClientRequestMetadata client = adapter.clientMetadata(request);
         GuardRequest guardRequest = new GuardRequest(
                 request.method(),
                 request.path(),
                 HeaderValues.forwardable(request.headers()),
                 body.get(),
-                RequestIdentity.of(request.method(), request.path(), body.get()),
-                adapter.clientMetadata(request),
+                RequestIdentity.of(
+                        request.method(),
+                        client.host(),
+                        request.path(),
+                        metadata.get().sender(),
+                        body.get()),
+                client,
                 metadata.get(),
                 request.readDelay(),
                 metadata.get().remaining(),
--- a/mesh/src/main/java/org/oleanderturn/mesh/RequestIdentity.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RequestIdentity.java
@@ -2,35 +2,51 @@
 
 import java.util.Objects;
 import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.traffic.RequestSender;
 
 /**
- * What makes two sendings of a client the same request: method, path and body. The fingerprint is computed when it is
- * first needed, since most requests never need it. Thread safe; the body's bytes must not be changed.
+ * What makes two sendings the same request to a target: method, host, path with query, body, calling service and
+ * organisation. Attempt id, deadline and other headers may differ.
+ *
+ * <p>Invariant: nothing of it depends on the route or the service that was chosen, so that entry and guard of every node
+ * compute the same fingerprint, whatever version of the configuration they have. The fingerprint is computed when it is first
+ * needed, since most requests never need it. Thread safe; the body's bytes must not be changed.
  */
 final class RequestIdentity {
     private final String method;
+    private final String host;
     private final String path;
+    private final RequestSender sender;
     private final byte[] body;
     private volatile Fingerprint fingerprint;
 
-    private RequestIdentity(String method, String path, byte[] body) {
+    private RequestIdentity(String method, String host, String path, RequestSender sender, byte[] body) {
         this.method = method;
+        this.host = host;
         this.path = path;
+        this.sender = sender;
         this.body = body;
     }
 
-    /** Returns the identity of a request. */
-    static RequestIdentity of(String method, String path, byte[] body) {
+    /**
+     * Returns the identity of a request.
+     *
+     * @param host the virtual host without a port, in any case
+     * @param path the path and query
+     */
+    static RequestIdentity of(String method, String host, String path, RequestSender sender, byte[] body) {
         Objects.requireNonNull(method, "method is null");
+        Objects.requireNonNull(host, "host is null");
         Objects.requireNonNull(path, "path is null");
         Objects.requireNonNull(body, "body is null");
-        return new RequestIdentity(method, path, body);
+        Objects.requireNonNull(sender, "sender is null");
+        return new RequestIdentity(method, host, path, sender, body);
     }
 
     Fingerprint fingerprint() {
         Fingerprint known = fingerprint;
         if (known == null) {
-            known = Fingerprint.ofRequest(method, path, body);
+            known = Fingerprint.ofRequest(method, host, path, sender, body);
             fingerprint = known;
         }
         return known;
--- a/mesh/src/test/java/org/oleanderturn/mesh/CrashMonitorTest.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/CrashMonitorTest.java
@@ -4,11 +4,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.NodeId;
+import org.oleanderturn.model.ServiceName;
 import org.oleanderturn.traffic.CrashLedger;
 import org.oleanderturn.traffic.CrashSuspicion;
 import org.oleanderturn.traffic.CrashVerdict;
+import org.oleanderturn.traffic.RequestSender;
 
 final class CrashMonitorTest {
     private static final NodeId ENTRY = NodeId.of("entry");
@@ -16,7 +19,8 @@
     private static final TargetStart TARGET = new TargetStart("i-1", 1);
     private static final String ATTEMPT = "a1";
 
-    private final RequestIdentity request = RequestIdentity.of("GET", "/a/1", new byte[0]);
+    private final RequestIdentity request = RequestIdentity.of(
+            "GET", "host.example", "/a/1", RequestSender.of(ServiceName.of("caller"), Optional.empty()), new byte[0]);
     private final CrashLedger ledger = CrashLedger.of(() -> 0);
     private final CrashMonitor monitor = CrashMonitor.of(ENTRY, ledger, _ -> {}, () -> 0);
 
--- a/mesh/src/test/java/org/oleanderturn/mesh/GuardFixture.java
+++ b/mesh/src/test/java/org/oleanderturn/mesh/GuardFixture.java
@@ -92,7 +92,7 @@
                 "/a/x",
                 List.of(HeaderField.of("Id", id)),
                 new byte[0],
-                RequestIdentity.of("GET", "/a/x", new byte[0]),
+                RequestIdentity.of("GET", "host.example", "/a/x", metadata.sender(), new byte[0]),
                 new ClientRequestMetadata(id, Optional.of(timeLimit), "host.example"),
                 metadata,
                 Duration.ZERO,
--- a/node/src/test/java/org/oleanderturn/node/CrashingRequestFleetTest.java
+++ b/node/src/test/java/org/oleanderturn/node/CrashingRequestFleetTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.oleanderturn.platform.FakeOperator;
 
 /** Counts the arrivals of a crashing request at the targets of whole simulated fleets, for many seeds. */
 final class CrashingRequestFleetTest {
@@ -32,6 +33,11 @@
     /** Joint losses of nodes were once counted as runs that ended them one after the other. */
     private static final int[] FAILED_INNOCENT_SEEDS = {2, 14};
 
+    private static final int HARMLESS_PAUSE_MILLISECONDS = 500;
+
+    /** Up to six runs of a crashing request take harmless ones along, at most this part of those of a day. */
+    private static final int UNSERVED_DIVISOR = 20;
+
     /** The platform allows this many further arrivals of a request that has crashed three targets. */
     private static final long PERMITTED = 3;
 
@@ -109,6 +115,43 @@
         }
     }
 
+    /** Guards against harmless requests of another host that clear a crashing one with their path or are refused with it. */
+    @Test
+    void shouldBoundTheArrivalsAndServeTheOtherHostWhenItsHarmlessRequestsHaveTheSamePath() {
+        for (Repetition repetition : List.of(Repetition.AT_ONCE, Repetition.AFTER_SECONDS, Repetition.IN_BURSTS)) {
+            IntStream.range(FIRST_SEED, FIRST_SEED + SEEDS / LONG_DAY_DIVISOR)
+                    .parallel()
+                    .forEach(seed -> SimulatedTime.simulate(() -> playBesideTheOtherHost(repetition, seed)));
+        }
+    }
+
+    private static void playBesideTheOtherHost(Repetition repetition, int seed) {
+        SimulatedFleet fleet = new SimulatedFleet(
+                FLEET_SIZE,
+                SLOTS,
+                FakeOperator.snapshotOfTwoHosts(1, SimulatedFleet.SERVICE, MAXIMUM_ATTEMPTS),
+                seed,
+                SimulatedSettings.Variant.usual());
+        int harmless = 0;
+        for (long time = 0; time < repetition.day.toMillis(); time += HARMLESS_PAUSE_MILLISECONDS) {
+            fleet.clients().sendToOtherHost(Duration.ofMillis(time), CRASHING);
+            harmless++;
+        }
+        sendAgain(fleet, repetition);
+        fleet.run(repetition.day.plus(SimulatedFleet.CLIENT_TIMEOUT));
+        String label = SimulatedClients.label(FakeOperator.OTHER_HOST, CRASHING);
+        String course = repetition + " seed " + seed;
+        assertWithMessage("%s: arrivals after the third crash", course)
+                .that(fleet.arrivalsAfterTheThirdCrash(CRASHING))
+                .isAtMost(PERMITTED);
+        assertWithMessage("%s: harmless requests that were refused with the crashing one", course)
+                .that(fleet.clients().quarantined(label))
+                .isEqualTo(0);
+        assertWithMessage("%s: harmless requests without a response of a target", course)
+                .that(fleet.clients().unserved(label))
+                .isAtMost(harmless / UNSERVED_DIVISOR);
+    }
+
     private static void play(Disturbance disturbance, Repetition repetition, int seed) {
         SimulatedFleet fleet = new SimulatedFleet(FLEET_SIZE, SLOTS, MAXIMUM_ATTEMPTS, seed);
         disturb(fleet, disturbance, repetition.day);
--- a/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
+++ b/node/src/test/java/org/oleanderturn/node/JsonDecisionLogTest.java
@@ -56,7 +56,7 @@
     private static final LoadReport LOAD = new LoadReport(9, 3, 1, 40);
     private static final NodeId NODE = NodeId.of("node");
     private static final ConfigurationVersion VERSION = ConfigurationVersion.of(4);
-    private static final Fingerprint FINGERPRINT = Fingerprint.ofRequest("GET", "/a/1", new byte[0]);
+    private static final Fingerprint FINGERPRINT = Fingerprint.of("0".repeat(32));
     private static final GuardReply FULL_REPLY = new GuardReply.NotRun("FULL", false, Duration.ZERO);
 
     private static final GuardStages STAGES = new GuardStages(Duration.ZERO, Duration.ZERO, Duration.ZERO);
--- a/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedClients.java
@@ -6,8 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.oleanderturn.mesh.Decision;
 import org.oleanderturn.platform.FakeOperator;
 import org.oleanderturn.proxy.HeaderField;
 
@@ -52,6 +55,35 @@
         return exchanges;
     }
 
+    /** Returns how many requests with a label were refused at an entry or a guard because they are suspected of crashes. */
+    long quarantined(String label) {
+        Set<String> refused = fleet.decisions().stream()
+                .filter(Decision.Quarantined.class::isInstance)
+                .map(decision -> ((Decision.Quarantined) decision).attemptId())
+                .collect(Collectors.toUnmodifiableSet());
+        return exchanges.stream()
+                .filter(exchange -> exchange.path().equals(label))
+                .filter(exchange -> refused.contains(attemptId(exchange.sending())))
+                .count();
+    }
+
+    /** Returns how many requests with a label have ended without a response of a target. */
+    long unserved(String label) {
+        return exchanges.stream()
+                .filter(exchange -> exchange.path().equals(label))
+                .filter(exchange -> exchange.answer().status() != 200)
+                .count();
+    }
+
+    /** Returns what names a request in arrivals and exchanges: its path, after the virtual host if that is the other one. */
+    static String label(String virtualHost, String path) {
+        return virtualHost.equals(FakeOperator.HOST) ? path : virtualHost + path;
+    }
+
+    static String attemptId(SimulatedFleet.Sending sending) {
+        return "s" + sending.number();
+    }
+
     // -- commands
 
     /** Lets clients show the key that belongs to the path of a request. */
@@ -72,6 +104,20 @@
         });
     }
 
+    /** Sends a request to the other virtual host once, after a delay, to a node that is drawn then. */
+    void sendToOtherHost(Duration delay, String path) {
+        fleet.time().start(delay, life, () -> {
+            var _ = exchange(
+                    fleet.random().nextInt(fleet.hosts().size()),
+                    FakeOperator.OTHER_HOST,
+                    path,
+                    SimulatedFleet.CLIENT_TIMEOUT,
+                    SimulatedFleet.CLIENT_TIMEOUT,
+                    Optional.empty(),
+                    fleet.time().pending());
+        });
+    }
+
     /**
      * Sends a request after a delay, and again when a refusal asks for it; reports how long it took if it is served.
      *
@@ -128,6 +174,17 @@
             Duration patience,
             Optional<RequestStage> leavesAt,
             SimulatedTime.Pending<SimulatedFleet.Answer> answer) {
+        return exchange(entry, FakeOperator.HOST, path, limit, patience, leavesAt, answer);
+    }
+
+    private SimulatedFleet.Answer exchange(
+            int entry,
+            String virtualHost,
+            String path,
+            Duration limit,
+            Duration patience,
+            Optional<RequestStage> leavesAt,
+            SimulatedTime.Pending<SimulatedFleet.Answer> answer) {
         SimulatedHost host = fleet.host(entry);
         if (!host.isNodeUp()) {
             answer.complete(SimulatedFleet.Answer.none());
@@ -136,8 +193,9 @@
         SimulatedFleet.Sending sending = new SimulatedFleet.Sending(
                 sendings.size(), entry, host.life(), fleet.time().milliseconds(), limit.toMillis());
         sendings.add(sending);
-        String attemptId = "s" + sending.number();
-        List<HeaderField> headers = new ArrayList<>(FakeOperator.clientHeaders(attemptId, limit.toMillis()));
+        String attemptId = attemptId(sending);
+        List<HeaderField> headers =
+                new ArrayList<>(FakeOperator.clientHeaders(virtualHost, attemptId, limit.toMillis()));
         credentials.apply(path).ifPresent(headers::add);
         SimulatedRequest request =
                 new SimulatedRequest(path.startsWith("/single/") ? "POST" : "GET", path, headers, new byte[0]);
@@ -151,7 +209,7 @@
         }
         exchanges.add(new SimulatedFleet.Exchange(
                 sending,
-                path,
+                label(virtualHost, path),
                 received.orElse(SimulatedFleet.Answer.none()),
                 fleet.time().milliseconds()));
         return exchanges.getLast().answer();
--- a/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedHost.java
@@ -17,12 +17,14 @@
 import org.oleanderturn.model.EndpointState;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.ServiceName;
+import org.oleanderturn.platform.FakeOperator;
 import org.oleanderturn.platform.FakeTargetMessages;
 import org.oleanderturn.proxy.BufferedResponse;
 import org.oleanderturn.proxy.Response;
 import org.oleanderturn.proxy.UpstreamFailure;
 import org.oleanderturn.traffic.CoreLag;
 import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.traffic.RequestSender;
 import org.oleanderturn.wire.Frame;
 
 /** A host of a {@link SimulatedFleet}: its target, and the lives of its node. Used by one task at a time. */
@@ -124,7 +126,12 @@
 
     /** Returns whether the node knows that targets have ended under a path. */
     boolean isSuspect(String path) {
-        Fingerprint fingerprint = Fingerprint.ofRequest("GET", path, new byte[0]);
+        Fingerprint fingerprint = Fingerprint.ofRequest(
+                "GET",
+                FakeOperator.HOST,
+                path,
+                RequestSender.of(ServiceName.of(SimulatedFleet.SERVICE), Optional.empty()),
+                new byte[0]);
         return node.flatMap(present -> present.data().crashLedger().suspicion(fingerprint))
                 .filter(suspicion -> suspicion.level() > 0)
                 .isPresent();
--- a/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
+++ b/node/src/test/java/org/oleanderturn/node/SimulatedTarget.java
@@ -17,7 +17,7 @@
 
 /**
  * A target in simulated time: processes that run requests, one after the other. A path that contains {@code crash} ends the
- * process that runs it. Used by one task at a time.
+ * process that runs it, unless it is for the other virtual host. Used by one task at a time.
  */
 final class SimulatedTarget {
     private static final Duration HEARTBEAT = Duration.ofMillis(500);
@@ -183,9 +183,10 @@
             return;
         }
         Optional<Duration> timeLimit = FakeTargetMessages.timeLimit(request.headers());
-        SimulatedFleet.Arrival arrival = fleet.recordArrival(host, process(), attemptId, request.path(), timeLimit);
+        String label = SimulatedClients.label(FakeTargetMessages.host(request.headers()), request.path());
+        SimulatedFleet.Arrival arrival = fleet.recordArrival(host, process(), attemptId, label, timeLimit);
         open.add(response);
-        if (request.path().contains("crash")) {
+        if (label.startsWith("/") && label.contains("crash")) {
             crashSoon(request.path(), fleet.sender(attemptId));
             return;
         }
--- a/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/HeaderValues.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.regex.Pattern;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.MessageHeaders;
 
 /**
@@ -74,6 +75,13 @@
         return forwarded;
     }
 
+    /** Returns the host of the Host header, without its port; empty when there is none. */
+    public static String hostWithoutPort(List<HeaderField> headers) {
+        String host = HeaderField.find(headers, HttpHeaders.HOST).orElse("");
+        int port = host.lastIndexOf(':');
+        return port < 0 ? host : host.substring(0, port);
+    }
+
     /** Returns the names that the Connection header lists, in lower case; these headers are not forwarded. */
     private static Set<String> namesInConnectionHeader(List<HeaderField> headers) {
         Set<String> names = new HashSet<>();
--- a/traffic/src/main/java/org/oleanderturn/traffic/Fingerprint.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Fingerprint.java
@@ -7,8 +7,11 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
+import org.oleanderturn.model.OrganisationName;
 import org.oleanderturn.model.RouteName;
+import org.oleanderturn.model.ServiceName;
 
 /**
  * Identifies requests that are the same to a target. Immutable and thread safe.
@@ -43,13 +46,17 @@
     }
 
     /**
-     * Computes the fingerprint of a request from what its client sends, so that it is the same at every entry and under
-     * every configuration.
+     * Computes the fingerprint of a request from what its target is sent, without what differs between attempts. The route
+     * and the service are left out, as they change with the configuration.
      *
+     * @param host the virtual host without a port; its case makes no difference
      * @param path the path and query
      */
-    public static Fingerprint ofRequest(String method, String path, byte[] body) {
-        return of(List.of(method, path), body);
+    public static Fingerprint ofRequest(String method, String host, String path, RequestSender sender, byte[] body) {
+        // None of these may contain a zero, so that the parts can't run into each other.
+        String service = sender.service().map(ServiceName::value).orElse("");
+        String organisation = sender.organisation().map(OrganisationName::value).orElse("");
+        return of(List.of(method, host.toLowerCase(Locale.ROOT), path, service, organisation), body);
     }
 
     private static Fingerprint of(List<String> parts, byte[] last) {
--- a/traffic/src/test/java/org/oleanderturn/traffic/CrashLedgerTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/CrashLedgerTest.java
@@ -11,7 +11,7 @@
 import org.oleanderturn.model.NodeId;
 
 final class CrashLedgerTest {
-    private static final Fingerprint REQUEST = Fingerprint.ofRequest("GET", "/a", new byte[0]);
+    private static final Fingerprint REQUEST = fingerprint("/a");
     private static final NodeId NODE = NodeId.of("node");
     private static final NodeId OTHER_NODE = NodeId.of("other");
     private static final int SEEDS = 300;
@@ -20,6 +20,10 @@
     private long now = 1_000_000;
     private final CrashLedger ledger = CrashLedger.of(() -> now);
 
+    private static Fingerprint fingerprint(String path) {
+        return Fingerprint.ofRequest("GET", "host.example", path, RequestSender.unknown(), new byte[0]);
+    }
+
     @Test
     void shouldCountOnceWhenCopiesThatWereInFlightTogetherEndTheirTargets() {
         CrashLedger.Generation first = ledger.generation(REQUEST);
@@ -136,11 +140,11 @@
         var _ = ledger.merge(List.of(new CrashSuspicion(REQUEST, 0, 0, 3, List.of(NODE), false, 0)));
         for (int number = 0; number < CrashLedger.MAXIMUM_ENTRIES + 10; number++) {
             now++;
-            Fingerprint suspect = Fingerprint.ofRequest("GET", "/s/" + number, new byte[0]);
+            Fingerprint suspect = fingerprint("/s/" + number);
             ledger.recordCrash(suspect, ledger.generation(suspect), NODE);
         }
         assertThat(ledger.verdict(REQUEST)).isInstanceOf(CrashVerdict.Quarantined.class);
-        Fingerprint oldest = Fingerprint.ofRequest("GET", "/s/0", new byte[0]);
+        Fingerprint oldest = fingerprint("/s/0");
         assertThat(ledger.verdict(oldest)).isEqualTo(new CrashVerdict.Clear());
     }
 
