Proxy: identify requests by what targets are sent instead of by their route

The product's own interface had the same fault in another form: its fingerprint held the name of the route and left out the host. After a version that renames a route, a request that crashes targets was counted anew, and a booking that its client repeats was refused as another request with its idempotency key; two hosts with one path shared their quarantine.

It computes the fingerprint of the mesh now. A booking that is repeated across the update under one key is refused as another request; it is not run twice.

--- a/proxy/src/main/java/org/oleanderturn/proxy/RoutedRequestReader.java
+++ b/proxy/src/main/java/org/oleanderturn/proxy/RoutedRequestReader.java
@@ -10,10 +10,10 @@
 import java.util.UUID;
 import java.util.function.LongSupplier;
 import org.apache.hc.core5.http.HttpHeaders;
-import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.RoutingTable;
 import org.oleanderturn.traffic.DeadlineBudget;
 import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.traffic.RequestSender;
 import org.oleanderturn.traffic.RetryAllowance;
 
 /** Reads a caller's request into a {@link RoutedRequest}. Stateless and thread safe. */
@@ -36,8 +36,12 @@
         if (body.isEmpty()) {
             return Either.left(new RequestFault.BodyTooLarge(BODY_LIMIT_BYTES));
         }
-        Fingerprint fingerprint =
-                Fingerprint.of(entry.route().name(), request.method(), request.path(), Digest.hash(body.get()));
+        Fingerprint fingerprint = Fingerprint.ofRequest(
+                request.method(),
+                HeaderValues.hostWithoutPort(request.headers()),
+                request.path(),
+                RequestSender.unknown(),
+                body.get());
         return Either.right(new RoutedRequest(
                 request.method(),
                 request.path(),
--- a/proxy/src/test/java/org/oleanderturn/proxy/GuardTest.java
+++ b/proxy/src/test/java/org/oleanderturn/proxy/GuardTest.java
@@ -13,18 +13,17 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.oleanderturn.model.Digest;
 import org.oleanderturn.model.RequestKind;
-import org.oleanderturn.model.RouteName;
 import org.oleanderturn.traffic.DeadlineBudget;
 import org.oleanderturn.traffic.Fingerprint;
+import org.oleanderturn.traffic.RequestSender;
 
 /** Tests which requests a guard forwards to its target, and on which connection. */
 @Timeout(60)
 class GuardTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final Fingerprint FINGERPRINT =
-            Fingerprint.of(RouteName.of("route"), "POST", "/booking", Digest.hash(new byte[0]));
+            Fingerprint.ofRequest("POST", "host.example", "/booking", RequestSender.unknown(), new byte[0]);
 
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final UpstreamClient client = UpstreamClient.of(4);
--- a/traffic/src/main/java/org/oleanderturn/traffic/Fingerprint.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/Fingerprint.java
@@ -10,7 +10,6 @@
 import java.util.Locale;
 import java.util.Objects;
 import org.oleanderturn.model.OrganisationName;
-import org.oleanderturn.model.RouteName;
 import org.oleanderturn.model.ServiceName;
 
 /**
@@ -40,11 +39,6 @@
         return new Fingerprint(value);
     }
 
-    /** Computes the fingerprint of a request from the hash of its body. */
-    public static Fingerprint of(RouteName route, String method, String path, byte[] bodyHash) {
-        return of(List.of(route.value(), method, path), bodyHash);
-    }
-
     /**
      * Computes the fingerprint of a request from what its target is sent, without what differs between attempts. The route
      * and the service are left out, as they change with the configuration.
@@ -53,19 +47,15 @@
      * @param path the path and query
      */
     public static Fingerprint ofRequest(String method, String host, String path, RequestSender sender, byte[] body) {
+        MessageDigest digest = sha256();
         // None of these may contain a zero, so that the parts can't run into each other.
         String service = sender.service().map(ServiceName::value).orElse("");
         String organisation = sender.organisation().map(OrganisationName::value).orElse("");
-        return of(List.of(method, host.toLowerCase(Locale.ROOT), path, service, organisation), body);
-    }
-
-    private static Fingerprint of(List<String> parts, byte[] last) {
-        MessageDigest digest = sha256();
-        for (String part : parts) {
+        for (String part : List.of(method, host.toLowerCase(Locale.ROOT), path, service, organisation)) {
             digest.update(part.getBytes(StandardCharsets.UTF_8));
             digest.update((byte) 0);
         }
-        return new Fingerprint(HEX.formatHex(digest.digest(last), 0, BYTES));
+        return new Fingerprint(HEX.formatHex(digest.digest(body), 0, BYTES));
     }
 
     @Override
--- a/traffic/src/test/java/org/oleanderturn/traffic/CrashQuarantineTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/CrashQuarantineTest.java
@@ -17,7 +17,6 @@
 import org.oleanderturn.model.Codec;
 import org.oleanderturn.model.NodeId;
 import org.oleanderturn.model.RequestKind;
-import org.oleanderturn.model.RouteName;
 
 final class CrashQuarantineTest {
     private static final Fingerprint CRASHING = fingerprint("/crash");
@@ -26,7 +25,7 @@
     private final CrashQuarantine quarantine = quarantine("guard-0");
 
     private static Fingerprint fingerprint(String path) {
-        return Fingerprint.of(RouteName.of("lookups"), "GET", path, new byte[0]);
+        return Fingerprint.ofRequest("GET", "host.example", path, RequestSender.unknown(), new byte[0]);
     }
 
     private CrashQuarantine quarantine(String node) {
