Node: stop a restarted region from filling its link with reads that it gives up

The values take longer than 1 s over the link. Each node gave its read up after that and asked again within 0.6 s, so that the link carried only answers that nobody waited for, and small answers and messages to members came too late as well.

Change: only relays that are found within 1 s of the start show that the fleet runs. A node without a configuration whose first read had no response pauses for 1 to 2 s, up to 8 s after further ones, unless it is the relay of a zone with other nodes, and takes the configuration from others meanwhile.

The new case of RelayDirectoryTest failed before.

--- a/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
+++ b/node/src/main/java/org/oleanderturn/node/OperatorConfigurationWatcher.java
@@ -81,6 +81,15 @@
 
     private static final Duration MAXIMUM_BACKOFF = Duration.ofMillis(600);
 
+    /**
+     * How long a node without a configuration leaves the store alone after a read that had no response; each further one
+     * doubles it. The values that the nodes of a region asked for are still on its link then, and asking again would add more
+     * than the link carries meanwhile.
+     */
+    private static final Duration MINIMUM_FIRST_READ_PAUSE = Duration.ofSeconds(2);
+
+    private static final Duration MAXIMUM_FIRST_READ_PAUSE = Duration.ofSeconds(8);
+
     /**
      * How long after a response of the store this node still counts as reading it: a watch and its way. Other nodes trust that
      * for a moment, so that it adds to the time after which they read the store themselves.
@@ -115,6 +124,7 @@
     private final BooleanSupplier isSupplied;
     private final LongSupplier clockNanoseconds;
     private final Backoff backoff;
+    private final Backoff firstReadBackoff;
     private final AtomicReference<Optional<StoreFailure>> failure = new AtomicReference<>(Optional.empty());
     private final AtomicReference<Optional<Confirmation>> confirmation = new AtomicReference<>(Optional.empty());
     private final AtomicReference<LastRead> lastRead = new AtomicReference<>(LastRead.understood());
@@ -134,6 +144,8 @@
 
     private boolean isReader;
     private int failures;
+    private int unansweredFirstReads;
+    private long nextFirstReadNanoseconds;
 
     OperatorConfigurationWatcher(
             Store store,
@@ -158,6 +170,8 @@
         this.lastVersionNanoseconds = createdNanoseconds - QUICK_SUCCESSION.toNanos();
         this.readinessGate = Objects.requireNonNull(readinessGate, "readinessGate is null");
         this.backoff = Backoff.of(MINIMUM_BACKOFF, MAXIMUM_BACKOFF, random);
+        this.firstReadBackoff = Backoff.of(MINIMUM_FIRST_READ_PAUSE, MAXIMUM_FIRST_READ_PAUSE, random);
+        this.nextFirstReadNanoseconds = createdNanoseconds;
     }
 
     /** Returns why the store currently can't be read; empty when it can. */
@@ -205,7 +219,10 @@
      * before the next run, in milliseconds.
      */
     long runOnce() {
-        if (!hasRead && isFleetRunning.getAsBoolean()) {
+        if (isFirstReadPaused()) {
+            return ROLE_CHECK_DELAY_MILLISECONDS;
+        }
+        if (!hasRead && unansweredFirstReads == 0 && isFleetRunning.getAsBoolean()) {
             // A node that comes back serves sooner by one call of its own than by the word of others that come back,
             // too.
             return read();
@@ -218,6 +235,13 @@
         return isReader ? read() : ROLE_CHECK_DELAY_MILLISECONDS;
     }
 
+    /** Returns whether this node waits for others to pass a configuration on; the relay of a zone reads for these. */
+    private boolean isFirstReadPaused() {
+        return clockNanoseconds.getAsLong() - nextFirstReadNanoseconds < 0
+                && holder.version().equals(ConfigurationVersion.none())
+                && !(hasPeers.getAsBoolean() && role.isRelay(0));
+    }
+
     /** Returns whether a node that has just started may still find the others, of which one reads for all. */
     boolean isSearchingRelay() {
         long now = clockNanoseconds.getAsLong();
@@ -290,9 +314,7 @@
                 ? store.watch(OperatorConfiguration.KEY, seenRevision, wait, this::beginReception)
                 : store.get(OperatorConfiguration.KEY, this::beginReception);
         if (read.isLeft()) {
-            recordFailure(read.getLeft());
-            failures++;
-            return backoff.delay(failures).toMillis();
+            return recordFailedRead(read.getLeft());
         }
         if (failure.getAndSet(Optional.empty()).isPresent()) {
             log.atInfo().log("platform store is available again");
@@ -338,6 +360,20 @@
                         .isPresent();
     }
 
+    /** Records that a read failed; returns the delay before the next run, in milliseconds. */
+    private long recordFailedRead(StoreFailure cause) {
+        recordFailure(cause);
+        if (!hasRead && cause instanceof StoreFailure.Undetermined) {
+            unansweredFirstReads++;
+            Duration pauseOfReads = firstReadBackoff.delay(unansweredFirstReads);
+            nextFirstReadNanoseconds = clockNanoseconds.getAsLong() + pauseOfReads.toNanos();
+            log.atInfo().log(
+                    "leaves the platform store alone for %s ms, its answer may be queued", pauseOfReads.toMillis());
+        }
+        failures++;
+        return backoff.delay(failures).toMillis();
+    }
+
     private void recordFailure(StoreFailure cause) {
         if (failure.getAndSet(Optional.of(cause)).isEmpty()) {
             log.atWarning().log("platform store is unavailable: %s", cause);
--- a/node/src/main/java/org/oleanderturn/node/RelayDirectory.java
+++ b/node/src/main/java/org/oleanderturn/node/RelayDirectory.java
@@ -28,17 +28,25 @@
     /** Registrations seconds ago mostly hold still; a fresh read costs ten times as much. */
     private static final int READS_PER_FRESH_READ = 3;
 
+    /**
+     * How soon after its start a node has to learn of relays for these to have run before it. A call to the store has an answer
+     * by then, unless its link is full; after a restart of the whole fleet, other nodes register meanwhile.
+     */
+    private static final long FIRST_LOOK_MILLISECONDS = 1_000;
+
     private final Store store;
     private final RelayRole role;
     private final LongSupplier milliseconds;
     private final AtomicInteger reads = new AtomicInteger();
     private final AtomicReference<List<Address>> lastRead = new AtomicReference<>(List.of());
     private final AtomicReference<Optional<Boolean>> foundAtFirst = new AtomicReference<>(Optional.empty());
+    private final long createdMilliseconds;
 
     RelayDirectory(Store store, RelayRole role, LongSupplier milliseconds) {
         this.store = Objects.requireNonNull(store, "store is null");
         this.role = Objects.requireNonNull(role, "role is null");
         this.milliseconds = Objects.requireNonNull(milliseconds, "milliseconds is null");
+        this.createdMilliseconds = milliseconds.getAsLong();
     }
 
     /** Returns whether this node is a relay. */
@@ -63,7 +71,8 @@
                     .ifPresent(addresses::add);
         }
         lastRead.set(List.copyOf(addresses));
-        foundAtFirst.compareAndSet(Optional.empty(), Optional.of(!addresses.isEmpty()));
+        boolean isInTime = milliseconds.getAsLong() - createdMilliseconds < FIRST_LOOK_MILLISECONDS;
+        foundAtFirst.compareAndSet(Optional.empty(), Optional.of(isInTime && !addresses.isEmpty()));
         return addresses;
     }
 
@@ -72,7 +81,7 @@
         return lastRead.get();
     }
 
-    /** Returns whether there were relays when this node looked for the first time, so that it joins a fleet that runs. */
+    /** Returns whether this node found relays right after its start, so that it joins a fleet that runs. */
     boolean isFleetRunning() {
         return foundAtFirst.get().orElse(false);
     }
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationFleet.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationFleet.java
@@ -37,9 +37,6 @@
     private static final double STORE_MEGABITS = 1_000.0;
     private static final int PERCENT = 100;
     private static final int LOST_FRAMES_PERCENT = 2;
-    private static final int LONGEST_JOIN_MILLISECONDS = 300;
-    private static final int SHORTEST_LOSS_DETECTION_MILLISECONDS = 300;
-    private static final int LONGEST_LOSS_DETECTION_MILLISECONDS = 1_500;
     private static final long LARGE_MESSAGE_BYTES = 20_000;
     private static final long PART_BYTES = 16_000;
 
@@ -91,11 +88,11 @@
     private final List<Adoption> adoptions = new ArrayList<>();
     private final List<Transfer> transfers = new ArrayList<>();
     private final List<ConfigurationProbe> probes = new ArrayList<>();
+    private final ConfigurationDiscovery discovery = new ConfigurationDiscovery(this);
     private final long[] sentBytes;
     private int sentProbes;
     private int disturbances;
     private boolean isLosingFrames;
-
     /** Creates a fleet whose store holds a first version; its nodes are down. */
     ConfigurationFleet(Shape shape, long firstVersion, int firstRoutes, long seed) {
         this(shape, APPLY_TIME, firstVersion, firstRoutes, seed);
@@ -137,6 +134,11 @@
         return store;
     }
 
+    /** Returns how the nodes come to know each other. */
+    ConfigurationDiscovery discovery() {
+        return discovery;
+    }
+
     ConfigurationHost host(int number) {
         return hosts.get(number);
     }
@@ -284,29 +286,14 @@
         });
     }
 
-    /** Lets the membership of all nodes notice, after a while, what has become of a host's node. */
-    void reviewLater(ConfigurationHost subject) {
-        for (ConfigurationHost other : hosts) {
-            if (other != subject) {
-                time.at(detectionDelay(subject), () -> review(other, subject));
-                time.at(detectionDelay(subject), () -> review(subject, other));
-            }
-        }
-    }
-
-    private static void review(ConfigurationHost observer, ConfigurationHost subject) {
-        observer.node().ifPresent(node -> node.see(subject.number(), subject.isNodeUp()));
-    }
+    // -- links
 
-    private Duration detectionDelay(ConfigurationHost subject) {
-        return Duration.ofMillis(
-                subject.isNodeUp()
-                        ? random.nextInt(LONGEST_JOIN_MILLISECONDS)
-                        : random.nextInt(SHORTEST_LOSS_DETECTION_MILLISECONDS, LONGEST_LOSS_DETECTION_MILLISECONDS));
+    /** Lets the link from the platform's region to the other one be busy for some time with what was sent before. */
+    void fillNorthboundLink(Duration duration) {
+        long bytes = Math.round(REGION_MEGABITS / shape.reduction() * 1_000_000 / 8 * duration.toNanos() / 1e9);
+        northboundLink.carry(time.nanoseconds(), bytes);
     }
 
-    // -- links
-
     /** Lets links lose some of the frames. */
     void setLosingFrames(boolean losing) {
         isLosingFrames = losing;
@@ -349,7 +336,8 @@
             hops.add(new SimulatedTransfer.Hop(link, Duration.ZERO));
         }
         hops.add(new SimulatedTransfer.Hop(receiver.downlink(), delay(sender, receiver)));
-        transfer(Optional.of(sender.number()), receiver, hops, bytes, isAwaited, () -> {}, onArrival);
+        Optional<Integer> number = Optional.of(sender.number());
+        transfer(number, receiver, hops, bytes, scaled(PART_BYTES), isAwaited, () -> {}, onArrival);
     }
 
     /** Carries an answer of the store to a host. */
@@ -365,7 +353,8 @@
             hops.add(new SimulatedTransfer.Hop(northboundLink, Duration.ZERO));
         }
         hops.add(new SimulatedTransfer.Hop(receiver.downlink(), storeDelay(receiver)));
-        transfer(Optional.empty(), receiver, hops, bytes, isAwaited, onFirstPart, onArrival);
+        long partBytes = store.isBuffered() ? bytes : scaled(PART_BYTES);
+        transfer(Optional.empty(), receiver, hops, bytes, partBytes, isAwaited, onFirstPart, onArrival);
     }
 
     private void transfer(
@@ -373,6 +362,7 @@
             ConfigurationHost receiver,
             List<SimulatedTransfer.Hop> hops,
             long bytes,
+            long partBytes,
             BooleanSupplier isAwaited,
             Runnable onFirstPart,
             Runnable onArrival) {
@@ -383,7 +373,7 @@
             }
             onArrival.run();
         });
-        new SimulatedTransfer(time, hops, bytes, scaled(PART_BYTES), recipient).send();
+        new SimulatedTransfer(time, hops, bytes, partBytes, recipient).send();
     }
 
     private static boolean isInPlatformRegion(ConfigurationHost host) {
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationHost.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationHost.java
@@ -120,7 +120,7 @@
             disturb();
             node = Optional.of(new ConfigurationNode(fleet, this));
             node.get().start();
-            fleet.reviewLater(this);
+            fleet.discovery().join(this);
         }
     }
 
@@ -135,7 +135,7 @@
             node.get().life().end();
             node = Optional.empty();
             disturb();
-            fleet.reviewLater(this);
+            fleet.discovery().reviewLater(this);
         }
     }
 
--- a/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
+++ b/node/src/test/java/org/oleanderturn/node/ConfigurationStore.java
@@ -34,6 +34,7 @@
         private List<SimulatedTime.Pending<Boolean>> watches = new ArrayList<>();
         private Duration answerTime = ANSWER_TIME;
         private boolean isAbsent;
+        private boolean isBuffered;
         private int calls;
 
         /** Returns how many calls all nodes have made. */
@@ -75,6 +76,15 @@
             isAbsent = absent;
         }
 
+        boolean isBuffered() {
+            return isBuffered;
+        }
+
+        /** Lets whole answers be on their way at once, as in the buffers of a system, also when nobody waits for them. */
+        void setBuffered() {
+            isBuffered = true;
+        }
+
         /** Refuses the calls of some hosts. */
         void setRefused(Set<Integer> hosts) {
             refusedHosts.clear();
@@ -218,7 +228,7 @@
                 fleet.sendFromStore(
                         host,
                         bytes,
-                        () -> !hasTimedOut[0],
+                        () -> content.isBuffered || !hasTimedOut[0],
                         () -> begun.complete(answer),
                         () -> complete.complete(true));
             }
--- a/node/src/test/java/org/oleanderturn/node/RelayDirectoryTest.java
+++ b/node/src/test/java/org/oleanderturn/node/RelayDirectoryTest.java
@@ -13,7 +13,8 @@
 
 class RelayDirectoryTest {
     private final FakeStore store = FakeStore.create();
-    private final RelayDirectory relayDirectory = new RelayDirectory(store, _ -> OptionalInt.empty(), () -> 0);
+    private long now;
+    private final RelayDirectory relayDirectory = new RelayDirectory(store, _ -> OptionalInt.empty(), () -> now);
 
     @Test
     void shouldFindRelaysOfEveryZoneWhenSomeEntriesAreMalformed() {
@@ -27,6 +28,31 @@
         assertThat(relayDirectory.relays()).containsExactly(address);
     }
 
+    @Test
+    void shouldTakeTheFleetForRunningWhenRelaysAreFoundAtOnce() {
+        register();
+        now += 20;
+        relayDirectory.relays();
+        assertThat(relayDirectory.isFleetRunning()).isTrue();
+    }
+
+    /** Guards against all nodes of a region that read the configuration at once, as relays of the other one started sooner. */
+    @Test
+    void shouldNotTakeTheFleetForRunningWhenTheStoreAnswersOnlyAfterOthersHadTimeToRegister() {
+        store.setDefaultFault(FakeStore.Fault.UNREACHABLE);
+        relayDirectory.relays();
+        store.setDefaultFault(FakeStore.Fault.NONE);
+        register();
+        now += 2_900;
+        relayDirectory.relays();
+        assertThat(relayDirectory.isFleetRunning()).isFalse();
+    }
+
+    private void register() {
+        RelayRegistration relay = new RelayRegistration(NodeId.of("one"), Address.of("127.0.0.1", 23001));
+        store.compareAndSwap("relay/hobart/0", StoredValue.ABSENT, relay.encode());
+    }
+
     @Test
     void shouldReturnNoRelaysWhenTheStoreIsUnreachable() {
         store.setDefaultFault(FakeStore.Fault.UNREACHABLE);
