--- a/node/src/main/java/org/oleanderturn/node/RequestLimitObserver.java
+++ b/node/src/main/java/org/oleanderturn/node/RequestLimitObserver.java
@@ -119,6 +119,7 @@
         fields.put("holder", coordinator.holder().value());
         fields.put("members", coordinator.members());
         fields.put("heldShare", coordinator.heldShare());
+        coordinator.hindrance().ifPresent(hindrance -> fields.put("hindrance", hindrance.name()));
         fields.put("suppressed", suppressed.sumThenReset());
         writer.offer(Codec.json().encodeText(fields));
     }
--- a/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
+++ b/node/src/main/java/org/oleanderturn/node/SharedRequestLimiter.java
@@ -1,5 +1,6 @@
 package org.oleanderturn.node;
 
+import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.HashMap;
@@ -24,6 +25,7 @@
 import org.oleanderturn.model.PlacementExplanation;
 import org.oleanderturn.model.RequestLimit;
 import org.oleanderturn.traffic.LateRequests;
+import org.oleanderturn.traffic.LimitHindrance;
 import org.oleanderturn.traffic.LimitMember;
 import org.oleanderturn.traffic.RequestLimitCoordinator;
 import org.oleanderturn.traffic.TokenAnswer;
@@ -36,6 +38,8 @@
  * {@link #run} must be called by one thread at a time.
  */
 final class SharedRequestLimiter implements RequestLimiter {
+    private static final FluentLogger log = FluentLogger.forEnclosingClass();
+
     /** How often to look whether a holder must be asked: several times during the validity of a batch. */
     private static final long INTERVAL_MILLISECONDS = 100;
 
@@ -69,6 +73,7 @@
     private volatile Map<NodeId, Address> addresses = Map.of();
     private volatile ConfigurationSnapshot known = ConfigurationSnapshot.empty();
     private long rounds;
+    private Optional<LimitHindrance> loggedHindrance = Optional.empty();
 
     /**
      * Creates the limiter of a node.
@@ -278,6 +283,19 @@
         // Without limits the store is not asked for its relays; the node then begins to use its right 3 s after it
         // knows one.
         coordinator.updateMembers(acting, coordinator.isUsed() && isComplete.test(records));
+        logHindrance(acting);
+    }
+
+    private void logHindrance(List<LimitMember> acting) {
+        Optional<LimitHindrance> present = coordinator.hindrance();
+        if (coordinator.isUsed() && !present.equals(loggedHindrance)) {
+            loggedHindrance = present;
+            log.atInfo().log(
+                    "use of the right to the limits of organisations waits for: %s; %s members, %s unreachable",
+                    present.map(LimitHindrance::name).orElse("nothing"),
+                    acting.size(),
+                    acting.stream().filter(member -> !member.isReachable()).count());
+        }
     }
 
     private static LimitMember member(MemberRecord record) {
--- a/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/LimitMembership.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import java.util.stream.Stream;
@@ -53,6 +54,7 @@
     private long steadySinceNanoseconds;
     private volatile int members = 1;
     private volatile boolean isActive;
+    private volatile Optional<LimitHindrance> hindrance = Optional.of(LimitHindrance.JUST_STARTED);
     private volatile List<NodeId> holders = List.of();
     private volatile List<NodeId> nearHolders = List.of();
     private volatile List<NodeId> farHolders = List.of();
@@ -79,6 +81,11 @@
         return isActive;
     }
 
+    /** Returns what keeps this node from using its right; empty once it uses it. */
+    Optional<LimitHindrance> hindrance() {
+        return hindrance;
+    }
+
     /** Returns the reachable holders, the nearest first; this node may be among them. */
     List<NodeId> holders() {
         return holders;
@@ -121,12 +128,24 @@
                 known.stream().filter(member -> !member.isReachable()).count();
         boolean isSettled = now - startedNanoseconds > SETTLING_NANOSECONDS;
         boolean isSteady = now - steadySinceNanoseconds > STEADY_NANOSECONDS;
-        if (isSettled && isSteady && unreachable <= UNREACHABLE_SHARE * known.size()) {
+        boolean isReachable = unreachable <= UNREACHABLE_SHARE * known.size();
+        if (isSettled && isSteady && isReachable) {
             isActive = true;
         }
+        hindrance = isActive ? Optional.empty() : Optional.of(hindrance(isSettled, isComplete, isSteady));
         chooseHolders(known);
     }
 
+    private static LimitHindrance hindrance(boolean isSettled, boolean isComplete, boolean isSteady) {
+        if (!isSettled) {
+            return LimitHindrance.JUST_STARTED;
+        }
+        if (!isComplete) {
+            return LimitHindrance.MEMBERS_MISSING;
+        }
+        return isSteady ? LimitHindrance.MEMBERS_UNREACHABLE : LimitHindrance.MEMBERS_CHANGING;
+    }
+
     private void chooseHolders(List<LimitMember> known) {
         Map<Locality, List<NodeId>> byZone = new TreeMap<>(Comparator.comparingInt(this::distance)
                 .thenComparing(zone -> zone.zone().value()));
--- a/traffic/src/main/java/org/oleanderturn/traffic/RequestLimitCoordinator.java
+++ b/traffic/src/main/java/org/oleanderturn/traffic/RequestLimitCoordinator.java
@@ -165,6 +165,11 @@
         return batches.available(organisation);
     }
 
+    /** Returns what keeps this node from using its right; empty once it uses it. */
+    public Optional<LimitHindrance> hindrance() {
+        return membership.hindrance();
+    }
+
     /** Returns how many nodes the limits are divided by. */
     public int members() {
         return membership.members();
--- a/traffic/src/test/java/org/oleanderturn/traffic/LimitMembershipTest.java
+++ b/traffic/src/test/java/org/oleanderturn/traffic/LimitMembershipTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.oleanderturn.model.Locality;
@@ -17,6 +18,7 @@
     private final AtomicLong now = new AtomicLong(1_000_000_000L);
     private final LimitMembership membership = new LimitMembership(NodeId.of("node-0"), LOCALITY, now::get);
     private final List<LimitMember> members = new ArrayList<>();
+    private boolean isComplete = true;
 
     // Guards against a fleet that grants nothing for seconds after all nodes restarted and the last of them is known.
     @Test
@@ -40,6 +42,27 @@
         assertThat(membership.isActive()).isTrue();
     }
 
+    // Guards against refusals after a restart whose reason no log line tells.
+    @Test
+    void shouldNameTheFirstConditionThatDoesNotHold() {
+        join(0);
+        pass(Duration.ofMillis(2_900));
+        assertThat(membership.hindrance()).isEqualTo(Optional.of(LimitHindrance.JUST_STARTED));
+        isComplete = false;
+        pass(Duration.ofMillis(300));
+        assertThat(membership.hindrance()).isEqualTo(Optional.of(LimitHindrance.MEMBERS_MISSING));
+        isComplete = true;
+        join(1);
+        pass(Duration.ofMillis(300));
+        assertThat(membership.hindrance()).isEqualTo(Optional.of(LimitHindrance.MEMBERS_CHANGING));
+        members.set(1, new LimitMember(NodeId.of("node-1"), LOCALITY, false, true));
+        pass(Duration.ofMillis(1_500));
+        assertThat(membership.hindrance()).isEqualTo(Optional.of(LimitHindrance.MEMBERS_UNREACHABLE));
+        members.set(1, new LimitMember(NodeId.of("node-1"), LOCALITY, true, true));
+        pass(Duration.ofMillis(200));
+        assertThat(membership.hindrance()).isEqualTo(Optional.empty());
+    }
+
     private void join(int number) {
         members.add(new LimitMember(NodeId.of("node-" + number), LOCALITY, true, true));
     }
@@ -48,7 +71,7 @@
         long end = now.get() + duration.toNanos();
         while (now.get() < end) {
             now.addAndGet(STEP_NANOSECONDS);
-            membership.update(members, true);
+            membership.update(members, isComplete);
         }
     }
 }
