--- a/mesh/src/main/java/org/oleanderturn/mesh/RequestIdentity.java
+++ b/mesh/src/main/java/org/oleanderturn/mesh/RequestIdentity.java
@@ -8,9 +8,9 @@
  * What makes two sendings the same request to a target: method, host, path with query, body, calling service and
  * organisation. Attempt id, deadline and other headers may differ.
  *
- * <p>Invariant: nothing of it depends on the route or the service that was chosen, so that entry and guard of every node
- * compute the same fingerprint, whatever version of the configuration they have. The fingerprint is computed when it is first
- * needed, since most requests never need it. Thread safe; the body's bytes must not be changed.
+ * <p>Invariant: route and chosen service are no part of it, so that entry and guard of every node compute the same
+ * fingerprint under every version of the configuration that gives the client's key to the same organisation. The fingerprint is
+ * computed when it is first needed, since most requests never need it. Thread safe; the body's bytes must not be changed.
  */
 final class RequestIdentity {
     private final String method;
